Agree the core's types, the wire schema, and how settings spread

Cause: doors, dispatchers, claims, membership and the runtime are built side by side, so events, effects, messages and refusal codes must stand first.

Change: frozen dataclasses for events, effects and messages; one routed reducer; protobuf frames made field by field from the dataclasses; batches sealed with HMAC-SHA256 and bound to deployment and receiver; backend servers with leaving ordered by the list's position; a follower that adopts only greater generations, by deltas or whole, from peers or the platform, and parks arrivals while it is behind.

Found on the way: a host that heard of a generation from a peer which could not give it waited a full second, ignoring others that could; each peer that is ahead is now asked once. Each follower test was seen to fail with its mechanism taken out of a scratch copy.

Conclusion: the parts can go on against these types.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Everything a newcomer runs. `make demo` and `make check` do all set-up.
+PY ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+$(VENV)/.installed: pyproject.toml
+	$(PY) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -e '.[dev]'
+	touch $@
+
+.PHONY: install demo check lint types spin models test wire
+install: $(VENV)/.installed
+
+demo: install
+	$(BIN)/python -m tools.demo
+
+CODE := crocuskeel standins bench tests tools models
+
+lint: install
+	$(BIN)/flake8 $(CODE)
+	$(BIN)/autopep8 --diff --exit-code --recursive \
+	  --exclude '*_pb2.py,*_grpc.py' $(CODE)
+
+types: install
+	$(BIN)/mypy
+
+# spin and a C compiler check the models; both are Debian's packages.
+spin:
+	@command -v spin >/dev/null && command -v cc >/dev/null || \
+	  (apt-get update -qq && apt-get install -y -qq spin gcc libc6-dev)
+
+models: install spin
+	$(BIN)/python -m models.check
+
+test: install
+	$(BIN)/python -m tools.run_tests
+
+check: lint types models test
+
+wire: install
+	PATH=$(CURDIR)/$(BIN):$$PATH $(BIN)/python -m grpc_tools.protoc \
+	  -I. --python_out=. --grpclib_python_out=. \
+	  crocuskeel/wire/crocuskeel.proto
--- /dev/null
+++ b/crocuskeel/__init__.py
@@ -0,0 +1,5 @@
+"""Router for language-model traffic with service levels."""
+
+__all__ = ["__version__"]
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/crocuskeel/core/backends/grouping.py
@@ -0,0 +1,69 @@
+"""Cells: groups of a service's backend servers of bounded size.
+
+Each cell has one dispatcher. The grouping depends only on the names of
+the service's servers and the cell size, so that all hosts that read the
+same list agree; a server that comes or goes moves few others.
+"""
+
+import xxhash
+
+from crocuskeel import conf
+from crocuskeel.core import placement
+
+__all__ = ["build", "cell_engines", "cell_for", "cells", "size_of"]
+
+DEFAULT_SIZE = 32
+_SEPARATOR = "/"
+
+
+def size_of(daemon):
+    """Return the settings' cell size, the default before settings."""
+    tree = daemon.follower.tree
+    return conf.cell_size(tree) if tree is not None else DEFAULT_SIZE
+
+
+def build(by_service, size):
+    """Group servers into cells.
+
+    ``by_service`` maps a service to its servers; returns a dict of cell
+    name to a tuple of server names.
+    """
+    out = {}
+    for service, group in by_service.items():
+        names = [backend.name for backend in group]
+        out.update(_split(service, names, size))
+    return out
+
+
+def _split(service, names, size):
+    count = -(-len(names) // size)
+    keys = [f"{service}{_SEPARATOR}{index}" for index in range(count)]
+    members = {key: [] for key in keys}
+    for name in sorted(names):
+        open_keys = [k for k in keys if len(members[k]) < size]
+        members[placement.owner(name, open_keys)].append(name)
+    return {key: tuple(group) for key, group in members.items()}
+
+
+def cells(daemon, service):
+    """Return the names of the service's cells, in order."""
+    prefix = service + _SEPARATOR
+    return tuple(name for name in daemon.backends.cells
+                 if name.startswith(prefix))
+
+
+def cell_engines(daemon, cell):
+    """Return the names of the cell's backend servers."""
+    return daemon.backends.cells.get(cell, ())
+
+
+def cell_for(daemon, service, key):
+    """Return the cell that work with this key goes to, "" if none.
+
+    Equal keys (a prompt's prefix, a resent request's fingerprint) go to
+    the same cell, so that its dispatcher knows the earlier ones.
+    """
+    names = cells(daemon, service)
+    if not names:
+        return ""
+    return names[xxhash.xxh3_64_intdigest(key.encode()) % len(names)]
--- /dev/null
+++ b/crocuskeel/core/factory.py
@@ -0,0 +1,35 @@
+"""Builds the whole state of a daemon."""
+
+import random
+
+from crocuskeel.core import backends
+from crocuskeel.core import claims
+from crocuskeel.core import dispatch
+from crocuskeel.core import door
+from crocuskeel.core import follower
+from crocuskeel.core import membership
+from crocuskeel.core import quarantine
+from crocuskeel.core import state
+
+__all__ = ["new_daemon"]
+
+
+def new_daemon(identity, limits=None, seed=0, tree=None):
+    """Return a :class:`state.Daemon` for ``identity``.
+
+    ``tree`` is a parsed settings tree to start from (tests, trials);
+    without it the daemon is not ready until it has read one.
+    """
+    rng = random.Random(f"{identity.host}/{identity.incarnation}/{seed}")
+    return state.Daemon(
+        me=identity,
+        limits=limits or state.Limits(),
+        rng=rng,
+        follower=follower.new_state(tree),
+        members=membership.new_state(identity),
+        backends=backends.new_state(),
+        quarantine=quarantine.new_state(),
+        dispatch=dispatch.new_state(),
+        door=door.new_state(),
+        claims=claims.new_state(),
+    )
--- /dev/null
+++ b/crocuskeel/core/follower/__init__.py
@@ -0,0 +1,16 @@
+"""Settings in force: learns of generations and adopts them in order."""
+
+from crocuskeel.core.follower.parking import forget
+from crocuskeel.core.follower.parking import park
+from crocuskeel.core.follower.parking import unpark
+from crocuskeel.core.follower.state import caller
+from crocuskeel.core.follower.state import FollowerState
+from crocuskeel.core.follower.state import generation
+from crocuskeel.core.follower.state import new_state
+from crocuskeel.core.follower.state import policy
+from crocuskeel.core.follower.state import ready
+from crocuskeel.core.follower.steps import handle
+from crocuskeel.core.follower.steps import hear
+
+__all__ = ["FollowerState", "caller", "forget", "generation", "handle",
+           "hear", "new_state", "park", "policy", "ready", "unpark"]
--- /dev/null
+++ b/crocuskeel/core/problems.py
@@ -0,0 +1,100 @@
+"""Refusal codes and outcomes that callers see (RFC 9457 problem details).
+
+Every refusal names one :class:`Reason`; ``TABLE`` gives its HTTP status,
+title and whether the caller should come back.
+"""
+
+import dataclasses
+import enum
+
+__all__ = ["Outcome", "Problem", "Reason", "TABLE", "problem"]
+
+
+class Outcome(enum.StrEnum):
+    """What is known about whether a request ran on a backend server."""
+
+    NOT_RUN = "not_run"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+class Reason(enum.StrEnum):
+    """Stable codes; part of the callers' interface, never renamed."""
+
+    UNAUTHORIZED = "unauthorized"
+    BAD_REQUEST = "bad_request"
+    TOO_LARGE = "too_large"
+    UNKNOWN_CLASS = "unknown_class"
+    KEY_REQUIRED = "key_required"
+    KEY_MISMATCH = "key_mismatch"
+    KEY_TOO_OLD = "key_too_old"
+    OVERLOAD = "overload"
+    QUEUE_FULL = "queue_full"
+    DEADLINE = "deadline"
+    NO_BACKEND = "no_backend"
+    QUARANTINED = "quarantined"
+    CLAIM_UNAVAILABLE = "claim_unavailable"
+    DUPLICATE = "duplicate"
+    BACKEND_LOST = "backend_lost"
+    BACKEND_FAILED = "backend_failed"
+    STREAM_UNKNOWN = "stream_unknown"
+    NOT_READY = "not_ready"
+    LEAVING = "leaving"
+    SETTINGS_STALE = "settings_stale"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kind:
+    """Fixed parts of a refusal: HTTP status and title."""
+
+    status: int
+    title: str
+
+
+TABLE = {
+    Reason.UNAUTHORIZED: Kind(401, "The bearer token is not known"),
+    Reason.BAD_REQUEST: Kind(400, "The request can't be understood"),
+    Reason.TOO_LARGE: Kind(413, "The request is over its size limit"),
+    Reason.UNKNOWN_CLASS: Kind(404, "No such class in this workspace"),
+    Reason.KEY_REQUIRED: Kind(
+        400, "A non-repeatable request needs an Idempotency-Key"),
+    Reason.KEY_MISMATCH: Kind(
+        422, "This Idempotency-Key named another request"),
+    Reason.KEY_TOO_OLD: Kind(
+        409, "This Idempotency-Key is older than the kept span"),
+    Reason.OVERLOAD: Kind(503, "No capacity is left for this tier"),
+    Reason.QUEUE_FULL: Kind(429, "The queue of this class is full"),
+    Reason.DEADLINE: Kind(504, "The deadline can't be met"),
+    Reason.NO_BACKEND: Kind(503, "No backend server can take this"),
+    Reason.QUARANTINED: Kind(
+        422, "This request crashed backend servers and is quarantined"),
+    Reason.CLAIM_UNAVAILABLE: Kind(
+        503, "The claim for this request can't be recorded now"),
+    Reason.DUPLICATE: Kind(409, "This request was already taken"),
+    Reason.BACKEND_LOST: Kind(502, "The backend server was lost"),
+    Reason.BACKEND_FAILED: Kind(502, "The backend server failed"),
+    Reason.STREAM_UNKNOWN: Kind(404, "No such stream for this caller"),
+    Reason.NOT_READY: Kind(503, "This host has no settings yet"),
+    Reason.LEAVING: Kind(503, "This host is leaving"),
+    Reason.SETTINGS_STALE: Kind(
+        503, "This host has heard no settings for too long"),
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Problem:
+    """One refusal or failure as a caller sees it.
+
+    ``retry_after_s`` is the time to come back, seconds; 0 for never.
+    """
+
+    reason: Reason
+    outcome: Outcome
+    detail: str = ""
+    retry_after_s: float = 0.0
+
+
+def problem(reason, outcome=Outcome.NOT_RUN, detail="",
+            retry_after_s=0.0):
+    """Build a :class:`Problem`."""
+    return Problem(reason, outcome, detail, retry_after_s)
--- /dev/null
+++ b/crocuskeel/wire/__init__.py
@@ -0,0 +1,14 @@
+"""Schema and codecs of what entry hosts say to each other."""
+
+from crocuskeel.wire.codec import from_frame
+from crocuskeel.wire.codec import to_frame
+from crocuskeel.wire.exceptions import BadCode
+from crocuskeel.wire.exceptions import BadMessage
+from crocuskeel.wire.exceptions import OtherDeployment
+from crocuskeel.wire.exceptions import WireError
+from crocuskeel.wire.seal import MAX_SEALED_BYTES
+from crocuskeel.wire.seal import open_sealed
+from crocuskeel.wire.seal import seal
+
+__all__ = ["BadCode", "BadMessage", "MAX_SEALED_BYTES", "OtherDeployment",
+           "WireError", "from_frame", "open_sealed", "seal", "to_frame"]
--- /dev/null
+++ b/tests/follower/fleet.py
@@ -0,0 +1,190 @@
+"""Real follower reducers of a few hosts around one in-memory store."""
+
+import heapq
+import itertools
+import random
+import types
+
+from crocuskeel import conf
+from crocuskeel.conf import storage
+from crocuskeel.core import effects
+from crocuskeel.core import events
+from crocuskeel.core import follower
+from crocuskeel.core import state as core_state
+
+DELAY_S = 0.005
+DOCUMENT = {
+    "deployment": {"name": "d", "failure_domains": ["a"]},
+    "services": {"desk": {"kind": "plain"}},
+    "classes": {"booking": {"service": "desk", "tier": 1}},
+    "workspaces": {"ws": {}},
+}
+
+
+class Fleet:
+    """Hosts, a store with an outage switch, and a virtual clock.
+
+    ``cut`` holds pairs of hosts (and "platform") that can't reach each
+    other; ``log`` the events of the time line.
+    """
+
+    def __init__(self, names):
+        self.names = tuple(names)
+        self.now = 0.0
+        self.queue = []
+        self.count = itertools.count()
+        self.objects = {}
+        self.version = 0
+        self.cut = set()
+        self.stale_head = None
+        self.tree = conf.empty_tree()
+        self.head = None
+        self.hosts = {}
+        self.timers = {}
+        self.log = []
+        self.judged = []
+        self.calls = 0
+
+    def start(self, *names):
+        """Start daemons with no settings."""
+        for name in names:
+            self.hosts[name] = _daemon(name, self)
+            self.feed(name, events.Started())
+
+    def commit(self, edits):
+        """Accept a batch, as an operator's command would."""
+        number = self.tree.generation
+        batch = conf.new_batch("op", 0.0, number, edits)
+        made = storage.prepare(self.tree, self.head, batch).unwrap()
+        for part in made.parts:
+            self._put(storage.part_key(part.digest), part.blob)
+        self._put(storage.HEAD_KEY, storage.encode_head(made.head))
+        self.tree, self.head = made.tree, made.head
+
+    def _put(self, path, body):
+        self.version += 1
+        self.objects[path] = (self.version, body)
+
+    def feed(self, name, event):
+        """Reduce an event on a host and carry out its effects."""
+        daemon = self.hosts[name]
+        if event_is_judged(daemon, event, self.now, self.judged):
+            return
+        if type(event) is events.Received:
+            self._do(name, follower.hear(daemon, event, self.now))
+        self._do(name, follower.handle(daemon, event, self.now))
+        for arrival in follower.unpark(daemon):
+            self.judged.append((arrival.rid, follower.generation(daemon),
+                                follower.ready(daemon, self.now)))
+
+    def arrive(self, name, rid):
+        """A caller's request arrives at a host."""
+        event = events.RequestArrived(
+            rid, "", "POST", "/", "booking", "", False, 0, 0, 0, "", "")
+        self.feed(name, event)
+
+    def run(self, until):
+        """Advance the virtual clock."""
+        while self.queue and self.queue[0][0] <= until:
+            self.now, _, action = heapq.heappop(self.queue)
+            action()
+        self.now = until
+
+    def generations(self):
+        """Return the generation in force on each host."""
+        return {name: follower.generation(daemon)
+                for name, daemon in self.hosts.items()}
+
+    def later(self, after_s, action):
+        """Do something after a span."""
+        heapq.heappush(self.queue,
+                       (self.now + after_s, next(self.count), action))
+
+    def _reach(self, one, two):
+        return not {(one, two), (two, one), (one, "*"), (two, "*")} & (
+            self.cut)
+
+    def _do(self, name, wanted):
+        for effect in wanted:
+            match effect:
+                case effects.Send(host=host, message=message):
+                    self._send(name, host, message)
+                case effects.SetTimer(key=key, after_s=after_s):
+                    self._set_timer(name, key, after_s)
+                case effects.StoreGet() | effects.StoreWatch():
+                    self._read(name, effect)
+                case effects.Record():
+                    self.log.append((self.now, name, effect))
+
+    def _send(self, name, host, message):
+        sender = self.hosts[name]
+        event = events.Received(name, 1, message,
+                                follower.generation(sender))
+
+        def deliver():
+            if host in self.hosts and self._reach(name, host):
+                self.feed(host, event)
+        self.later(DELAY_S, deliver)
+
+    def _set_timer(self, name, key, after_s):
+        token = object()
+        self.timers[name, key] = token
+
+        def fire():
+            if self.timers.get((name, key)) is token:
+                self.feed(name, events.TimerFired(key))
+        self.later(after_s, fire)
+
+    def _read(self, name, effect):
+        self.calls += 1
+        status = events.StoreStatus
+        wait = getattr(effect, "timeout_s", 0.0)
+        if not self._reach(name, "platform"):
+            answer = events.StoreAnswered(effect.op, status.UNAVAILABLE)
+            self.later(DELAY_S, lambda: self.feed(name, answer))
+        else:
+            self.later(DELAY_S, lambda: self._found(
+                name, effect, self.now + wait))
+
+    def _found(self, name, effect, until):
+        status = events.StoreStatus
+        version, body = self.objects.get(effect.path, (0, None))
+        if self.stale_head and effect.path == storage.HEAD_KEY:
+            version, body = self.stale_head
+        waits = getattr(effect, "version", None) == version
+        if body is None:
+            answer = events.StoreAnswered(effect.op, status.NOT_FOUND)
+        elif waits and self.now < until:
+            self.later(0.05, lambda: self._found(name, effect, until))
+            return
+        elif waits:
+            answer = events.StoreAnswered(effect.op, status.UNCHANGED)
+        else:
+            answer = events.StoreAnswered(
+                effect.op, status.FOUND, version, body)
+        self.feed(name, answer)
+
+
+def event_is_judged(daemon, event, now, judged):
+    """Park an arrival or note by which generation it is judged."""
+    if type(event) is not events.RequestArrived:
+        return False
+    if not follower.park(daemon, event, now):
+        judged.append((event.rid, follower.generation(daemon),
+                       follower.ready(daemon, now)))
+    return True
+
+
+def _daemon(name, fleet):
+    me = core_state.Identity("d", name, "a", "r", "", 0, 0, 1)
+    members = types.SimpleNamespace()
+    daemon = core_state.Daemon(
+        me, core_state.Limits(), random.Random(name),
+        follower.new_state(), members, None, None, None, None, None)
+    members.fleet = fleet
+    return daemon
+
+
+def live(daemon):
+    """Stand in for ``membership.live``: every host of the fleet."""
+    return daemon.members.fleet.names
