Add the operators' command, the time line, and figures of settings

Cause: operators need to see and change what the fleet does from any host, and a new generation reached 469 of 470 hosts only: with six random neighbours one host in 400 is nobody's neighbour and waited for its slow read.

Ruled out: a head read every second by every host (470 calls a second); more random neighbours (e^-k of the hosts stay without one).

Conclusion: the spread is logarithmic. The daemon does not mount the operators' routes yet; that goes with the runtime.

--- a/crocuskeel/core/factory.py
+++ b/crocuskeel/core/factory.py
@@ -14,11 +14,13 @@
 __all__ = ["new_daemon"]
 
 
-def new_daemon(identity, limits=None, seed=0, tree=None):
+def new_daemon(identity, limits=None, seed=0, tree=None, wall=None):
     """Return a :class:`state.Daemon` for ``identity``.
 
     ``tree`` is a parsed settings tree to start from (tests, trials);
-    without it the daemon is not ready until it has read one.
+    without it the daemon is not ready until it has read one. ``wall``
+    turns the runtime's time into Unix seconds, to refuse claims dated
+    in the future; nothing is ever run because of it.
     """
     rng = random.Random(f"{identity.host}/{identity.incarnation}/{seed}")
     return state.Daemon(
@@ -31,5 +33,6 @@
         quarantine=quarantine.new_state(),
         dispatch=dispatch.new_state(),
         door=door.new_state(),
-        claims=claims.new_state(),
+        claims=claims.new_state(
+            identity.host, identity.incarnation, rng, wall=wall),
     )
--- a/crocuskeel/core/follower/loading.py
+++ b/crocuskeel/core/follower/loading.py
@@ -13,15 +13,15 @@
 from crocuskeel.core.follower import state as states
 from crocuskeel.core import membership
 from crocuskeel.core import messages
-from crocuskeel.core import placement
 
-__all__ = ["begin", "go_on", "part_got"]
+__all__ = ["begin", "go_on", "neighbours", "part_got"]
 
 MAX_ASKED = 16
 MAX_DELTAS_KEPT = 64
-# Each host tells this many stable neighbours of a new generation; in a
-# random graph of this degree news reaches 470 hosts in 4 hops.
-NEIGHBOURS = 6
+# Each host tells the hosts 1, 3, 9, 27, ... places after it in the
+# sorted list of a new generation: at most twice that many hops lead to
+# any other host, and everyone is told by as many as it tells.
+STRIDE = 3
 
 
 def begin(daemon, head, source, given=()):
@@ -152,9 +152,22 @@
         state.deltas.pop(next(iter(state.deltas)))
 
 
+def neighbours(host, live):
+    """Return the hosts that ``host`` tells of a new generation.
+
+    ``live`` is sorted. A random choice would leave one host in 400
+    without anyone to tell it.
+    """
+    at = live.index(host) if host in live else 0
+    told = []
+    step = 1
+    while step < len(live):
+        told.append(live[(at + step) % len(live)])
+        step *= STRIDE
+    return [name for name in told if name != host]
+
+
 def _tell_neighbours(daemon):
-    me = daemon.me.host
-    peers = [host for host in membership.live(daemon) if host != me]
-    near = placement.ranked(f"settings/{me}", peers)[:NEIGHBOURS]
     news = messages.SettingsAsk(states.generation(daemon))
+    near = neighbours(daemon.me.host, membership.live(daemon))
     return [effects.Send(host, news) for host in near]
--- /dev/null
+++ b/crocuskeel/ctl/session.py
@@ -0,0 +1,24 @@
+"""What every command works with."""
+
+import dataclasses
+import typing
+
+from crocuskeel.ctl import client as clients
+
+__all__ = ["Session"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Session:
+    """Clock, hosts and files, handed in so that tests can replace them.
+
+    ``wall()`` returns Unix seconds; ``read_text(name)`` returns a
+    file's text and ``write_text(name, text)`` writes one; both raise
+    OSError.
+    """
+
+    reactor: typing.Any
+    client: clients.Client
+    wall: typing.Callable[[], float]
+    read_text: typing.Callable[[str], str]
+    write_text: typing.Callable[[str, str], None]
--- /dev/null
+++ b/crocuskeel/programs/ctl.py
@@ -0,0 +1,57 @@
+"""``crocuskeelctl``: the operators' command."""
+
+import asyncio
+import os
+import pathlib
+import sys
+import time
+
+from twisted.internet import asyncioreactor
+
+__all__ = ["main"]
+
+
+def main(argv=None):
+    """Run the command; ends the process with its exit code."""
+    asyncioreactor.install(asyncio.new_event_loop())
+    # Klein and Twisted's task install the default reactor when they are
+    # imported, so all that imports them comes after ours.
+    from crocuskeel import ctl
+    from twisted.internet import task
+
+    args = ctl.parse(argv)
+    code = []
+    try:
+        task.react(_start, (args, code))
+    except SystemExit as exc:
+        sys.exit(code[0] if code else exc.code)
+
+
+async def _start(reactor, args, code):
+    from crocuskeel import ctl
+    from crocuskeel import platform
+
+    send = platform.new_treq_send(reactor)
+    client = ctl.connection(args, os.environ, _read_text, send)
+    if client.is_err():
+        result = client
+    else:
+        session = ctl.Session(
+            reactor=reactor, client=client.unwrap(), wall=time.time,
+            read_text=_read_text, write_text=_write_text)
+        result = await ctl.run(args, session)
+    code.append(ctl.print_result(
+        result, args.json, sys.stdout, sys.stderr))
+    await send.pool.closeCachedConnections()
+
+
+def _read_text(name):
+    return pathlib.Path(name).read_text(encoding="utf-8")
+
+
+def _write_text(name, text):
+    pathlib.Path(name).write_text(text, encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/ctl/fleet.py
@@ -0,0 +1,209 @@
+"""A fleet in memory: real routes and command, a fake store and clock."""
+
+import io
+import random
+import urllib.parse
+
+from crocuskeel import conf
+from crocuskeel.conf import batches
+from crocuskeel.conf import storage
+from crocuskeel.conf import tree as trees
+from crocuskeel.core import backends
+from crocuskeel.core import dispatch
+from crocuskeel.core import door
+from crocuskeel.core import follower
+from crocuskeel.core import membership
+from crocuskeel.core.membership import state as member_state
+from crocuskeel.core import quarantine
+from crocuskeel.core import state
+from crocuskeel import ctl
+from crocuskeel import ops
+from crocuskeel import platform
+import klein
+from tests.conf import samples
+from treq import testing
+from twisted.internet import defer
+from twisted.internet import task
+
+POLL_S = 0.25
+MOST_POLLS = 400
+OPERATOR, READER, CALLER = "operator", "reader", "w0-token"
+DOCUMENT = samples.document()
+DOCUMENT["workspaces"]["ops"] = {"tokens": [
+    {"caller": "kylie", "sha256": samples.sha256(OPERATOR),
+     "roles": ["read", "change"]},
+    {"caller": "screen", "sha256": samples.sha256(READER),
+     "roles": ["read"]}]}
+
+
+class Store:
+    """The Object API; ``lose`` answers of the next head writes."""
+
+    def __init__(self):
+        self.objects = {}
+        self.version = 0
+        self.lose = 0
+        self.down = False
+
+    def get(self, path):
+        """Read an object."""
+        if self.down:
+            return defer.succeed(platform.Unavailable("not_sent"))
+        if path not in self.objects:
+            return defer.succeed(platform.NotFound())
+        return defer.succeed(platform.Found(*self.objects[path]))
+
+    def create(self, path, body):
+        """Write an object that must not exist."""
+        return self._write(path, body, path not in self.objects)
+
+    def put(self, path, body, version):
+        """Replace the object of that version."""
+        kept, _body = self.objects.get(path, (None, b""))
+        return self._write(path, body, kept == version)
+
+    def _write(self, path, body, allowed):
+        if not allowed:
+            return defer.succeed(platform.Conflict())
+        self.version += 1
+        self.objects[path] = (self.version, body)
+        if path == storage.HEAD_KEY and self.lose:
+            self.lose -= 1
+            return defer.succeed(platform.WriteUnknown("lost"))
+        return defer.succeed(platform.Written(self.version))
+
+    def head(self):
+        """Return the stored head."""
+        return storage.decode_head(self.objects[storage.HEAD_KEY][1])
+
+
+def _new_daemon(host, number):
+    me = state.Identity("test", host, "a", "r", f"10.0.0.{number}", 1,
+                        8100, 1)
+    return state.Daemon(
+        me=me, limits=state.Limits(), rng=random.Random(1),
+        follower=follower.new_state(), members=membership.new_state(me),
+        backends=backends.new_state(), quarantine=quarantine.new_state(),
+        dispatch=dispatch.new_state(), door=door.new_state(), claims=None)
+
+
+class Fleet:
+    """Hosts h1, h2 ...; those in ``stuck`` adopt no new settings."""
+
+    def __init__(self, count=3):
+        self.clock = task.Clock()
+        self.store = Store()
+        self.files = {}
+        self.stuck = set()
+        self.down = set()
+        self.lose_answers_of = set()
+        self.fed = []
+        self.rings = {f"h{at}": [] for at in range(1, count + 1)}
+        self.daemons = {host: _new_daemon(host, at) for at, host
+                        in enumerate(self.rings, start=1)}
+        self._web = {host: self._serve(host) for host in self.daemons}
+        self._introduce()
+        self._store_first()
+
+    def _introduce(self):
+        for daemon in self.daemons.values():
+            members = daemon.members
+            for host, other in self.daemons.items():
+                if host != daemon.me.host:
+                    members.members[host] = member_state.Member(
+                        other.members.me)
+            member_state.changed(members)
+
+    def _store_first(self):
+        batch = batches.new_batch("init", 0.0, 0, [
+            batches.Edit((name,), value)
+            for name, value in DOCUMENT.items() if name != "workspaces"
+        ] + [batches.Edit(("workspaces", name), body)
+             for name, body in DOCUMENT["workspaces"].items()])
+        done = defer.ensureDeferred(ops.run_commit(
+            self.clock, self.store, batch, trees.empty_tree(),
+            resent=False))
+        assert done.result.generation == 1
+        self.spread()
+
+    def spread(self):
+        """Let every host that is not stuck adopt the newest head."""
+        head = self.store.head()
+        for host in set(self.daemons) - self.stuck:
+            state = self.daemons[host].follower
+            for recent in head.recent:
+                tree = state.tree or trees.empty_tree()
+                blob = self.store.objects[
+                    storage.part_key(recent.delta)][1]
+                part = conf.Part(recent.delta, blob)
+                if recent.generation == tree.generation + 1:
+                    state.tree = storage.advance(
+                        tree, storage.decode_delta(part)).unwrap()
+                    state.deltas[recent.delta] = part
+            state.head = storage.encode_head(head)
+            state.newest = state.tree.generation
+
+    def _serve(self, host):
+        app = klein.Klein()
+        ops.register(app, ops.Runtime(
+            reactor=self.clock, daemon=self.daemons[host],
+            ring=lambda: self.rings[host],
+            feed=lambda event: self.fed.append((host, event)),
+            record=lambda record: None, platform=lambda: self.store))
+        return testing.StubTreq(app.resource())
+
+    def send(self, method, url, headers, data, timeout):
+        """The command's transport, straight into the routes."""
+        return defer.ensureDeferred(
+            self._send(method, url, headers, data))
+
+    async def _send(self, method, url, headers, data):
+        address = urllib.parse.urlsplit(url).hostname
+        host = f"h{address.rpartition('.')[2]}"
+        if host in self.down:
+            raise platform.NotSent("refused")
+        web = self._web[host]
+        fut = web.request(method, url, headers=headers, data=data)
+        web.flush()
+        answer = await fut
+        body = await answer.content()
+        if host not in self.stuck and method == "POST":
+            self.spread()
+        if host in self.lose_answers_of:
+            raise platform.AnswerLost("connection lost")
+        return platform.HttpAnswer(answer.code, {}, body)
+
+    def run(self, *argv, token=OPERATOR, hosts="10.0.0.1:8100"):
+        """Run the command; return its exit code, output and errors."""
+        args = ctl.parse(list(argv))
+        environ = {"CROCUSKEELCTL_HOSTS": hosts,
+                   "CROCUSKEELCTL_TOKEN": token}
+        client = ctl.connection(args, environ, self.read, self.send)
+        if client.is_err():
+            result = client
+        else:
+            session = ctl.Session(
+                self.clock, client.unwrap(), lambda: 1.7e9, self.read,
+                self.files.__setitem__)
+            result = self._finish(ctl.run(args, session))
+        out, err = io.StringIO(), io.StringIO()
+        code = ctl.print_result(result, args.json, out, err)
+        return code, out.getvalue(), err.getvalue()
+
+    def _finish(self, coroutine):
+        ended = []
+        fut = defer.ensureDeferred(coroutine)
+        fut.addBoth(ended.append)
+        for _ in range(MOST_POLLS):
+            if ended:
+                break
+            self.clock.advance(POLL_S)
+            for web in self._web.values():
+                web.flush()
+        return ended[0]
+
+    def read(self, name):
+        """Return a file's text."""
+        if name not in self.files:
+            raise FileNotFoundError(name)
+        return self.files[name]
--- a/tests/follower/test_follower.py
+++ b/tests/follower/test_follower.py
@@ -7,6 +7,7 @@
 from crocuskeel.conf import storage
 from crocuskeel.core import events
 from crocuskeel.core import follower
+from crocuskeel.core.follower import loading
 from crocuskeel.core import messages
 from tests.follower import fleet as fleets
 
@@ -151,6 +152,24 @@
         fleet.run(fleet.now + 3)
         self.assertEqual(1, fleet.generations()["h8"])
 
+    def test_everyone_is_told_without_the_platform(self):
+        """One host of 470 stays behind for half a minute.
+
+        News went to six random neighbours, and one host in 400 was
+        nobody's neighbour: it learned of a change only by its own slow
+        read of the platform.
+        """
+        for size in (2, 3, 9, 10, 81, 470):
+            live = tuple(f"h{number:03d}" for number in range(size))
+            reached = {live[0]}
+            fresh = [live[0]]
+            while fresh:
+                told = {name for host in fresh
+                        for name in loading.neighbours(host, live)}
+                fresh = sorted(told - reached)
+                reached |= told
+            self.assertEqual(set(live), reached)
+
     def test_calls_of_the_platform_stay_few(self):
         fleet = self._started()
         before = fleet.calls
