Add the settings tree, batches, their storage and the commit

Cause: operators change hundreds of values at once and race each other, a commit's answer can be lost, and 18,000 workspaces must fit in a daemon.

Ruled out: one object a workspace (a batch would not be atomic), one blob (an edit of one workspace rewrites it whole), a retry that trusts a conflict as "not applied" (the earlier write may still land).

--- /dev/null
+++ b/tests/conf/test_storage.py
@@ -0,0 +1,114 @@
+"""Layout in the Object API: small writes, deltas, damaged parts."""
+
+import hashlib
+import unittest
+from unittest import mock
+import zlib
+
+from crocuskeel import conf
+from crocuskeel.conf import parts
+from crocuskeel.conf import storage
+from tests.conf import samples
+
+MANY = 600
+EDIT = conf.Edit(('workspaces', 'w5', 'weight'), 7)
+
+
+def prepared(tree, *edits):
+    batch = conf.new_batch('op', 1.0, tree.generation, edits)
+    return storage.prepare(tree, None, batch).unwrap()
+
+
+class LayoutTest(unittest.TestCase):
+
+    def test_one_edit_rewrites_one_shard(self):
+        """A release day's edits fill the platform's write budget.
+
+        Each edit of one workspace would rewrite all of them. It writes
+        the workspace's shard, the index and the delta, whatever their
+        number.
+        """
+        tree = samples.tree(MANY)
+        written = prepared(tree, EDIT).parts
+        self.assertEqual(3, len(written))
+        all_parts = storage.tree_parts(tree).values()
+        whole = sum(len(part.blob) for part in all_parts)
+        rewritten = sum(len(part.blob) for part in written)
+        self.assertLess(rewritten, whole / 4)
+
+    def test_delta_and_whole_load_reach_the_same_tree(self):
+        tree = samples.tree(MANY)
+        result = prepared(
+            tree, EDIT, conf.Edit(('cell_size',), 3),
+            conf.Edit(('workspaces', 'w6'), conf.REMOVE))
+        delta = storage.decode_delta(storage.delta_part(result.delta))
+        index = storage.decode_index(storage.index_part(result.tree))
+        stored = {part.digest: part for part in result.parts}
+        by_delta = conf.advance(tree, delta).unwrap()
+        by_parts = conf.assemble(2, index, stored, tree)
+        fresh = conf.assemble(2, index, storage.tree_parts(result.tree))
+        for found in (by_delta, by_parts, fresh):
+            self.assertEqual(
+                result.head.index, storage.index_part(found).digest)
+            self.assertEqual(2, found.generation)
+            self.assertEqual(result.tree.tokens, found.tokens)
+        self.assertLessEqual(
+            conf.missing_parts(index, tree), set(stored))
+        head = storage.decode_head(storage.encode_head(result.head))
+        self.assertEqual(result.head, head)
+
+    def test_follower_takes_only_the_step_from_its_own_tree(self):
+        """A host goes back, skips a batch, or ends in a tree of its own.
+
+        A delta comes twice, or late, or from a peer whose tree differs;
+        after a revert it even leads to a tree that was there before.
+        Requests would be judged by settings nobody accepted.
+        """
+        tree = samples.tree()
+        delta = prepared(tree, EDIT).delta
+        after = conf.advance(tree, delta).unwrap()
+        other = samples.tree(3)
+        removal = conf.Edit(('workspaces', 'w5'), conf.REMOVE)
+        undo = prepared(after, removal).delta
+        reverted = conf.advance(after, undo).unwrap()
+        self.assertEqual(
+            conf.to_document(tree), conf.to_document(reverted))
+        self.assertTrue(conf.advance(after, delta).is_err())
+        self.assertTrue(conf.advance(reverted, delta).is_err())
+        self.assertTrue(conf.advance(other, delta).is_err())
+        self.assertTrue(conf.advance(conf.empty_tree(), delta).is_err())
+
+    def test_damaged_parts_are_refused(self):
+        """A peer's or the platform's answer is cut off or is another's.
+
+        Judged by, it would be settings that nobody accepted; a small one
+        that inflates to gigabytes would end the daemon.
+        """
+        good = parts.new_part({'a': 1})
+        zeros = b'0' * (parts.MAX_PLAIN + 1)
+        bomb = conf.Part(
+            hashlib.sha256(zeros).hexdigest(), zlib.compress(zeros))
+        with self.assertRaises(conf.PartCorrupt):
+            parts.decode_part(bomb)
+        for blob in (b'', b'junk', good.blob[:-1], good.blob[:-5],
+                     parts.new_part({'a': 2}).blob):
+            with self.assertRaises(conf.PartCorrupt):
+                parts.decode_part(conf.Part(good.digest, blob))
+        for stored in (b'', b'[]', b'{}', b'{"recent": [[1]]}'):
+            with self.assertRaises(conf.PartCorrupt):
+                storage.decode_head(stored)
+        index = storage.decode_index(storage.index_part(samples.tree()))
+        with self.assertRaises(conf.PartCorrupt):
+            conf.assemble(1, index, {})
+
+    def test_a_batch_too_large_for_one_object_is_refused_whole(self):
+        edits = [
+            conf.Edit(('workspaces', f'x{number}'),
+                      samples.workspace(number + MANY))
+            for number in range(50)]
+        batch = conf.new_batch('op', 1.0, 1, edits)
+        with mock.patch.object(parts, 'MAX_BLOB', 2000):
+            result = storage.prepare(samples.tree(), None, batch)
+        fault = result.unwrap_err()[0]
+        self.assertEqual('conf.E203', fault.id)
+        self.assertIn('split', fault.hint)
