Put a generation in force only once a live peer holds it too

Cause: the model of the settings showed that a host which judges by what it alone has fetched can restart in a platform outage, take the older generation from its peers, and show a caller settings that went back.

Change: a complete generation is held, told to neighbours and to its source, and comes into force when one live peer is known to hold it, or when there is no live peer. The test was seen to fail with the wait taken out.

Conclusion: left open and written down: all holders of a generation restart within the round trip, in an outage.

--- a/crocuskeel/core/follower/loading.py
+++ b/crocuskeel/core/follower/loading.py
@@ -1,27 +1,22 @@
-"""Fetching and adopting a newer generation, from a peer or the platform.
+"""Fetching a newer generation, from a peer or the platform.
 
 By deltas where the head still names all that are missing; else whole,
-by the head's index and the parts not held yet. A tree is adopted only
-when it is complete and checked, and only if its generation is greater:
+by the head's index and the parts not held yet. A tree is held only when
+it is complete and checked, and only if its generation is greater:
 generations never go back.
 """
 
 from crocuskeel import conf
 from crocuskeel.conf import storage
 from crocuskeel.core import effects
-from crocuskeel.core.follower import parking
+from crocuskeel.core.follower import force
 from crocuskeel.core.follower import state as states
-from crocuskeel.core import membership
 from crocuskeel.core import messages
 
-__all__ = ["begin", "go_on", "neighbours", "part_got"]
+__all__ = ["begin", "go_on", "part_got"]
 
 MAX_ASKED = 16
 MAX_DELTAS_KEPT = 64
-# Each host tells the hosts 1, 3, 9, 27, ... places after it in the
-# sorted list of a new generation: at most twice that many hops lead to
-# any other host, and everyone is told by as many as it tells.
-STRIDE = 3
 
 
 def begin(daemon, head, source, given=()):
@@ -31,7 +26,7 @@
     the same or a newer generation goes on instead, with them.
     """
     state = daemon.follower
-    if head.generation <= states.generation(daemon):
+    if head.generation <= states.held_generation(daemon):
         return []
     state.newest = max(state.newest, head.generation)
     load = state.load
@@ -56,7 +51,7 @@
 
 
 def go_on(daemon):
-    """Ask for what is missing, or adopt when nothing is."""
+    """Ask for what is missing, or hold the tree when nothing is."""
     load = daemon.follower.load
     try:
         missing = _missing(daemon, load)
@@ -73,12 +68,12 @@
     if tree is None:
         load.whole = True
         return go_on(daemon)
-    return _adopt(daemon, load, tree)
+    return _hold(daemon, load, tree)
 
 
 def _delta_digests(daemon, load):
     # None: some delta between ours and the head's is not named there.
-    have = states.generation(daemon)
+    have = states.held_generation(daemon)
     if load.whole or have == 0:
         return None
     wanted = range(have + 1, load.head.generation + 1)
@@ -93,7 +88,7 @@
         index = load.got.get(load.head.index)
         if index is not None:
             digests = sorted(storage.missing_parts(
-                storage.decode_index(index), daemon.follower.tree))
+                storage.decode_index(index), _base(daemon.follower)))
     return [name for name in digests if name not in load.got]
 
 
@@ -115,8 +110,8 @@
     if digests is None:
         index = storage.decode_index(load.got[load.head.index])
         return storage.assemble(load.head.generation, index, load.got,
-                                daemon.follower.tree)
-    tree = daemon.follower.tree
+                                _base(daemon.follower))
+    tree = _base(daemon.follower)
     for digest in digests:
         delta = storage.decode_delta(load.got[digest])
         reached = storage.advance(tree, delta)
@@ -126,21 +121,21 @@
     return tree
 
 
-def _adopt(daemon, load, tree):
+def _base(state):
+    return state.held if state.held is not None else state.tree
+
+
+def _hold(daemon, load, tree):
     state = daemon.follower
     _keep_deltas(state, load)
-    state.tree = tree
+    state.held = tree
     state.head = storage.encode_head(load.head)
     state.load = None
-    if state.newest <= tree.generation:
-        state.behind_since = None
-        state.asked_peers.clear()
-        parking.release(state)
-    fields = (("to", tree.generation), ("source", load.source),
+    fields = (("held", tree.generation), ("source", load.source),
               ("batch", load.head.batch_id))
-    return [effects.Record("settings_adopted", "", fields),
-            effects.Measure("settings.generation", tree.generation, "g"),
-            *_tell_neighbours(daemon)]
+    out = [effects.Record("settings_held", "", fields)]
+    out += force.tell(daemon, load.source)
+    return out + force.consider(daemon, bool(load.source))
 
 
 def _keep_deltas(state, load):
@@ -150,24 +145,3 @@
             state.deltas[entry.delta] = part
     while len(state.deltas) > MAX_DELTAS_KEPT:
         state.deltas.pop(next(iter(state.deltas)))
-
-
-def neighbours(host, live):
-    """Return the hosts that ``host`` tells of a new generation.
-
-    ``live`` is sorted. A random choice would leave one host in 400
-    without anyone to tell it.
-    """
-    at = live.index(host) if host in live else 0
-    told = []
-    step = 1
-    while step < len(live):
-        told.append(live[(at + step) % len(live)])
-        step *= STRIDE
-    return [name for name in told if name != host]
-
-
-def _tell_neighbours(daemon):
-    news = messages.SettingsAsk(states.generation(daemon))
-    near = neighbours(daemon.me.host, membership.live(daemon))
-    return [effects.Send(host, news) for host in near]
--- a/crocuskeel/core/follower/state.py
+++ b/crocuskeel/core/follower/state.py
@@ -6,8 +6,8 @@
 from crocuskeel import conf
 from crocuskeel.conf import storage
 
-__all__ = ["FollowerState", "Load", "caller", "generation", "new_state",
-           "policy", "ready"]
+__all__ = ["FollowerState", "Load", "caller", "generation",
+           "held_generation", "new_state", "policy", "ready"]
 
 # How long arrivals wait for a newer generation before they are refused.
 PARK_S = 2.0
@@ -33,8 +33,10 @@
 class FollowerState:
     """Settings in force on this host.
 
-    ``tree`` is None until the first are adopted; ``head`` is its stored
-    head and ``version`` the head object's version last seen. ``newest``
+    ``tree`` is in force, None until the first are; ``held`` is a newer
+    one that is complete but not in force yet. ``head`` is the stored
+    head of the newest of both, ``version`` the head object's version
+    last seen. ``newest``
     is the greatest generation heard of; ``behind_since`` when one newer
     than ours was first heard of, None when current. ``heard_at`` is
     when the platform or a peer last spoke. ``deltas`` keeps delta parts
@@ -44,6 +46,7 @@
     """
 
     tree: typing.Any = None
+    held: typing.Any = None
     head: bytes = b""
     version: int = 0
     newest: int = 0
@@ -72,6 +75,12 @@
     return tree.generation if tree is not None else 0
 
 
+def held_generation(daemon):
+    """Return the newest generation that is complete on this host."""
+    held = daemon.follower.held
+    return held.generation if held is not None else generation(daemon)
+
+
 def policy(daemon, workspace, class_name):
     """Return the class's resolved ``conf.ClassPolicy`` or None."""
     return conf.resolve(daemon.follower.tree, workspace, class_name)
--- a/crocuskeel/core/follower/steps.py
+++ b/crocuskeel/core/follower/steps.py
@@ -11,6 +11,7 @@
 from crocuskeel.conf import storage
 from crocuskeel.core import effects
 from crocuskeel.core import events
+from crocuskeel.core.follower import force
 from crocuskeel.core.follower import loading
 from crocuskeel.core.follower import parking
 from crocuskeel.core.follower import state as states
@@ -40,7 +41,9 @@
     if event.sender == daemon.me.host:
         return []
     state.heard_at = now
-    have = states.generation(daemon)
+    have = states.held_generation(daemon)
+    if state.held is not None and event.generation >= have:
+        return force.consider(daemon, True)
     if event.generation <= have or event.sender in state.asked_peers:
         return []
     # Each peer that is ahead is asked once: the first may have lost
@@ -65,7 +68,7 @@
         case events.StoreAnswered(op=("follower", "part", digest)):
             return _part_answered(daemon, event, digest, now)
         case events.Received(message=messages.SettingsAsk() as ask):
-            return _answer_peer(daemon, event.sender, ask)
+            return _peer_asks(daemon, event.sender, ask, now)
         case events.Received(message=messages.SettingsAnswer() as got):
             return _peer_answered(daemon, event.sender, got, now)
         case events.Received(message=messages.PartAsk(digest=digest)):
@@ -140,7 +143,7 @@
         return [effects.Record("settings_corrupt", "",
                                (("fault", str(exc)),))]
     out = _renew(daemon)
-    if head.generation <= states.generation(daemon):
+    if head.generation <= states.held_generation(daemon):
         # A lagging replica of the store: generations never go back.
         return out
     _note_newer(state, head.generation, now)
@@ -157,10 +160,21 @@
 
 # Peers.
 
-def _answer_peer(daemon, sender, ask):
+def _peer_asks(daemon, sender, ask, now):
+    # The question tells what its sender holds, which may be more than
+    # we do.
     state = daemon.follower
-    if ask.have >= states.generation(daemon):
-        return []
+    held = states.held_generation(daemon)
+    if ask.have > held:
+        _note_newer(state, ask.have, now)
+        return [effects.Send(sender, messages.SettingsAsk(held)),
+                effects.SetTimer(_RETRY, RETRY_S)]
+    if ask.have == held:
+        return force.consider(daemon, True)
+    return _answer_peer(state, sender, ask)
+
+
+def _answer_peer(state, sender, ask):
     if not state.head:
         return []
     head = storage.decode_head(state.head)
@@ -174,7 +188,7 @@
 
 
 def _peer_answered(daemon, sender, got, now):
-    if got.generation <= states.generation(daemon):
+    if got.generation <= states.held_generation(daemon):
         return []
     try:
         head = storage.decode_head(got.head)
@@ -191,12 +205,13 @@
 def _held_part(state, digest):
     if digest in state.deltas:
         return state.deltas[digest]
-    if state.tree is None:
+    tree = state.held if state.held is not None else state.tree
+    if tree is None:
         return None
-    for part in state.tree.shards.values():
+    for part in tree.shards.values():
         if part.digest == digest:
             return part
-    return storage.tree_parts(state.tree).get(digest)
+    return storage.tree_parts(tree).get(digest)
 
 
 # Making up for answers that never came.
@@ -209,8 +224,15 @@
         parking.release(state)
     state.asked_peers.clear()
     out = [effects.SetTimer(_RETRY, RETRY_S)]
+    if state.held is not None:
+        # Nobody answered that they hold it: tell them again, or go on
+        # alone once membership says that nobody is there.
+        out += force.tell(daemon)
+        out += force.consider(daemon, False)
     load = state.load
     if load is None:
+        if state.newest <= states.held_generation(daemon):
+            return out
         return out + [effects.StoreGet(_HEAD, storage.HEAD_KEY),
                       *_ask_some_peer(daemon)]
     load.asked.clear()
@@ -222,7 +244,7 @@
     peer = _other_source(daemon, "")
     if not peer:
         return []
-    have = states.generation(daemon)
+    have = states.held_generation(daemon)
     return [effects.Send(peer, messages.SettingsAsk(have))]
 
 
--- a/tests/follower/test_follower.py
+++ b/tests/follower/test_follower.py
@@ -7,7 +7,7 @@
 from crocuskeel.conf import storage
 from crocuskeel.core import events
 from crocuskeel.core import follower
-from crocuskeel.core.follower import loading
+from crocuskeel.core.follower import force
 from crocuskeel.core import messages
 from tests.follower import fleet as fleets
 
@@ -90,6 +90,34 @@
         fleet.run(fleet.now + 20)
         self._assert_everywhere(2)
 
+    def test_a_restart_in_an_outage_does_not_go_back(self):
+        """A caller sees the new settings, then the old ones again.
+
+        One host alone had put a generation in force; platform and its
+        links to the others fail, it restarts, and takes the older
+        generation from its peers.
+        """
+        fleet = self._started()
+        fleet.cut = {("h0", name) for name in HOSTS[1:]}
+        fleet.cut |= {(name, "platform") for name in HOSTS[1:]}
+        fleet.commit(_edit(2))
+        fleet.run(fleet.now + 2.5)
+        judged = fleet.generations()["h0"]
+        fleet.cut = {(name, "platform") for name in HOSTS}
+        fleet.hosts.pop("h0")
+        fleet.start("h0")
+        hello = messages.HostListAsk(-1)
+        fleet.feed("h0", events.Received("h1", 1, hello, 1))
+        fleet.run(fleet.now + 3)
+        self.assertGreaterEqual(fleet.generations()["h0"], judged)
+
+    def test_a_host_without_peers_does_not_wait(self):
+        fleet = fleets.Fleet(HOSTS[:1])
+        fleet.commit(FIRST)
+        fleet.start("h0")
+        fleet.run(1.0)
+        self.assertEqual({"h0": 1}, fleet.generations())
+
     def test_an_isolated_host_says_it_is_not_ready(self):
         """One host loses platform and peers while the fleet goes on.
 
@@ -165,7 +193,7 @@
             fresh = [live[0]]
             while fresh:
                 told = {name for host in fresh
-                        for name in loading.neighbours(host, live)}
+                        for name in force.neighbours(host, live)}
                 fresh = sorted(told - reached)
                 reached |= told
             self.assertEqual(set(live), reached)
