Ask one holder of a new generation, not every one that tells of it

Cause: since a generation is told before it is in force, each neighbour's news was answered by a question, and each question by a head of some kilobytes.

Ruled out: a smaller head (its 64 batch ids are what recognises a lost commit).

Change: one holder is asked; the retry timer asks another.

--- a/crocuskeel/core/follower/loading.py
+++ b/crocuskeel/core/follower/loading.py
@@ -131,6 +131,7 @@
     state.held = tree
     state.head = storage.encode_head(load.head)
     state.load = None
+    state.asked_holder = ""
     fields = (("held", tree.generation), ("source", load.source),
               ("batch", load.head.batch_id))
     out = [effects.Record("settings_held", "", fields)]
--- a/crocuskeel/core/follower/state.py
+++ b/crocuskeel/core/follower/state.py
@@ -40,7 +40,8 @@
     is the greatest generation heard of; ``behind_since`` when one newer
     than ours was first heard of, None when current. ``heard_at`` is
     when the platform or a peer last spoke. ``deltas`` keeps delta parts
-    by digest for peers. ``asked_peers`` were asked for what is newer.
+    by digest for peers. ``asked_peers`` were asked for what is newer,
+    ``asked_holder`` is one that said it holds it.
     ``parked`` holds arrivals by rid until we are
     current; ``released`` those to judge next.
     """
@@ -53,6 +54,7 @@
     heard_at: float | None = None
     behind_since: float | None = None
     load: Load | None = None
+    asked_holder: str = ""
     asked_peers: set[str] = dataclasses.field(default_factory=set)
     deltas: dict[str, conf.Part] = dataclasses.field(
         default_factory=dict)
--- a/crocuskeel/core/follower/steps.py
+++ b/crocuskeel/core/follower/steps.py
@@ -167,6 +167,10 @@
     held = states.held_generation(daemon)
     if ask.have > held:
         _note_newer(state, ask.have, now)
+        if state.asked_holder:
+            # One holder is enough; each answer carries the head.
+            return []
+        state.asked_holder = sender
         return [effects.Send(sender, messages.SettingsAsk(held)),
                 effects.SetTimer(_RETRY, RETRY_S)]
     if ask.have == held:
@@ -223,6 +227,7 @@
     if now - state.behind_since >= states.PARK_S:
         parking.release(state)
     state.asked_peers.clear()
+    state.asked_holder = ""
     out = [effects.SetTimer(_RETRY, RETRY_S)]
     if state.held is not None:
         # Nobody answered that they hold it: tell them again, or go on
