Serve requests end to end: door, dispatch, claims, membership, runtime

Cause: the main path has to run on real input before it is deepened.

The claims concern takes its own state while the reducer hands a concern the whole daemon; each ClaimAsk raised in the loop, which the runtime logged, and the claim was never answered. A thin adapter gives it its part.

Change: the concerns of the request path, the runtime around the reducer, the daemon's program, and a demo that starts three entry hosts, the stand-ins and a mixed load.

--- /dev/null
+++ b/bench/core_figures.py
@@ -0,0 +1,191 @@
+"""Figures of the request path's control work: processor time and bytes.
+
+Two real daemons' reducers without any I/O: one holds the callers (door),
+the other dispatches the cell. Each request goes the whole way: arrives,
+is queued, granted, opened, reports progress, closes, is released. Prints
+one JSON object a line: name, value, unit, n.
+
+Run as ``python -m bench.core_figures``.
+"""
+
+import collections
+import json
+import time
+
+from crocuskeel.conf import tree as conf_tree
+from crocuskeel.core import effects
+from crocuskeel.core import events
+from crocuskeel.core import factory
+from crocuskeel.core import messages
+from crocuskeel.core import placement
+from crocuskeel.core import reducer
+from crocuskeel.core import state as states
+from crocuskeel import wire
+
+CELL_SIZES = (4, 8, 16, 32, 64)
+QUEUES = (0, 100, 1000)
+REQUESTS = 1500
+PROGRESSES = 4
+SERVICE = "llm"
+SHA = "a" * 64
+SLOTS = 8
+DOCUMENT = {
+    "deployment": {"name": "d", "failure_domains": ["a", "b"]},
+    "cell_size": 64,
+    "services": {SERVICE: {"kind": "engine", "models": ["m"],
+                           "max_slots_per_engine": SLOTS}},
+    "classes": {"chat": {"service": SERVICE, "tier": 1,
+                         "deadline_s": 3600.0, "queue_limit": 5000}},
+    "workspaces": {"ws": {"tokens": [{"caller": "c", "sha256": SHA}]}},
+}
+
+
+class Pair:
+    """Two daemons and the processor time each spent reducing."""
+
+    def __init__(self, engines):
+        seeds = (("h1", "127.0.0.1", 1), ("h2", "127.0.0.2", 1))
+        self.now = 100.0
+        self.spent = collections.Counter()
+        self.bytes = 0
+        self.messages = 0
+        self.granted = collections.deque()
+        self.refused = 0
+        document = DOCUMENT | {"cell_size": engines}
+        tree = conf_tree.from_document(document, 1)
+        self.daemons = {}
+        for name, address, port in seeds:
+            me = states.Identity("d", name, "a", "r", address, port, 2, 1,
+                                 seeds)
+            self.daemons[name] = factory.new_daemon(me, tree=tree)
+        self.owner = placement.owner(f"{SERVICE}/0", ("h1", "h2"))
+        self.door = "h2" if self.owner == "h1" else "h1"
+        servers = tuple(
+            messages.Backend(f"e{n}", SERVICE, "http://x", "ab"[n % 2])
+            for n in range(engines))
+        for name in self.daemons:
+            self.feed(name, events.Started())
+        for name in self.daemons:
+            self.feed(name, events.HostListSeen(1, (), servers))
+        self.settle()
+
+    def settle(self):
+        """Let members meet and the dispatcher's settling time pass."""
+        for _ in range(60):
+            self.now += 0.1
+            for name, daemon in self.daemons.items():
+                for key in list(self.timers_of(daemon)):
+                    self.feed(name, events.TimerFired(key))
+
+    def timers_of(self, daemon):
+        return self.pending.pop(daemon.me.host, ())
+
+    pending: dict = {}
+
+    def feed(self, name, event):
+        """Reduce one event, time it, deliver what it sends."""
+        before = time.perf_counter()
+        out = reducer.reduce(self.daemons[name], event, self.now)
+        self.spent[name] += time.perf_counter() - before
+        for effect in out:
+            self._do(name, effect)
+
+    def _do(self, name, effect):
+        match effect:
+            case effects.Send(host=host, message=message):
+                self._send(name, host, message)
+            case effects.Broadcast(message=message):
+                for host in self.daemons:
+                    if host != name:
+                        self._send(name, host, message)
+            case effects.SetTimer(key=key):
+                self.pending.setdefault(name, []).append(key)
+            case effects.OpenAttempt():
+                self.granted.append(effect)
+            case effects.Answer():
+                self.refused += 1
+
+    def _send(self, name, host, message):
+        if host not in self.daemons:
+            return
+        self.bytes += wire.to_frame(message).ByteSize()
+        self.messages += 1
+        self.feed(host, events.Received(name, 1, message, 1))
+
+    def arrive(self, number):
+        """A caller's request reaches the door."""
+        self.feed(self.door, events.RequestArrived(
+            f"{self.door}.1.{number}", SHA, "POST", "/v1/chat/completions",
+            "chat", "m", True, 200, 200, number % 50, f"d{number}",
+            f"f{number}"))
+
+    def run_one(self):
+        """Let the oldest granted attempt run to its end."""
+        opened = self.granted.popleft()
+        rid, attempt = opened.rid, opened.attempt
+        self.feed(self.door, events.AttemptOpened(rid, attempt, 0.2))
+        for number in range(PROGRESSES):
+            self.feed(self.door, events.AttemptProgress(
+                rid, attempt, 50 * number))
+        self.now += 0.001
+        self.feed(self.door, events.AttemptClosed(
+            rid, attempt, events.AttemptEnd.DONE, 200, 200, 0.2, 0.03))
+
+
+def emit(name, value, unit, n):
+    """Print one figure."""
+    print(json.dumps({"name": name, "value": round(value, 3),
+                      "unit": unit, "n": n}), flush=True)
+
+
+def measure(engines, queued):
+    """Emit what a request costs with this many engines and waiters."""
+    pair = Pair(engines)
+    total = 0
+    while len(pair.granted) < 1 or total < queued + engines:
+        pair.arrive(total)
+        total += 1
+    if not pair.granted:
+        raise RuntimeError("nothing was granted")
+    pair.spent.clear()
+    pair.bytes = pair.messages = 0
+    for _ in range(REQUESTS):
+        pair.run_one()
+        pair.arrive(total)
+        total += 1
+    suffix = f"_queue_{queued}"
+    emit("door_cpu_a_request" + suffix,
+         pair.spent[pair.door] / REQUESTS * 1e6, "us", engines)
+    emit("dispatcher_cpu_a_request" + suffix,
+         pair.spent[pair.owner] / REQUESTS * 1e6, "us", engines)
+    emit("grant_bytes_a_request" + suffix, pair.bytes / REQUESTS, "B",
+         engines)
+    emit("grant_messages_a_request" + suffix, pair.messages / REQUESTS,
+         "count", engines)
+    if pair.refused:
+        emit("refused" + suffix, pair.refused, "count", engines)
+
+
+def measure_wire():
+    """Emit the cost of one message through codec and seal."""
+    message = messages.Enqueue("h1.1.1", 1, "llm/0", SERVICE, "chat", "ws",
+                               1, fingerprint="f" * 32)
+    tries = 5000
+    before = time.perf_counter()
+    for _ in range(tries):
+        wire.from_frame(wire.to_frame(message))
+    spent = time.perf_counter() - before
+    emit("wire_cpu_a_message_both_ends", spent / tries * 1e6, "us", 1)
+
+
+def main():
+    """Measure all sizes."""
+    for engines in CELL_SIZES:
+        measure(engines, 0)
+    for queued in QUEUES[1:]:
+        measure(8, queued)
+    measure_wire()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/crocuskeel/core/claims/concern.py
@@ -0,0 +1,10 @@
+"""The ledger as a concern of the daemon's reducer."""
+
+from crocuskeel.core.claims import reducer
+
+__all__ = ["handle"]
+
+
+def handle(daemon, event, now):
+    """Reduce one event of a daemon; return effects."""
+    return reducer.handle(daemon.claims, event, now)
--- /dev/null
+++ b/crocuskeel/core/control/state.py
@@ -0,0 +1,158 @@
+"""State of the control daemon.
+
+All times are seconds of this process's own monotonic clock.
+"""
+
+import dataclasses
+import random
+import typing
+
+from crocuskeel.core.control import orders
+from crocuskeel.core.control import rates
+
+__all__ = ["Config", "ControlState", "EngineView", "Lease", "Pool",
+           "NEVER", "new_state"]
+
+NEVER = float("-inf")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Config:
+    """Settings of the control daemon; spans in seconds.
+
+    ``span_s`` is the lease's, ``margin_s`` what clocks may run apart
+    over a span and what the network may hold an order back. ``order_s``
+    bounds one order, ``load_s`` a load. A step later than ``jump_s``
+    after the one before counts as a pause. ``share`` and
+    ``domain_share`` are the shares of a service's engines, in all and
+    in one failure domain, that may be out of service at once.
+    ``loads_per_s`` and ``load_burst`` are the weight store's limit.
+    """
+
+    host: str
+    span_s: float = 15.0
+    margin_s: float = 2.0
+    renew_s: float = 4.0
+    jump_s: float = 2.0
+    order_s: float = 5.0
+    load_s: float = 600.0
+    observe_s: float = 2.0
+    idle_observe_s: float = 30.0
+    settings_s: float = 2.0
+    hosts_s: float = 5.0
+    share: float = 0.25
+    domain_share: float = 0.5
+    max_failures: int = 3
+    backoff_s: float = 5.0
+    backoff_max_s: float = 300.0
+    loads_per_s: float = 0.5
+    load_burst: float = 4.0
+    max_reads: int = 64
+
+
+@dataclasses.dataclass(slots=True)
+class Lease:
+    """What this process knows of the lease.
+
+    ``fence`` is the object's version after the acquisition, ``version``
+    after the newest write known. ``sent`` has the sending time of own
+    writes by number; ``confirmed_at`` is the sending time of the newest
+    one known to have taken effect, which counts from ``doubted_at`` on
+    only. ``seen_version`` was first seen at
+    ``seen_at``; -1: nothing seen. ``span_s`` and ``order_s`` are those
+    of the present or last other holder.
+    """
+
+    holding: bool = False
+    lapsed: bool = False
+    fence: int = 0
+    version: int = 0
+    nonce: str = ""
+    number: int = 0
+    sent: dict[int, float] = dataclasses.field(default_factory=dict)
+    confirmed_at: float = NEVER
+    doubted_at: float = NEVER
+    acquired_at: float = NEVER
+    seen_version: int = -1
+    seen_at: float = NEVER
+    span_s: float = 0.0
+    order_s: float = 0.0
+    open_call: bool = False
+    unsettled: bool = False
+    due_at: float = NEVER
+
+
+@dataclasses.dataclass(slots=True)
+class EngineView:
+    """One engine as last observed, and the order it was given.
+
+    ``models`` is name to (version, ready). ``order`` is on its way,
+    ``taken`` was accepted and is not confirmed yet. No order goes out
+    before ``hold_until``. ``seen_at`` is when the newest answer was
+    asked for.
+    """
+
+    name: str
+    service: str
+    url: str
+    domain: str
+    leaving: bool = False
+    boot_id: str = ""
+    models: dict = dataclasses.field(default_factory=dict)
+    adapters: tuple[str, ...] = ()
+    role: str = ""
+    seen_at: float = NEVER
+    asked_at: float = NEVER
+    reading: bool = False
+    loading_since: float | None = None
+    order: orders.Order | None = None
+    taken: orders.Order | None = None
+    taken_at: float = NEVER
+    hold_until: float = NEVER
+    failures: int = 0
+    rounds: dict = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class Pool:
+    """A service's rollout: ``items`` are what its engines should have."""
+
+    items: tuple[orders.Item, ...] = ()
+    checks_fence: bool = False
+    failures: int = 0
+    paused: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class ControlState:
+    """All that the control daemon knows; nothing of it is stored."""
+
+    cfg: Config
+    rng: random.Random
+    lease: Lease
+    bucket: rates.Bucket
+    generation: int = 0
+    pools: dict[str, Pool] = dataclasses.field(default_factory=dict)
+    engines: dict[str, EngineView] = dataclasses.field(
+        default_factory=dict)
+    settings_at: float = NEVER
+    settings_asked_at: float = NEVER
+    settings_open: bool = False
+    hosts_asked_at: float = NEVER
+    hosts_open: bool = False
+    planned: typing.Any = None
+    last_step: float | None = None
+    stopping: bool = False
+    releasing: bool = False
+    ended: bool = False
+
+
+def new_state(cfg, rng, now):
+    """Return the state of a control daemon that has just started.
+
+    ``rng`` is a ``random.Random`` that no other process shares: lease
+    nonces come from it.
+    """
+    return ControlState(
+        cfg=cfg, rng=rng, lease=Lease(),
+        bucket=rates.new_bucket(cfg.loads_per_s, cfg.load_burst, now))
--- /dev/null
+++ b/crocuskeel/core/dispatch/__init__.py
@@ -0,0 +1,8 @@
+"""The dispatcher of a cell: queues, floors, grants, learned engines."""
+
+from crocuskeel.core.dispatch.floors import wait_bound
+from crocuskeel.core.dispatch.handling import handle
+from crocuskeel.core.dispatch.state import DispatchState
+from crocuskeel.core.dispatch.state import new_state
+
+__all__ = ["DispatchState", "handle", "new_state", "wait_bound"]
--- /dev/null
+++ b/crocuskeel/core/door/handling.py
@@ -0,0 +1,150 @@
+"""Dispatch of events to the module of the door that takes them."""
+
+from crocuskeel.core.door import admitting
+from crocuskeel.core.door import claiming
+from crocuskeel.core.door import deadlines
+from crocuskeel.core.door import disconnecting
+from crocuskeel.core.door import draining
+from crocuskeel.core.door import going_alone
+from crocuskeel.core.door import granting
+from crocuskeel.core.door import locating
+from crocuskeel.core.door import queueing
+from crocuskeel.core.door import recovering
+from crocuskeel.core.door import replaying
+from crocuskeel.core.door import running
+from crocuskeel.core.door import state
+from crocuskeel.core import effects
+from crocuskeel.core import events
+from crocuskeel.core import membership
+from crocuskeel.core import messages
+
+__all__ = ["handle"]
+
+TICK_S = 0.25
+_TICK = ("door", "tick", "")
+
+
+def handle(daemon, event, now):
+    """Reduce one event; return effects."""
+    match event:
+        case events.Started():
+            return _started(daemon, now)
+        case events.TimerFired(key=("door", kind, rid)):
+            return _timer(daemon, kind, rid, now)
+        case events.RequestArrived():
+            return admitting.arrived(daemon, event, now)
+        case events.ResumeArrived():
+            return replaying.resume_arrived(daemon, event, now)
+        case events.CallerGone(rid=rid):
+            return disconnecting.caller_gone(daemon, rid, now)
+        case events.LocateAsked():
+            return locating.asked(daemon, event, now)
+        case events.AttemptOpened() | events.AttemptProgress():
+            return _attempt(daemon, event, now)
+        case events.AttemptClosed():
+            return _closed(daemon, event, now)
+        case events.PeerUp(host=host):
+            return queueing.peer_up(daemon, host, now)
+        case events.PeerDown(host=host):
+            return queueing.peer_down(daemon, host, now)
+        case events.HostListSeen():
+            return queueing.move_lost_cells(daemon, now)
+        case events.DrainAsked():
+            return draining.asked(daemon, now)
+        case events.Received(sender=sender, message=message):
+            return _message(daemon, sender, message, now)
+    return []
+
+
+def _started(daemon, now):
+    daemon.door.changed_at = now
+    return [effects.SetTimer(_TICK, TICK_S)]
+
+
+def _timer(daemon, kind, rid, now):
+    if kind == "tick":
+        return _tick(daemon, now)
+    req = daemon.door.requests.get(rid)
+    if req is None:
+        return []
+    match kind:
+        case "deadline":
+            return deadlines.fired(daemon, req, now)
+        case "claim":
+            return claiming.timed_out(daemon, req, now)
+        case "resume":
+            span = running.silence_s(req.policy)
+            return recovering.resume(daemon, req, now, span)
+        case "grace":
+            return disconnecting.grace_over(daemon, req, now)
+    return []
+
+
+def _tick(daemon, now):
+    out = queueing.follow(daemon, now)
+    out += queueing.try_unsettled(daemon, now)
+    out += going_alone.step(daemon, now)
+    out += queueing.flush_progress(daemon)
+    out += replaying.expire(daemon, now)
+    out += draining.step(daemon, now)
+    _tell_load(daemon)
+    out.append(effects.SetTimer(_TICK, TICK_S))
+    return out
+
+
+def _tell_load(daemon):
+    held = len(daemon.door.requests) + len(daemon.door.relays)
+    load = min(1.0, held / daemon.limits.max_requests)
+    membership.set_load(daemon, load)
+
+
+def _attempt(daemon, event, now):
+    req = daemon.door.requests.get(event.rid)
+    if req is None:
+        return []
+    if type(event) is events.AttemptOpened:
+        return running.opened(daemon, req, event, now)
+    return running.progressed(daemon, req, event)
+
+
+def _closed(daemon, event, now):
+    req = daemon.door.requests.get(event.rid)
+    if req is not None:
+        return recovering.closed(daemon, req, event, now)
+    relay = daemon.door.relays.get(event.rid)
+    if relay is not None:
+        return replaying.closed(daemon, relay, event)
+    return []
+
+
+def _message(daemon, sender, message, now):
+    match message:
+        case messages.Grant():
+            return granting.granted(daemon, sender, message, now)
+        case messages.Refusal():
+            return queueing.refused(daemon, sender, message, now)
+        case messages.NotDispatcher():
+            return queueing.not_dispatcher(daemon, sender, message, now)
+        case messages.ReregisterAsk(cell=cell):
+            return queueing.reregister_asked(daemon, sender, cell, now)
+        case messages.ClaimAnswer():
+            return _claim_answer(daemon, message, now)
+        case messages.ReplayAsk():
+            return replaying.peer_asked(daemon, message)
+    return []
+
+
+def _claim_answer(daemon, message, now):
+    req = daemon.door.requests.get(message.rid)
+    if req is None or req.stage is not state.Stage.CLAIMING:
+        return claiming.late_answer(daemon, message)
+    granted = message.status == "granted"
+    own = message.holder_rid == req.rid
+    if granted or (message.status == "duplicate" and own):
+        # "Duplicate" of itself: the answer to the first asking was lost
+        # and the claim was asked for again.
+        req.claimed = True
+        return granting.claim_granted(daemon, req, now)
+    if message.status == "duplicate":
+        return replaying.claim_duplicate(daemon, req, message, now)
+    return claiming.refused(daemon, req, message, now)
--- /dev/null
+++ b/crocuskeel/core/door/reporting.py
@@ -0,0 +1,72 @@
+"""Records of the time line and statsd measures of the door."""
+
+from crocuskeel.core import effects
+
+__all__ = ["count", "record", "refused", "served", "span", "wasted"]
+
+
+def record(req, kind, now, **extra):
+    """Return the Record of one decision about a request."""
+    fields = {
+        "class": req.policy.name,
+        "tier": req.policy.tier,
+        "workspace": req.caller.workspace,
+        "cell": req.cell,
+        "engine": req.engine,
+        "attempt": req.attempt,
+        "generation": req.policy.generation,
+        "waited_s": round(now - req.arrived_at, 6),
+    }
+    fields.update(extra)
+    return effects.Record(kind, req.rid, tuple(fields.items()))
+
+
+def count(name, value=1):
+    """Return a counter's increment."""
+    return effects.Measure(name, value)
+
+
+def span(name, seconds):
+    """Return a timing; statsd wants milliseconds."""
+    return effects.Measure(name, seconds * 1000.0, "ms")
+
+
+def refused(class_name, reason):
+    """Return the measures of a refusal or failure."""
+    out = [count(f"refused.{reason}")]
+    if class_name:
+        out.append(count(f"class.{class_name}.refused"))
+    return out
+
+
+def served(req, closed):
+    """Return the measures of a whole answer.
+
+    The target is attained if the first token came in time, counted from
+    the arrival, and the mean time between tokens is within its own.
+    """
+    policy = req.policy
+    name = f"class.{policy.name}"
+    in_time = req.ttft_s <= policy.target_ttft_s
+    steady = closed.itl_s <= policy.target_itl_s
+    attained = in_time and steady and bool(
+        req.watchers or not req.caller_gone)
+    out = [count(f"{name}.answered"),
+           span(f"{name}.ttft", req.ttft_s)]
+    if closed.itl_s:
+        out.append(span(f"{name}.itl", closed.itl_s))
+    out.append(count(f"{name}.attained", int(attained)))
+    if attained:
+        out.append(count(f"{name}.goodput", work(req, closed.tokens)))
+    return out
+
+
+def wasted(req, tokens):
+    """Return the measure of work that reached nobody."""
+    name = f"class.{req.policy.name}.wasted"
+    return [count(name, work(req, tokens))]
+
+
+def work(req, tokens):
+    """Return tokens for an engine's work, calls for a plain service's."""
+    return tokens if req.policy.kind == "engine" else 1
--- /dev/null
+++ b/crocuskeel/core/membership/__init__.py
@@ -0,0 +1,14 @@
+"""Which entry hosts are there: a SWIM-like membership protocol."""
+
+from crocuskeel.core.membership.handlers import handle
+from crocuskeel.core.membership.handlers import hear
+from crocuskeel.core.membership.state import everyone
+from crocuskeel.core.membership.state import info
+from crocuskeel.core.membership.state import is_live
+from crocuskeel.core.membership.state import live
+from crocuskeel.core.membership.state import MembershipState
+from crocuskeel.core.membership.state import new_state
+from crocuskeel.core.membership.state import set_load
+
+__all__ = ["MembershipState", "everyone", "handle", "hear", "info", "is_live",
+           "live", "new_state", "set_load"]
--- /dev/null
+++ b/crocuskeel/platform/circuit.py
@@ -0,0 +1,153 @@
+"""Circuit breaker: few calls in an outage, no stampede at its end.
+
+closed: calls pass; failures in a row open it. open: calls are refused
+at once until a jittered time, so that the probes of many hosts spread.
+probing: one call passes; its success closes the circuit and empties the
+budget, so that calls start again at the budget's rate and not all at
+once; its failure opens it again, for up to twice as long.
+"""
+
+import dataclasses
+import random
+import typing
+
+import automat
+
+from crocuskeel.platform import budget as budgets
+
+__all__ = ["Circuit", "CircuitConfig", "new_circuit"]
+
+_JITTER_LOW = 0.5
+_JITTER_HIGH = 1.5
+
+CLOSED = "closed"
+OPEN = "open"
+PROBING = "probing"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CircuitConfig:
+    """``failures`` in a row open it; spans in seconds."""
+
+    failures: int = 5
+    open_s: float = 0.5
+    open_max_s: float = 8.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Core:
+    """What the transitions change.
+
+    ``epoch`` grows at each transition: results of calls begun before it
+    say nothing of the present state and are ignored.
+    """
+
+    cfg: CircuitConfig
+    rng: random.Random
+    budget: budgets.Budget
+    failures: int = 0
+    span_s: float = 0.0
+    retry_at: float = 0.0
+    epoch: int = 0
+
+
+class _Inputs(typing.Protocol):
+    """Inputs of the state machine; ``now`` in seconds."""
+
+    def trip(self, now: float) -> None:
+        """Too many failures, or the probe failed."""
+
+    def probe(self, now: float) -> None:
+        """The open span is over; the next call is the probe."""
+
+    def restore(self, now: float) -> None:
+        """The probe succeeded."""
+
+    def name(self) -> str:
+        """Return the name of the state."""
+
+
+_builder = automat.TypeMachineBuilder(_Inputs, _Core)
+_closed = _builder.state(CLOSED)
+_open = _builder.state(OPEN)
+_probing = _builder.state(PROBING)
+_closed.upon(_Inputs.name).loop().returns(CLOSED)
+_open.upon(_Inputs.name).loop().returns(OPEN)
+_probing.upon(_Inputs.name).loop().returns(PROBING)
+
+
+@_closed.upon(_Inputs.trip).to(_open)
+@_probing.upon(_Inputs.trip).to(_open)
+def _trip(inputs: _Inputs, core: _Core, now: float) -> None:
+    core.epoch += 1
+    core.failures = 0
+    core.span_s = min(core.cfg.open_max_s,
+                      max(core.cfg.open_s, core.span_s * 2))
+    jitter = core.rng.uniform(_JITTER_LOW, _JITTER_HIGH)
+    core.retry_at = now + core.span_s * jitter
+
+
+@_open.upon(_Inputs.probe).to(_probing)
+def _probe(inputs: _Inputs, core: _Core, now: float) -> None:
+    core.epoch += 1
+
+
+@_probing.upon(_Inputs.restore).to(_closed)
+def _restore(inputs: _Inputs, core: _Core, now: float) -> None:
+    core.epoch += 1
+    core.span_s = 0.0
+    core.budget.drain(now)
+
+
+_new_machine = _builder.build()
+
+
+@dataclasses.dataclass(slots=True)
+class Circuit:
+    """The state machine with its guards on time and counts."""
+
+    core: _Core
+    machine: _Inputs
+
+    def state(self):
+        """Return ``closed``, ``open`` or ``probing``."""
+        return self.machine.name()
+
+    def refuses(self, now):
+        """Say whether a call must not be made now."""
+        if self.state() == OPEN:
+            return now < self.core.retry_at
+        return self.state() == PROBING
+
+    def admit(self, now):
+        """Return the epoch of a call that is not refused."""
+        if self.state() == OPEN:
+            self.machine.probe(now)
+        return self.core.epoch
+
+    def succeeded(self, epoch, now):
+        """Take the success of a call that ran under ``epoch``."""
+        if epoch != self.core.epoch:
+            return
+        self.core.failures = 0
+        if self.state() == PROBING:
+            self.machine.restore(now)
+
+    def failed(self, epoch, now):
+        """Take the failure of a call that ran under ``epoch``."""
+        if epoch != self.core.epoch:
+            return
+        self.core.failures += 1
+        probing = self.state() == PROBING
+        if probing or self.core.failures >= self.core.cfg.failures:
+            self.machine.trip(now)
+
+    def retry_after_s(self, now):
+        """Return the seconds until a refused caller should come back."""
+        return max(self.core.cfg.open_s, self.core.retry_at - now)
+
+
+def new_circuit(cfg, rng, budget):
+    """Return a closed circuit; it drains ``budget`` when it closes."""
+    core = _Core(cfg=cfg, rng=rng, budget=budget)
+    return Circuit(core=core, machine=_new_machine(core))
--- /dev/null
+++ b/crocuskeel/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""The runtime: turns I/O into events and effects into I/O."""
--- /dev/null
+++ b/crocuskeel/runtime/context.py
@@ -0,0 +1,57 @@
+"""State of one daemon's runtime, shared by its modules.
+
+Each field is owned by one module, named beside it; the others go
+through that module's functions.
+"""
+
+import collections
+import dataclasses
+import typing
+
+__all__ = ["Context", "new_context"]
+
+
+@dataclasses.dataclass(slots=True)
+class Context:
+    """What a daemon's runtime holds.
+
+    ``reduce(daemon, event, now)`` is the core; tests hand in a fake.
+    """
+
+    reactor: typing.Any
+    cfg: typing.Any
+    daemon: typing.Any
+    reduce: typing.Callable
+    # loop
+    handlers: dict
+    queue: collections.deque
+    timers: dict
+    reducing: bool = False
+    # callers
+    held: dict = dataclasses.field(default_factory=dict)
+    rids: int = 0
+    # attempts
+    attempts: dict = dataclasses.field(default_factory=dict)
+    http: typing.Any = None
+    # kept
+    kept: typing.Any = None
+    # peers
+    peers: typing.Any = None
+    # platform_calls
+    platform: typing.Any = None
+    # polling
+    polls: typing.Any = None
+    # records
+    records: typing.Any = None
+    # ops
+    ops: typing.Any = None
+    # program
+    door_port: typing.Any = None
+    on_exit: typing.Any = None
+    stopping: bool = False
+
+
+def new_context(reactor, cfg, daemon, reduce):
+    """Return a runtime without handlers or connections."""
+    return Context(reactor=reactor, cfg=cfg, daemon=daemon, reduce=reduce,
+                   handlers={}, queue=collections.deque(), timers={})
--- /dev/null
+++ b/crocuskeel/runtime/loop.py
@@ -0,0 +1,88 @@
+"""Feeds events to the reducer in order and runs its effects.
+
+Effects may cause events at once (an answer of a fake in a test, a
+refused connection); these wait until the running event's effects are
+all carried out, so that the core sees one event at a time.
+"""
+
+from loguru import logger
+
+from crocuskeel.core import effects
+from crocuskeel.core import events
+
+__all__ = ["feed", "register", "timer_handlers"]
+
+SLOW_S = 0.1
+
+
+def register(ctx, handlers):
+    """Add handlers, a dict of effect class to ``fn(ctx, effect)``."""
+    ctx.handlers.update(handlers)
+
+
+def feed(ctx, event):
+    """Reduce ``event`` and run what it brings about."""
+    ctx.queue.append(event)
+    if ctx.reducing:
+        return
+    ctx.reducing = True
+    try:
+        while ctx.queue:
+            _one(ctx, ctx.queue.popleft())
+    finally:
+        ctx.reducing = False
+
+
+def _one(ctx, event):
+    now = ctx.reactor.seconds()
+    try:
+        effs = ctx.reduce(ctx.daemon, event, now)
+    except Exception:
+        # A fault of the program in one request's event shows as a
+        # traceback in the log; the other requests' answers must go on.
+        logger.exception("reducer failed on {}", _name(event))
+        return
+    for effect in effs:
+        _run(ctx, effect)
+    took_s = ctx.reactor.seconds() - now
+    if took_s > SLOW_S:
+        # All streams of this host stood still meanwhile.
+        logger.warning("{} took {:.3f} s", _name(event), took_s)
+
+
+def _name(event):
+    if type(event) is events.Received:
+        return f"Received {type(event.message).__name__}"
+    if type(event) is events.TimerFired:
+        return f"TimerFired {event.key[:2]}"
+    return type(event).__name__
+
+
+def _run(ctx, effect):
+    try:
+        ctx.handlers[type(effect)](ctx, effect)
+    except Exception:
+        logger.exception("effect failed: {}", type(effect).__name__)
+
+
+def timer_handlers():
+    """Return the handlers of timers."""
+    return {effects.SetTimer: _set_timer,
+            effects.CancelTimer: _cancel_timer}
+
+
+def _set_timer(ctx, effect):
+    _cancel_timer(ctx, effect)
+    ctx.timers[effect.key] = ctx.reactor.callLater(
+        max(0.0, effect.after_s), _fire, ctx, effect.key)
+
+
+def _cancel_timer(ctx, effect):
+    call = ctx.timers.pop(effect.key, None)
+    if call is not None:
+        call.cancel()
+
+
+def _fire(ctx, key):
+    del ctx.timers[key]
+    feed(ctx, events.TimerFired(key))
--- /dev/null
+++ b/tools/demo_settings.py
@@ -0,0 +1,84 @@
+"""Commits a settings file to the stand-in Object API."""
+
+import functools
+import pathlib
+import random
+
+from crocuskeel import conf
+from crocuskeel.conf import commit
+from crocuskeel.conf import storage
+from crocuskeel import platform
+from crocuskeel.platform import transport
+
+__all__ = ["load", "parse_tree", "read_tree"]
+
+AUTHOR = "demo"
+
+
+def read_tree(path):
+    """Return the tree of a settings file; raises SystemExit."""
+    return parse_tree(pathlib.Path(path).read_text())
+
+
+def parse_tree(text):
+    """Return the tree of a settings text; raises SystemExit."""
+    parsed = conf.parse(text)
+    if parsed.is_err():
+        raise SystemExit("\n".join(map(str, parsed.unwrap_err())))
+    return parsed.unwrap()
+
+
+async def load(reactor, url, token, tree):
+    """Commit the whole of ``tree`` as the first batch."""
+    client = platform.new_client(
+        reactor, platform.ClientConfig(url, token),
+        transport.new_treq_send(reactor), random.Random(1))
+    edits = conf.document_edits(
+        conf.empty_tree(), conf.to_document(tree))
+    batch = conf.new_batch(AUTHOR, 0.0, 0, edits)
+    state, step = conf.new_commit(
+        batch, conf.empty_tree(), resent=False)
+    while not isinstance(step, (conf.Done, conf.Refused)):
+        answer = await _carry_out(client, step)
+        state, step = conf.commit_step(state, answer)
+    if isinstance(step, conf.Refused):
+        raise SystemExit(f"settings refused: {step}")
+    return step.generation
+
+
+async def _carry_out(client, step):
+    match step:
+        case commit.ReadHead():
+            return _head(await client.get(storage.HEAD_KEY))
+        case commit.WriteParts(parts=parts):
+            for part in parts:
+                await client.create(
+                    storage.part_key(part.digest), part.blob)
+            return commit.PartsWritten()
+        case commit.WriteHead(head=head, version=version):
+            body = storage.encode_head(head)
+            write = functools.partial(client.create, storage.HEAD_KEY)
+            if version is not None:
+                write = functools.partial(
+                    client.put, storage.HEAD_KEY, version=version)
+            return _written(await write(body=body))
+    raise AssertionError(step)
+
+
+def _head(result):
+    if isinstance(result, platform.Found):
+        return commit.HeadRead(
+            storage.decode_head(result.body), result.version)
+    if isinstance(result, platform.NotFound):
+        return commit.HeadRead(None, None)
+    return commit.StoreFailed()
+
+
+def _written(result):
+    if isinstance(result, platform.Written):
+        return commit.HeadWritten()
+    if isinstance(result, platform.Conflict):
+        return commit.HeadMoved()
+    if isinstance(result, platform.WriteUnknown):
+        return commit.OutcomeUnknown()
+    return commit.StoreFailed()
