Mount the operators' API and show what runs on each engine

Cause: the command reached no daemon, and status showed 0 running on every engine while the cell's row counted 30: it read the cell's count of copies by fingerprint under the engine's name.

Ruled out: a lagging view of another host (the asked host was the dispatcher).

Change: the door mounts the operators' routes; engines show the attempts that the cell holds on them. The test failed with "3 != 0" before.

Conclusion: status, edit, log and wait work on real processes.

--- a/crocuskeel/ops/overview.py
+++ b/crocuskeel/ops/overview.py
@@ -176,10 +176,14 @@
         engine=backend.name, service=backend.service, cell=cell_name,
         domain=backend.domain, kind=backend.kind,
         state=_engine_state(daemon, backend.name, view, now),
-        in_flight=-1 if cell is None else cell.in_flight[backend.name],
+        in_flight=-1 if cell is None else _running_on(cell, backend.name),
         limit=0.0 if cell is None or view is None else view.limit)
 
 
+def _running_on(cell, name):
+    return len(cell.by_engine.get(name, ()))
+
+
 def _engine_state(daemon, name, view, now):
     if not backends.usable(daemon, name):
         return "leaving"
--- a/crocuskeel/runtime/door.py
+++ b/crocuskeel/runtime/door.py
@@ -6,6 +6,7 @@
 from crocuskeel.core import events
 from crocuskeel.core import follower
 from crocuskeel.core import problems
+from crocuskeel import ops as operators
 from crocuskeel.runtime import callers
 from crocuskeel.runtime import exceptions
 from crocuskeel.runtime import loop
@@ -24,6 +25,7 @@
     app = klein.Klein()
     _add_requests(app, ctx)
     _add_reports(app, ctx)
+    operators.mount(app, ctx)
     return app
 
 
