--- a/crocuskeel/core/reducer.py
+++ b/crocuskeel/core/reducer.py
@@ -89,14 +89,24 @@
             else:
                 out.append(effect)
         pending.extend(follower.unpark(daemon))
+        if _must_drain(daemon):
+            pending.append(events.DrainAsked())
     return out
 
 
+def _must_drain(daemon):
+    # A newer process has this host's name: answers and grants meant for
+    # one would reach the other. The older one lets its work finish.
+    return daemon.members.superseded and daemon.door.drain_at is None
+
+
 def _step(daemon, event, now):
     if type(event) is events.Received:
         # Any message may carry a newer settings generation; the
-        # follower sees it before the message itself is judged.
+        # follower sees it before the message itself is judged. Any
+        # message is a sign of life, too.
         out = follower.hear(daemon, event, now)
+        membership.hear(daemon, event, now)
         kind = type(event.message)
     else:
         out = []
--- a/crocuskeel/runtime/datagrams.py
+++ b/crocuskeel/runtime/datagrams.py
@@ -113,9 +113,12 @@
         if known is None and len(seen) >= MAX_SENDERS:
             return False
         known = seen[batch.sender] = _Seen(batch.incarnation)
+    if batch.incarnation < known.incarnation:
+        # An older process of the same name has to be told of the newer
+        # one; membership answers its probes and ignores all else.
+        return True
     number = batch.sequence
-    if (batch.incarnation < known.incarnation or number in known.recent
-            or number <= known.highest - WINDOW):
+    if number in known.recent or number <= known.highest - WINDOW:
         return False
     known.recent.add(number)
     if number > known.highest:
