Add the control daemon: orders to engines under a lease

Ruled out: the rendezvous owner as orderer (two hosts own in a split); orders by an operator's command (nothing would repair a crashed engine's models).

Change: crocuskeel-control, a pure reducer with a lease in the Object API whose version at acquisition is the fencing number; a check of the lease in the body producer right before the bytes; a waiting period for engines that don't check; staged rollouts by share of pool and failure domain, one rate for the weight store. Adapters and a role may now be set for a service.

--- a/crocuskeel/conf/schema.py
+++ b/crocuskeel/conf/schema.py
@@ -62,6 +62,9 @@
     'max_slots_per_engine': {
         'type': 'integer', 'minimum': 1, 'maximum': 4096},
     'checks_fence': {'type': 'boolean'},
+    'adapters': {
+        'type': 'array', 'items': {'type': 'string', 'pattern': _MODEL}},
+    'role': {'type': 'string', 'pattern': _NAME},
 }, ('kind',))
 _WORKSPACE = _strict({
     **_policy_keys(in_workspace=True),
--- /dev/null
+++ b/crocuskeel/control/__init__.py
@@ -0,0 +1,1 @@
+"""Runtime of the control daemon: platform, engines, clock, records."""
--- /dev/null
+++ b/crocuskeel/control/platform_calls.py
@@ -0,0 +1,99 @@
+"""Carries out the calls to the Object API and the host list."""
+
+from crocuskeel import conf
+from crocuskeel.conf import parts
+from crocuskeel.conf import storage
+from crocuskeel.core.control import events
+from crocuskeel import platform
+
+__all__ = ["LEASE_KEY", "check_settings", "read_hosts", "read_lease",
+           "write_lease"]
+
+LEASE_KEY = "control/lease"
+Status = events.Status
+_FAILED = {
+    platform.NotFound: Status.NOT_FOUND,
+    platform.Conflict: Status.CONFLICT,
+    platform.Unavailable: Status.UNAVAILABLE,
+    platform.Rejected: Status.UNAVAILABLE,
+    platform.WriteUnknown: Status.UNKNOWN,
+}
+
+
+async def read_lease(ctx, effect):
+    """Read the lease object."""
+    result = await ctx.platform.get(LEASE_KEY)
+    if isinstance(result, platform.Found):
+        return events.LeaseRead(
+            Status.FOUND, result.version, result.body)
+    return events.LeaseRead(_FAILED[type(result)])
+
+
+async def write_lease(ctx, effect):
+    """Write the lease object once, on its condition."""
+    if effect.version == 0:
+        result = await ctx.platform.create(LEASE_KEY, effect.body)
+    else:
+        result = await ctx.platform.put(
+            LEASE_KEY, effect.body, effect.version)
+    if isinstance(result, platform.Written):
+        return events.LeaseWritten(
+            effect.nonce, effect.number, Status.WRITTEN, result.version)
+    return events.LeaseWritten(
+        effect.nonce, effect.number, _FAILED[type(result)])
+
+
+async def check_settings(ctx, effect):
+    """Read the head, and the common sections if they are newer."""
+    result = await ctx.platform.get(storage.HEAD_KEY)
+    if isinstance(result, platform.NotFound):
+        return events.SettingsChecked(True)
+    if not isinstance(result, platform.Found):
+        return events.SettingsChecked(False)
+    try:
+        head = storage.decode_head(result.body)
+        if head.generation <= effect.have:
+            return events.SettingsChecked(True, head.generation)
+        common = await _common(ctx, head)
+    except conf.ConfError:
+        return events.SettingsChecked(False)
+    ok = common is not None
+    return events.SettingsChecked(ok, head.generation, common)
+
+
+async def _common(ctx, head):
+    """Return the common sections, or None if they can't be read."""
+    index = await _part(ctx, head.index)
+    if index is None:
+        return None
+    digest = storage.decode_index(index).common
+    if digest == ctx.common[0]:
+        return ctx.common[1]
+    part = await _part(ctx, digest)
+    if part is None:
+        return None
+    ctx.common = (digest, parts.decode_part(part))
+    return ctx.common[1]
+
+
+async def _part(ctx, digest):
+    result = await ctx.platform.get(storage.part_key(digest))
+    if not isinstance(result, platform.Found):
+        return None
+    return conf.Part(digest, result.body)
+
+
+async def read_hosts(ctx, effect):
+    """Read the engines of the host list."""
+    result = await ctx.platform.hosts()
+    if not isinstance(result, platform.HostList):
+        return events.HostsSeen(None)
+    return events.HostsSeen(tuple(
+        _entry(each) for each in result.hosts if each.role == "engine"))
+
+
+def _entry(host):
+    return events.EngineEntry(
+        name=host.name, service=host.service,
+        url=f"http://{host.address}:{host.port}", domain=host.domain,
+        leaving=host.state == "leaving")
--- /dev/null
+++ b/crocuskeel/control/program.py
@@ -0,0 +1,82 @@
+"""Feeds events to the control reducer and carries out its effects."""
+
+from loguru import logger
+from twisted.internet import defer
+
+from crocuskeel.control import context
+from crocuskeel.control import engine_calls
+from crocuskeel.control import platform_calls
+from crocuskeel.core import control
+from crocuskeel.core.control import effects
+from crocuskeel.core.control import events
+
+__all__ = ["TICK_S", "feed", "start", "stop"]
+
+TICK_S = 0.5
+_CALLS = {
+    effects.ReadLease: platform_calls.read_lease,
+    effects.WriteLease: platform_calls.write_lease,
+    effects.CheckSettings: platform_calls.check_settings,
+    effects.ReadHosts: platform_calls.read_hosts,
+    effects.ReadEngine: engine_calls.read_engine,
+    effects.SendOrder: engine_calls.send_order,
+}
+
+
+def start(ctx):
+    """Begin to tick."""
+    _tick(ctx)
+
+
+def stop(ctx):
+    """Begin the planned stop; it ends with ``ctx.on_exit()``."""
+    feed(ctx, events.StopAsked())
+
+
+def _tick(ctx):
+    if not ctx.stopped:
+        ctx.reactor.callLater(TICK_S, _tick, ctx)
+        feed(ctx, events.Ticked())
+
+
+def feed(ctx, event):
+    """Reduce an event, and run its effects before the next event."""
+    ctx.queue.append(event)
+    if ctx.reducing:
+        return
+    ctx.reducing = True
+    try:
+        while ctx.queue:
+            _one(ctx, ctx.queue.popleft())
+    finally:
+        ctx.reducing = False
+
+
+def _one(ctx, event):
+    try:
+        effs = control.reduce(ctx.state, event, ctx.now())
+    except Exception:
+        # A fault of the program shows as a traceback in the log; the
+        # lease must still be renewed or lapse by the next events.
+        logger.exception("reducer failed on {}", type(event).__name__)
+        return
+    for effect in effs:
+        _run(ctx, effect)
+
+
+def _run(ctx, effect):
+    if isinstance(effect, effects.Record):
+        context.record(ctx, effect)
+    elif isinstance(effect, effects.Exit):
+        ctx.stopped = True
+        ctx.on_exit()
+    else:
+        call = _CALLS[type(effect)](ctx, effect)
+        fut = defer.Deferred.fromCoroutine(call)
+        fut.addCallback(lambda answer: feed(ctx, answer))
+        fut.addErrback(_log_failure, effect)
+
+
+def _log_failure(fail, effect):
+    logger.error("{} failed: {}", type(effect).__name__,
+                 fail.getErrorMessage())
--- a/crocuskeel/core/control/observing.py
+++ b/crocuskeel/core/control/observing.py
@@ -32,12 +32,18 @@
 
 
 def _read_engines(state, now):
+    views = state.engines.values()
     busy = _busy_services(state)
-    room = state.cfg.max_reads - sum(
-        engine.reading for engine in state.engines.values())
-    due = [engine for engine in state.engines.values()
+    # The rate of reads is bounded. Were the pace of a large pool not
+    # lower, most of its engines would always count as unknown, and so
+    # as out, and no order would ever go out.
+    count = sum(engine.service in busy for engine in views)
+    state.pace_s = max(
+        state.cfg.observe_s, count / state.cfg.reads_per_s)
+    room = state.cfg.max_reads - sum(each.reading for each in views)
+    due = [engine for engine in views
            if not engine.reading and now - engine.asked_at >= _pace_s(
-               state, engine.service in busy)]
+               state, engine, busy)]
     due.sort(key=lambda engine: engine.asked_at)
     effs = []
     for engine in due[:max(0, room)]:
@@ -47,8 +53,12 @@
     return effs
 
 
-def _pace_s(state, busy):
-    return state.cfg.observe_s if busy else state.cfg.idle_observe_s
+def _pace_s(state, engine, busy):
+    if engine.taken or engine.loading_since is not None:
+        return state.cfg.observe_s
+    if engine.service in busy:
+        return state.pace_s
+    return max(state.cfg.idle_observe_s, state.pace_s)
 
 
 def _busy_services(state):
@@ -57,8 +67,7 @@
         engine.service for engine in state.engines.values()
         if engine.service in state.pools and (
             not engine.boot_id or engine.order or engine.taken
-            or planning.difference(
-                engine, state.pools[engine.service].items))}
+            or engine.lacking)}
 
 
 def on_settings(state, event, now):
@@ -80,9 +89,15 @@
         pool.checks_fence = each.checks_fence
         pools[each.service] = pool
     state.pools = pools
+    _refresh_all(state)
     return effs
 
 
+def _refresh_all(state):
+    for engine in state.engines.values():
+        planning.refresh(state, engine)
+
+
 def _resume(service, pool):
     if pool is None or not pool.paused:
         return []
@@ -109,6 +124,7 @@
         view.leaving = entry.leaving
         views[entry.name] = view
     state.engines = views
+    _refresh_all(state)
     return []
 
 
@@ -122,6 +138,7 @@
         return _overdue(state, engine, now)
     restarted = engine.boot_id not in ("", event.boot_id)
     _take_report(engine, event)
+    planning.refresh(state, engine)
     effs = []
     if restarted:
         effs.append(effects.Record(
--- a/crocuskeel/core/control/planning.py
+++ b/crocuskeel/core/control/planning.py
@@ -8,7 +8,8 @@
 from crocuskeel.core.control import rates
 from crocuskeel.core.control import staging
 
-__all__ = ["Plan", "difference", "has", "may_send", "step"]
+__all__ = ["Plan", "difference", "has", "may_send", "refresh",
+           "step"]
 
 Kind = orders.Kind
 _FROM_WEIGHT_STORE = (Kind.LOAD_MODEL, Kind.LOAD_ADAPTER)
@@ -49,7 +50,14 @@
              if item.kind is Kind.LOAD_MODEL}
     surplus = [orders.Item(Kind.UNLOAD_MODEL, name)
                for name in sorted(engine.models) if name not in named]
-    return lacking + (surplus if named else [])
+    return (*lacking, *(surplus if named else ()))
+
+
+def refresh(state, engine):
+    """Work out anew what an engine lacks."""
+    pool = state.pools.get(engine.service)
+    known = pool is not None and engine.boot_id
+    engine.lacking = difference(engine, pool.items) if known else ()
 
 
 def step(state, now):
@@ -73,10 +81,7 @@
 
 
 def _note_plan(state):
-    lacking = [
-        len(difference(engine, state.pools[engine.service].items))
-        for engine in state.engines.values()
-        if engine.service in state.pools and engine.boot_id]
+    lacking = [len(each.lacking) for each in state.engines.values()]
     plan = Plan(state.generation, sum(map(bool, lacking)), sum(lacking))
     if plan == state.planned:
         return []
@@ -87,20 +92,17 @@
 
 
 def _step_pool(state, pool, members, now):
-    lacking = {engine.name: items for engine in members
-               if (items := difference(engine, pool.items))}
-    if not lacking:
+    if not any(engine.lacking for engine in members):
         pool.failures = 0
         return []
     room = staging.new_room(state, pool, members, now)
     effs = []
     for engine in staging.worst_first(room, members):
-        if engine.name not in lacking or not _ready(
-                state, pool, engine, now):
+        if not engine.lacking or not _ready(state, pool, engine, now):
             continue
         if not staging.allows(room, engine):
             continue
-        item = lacking[engine.name][0]
+        item = engine.lacking[0]
         if item.kind in _FROM_WEIGHT_STORE and not rates.take(
                 state.bucket, now):
             break
--- a/crocuskeel/core/control/staging.py
+++ b/crocuskeel/core/control/staging.py
@@ -24,8 +24,7 @@
 
 def known(state, engine, now):
     """Say whether the last observation is new enough to act upon."""
-    age_s = now - engine.seen_at
-    return age_s <= _FRESH_ROUNDS * state.cfg.observe_s
+    return now - engine.seen_at <= _FRESH_ROUNDS * state.pace_s
 
 
 def loading(state, engine, now):
--- a/crocuskeel/core/control/state.py
+++ b/crocuskeel/core/control/state.py
@@ -27,6 +27,8 @@
     ``domain_share`` are the shares of a service's engines, in all and
     in one failure domain, that may be out of service at once.
     ``loads_per_s`` and ``load_burst`` are the weight store's limit.
+    ``max_reads`` bounds reads of engines open at once, ``reads_per_s``
+    those a second.
     """
 
     host: str
@@ -48,6 +50,7 @@
     loads_per_s: float = 0.5
     load_burst: float = 4.0
     max_reads: int = 64
+    reads_per_s: float = 100.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -88,7 +91,8 @@
 
     ``models`` is name to (version, ready). ``order`` is on its way,
     ``taken`` was accepted and is not confirmed yet. No order goes out
-    before ``hold_until``. ``seen_at`` is when the newest answer was
+    before ``hold_until``. ``lacking`` is the difference of wanted and
+    observed state. ``seen_at`` is when the newest answer was
     asked for.
     """
 
@@ -105,6 +109,7 @@
     asked_at: float = NEVER
     reading: bool = False
     loading_since: float | None = None
+    lacking: tuple[orders.Item, ...] = ()
     order: orders.Order | None = None
     taken: orders.Order | None = None
     taken_at: float = NEVER
@@ -125,7 +130,11 @@
 
 @dataclasses.dataclass(slots=True)
 class ControlState:
-    """All that the control daemon knows; nothing of it is stored."""
+    """All that the control daemon knows; nothing of it is stored.
+
+    ``pace_s`` is the time between two reads of an engine whose service
+    is not as wanted.
+    """
 
     cfg: Config
     rng: random.Random
@@ -142,6 +151,7 @@
     hosts_open: bool = False
     planned: typing.Any = None
     last_step: float | None = None
+    pace_s: float = 0.0
     stopping: bool = False
     releasing: bool = False
     ended: bool = False
@@ -155,4 +165,5 @@
     """
     return ControlState(
         cfg=cfg, rng=rng, lease=Lease(),
-        bucket=rates.new_bucket(cfg.loads_per_s, cfg.load_burst, now))
+        bucket=rates.new_bucket(cfg.loads_per_s, cfg.load_burst, now),
+        pace_s=cfg.observe_s)
--- /dev/null
+++ b/crocuskeel/programs/control.py
@@ -0,0 +1,70 @@
+"""crocuskeel-control: gives engines their orders, under a lease."""
+
+import argparse
+import asyncio
+import signal
+import sys
+import time
+
+from twisted.internet import asyncioreactor
+
+from crocuskeel.control import exceptions
+from crocuskeel.control import settings
+
+__all__ = ["main", "new_parser"]
+
+_EXIT_SETTINGS = 2
+
+
+def new_parser():
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog="crocuskeel-control",
+        description="Brings engines to what the settings want. May run "
+                    "on several entry hosts; one of them is active.")
+    parser.add_argument(
+        "--settings", required=True, metavar="FILE",
+        help="program settings, JSON with comments")
+    return parser
+
+
+def main(argv=None):
+    """Run until a planned stop is complete; return the exit code."""
+    args = new_parser().parse_args(argv)
+    try:
+        cfg = settings.read(args.settings)
+    except exceptions.BadSettingsFile as exc:
+        print(f"{args.settings}: {exc}", file=sys.stderr)
+        return _EXIT_SETTINGS
+    _run(*_install_reactor(), cfg)
+    return 0
+
+
+def _install_reactor():
+    """Return the reactor and its loop's monotonic clock."""
+    # treq imports the default reactor, so this comes before it.
+    loop = asyncio.new_event_loop()
+    asyncioreactor.install(loop)
+    from twisted.internet import reactor
+    # Twisted's seconds are the wall clock's: set back by an hour, it
+    # would make a lease look fresh for an hour more.
+    reactor.seconds = loop.time
+    return reactor, loop
+
+
+def _run(reactor, loop, cfg):
+    from crocuskeel.control import assembly
+    from crocuskeel.control import program
+    from crocuskeel.runtime import records
+
+    records.begin_logs(cfg.log_file, cfg.cfg.host)
+    ctx = assembly.new_runtime(
+        reactor, loop.time, time.time, cfg, reactor.stop)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, program.stop, ctx)
+    reactor.callWhenRunning(program.start, ctx)
+    reactor.run(installSignalHandlers=False)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
