--- /dev/null
+++ b/bench/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded scenarios for the policy: the real reducers, fake engines."""
--- a/crocuskeel/core/dispatch/granting.py
+++ b/crocuskeel/core/dispatch/granting.py
@@ -136,8 +136,8 @@
     fairness.charge(cell, waiting)
     floors.earn(cell.classes.values())
     floors.spend(group)
-    if waiting.late:
-        meters.bump(group.served_late, now)
+    meter = cell.granted.setdefault(group.tier, meters.new_meter())
+    meters.bump(meter, now)
 
 
 def _new_slot(daemon, cell, waiting, engine, alone, now):
--- a/crocuskeel/core/dispatch/handling.py
+++ b/crocuskeel/core/dispatch/handling.py
@@ -176,7 +176,7 @@
 def _reregister(daemon, door, held, now):
     cell, out = ownership.serve(daemon, held.cell, now)
     if cell is None:
-        return []
+        return [effects.Send(door, messages.NotDispatcher(held.cell))]
     _forget_door(cell, door)
     for running in held.running:
         granting.add_slot(
--- a/crocuskeel/core/dispatch/headroom.py
+++ b/crocuskeel/core/dispatch/headroom.py
@@ -18,7 +18,7 @@
 MAX_ROOTS = 4.0
 UP = 0.5
 # In the balance about one in UP / DOWN is late.
-DOWN = 0.002
+DOWN = 0.001
 LONG_WAIT = 0.2
 
 
--- a/crocuskeel/core/dispatch/limits.py
+++ b/crocuskeel/core/dispatch/limits.py
@@ -30,7 +30,7 @@
 # Mean deviations above the mean that still have to meet the target.
 TOKEN_SPREADS = 2.0
 CALL_SPREADS = 4.0
-PROVEN = 1.5
+PROVEN = 1.2
 MIN_CALLS = 5.0
 FIRST_SPREADS = 2.0
 SLOW_SAMPLES = 6
--- a/crocuskeel/core/dispatch/ownership.py
+++ b/crocuskeel/core/dispatch/ownership.py
@@ -23,9 +23,14 @@
 
 
 def is_owner(daemon, cell_name):
-    """Tell whether this host dispatches the cell in its own view."""
+    """Tell whether this host dispatches the cell in its own view.
+
+    A host that has not read the host list knows of no cell yet; it must
+    not refuse for want of engines what another host can serve.
+    """
     live = membership.live(daemon)
-    return placement.owner(cell_name, live) == daemon.me.host
+    return (cell_name in daemon.backends.cells
+            and placement.owner(cell_name, live) == daemon.me.host)
 
 
 def serve(daemon, cell_name, now):
@@ -75,11 +80,10 @@
         return out
     daemon.dispatch.view = view
     for cell_name in view[1]:
-        if placement.owner(cell_name, live) == daemon.me.host:
+        if is_owner(daemon, cell_name):
             out += open_cell(daemon, cell_name, now)[1]
     for cell in daemon.dispatch.cells.values():
-        owner = placement.owner(cell.name, live)
-        if owner != daemon.me.host and cell.lost_at is None:
+        if not is_owner(daemon, cell.name) and cell.lost_at is None:
             cell.lost_at = now
     return out
 
--- a/crocuskeel/core/dispatch/shedding.py
+++ b/crocuskeel/core/dispatch/shedding.py
@@ -162,18 +162,29 @@
     """Tell whether an attempt past its target can't start in time.
 
     Judged by how many of its class are past theirs, against the rate
-    at which such ones were granted lately, and never under the floor.
+    at which these could be granted if nothing more came in its tier.
     """
     group = cell.classes[waiting.ask.class_name]
-    share = max(group.floor, floors.MIN_FLOOR)
-    rate = max(meters.rate(group.served_late, now),
-               share * meters.rate(cell.drain, now))
+    rate = _late_rate(cell, group, now)
     if rate <= 0.0:
         return False
     late = sum(len(flow.late) for flow in group.flows.values())
     return now + late / rate > waiting.deadline
 
 
+def _late_rate(cell, group, now):
+    ends = meters.rate(cell.drain, now)
+    above = sum(meters.rate(meter, now)
+                for tier, meter in cell.granted.items()
+                if tier < group.tier)
+    share = max(group.floor, floors.MIN_FLOOR)
+    rivals = sum(max(other.floor, floors.MIN_FLOOR)
+                 for other in cell.classes.values()
+                 if other.tier == group.tier and other.waiting)
+    spare = (ends - above) * share / max(rivals, share)
+    return max(spare, share * ends)
+
+
 def is_shut(daemon, cell, ask, now):
     """Tell whether a newcomer would start only after work just refused.
 
--- a/crocuskeel/core/dispatch/state.py
+++ b/crocuskeel/core/dispatch/state.py
@@ -89,8 +89,7 @@
 class ClassQueue:
     """Waiting work of one class in a cell.
 
-    ``credit`` is the floor's deficit counter in grants; ``served_late``
-    measures grants a second of work past its target.
+    ``credit`` is the floor's deficit counter in grants.
     """
 
     name: str
@@ -102,8 +101,6 @@
     work: float = 0.0
     clock: float = 0.0
     flows: dict[str, Flow] = _dict()
-    served_late: meters.Meter = dataclasses.field(
-        default_factory=meters.new_meter)
 
 
 @dataclasses.dataclass(slots=True)
@@ -167,6 +164,7 @@
     reserved: dict[str, Key | None] = _dict()
     drain: meters.Meter = dataclasses.field(
         default_factory=meters.new_meter)
+    granted: dict[int, meters.Meter] = _dict()
     asked_at: dict[str, float] = _dict()
     targets: dict[str, float] = _dict()
     seq: int = 0
--- a/crocuskeel/core/follower/state.py
+++ b/crocuskeel/core/follower/state.py
@@ -36,14 +36,13 @@
     ``tree`` is in force, None until the first are; ``held`` is a newer
     one that is complete but not in force yet. ``head`` is the stored
     head of the newest of both, ``version`` the head object's version
-    last seen. ``newest``
-    is the greatest generation heard of; ``behind_since`` when one newer
-    than ours was first heard of, None when current. ``heard_at`` is
-    when the platform or a peer last spoke. ``deltas`` keeps delta parts
-    by digest for peers. ``asked_peers`` were asked for what is newer,
-    ``asked_holder`` is one that said it holds it.
-    ``parked`` holds arrivals by rid until we are
-    current; ``released`` those to judge next.
+    last seen. ``newest`` is the greatest generation heard of;
+    ``behind_since`` when one newer than ours was first heard of, None
+    when current. ``heard_at`` is when the platform or a peer last
+    spoke. ``deltas`` keeps delta parts by digest for peers.
+    ``asked_peers`` were asked for what is newer, ``asked_holder`` is
+    one that said it holds it. ``parked`` holds arrivals by rid until we
+    are current; ``released`` those to judge next.
     """
 
     tree: typing.Any = None
@@ -85,11 +84,15 @@
 
 def policy(daemon, workspace, class_name):
     """Return the class's resolved ``conf.ClassPolicy`` or None."""
+    if daemon.follower.tree is None:
+        return None
     return conf.resolve(daemon.follower.tree, workspace, class_name)
 
 
 def caller(daemon, token_sha256):
     """Return the ``conf.CallerIdentity`` of a token or None."""
+    if daemon.follower.tree is None:
+        return None
     return conf.find_caller(daemon.follower.tree, token_sha256)
 
 
