--- a/bench/core_figures.py
+++ b/bench/core_figures.py
@@ -24,6 +24,7 @@
 
 CELL_SIZES = (4, 8, 16, 32, 64)
 QUEUES = (0, 100, 1000)
+LOCATE_HOSTS = (9, 81, 470)
 REQUESTS = 1500
 PROGRESSES = 4
 SERVICE = "llm"
@@ -166,6 +167,32 @@
         emit("refused" + suffix, pair.refused, "count", engines)
 
 
+def measure_locate(hosts):
+    """Emit what one answer to ``GET locate`` costs in a fleet."""
+    me = states.Identity("d", "h000", "a", "r", "127.0.0.1", 1, 2, 1)
+    daemon = factory.new_daemon(
+        me, tree=conf_tree.from_document(DOCUMENT, 1))
+    reducer.reduce(daemon, events.Started(), 0.0)
+    for number in range(1, hosts):
+        update = messages.MemberUpdate(
+            f"h{number:03d}", 1, "alive", f"127.0.{number >> 8}."
+            f"{number & 255}", 1, 2, f"z{number % 8}", f"r{number % 3}")
+        reducer.reduce(daemon, events.Received(
+            update.host, 1, messages.Probe(1, (update,)), 0,
+            update.address), 1.0)
+    tries = 300
+    answered = 0
+    before = time.perf_counter()
+    for number in range(tries):
+        ask = events.LocateAsked(f"h000.1.{number}", SHA, "z1", "chat")
+        out = reducer.reduce(daemon, ask, 2.0)
+        answered += sum(type(e) is effects.AnswerLocate for e in out)
+    spent = time.perf_counter() - before
+    if answered != tries:
+        raise RuntimeError(f"{answered} answers to {tries} questions")
+    emit("locate_cpu_an_answer", spent / tries * 1e6, "us", hosts)
+
+
 def measure_wire():
     """Emit the cost of one message through codec and seal."""
     message = messages.Enqueue("h1.1.1", 1, "llm/0", SERVICE, "chat", "ws",
@@ -184,6 +211,8 @@
         measure(engines, 0)
     for queued in QUEUES[1:]:
         measure(8, queued)
+    for hosts in LOCATE_HOSTS:
+        measure_locate(hosts)
     measure_wire()
 
 
--- a/crocuskeel/core/door/granting.py
+++ b/crocuskeel/core/door/granting.py
@@ -10,9 +10,13 @@
 from crocuskeel.core import effects
 from crocuskeel.core import events
 from crocuskeel.core import messages
+from crocuskeel.core import problems
 
 __all__ = ["claim_granted", "granted", "take"]
 
+MAX_GIVEN_BACK = 8
+RETRY_AFTER_S = 1.0
+
 
 def granted(daemon, sender, grant, now):
     """Take up a slot that a dispatcher granted, or give it back."""
@@ -92,4 +96,11 @@
     req.avoid = tuple(sorted({*req.avoid, engine}))
     if backends.get(daemon, engine) is None:
         out.append(effects.WantHostList())
+    req.given_back += 1
+    if req.given_back > MAX_GIVEN_BACK:
+        # A dispatcher whose host list is older would grant the same
+        # server again and again, as fast as messages go.
+        return out + ending.answer(
+            daemon, req, problems.Reason.NO_BACKEND, now,
+            retry_after_s=RETRY_AFTER_S)
     return out + queueing.requeue(daemon, req, now)
--- a/crocuskeel/core/door/locating.py
+++ b/crocuskeel/core/door/locating.py
@@ -83,8 +83,10 @@
     drawn = sorted(
         members, reverse=True,
         key=lambda member: _draw(member, dispatchers, rng))
-    near = [m for m in drawn if m.domain == domain and m.load < CROWDED]
-    far = [m for m in drawn if m not in near]
+    near, far = [], []
+    for member in drawn:
+        is_near = member.domain == domain and member.load < CROWDED
+        (near if is_near else far).append(member)
     chosen = (near + far)[:MAX_ADDRESSES]
     if len({member.domain for member in chosen}) == 1:
         # All in one failure domain: its loss would leave the caller
--- a/crocuskeel/core/door/state.py
+++ b/crocuskeel/core/door/state.py
@@ -56,6 +56,7 @@
     tokens: int = 0
     forwarded: int = 0
     resumes: int = 0
+    given_back: int = 0
     lost_end: str = ""
     avoid: tuple[str, ...] = ()
     outcome: problems.Outcome = problems.Outcome.NOT_RUN
