--- a/Makefile
+++ b/Makefile
@@ -41,3 +41,22 @@
 	PATH=$(CURDIR)/$(BIN):$$PATH $(BIN)/python -m grpc_tools.protoc \
 	  -I. --python_out=. --grpclib_python_out=. \
 	  crocuskeel/wire/crocuskeel.proto
+
+.PHONY: capacity bench-policy bench-loopback bench-state demo-faults
+capacity: install
+	$(BIN)/python -m bench.capacity
+
+bench-policy: install
+	$(BIN)/python -m bench.policy
+
+bench-loopback: install
+	$(BIN)/python -m bench.loopback
+
+bench-state: install
+	$(BIN)/python -m bench.settings_figures
+	$(BIN)/python -m bench.membership_figures
+	$(BIN)/python -m bench.claims_figures
+	$(BIN)/python -m bench.control_figures
+
+demo-faults: install
+	$(BIN)/python -m tools.faults
--- /dev/null
+++ b/bench/loopback/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmark of the entry daemon on real processes over loopback."""
--- a/crocuskeel/ops/sentences.py
+++ b/crocuskeel/ops/sentences.py
@@ -11,7 +11,8 @@
     "claims_doubt_settled", "claims_in_doubt", "claims_unreadable",
     "door_dead", "drain_started", "host_superseded", "log",
     "member_dead", "member_left", "member_suspect",
-    "settings_adopted", "settings_corrupt", "suspicion_refuted",
+    "settings_adopted", "settings_corrupt", "settings_held",
+    "suspicion_refuted",
 })
 # Those that concern one engine or cell.
 _LOCAL_KINDS = frozenset({
@@ -86,6 +87,8 @@
     "settings_adopted": "settings generation {to} in force on this host",
     "settings_committed": "batch of {author} accepted as generation {to}",
     "settings_corrupt": "settings could not be read: {fault}",
+    "settings_held": "settings generation {held} complete, waits for a "
+                     "peer that holds it too",
     "settings_rejected": "batch of {author} refused: {reason}",
     "shed": "dispatcher refused it: {reason}, {waited_s} s after arrival",
     "started": "this host started",
