--- a/crocuskeel/core/messages.py
+++ b/crocuskeel/core/messages.py
@@ -206,8 +206,9 @@
     """The owner's answer to a claim.
 
     ``status`` is one of ``granted``, ``duplicate``, ``mismatch``,
-    ``too_old``, ``unavailable``. For a duplicate: the host and request
-    that hold the claim and the outcome as far as the ledger knows it.
+    ``too_old``, ``too_new`` (dated ahead), ``unavailable``. For a
+    duplicate: the host and request that hold the claim and the outcome
+    as far as the ledger knows it.
     """
 
     rid: str
--- /dev/null
+++ b/tests/claims/test_properties.py
@@ -0,0 +1,89 @@
+"""Claims under any order of faults: at most once, and truthful."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies as st
+
+from tests.claims import world as worlds
+
+KEYS = 3
+OWNER = st.integers(0, 1)
+PICK = st.integers(0, 5)
+MODE = st.sampled_from(["well", "well", "lost", "late", "dropped", "out"])
+
+STEP = st.one_of(
+    st.tuples(st.just("ask"), st.integers(0, KEYS - 1), OWNER),
+    st.tuples(st.just("reask"), PICK, OWNER),
+    st.tuples(st.just("give_up"), PICK, OWNER),
+    st.tuples(st.just("end"), PICK, OWNER, st.booleans()),
+    st.tuples(st.just("answer"), MODE, PICK),
+    st.tuples(st.just("answer"), MODE, PICK),
+    st.tuples(st.just("land"), PICK),
+    st.tuples(st.just("pause"), OWNER, st.booleans()),
+    st.tuples(st.just("restart"), OWNER),
+    st.tuples(st.just("advance"), st.sampled_from([0.1, 0.5, 2.0])),
+)
+
+
+def take(world, step, issue_times):
+    """Take one step in ``world``."""
+    name, *args = step
+    attempts = list(world.attempts.values())
+    if name == "ask":
+        world.ask(f"k{args[0]}", args[1],
+                  issued_at=issue_times[args[0]])
+    elif name in ("answer", "land", "pause", "restart", "advance"):
+        getattr(world, name)(*args)
+    elif attempts:
+        attempt = attempts[-1 - args[0] % len(attempts)]
+        if name == "reask":
+            world.send_ask(attempt, args[1], deadline_s=1.0)
+        elif name == "give_up":
+            world.give_up(attempt, args[1])
+        else:
+            world.end(attempt, args[2], args[1])
+
+
+class AtMostOnceTest(unittest.TestCase):
+    """The invariants of models/claims.pml, on the reducer itself."""
+
+    @hypothesis.settings(
+        derandomize=True, deadline=None, database=None,
+        max_examples=400)
+    @hypothesis.given(
+        st.lists(STEP, min_size=20, max_size=60),
+        st.lists(st.floats(1.0, 50.0), min_size=KEYS, max_size=KEYS))
+    def test_any_order_of_faults(self, steps, issue_times):
+        """A canoe is booked twice.
+
+        Doors resend one key through two owners of its slot; owners
+        pause, restart and lose answers, writes land late, entries are
+        dropped by age. Cause: a grant that rests on no recorded claim,
+        or a key that is freed or forgotten while its attempt may run.
+        """
+        world = worlds.World(
+            epoch_s=0.5, kept_epochs=1, writes_s=10.0)
+        for step in steps:
+            take(world, step, issue_times)
+            self.check(world)
+        world.calm()
+        for attempt in world.attempts.values():
+            world.end(attempt, True, 0)
+        self.check(world)
+        self.check_answered(world)
+
+    def check(self, world):
+        """A key runs at most once; ``over`` attempts never run."""
+        started = [
+            each for each in world.attempts.values()
+            if each.state in ("started", "ran")]
+        keys = [each.key for each in started]
+        self.assertEqual(len(set(keys)), len(keys), started)
+
+    def check_answered(self, world):
+        """Once all is well nothing is left pending."""
+        for owner in world.owners:
+            for slot in owner.state.slots.values():
+                self.assertEqual({}, slot.asks)
+                self.assertIsNone(slot.doubt_base)
