Don't learn an engine's pace or size from answers that don't tell them

Cause: three faults found by writing the tutorials. Answers in one piece have no time between tokens, and their whole time was taken for that of one token: after eight of them an idle fleet refused every streamed briefing as hopeless. A 503 for a model that an engine lacks counted as "full" and took its limit to 1; one caller's misspelt model did so to all engines. max_slots_per_engine was read once, before there were settings, and then overwritten by load reports.

Ruled out: the estimate of lengths (it had seen nothing of such answers); the burst itself (the fleet was idle).

Change: only streams and plain calls tell a pace; 503 is an end of its own (unready) that backs the engine off; a model that the service lacks is refused at once, and a class given as model is replaced by the service's first model; the slots follow settings and report; an answer in one piece may take until its deadline for its first byte.

Conclusion: mended in the core; the property over event orders counts unready with busy and refused as not run, as the engine's protocol says.

--- a/crocuskeel/core/dispatch/handling.py
+++ b/crocuskeel/core/dispatch/handling.py
@@ -11,6 +11,7 @@
 from crocuskeel.core.dispatch import state
 from crocuskeel.core import effects
 from crocuskeel.core import events
+from crocuskeel.core import follower
 from crocuskeel.core import messages
 from crocuskeel.core import problems
 from crocuskeel.core import quarantine
@@ -63,6 +64,7 @@
 
 def _tick(daemon, now):
     out = ownership.refresh(daemon, now)
+    _bound_engines(daemon)
     out += quarantine.overdue(daemon, now)
     for cell in daemon.dispatch.cells.values():
         queue.purge(cell)
@@ -71,6 +73,15 @@
     return out + _gauges(daemon)
 
 
+def _bound_engines(daemon):
+    generation = follower.generation(daemon)
+    if generation == daemon.dispatch.generation:
+        return
+    daemon.dispatch.generation = generation
+    for view in daemon.dispatch.engines.values():
+        limits.bound(daemon, view)
+
+
 def _gauges(daemon):
     out = []
     for cell in daemon.dispatch.cells.values():
@@ -220,7 +231,7 @@
     view = limits.engine(daemon, seen.engine)
     if not seen.ok:
         return limits.report_missed(daemon, view, now)
-    limits.load_seen(view, seen)
+    limits.load_seen(daemon, view, seen)
     out = quarantine.engine_seen(daemon, seen.engine, seen.boot_id, now)
     return out + (_verdicts_changed(daemon, now) if out else [])
 
--- a/crocuskeel/core/dispatch/limits.py
+++ b/crocuskeel/core/dispatch/limits.py
@@ -15,7 +15,7 @@
 from crocuskeel.core import effects
 from crocuskeel.core import follower
 
-__all__ = ["capacity", "done", "engine", "failed", "first_token",
+__all__ = ["bound", "capacity", "done", "engine", "failed", "first_token",
            "is_slow", "load_seen", "make_busy", "pool_median",
            "progressed", "report_missed"]
 
@@ -68,6 +68,20 @@
     return policy.max_slots_per_engine if policy else DEFAULT_SLOTS
 
 
+def bound(daemon, view):
+    """Hold the most slots to the settings and the engine's own word."""
+    most = _most(daemon, view.name)
+    if view.told:
+        most = min(most, view.told)
+    if most == view.most:
+        return
+    if view.limit >= view.most:
+        # Never cut so far: what is learned does not stand against more.
+        view.limit = float(most)
+    view.limit = min(view.limit, float(most))
+    view.most = most
+
+
 def capacity(view, now):
     """Return how many attempts the engine may run at once now."""
     if now < view.off_until:
@@ -106,7 +120,7 @@
 
 def done(daemon, cell, view, slot, released, now):
     """Learn from a whole answer; return effects."""
-    pace = released.itl_s or released.ttft_s
+    pace = _pace(daemon, view, released)
     if pace > 0.0 and not 0 < released.tokens < ENOUGH_TOKENS:
         if view.pace:
             off = abs(pace - view.pace)
@@ -125,6 +139,25 @@
     return []
 
 
+def _pace(daemon, view, released):
+    """Return the time between tokens, of a call for a plain service.
+
+    An engine's answer in one piece tells neither: its whole time taken
+    for that of one token made every deadline look hopeless, and then
+    nothing ran that could have corrected it.
+    """
+    if released.itl_s or tells_first(daemon, view.name, released):
+        return released.itl_s or released.ttft_s
+    return 0.0
+
+
+def tells_first(daemon, name, released):
+    """Tell whether an answer's first byte came with its first token."""
+    backend = backends.get(daemon, name)
+    plain = backend is not None and backend.kind == "plain"
+    return plain or released.tokens > 0
+
+
 def progressed(daemon, cell, view, pace, now):
     """Learn from running answers: a slow engine's end takes too long.
 
@@ -241,15 +274,14 @@
         ("engine", view.name), ("span_s", span)))]
 
 
-def load_seen(view, seen):
+def load_seen(daemon, view, seen):
     """Take a load report in; own counts stay ahead of it."""
     restarted = bool(view.boot_id) and seen.boot_id != view.boot_id
     view.boot_id = seen.boot_id
     view.reported = seen.running + seen.waiting
     view.missed_reports = 0
-    if seen.slots and seen.slots != view.most:
-        view.most = seen.slots
-        view.limit = min(view.limit, float(seen.slots))
+    view.told = seen.slots
+    bound(daemon, view)
     if restarted:
         view.prefixes.clear()
 
--- a/crocuskeel/core/dispatch/releasing.py
+++ b/crocuskeel/core/dispatch/releasing.py
@@ -15,7 +15,8 @@
 COST_TOKENS = 128.0
 COST_BASE = 0.25
 LOST = frozenset((events.AttemptEnd.BROKEN, events.AttemptEnd.GONE))
-AWAY = frozenset((events.AttemptEnd.REFUSED, events.AttemptEnd.SILENT))
+AWAY = frozenset((events.AttemptEnd.REFUSED, events.AttemptEnd.SILENT,
+                  events.AttemptEnd.UNREADY))
 MAX_PROVEN = 4096
 SMOOTHING = 0.1
 
@@ -95,8 +96,9 @@
         estimates.learn(state.lengths, cell.service, slot.class_name,
                         slot.workspace, released.tokens)
     _correct_charge(cell, slot, released)
-    _learn_prefix(state, view, slot, released)
-    headroom.finished(cell, slot, released.ttft_s)
+    if limits.tells_first(daemon, view.name, released):
+        _learn_prefix(state, view, slot, released)
+        headroom.finished(cell, slot, released.ttft_s)
     out = limits.done(daemon, cell, view, slot, released, now)
     if slot.fingerprint:
         state.proven[slot.fingerprint] = True
--- a/crocuskeel/core/dispatch/state.py
+++ b/crocuskeel/core/dispatch/state.py
@@ -110,7 +110,8 @@
     ``pace`` is the mean time between tokens, or of a whole call where
     there are no tokens, ``spread`` its mean deviation; ``crowd`` the
     mean number of attempts at the time; ``ttft`` the time to the first
-    token; 0 while unknown. ``limit`` is the learned concurrency limit.
+    token; 0 while unknown. ``limit`` is the learned concurrency limit,
+    ``most`` its upper bound, ``told`` the slots the engine reports.
     """
 
     name: str
@@ -129,6 +130,7 @@
     probing: bool = False
     boot_id: str = ""
     reported: int = -1
+    told: int = 0
     missed_reports: int = 0
     prefixes: collections.OrderedDict = dataclasses.field(
         default_factory=collections.OrderedDict)
@@ -177,7 +179,8 @@
     """All cells of this host and what is learned of the engines.
 
     ``view`` is the membership and grouping that ``cells`` was last
-    checked against. ``proven`` are fingerprints that lately finished.
+    checked against, ``generation`` the settings that bound the engines'
+    slots. ``proven`` are fingerprints that lately finished.
     """
 
     cells: dict[str, Cell] = _dict()
@@ -189,6 +192,7 @@
     hit_ttft: float = 0.0
     miss_ttft: float = 0.0
     view: typing.Any = None
+    generation: int = 0
 
 
 def keep_prefix(view, prefix):
--- a/crocuskeel/core/door/admitting.py
+++ b/crocuskeel/core/door/admitting.py
@@ -3,6 +3,7 @@
 from crocuskeel.core.door import deadlines
 from crocuskeel.core.door import ending
 from crocuskeel.core.door import locating
+from crocuskeel.core.door import models
 from crocuskeel.core.door import queueing
 from crocuskeel.core.door import recovering
 from crocuskeel.core.door import replaying
@@ -66,6 +67,11 @@
         return ending.refuse_arrival(
             event.rid, Reason.TOO_LARGE, class_name=name,
             detail=f"max_tokens is over {policy.max_tokens}")
+    model = models.choose(daemon, event, policy)
+    if model.is_err():
+        return ending.refuse_arrival(
+            event.rid, Reason.BAD_REQUEST, class_name=name,
+            detail=model.unwrap_err())
     if quarantine.verdict(daemon, event.fingerprint) == "quarantined":
         return ending.refuse_arrival(event.rid, Reason.QUARANTINED,
                                      class_name=name)
@@ -76,7 +82,7 @@
                                      class_name=name)
     req = state.Request(
         event, caller, policy, repeatable, cell, now,
-        now + policy.deadline_s)
+        now + policy.deadline_s, model.unwrap())
     return _admit(daemon, req, now)
 
 
--- a/crocuskeel/core/door/running.py
+++ b/crocuskeel/core/door/running.py
@@ -29,7 +29,8 @@
     backend = backends.get(daemon, req.engine)
     attempt = effects.OpenAttempt(
         req.rid, req.attempt, req.engine, backend.url, req.policy.tier,
-        first_byte_s(req, now), silence_s(req.policy), _replayable(req))
+        first_byte_s(req, now), silence_s(req.policy), _replayable(req),
+        req.model)
     return [reporting.record(req, "opened", now), attempt]
 
 
@@ -43,12 +44,14 @@
 
     A connection that went silent for good shows as no byte at all. What
     may not be repeated gets until its deadline: giving it up early
-    would turn a slow answer into an unknown outcome.
+    would turn a slow answer into an unknown outcome. So does an
+    engine's answer in one piece, whose first byte comes with its last.
     """
     targets = FIRST_BYTE_TARGETS * req.policy.target_ttft_s
     span = max(FIRST_BYTE_MIN_S, targets)
     left = req.deadline_at - now
-    return span if req.repeatable else max(span, left)
+    in_one = req.policy.kind == "engine" and not req.arrival.stream
+    return max(span, left) if in_one or not req.repeatable else span
 
 
 def silence_s(policy):
--- a/crocuskeel/core/door/state.py
+++ b/crocuskeel/core/door/state.py
@@ -36,6 +36,7 @@
     of all attempts so far, ``earlier`` the same without the open one.
     ``engine`` names the held slot, empty for none. ``watchers`` are
     callers' requests that are answered with this one's answer.
+    ``model`` replaces the body's model, empty for none.
     """
 
     arrival: events.RequestArrived
@@ -45,6 +46,7 @@
     cell: str
     arrived_at: float
     deadline_at: float
+    model: str = ""
     attempt: int = 1
     stage: Stage = Stage.WAITING
     engine: str = ""
--- a/crocuskeel/core/effects.py
+++ b/crocuskeel/core/effects.py
@@ -96,7 +96,8 @@
 
     ``silence_s`` bounds the time without traffic, ``first_byte_s`` the
     time to the first byte. ``replayable``: keep the answer a while for
-    resends under the same key.
+    resends under the same key. ``model`` replaces the one that the
+    body names; empty: the body goes out as it came.
     """
 
     rid: str
@@ -107,6 +108,7 @@
     first_byte_s: float
     silence_s: float
     replayable: bool = False
+    model: str = ""
 
 
 @_effect
--- a/crocuskeel/core/events.py
+++ b/crocuskeel/core/events.py
@@ -102,8 +102,9 @@
 class AttemptEnd(enum.StrEnum):
     """How an attempt ended.
 
-    DONE: whole answer. BUSY: the backend server said it did not run it
-    (429, 503). REFUSED: no byte was sent. BROKEN: connection lost after
+    DONE: whole answer. BUSY: the backend server is full and did not run
+    it (429). UNREADY: it can't serve this now and did not run it (503).
+    REFUSED: no byte was sent. BROKEN: connection lost after
     bytes were sent. SILENT: no traffic within the expected time. GONE:
     the engine no longer knows the stream. FAILED: another error answer.
     CANCELLED: ended by us.
@@ -111,6 +112,7 @@
 
     DONE = "done"
     BUSY = "busy"
+    UNREADY = "unready"
     REFUSED = "refused"
     BROKEN = "broken"
     SILENT = "silent"
--- a/crocuskeel/runtime/attempts.py
+++ b/crocuskeel/runtime/attempts.py
@@ -13,13 +13,14 @@
 from crocuskeel.runtime import http_client
 from crocuskeel.runtime import kept
 from crocuskeel.runtime import loop
+from crocuskeel.runtime import parsing
 from crocuskeel.runtime import relay
 from crocuskeel.runtime import wire_ids
 
 __all__ = ["Attempt", "abort", "close", "handlers"]
 
 End = events.AttemptEnd
-_NOT_RUN = (429, 503)
+_NOT_RUN = {429: End.BUSY, 503: End.UNREADY}
 _GONE = 404
 _FIRST_SERVER_ERROR = 500
 _NOT_SENT = (error.ConnectError, error.NoRouteError,
@@ -97,8 +98,11 @@
     attempt.on_engine = target == _CHAT_PATH
     headers = _request_headers(req, request_id)
     headers.setRawHeaders(b"X-Priority", [b"%d" % effect.tier])
+    body = held.body
+    if effect.model:
+        body = parsing.with_model(body, effect.model)
     _send(ctx, attempt, req.method, effect.url + target,
-          headers, held.body, _runs_once(ctx, effect.rid))
+          headers, body, _runs_once(ctx, effect.rid))
 
 
 def _runs_once(ctx, rid):
@@ -178,9 +182,6 @@
 
 def _answered(ctx, attempt, rsp):
     attempt.call = None
-    if attempt.ended:
-        # Cancelled while the head was on its way.
-        return _drop(rsp)
     attempt.last_at = ctx.reactor.seconds()
     attempt.status = rsp.code
     end = _refusal(attempt, rsp.code)
@@ -195,7 +196,7 @@
     if attempt.resumed:
         return None if status == 200 else End.GONE
     if status in _NOT_RUN:
-        return End.BUSY
+        return _NOT_RUN[status]
     if status >= _FIRST_SERVER_ERROR:
         return End.FAILED
     return None
--- a/crocuskeel/runtime/parsing.py
+++ b/crocuskeel/runtime/parsing.py
@@ -6,7 +6,8 @@
 from crocuskeel.core import events
 from crocuskeel.runtime import exceptions
 
-__all__ = ["chat_request", "plain_request", "token_hash"]
+__all__ = ["chat_request", "plain_request", "token_hash",
+           "with_model"]
 
 CHARS_PER_TOKEN = 4
 BLOCK_CHARS = 256
@@ -43,6 +44,13 @@
         fingerprint=_digest(prompt.encode()))
 
 
+def with_model(body, model):
+    """Return an OpenAI request's body with another model in it."""
+    doc = json.loads(body)
+    doc["model"] = model
+    return json.dumps(doc).encode()
+
+
 def plain_request(req, rid, token, body):
     """Return the event of a plain service's request."""
     return _event(
--- a/tests/door/rows.py
+++ b/tests/door/rows.py
@@ -198,6 +198,10 @@
     Row("refuses", "An engine that is down fails what never ran.",
         {}, (granted(), closed("refused")),
         "enqueue, open e1, release e1 refused, enqueue -e1"),
+    Row("unready_booking", "A server in maintenance makes a booking fail.",
+        BOOK, (granted("d1"), claimed(), closed("unready"), granted("d2")),
+        "enqueue, claimask, open d1, release d1 unready, enqueue -d1, "
+        "open d2"),
     Row("busy_booking", "A full server makes a booking fail, or be "
         "claimed twice and told that it is its own duplicate.",
         BOOK, (granted("d1"), claimed(), closed("busy"), granted("d2")),
--- a/tests/door/test_properties.py
+++ b/tests/door/test_properties.py
@@ -12,7 +12,7 @@
 from tests.door import driver
 
 ENDS = [str(end) for end in events.AttemptEnd]
-NOT_RUN = ("busy", "refused")
+NOT_RUN = ("busy", "refused", "unready")
 REQUESTS = (
     {}, {"stream": False}, {"class_name": "bulk", "key": "a"},
     {"class_name": "book", "key": "k", "stream": False},
