--- a/Makefile
+++ b/Makefile
@@ -42,10 +42,13 @@
 	  -I. --python_out=. --grpclib_python_out=. \
 	  crocuskeel/wire/crocuskeel.proto
 
-.PHONY: capacity bench-policy bench-loopback bench-state demo-faults
+.PHONY: bench capacity bench-policy bench-loopback bench-state demo-faults
 capacity: install
 	$(BIN)/python -m bench.capacity
 
+bench: install
+	$(BIN)/python -m bench.report
+
 bench-policy: install
 	$(BIN)/python -m bench.policy
 
--- /dev/null
+++ b/bench/report/__init__.py
@@ -0,0 +1,1 @@
+"""The page of benchmarks: kept figures, plots and their history."""
