--- a/bench/loopback/probe.py
+++ b/bench/loopback/probe.py
@@ -18,6 +18,7 @@
 TOKEN = "south-coast-chain-token"
 MOST_PAUSE_S = 0.04
 SEED = 1
+MOST_S = 10.0
 PROBE_TOKENS = 3
 
 
@@ -91,9 +92,10 @@
     places = zip(itertools.cycle(doors), itertools.cycle(engines))
     for number, (door, engine) in zip(range(count), places):
         for base, out in ((door, routed), (engine, direct)):
-            seen = await stream(
-                reactor, http, base, f"probe {number}", PROBE_TOKENS)
-            out.append(seen.ttft_s)
+            fut = defer.Deferred.fromCoroutine(stream(
+                reactor, http, base, f"probe {number}", PROBE_TOKENS))
+            fut.addTimeout(MOST_S, reactor)
+            out.append((await fut).ttft_s)
             pause_s = rng.uniform(0.0, MOST_PAUSE_S)
             await task.deferLater(reactor, pause_s)
     return routed, direct
