Show a host that was stopped as planned as left, not dead

Cause: after a drain status said "dead, silent" for up to two hours, as after a crash; membership knew better but told only "dead".

Ruled out: forgetting the host at once (its late datagrams would bring it back).

Change: membership tells whether a host that is gone had said that it leaves.

Figures: the test failed before with "dead" for "left".

Conclusion: an operator can tell a planned stop from a loss.

--- a/crocuskeel/core/membership/__init__.py
+++ b/crocuskeel/core/membership/__init__.py
@@ -3,6 +3,7 @@
 from crocuskeel.core.membership.handlers import handle
 from crocuskeel.core.membership.handlers import hear
 from crocuskeel.core.membership.state import everyone
+from crocuskeel.core.membership.state import has_left
 from crocuskeel.core.membership.state import info
 from crocuskeel.core.membership.state import is_live
 from crocuskeel.core.membership.state import live
@@ -10,5 +11,5 @@
 from crocuskeel.core.membership.state import new_state
 from crocuskeel.core.membership.state import set_load
 
-__all__ = ["MembershipState", "everyone", "handle", "hear", "info", "is_live",
-           "live", "new_state", "set_load"]
+__all__ = ["MembershipState", "everyone", "handle", "has_left", "hear",
+           "info", "is_live", "live", "new_state", "set_load"]
--- a/crocuskeel/core/membership/state.py
+++ b/crocuskeel/core/membership/state.py
@@ -4,11 +4,10 @@
 
 from crocuskeel.core import messages
 
-__all__ = [
-    "ALIVE", "DEAD", "LEAVING", "SUSPECT", "Member", "MembershipState",
-    "PendingProbe", "Relay", "changed", "everyone", "info", "is_live",
-    "live", "new_state", "peers", "set_load",
-]
+__all__ = ["ALIVE", "DEAD", "LEAVING", "SUSPECT", "Member",
+           "MembershipState", "PendingProbe", "Relay", "changed", "everyone",
+           "has_left", "info", "is_live", "live", "new_state", "peers",
+           "set_load"]
 
 ALIVE = "alive"
 LEAVING = "leaving"
@@ -156,6 +155,13 @@
             and member.update.status != DEAD)
 
 
+def has_left(daemon, host):
+    """Tell whether a host that is gone had said before that it leaves."""
+    member = daemon.members.members.get(host)
+    return (member is not None and member.leaving
+            and member.update.status == DEAD)
+
+
 def everyone(daemon):
     """Return the ``MemberUpdate`` of every known host, dead ones too."""
     state = daemon.members
--- a/crocuskeel/ctl/overview.py
+++ b/crocuskeel/ctl/overview.py
@@ -116,7 +116,10 @@
 
 def _host_row(line):
     if not line["answered"]:
-        return (line["host"], line["domain"], f"{line['status']}, silent",
+        state = line["status"]
+        if state != "left":
+            state += ", silent"
+        return (line["host"], line["domain"], state,
                 line["generation"], "-", "-")
     return (line["host"], line["domain"], _host_state(line),
             line["generation"], line["requests"], f"{line['load']:.0%}")
--- a/crocuskeel/ops/overview.py
+++ b/crocuskeel/ops/overview.py
@@ -126,7 +126,7 @@
 def _hosts(daemon):
     return tuple(
         HostLine(
-            host=each.host, status=each.status,
+            host=each.host, status=_status(daemon, each),
             incarnation=each.incarnation, generation=each.generation,
             domain=each.domain, region=each.region,
             address=each.address, door_port=each.door_port,
@@ -135,6 +135,13 @@
                            key=lambda each: each.host))
 
 
+def _status(daemon, member):
+    # A planned stop must not look like a crash to who watches it.
+    if membership.has_left(daemon, member.host):
+        return "left"
+    return member.status
+
+
 def _cells(daemon):
     live = membership.live(daemon)
     return tuple(
--- a/tests/ops/test_overview.py
+++ b/tests/ops/test_overview.py
@@ -44,3 +44,24 @@
                       for tier in cell.tiers)
         self.assertEqual(3, by_tier)
         self.assertEqual(3, sum(e.in_flight for e in status.engines))
+
+    def test_a_host_that_was_stopped_as_planned_has_left(self):
+        """An operator drains a host and then reads that it is dead.
+
+        After a planned stop the host is silent, as after a crash; only
+        that it had said it leaves tells them apart.
+        """
+        me = states.Identity("d", "h1", "a", "r", "127.0.0.1", 1, 2, 1)
+        daemon = factory.new_daemon(me)
+        reducer.reduce(daemon, events.Started(), 0.0)
+        for at, host, states_of in (
+                (1.0, "h2", ("alive", "leaving")), (1.0, "h3", ("alive",))):
+            for status in (*states_of, "suspect", "dead"):
+                update = messages.MemberUpdate(
+                    host, 1, status, "127.0.0.2", 1, 2, "a", "r")
+                at += 60.0
+                reducer.reduce(daemon, events.Received(
+                    "h4", 1, messages.Probe(1, (update,)), 0, ""), at)
+        found = {each.host: each.status
+                 for each in overview.status(daemon, (), 300.0).hosts}
+        self.assertEqual(("left", "dead"), (found["h2"], found["h3"]))
