Take a closed link out before anything is awaited

Its closed link was still first of the group with 78 frames behind it: run() awaited the ending tasks first, and that await was itself cancelled by the peer's reset, so the link was never taken out.

Ruled out: a lost wake-up (the dump shows both tasks done and cancelled).

Change: the link is taken out, and the peer told of as down, right after it is closed. The test cancels the handler twice; before, the dead link stayed.

--- a/crocuskeel/runtime/links.py
+++ b/crocuskeel/runtime/links.py
@@ -170,10 +170,13 @@
             link.tasks, return_when=asyncio.FIRST_COMPLETED)
     finally:
         _close(link)
+        # Before anything is awaited: the peer's reset may cancel this
+        # very task, and a dead link left first of its group would hold
+        # back all messages to that host for good.
+        _ended(ctx, link)
         for result in await asyncio.gather(
                 *link.tasks, return_exceptions=True):
             _explain(ctx, link, result)
-        _ended(ctx, link)
 
 
 def _explain(ctx, link, result):
--- a/tests/runtime/test_peer.py
+++ b/tests/runtime/test_peer.py
@@ -108,6 +108,26 @@
         return nonce
 
 
+class CancelledTest(LinkCase):
+    """A link whose handler is cancelled while it closes."""
+
+    async def test_a_link_cancelled_twice_is_gone(self):
+        """After a pause of 4 s a host's grants never go out again.
+
+        Its links were closed as silent; while their tasks were being
+        ended, the peer's reset cancelled the handler too. The dead
+        link stayed first of its group, and all messages to that host
+        waited behind it for good.
+        """
+        await self.confirmed(Far())
+        self.task.cancel()
+        await asyncio.sleep(0)
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+        self.assertEqual([], self.ctx.peers.links.get("entry-2", []))
+        self.assertTrue(self.world.seen(events.PeerDown))
+
+
 async def _wrong_key(case):
     await case.give(Far(key=b"x" * 32).batch(nonce=b"far"))
 
