Judge a crash by the boot it ended; don't rest servers for one lost answer

Cause: the fault drive found all servers of a desk rested up to 8 s because each had dropped single answers, and bookings refused meanwhile; losses of attempts granted before a rest doubled it again. Mending that made the poison scenario crash a third engine, which had been luck before: a loss joined the incident of the server's earlier crash if it came within 3 s, though the server had restarted in between; and it was compared with the newest boot id, so that a report which came before the loss hid the crash.

Ruled out (trace of the run): the immediate probe itself (the suspect ran alone as it must); pending verdicts (the first crash was judged at 23.5 s).

Change: the first lost answer only makes the next grant a probe; old losses don't count; a slot keeps the boot id known at its grant, an incident is one boot's crash, and late losses of that boot join it.

Three new tests failed before.

That a returning service's first late bookings are judged hopeless was not reproduced by a test.

--- a/crocuskeel/core/dispatch/granting.py
+++ b/crocuskeel/core/dispatch/granting.py
@@ -148,7 +148,8 @@
         ask.fingerprint, now, now, cost=waiting.cost, alone=alone,
         hit=choice.is_hit(view, ask), prefix=ask.prefix,
         first_by_s=waiting.since + ask.target_ttft_s - now,
-        batch=len(cell.by_engine.get(engine, ())) + 1)
+        batch=len(cell.by_engine.get(engine, ())) + 1,
+        boot_id=view.boot_id)
 
 
 # Suspects: one to an engine that is otherwise empty.
--- a/crocuskeel/core/dispatch/limits.py
+++ b/crocuskeel/core/dispatch/limits.py
@@ -15,8 +15,8 @@
 from crocuskeel.core import effects
 from crocuskeel.core import follower
 
-__all__ = ["bound", "capacity", "done", "engine", "failed", "first_token",
-           "is_slow", "load_seen", "make_busy", "pool_median",
+__all__ = ["bound", "capacity", "done", "doubted", "engine", "failed",
+           "first_token", "is_slow", "load_seen", "make_busy", "pool_median",
            "progressed", "report_missed"]
 
 DEFAULT_SLOTS = 8
@@ -44,6 +44,7 @@
 OFF_MAX_S = 15.0
 BUSY_PAUSE_S = 0.2
 MISSED_REPORTS = 3
+FREE_LOSSES = 1
 MAX_ENGINES = 4096
 
 
@@ -262,12 +263,43 @@
     view.off_until = max(view.off_until, now + BUSY_PAUSE_S)
 
 
-def failed(daemon, view, now):
-    """Learn that the engine refused or broke a connection."""
-    if now < view.off_until:
+def failed(daemon, view, now, granted_at=None):
+    """Learn that the engine refused or did not answer an attempt.
+
+    ``granted_at`` is when the attempt was granted, None if unknown.
+    """
+    if now < view.off_until or _is_old(view, granted_at):
         return []
     view.failures += 1
-    span = min(OFF_MAX_S, OFF_BASE_S * 2.0 ** (view.failures - 1))
+    return _rest(daemon, view, view.failures - 1, now)
+
+
+def doubted(daemon, view, now, granted_at=None):
+    """Learn that the engine broke an answer off.
+
+    One such loss may be the connection's alone, and resting the server
+    for it could leave a class with nobody to run it: a probe goes out
+    at once, and only losses in a row rest it.
+    """
+    if now < view.off_until or _is_old(view, granted_at):
+        return []
+    view.failures += 1
+    if view.failures > 1:
+        return _rest(daemon, view, view.failures - FREE_LOSSES - 1, now)
+    view.probing = True
+    view.off_until = now
+    return []
+
+
+def _is_old(view, granted_at):
+    # Attempts granted before the trouble end one by one in it; counted
+    # each, a hiccup of a moment would grow into the longest rest.
+    return (view.probing and granted_at is not None
+            and granted_at < view.off_until)
+
+
+def _rest(daemon, view, doublings, now):
+    span = min(OFF_MAX_S, OFF_BASE_S * 2.0 ** doublings)
     view.off_until = now + span * daemon.rng.uniform(0.75, 1.25)
     view.probing = True
     return [effects.Record("backed_off", "", (
--- a/crocuskeel/core/dispatch/releasing.py
+++ b/crocuskeel/core/dispatch/releasing.py
@@ -62,7 +62,7 @@
     if released.end in LOST:
         return _lost(daemon, view, slot, released, together, now)
     if released.end in AWAY:
-        return limits.failed(daemon, view, now)
+        return limits.failed(daemon, view, now, _granted_at(slot))
     if released.end == events.AttemptEnd.BUSY:
         held = len(cell.by_engine.get(released.engine, ()))
         limits.make_busy(view, held, now)
@@ -72,6 +72,10 @@
     return _done(daemon, cell, view, slot, released, now)
 
 
+def _granted_at(slot):
+    return slot.granted_at if slot is not None else None
+
+
 def _fingerprints(cell, released):
     keys = cell.by_engine.get(released.engine, ())
     found = {cell.running[key].fingerprint for key in keys}
@@ -83,10 +87,15 @@
     if slot is not None and slot.fingerprint:
         fingerprint = slot.fingerprint
     alone = fingerprint if slot is not None and slot.alone else ""
-    out = limits.failed(daemon, view, now)
+    out = limits.doubted(daemon, view, now, _granted_at(slot))
     if fingerprint:
+        # Against the boot id at the grant: the restarted engine's
+        # report may come before the loss is told of, and the engine
+        # would seem never to have gone down.
+        boot_id = slot.boot_id if slot is not None else ""
         out += quarantine.lost(
-            daemon, view.name, view.boot_id, together, alone, now)
+            daemon, view.name, boot_id or view.boot_id, together, alone,
+            now)
     return out
 
 
--- a/crocuskeel/core/dispatch/state.py
+++ b/crocuskeel/core/dispatch/state.py
@@ -49,7 +49,8 @@
 class Slot:
     """One granted attempt; ``heard_at`` is the last news of it.
 
-    ``first_by_s`` is the time left for the first token at the grant.
+    ``first_by_s`` is the time left for the first token at the grant,
+    ``boot_id`` the engine's boot id as known then.
     """
 
     door: str
@@ -67,6 +68,7 @@
     prefix: int = 0
     first_by_s: float = 0.0
     batch: int = 1
+    boot_id: str = ""
 
 
 @dataclasses.dataclass(slots=True)
--- a/crocuskeel/core/quarantine/incidents.py
+++ b/crocuskeel/core/quarantine/incidents.py
@@ -32,14 +32,28 @@
 
 def _open_incident(daemon, engine, boot_id, now):
     for incident in daemon.quarantine.incidents:
-        joins = now - incident.at <= JOIN_S and not incident.alone
-        if incident.engine == engine and joins:
+        if incident.engine == engine and _joins(incident, boot_id, now):
             return incident
     incident = state.Incident(engine, now, boot_id, set())
     daemon.quarantine.incidents.append(incident)
     return incident
 
 
+def _joins(incident, boot_id, now):
+    """Tell whether a loss belongs to a known incident of its server.
+
+    A server's boot crashes once, so a late loss of the same boot is of
+    the same crash; one of a later boot is another crash, however soon
+    after, and must count as such.
+    """
+    if boot_id and incident.boot_id and boot_id != incident.boot_id:
+        return False
+    if incident.crashed:
+        return bool(boot_id)
+    return (incident.crashed is None and not incident.alone
+            and now - incident.at <= JOIN_S)
+
+
 def finished(daemon, engine, fingerprint, now):
     """Take note of a whole answer; a suspect is cleared by it."""
     if not state.verdict(daemon, fingerprint):
--- a/tests/dispatch/test_learning.py
+++ b/tests/dispatch/test_learning.py
@@ -73,3 +73,39 @@
         for number in range(6):
             support.ask(bench, f"r{number}")
         self.assertEqual(4, len(bench.running))
+
+
+class LossTest(unittest.TestCase):
+    """What a lost answer says of the server that should have given it."""
+
+    def test_one_dropped_answer_does_not_stop_a_server(self):
+        """Bookings are refused while every server of the desk is up.
+
+        Each server dropped one answer. All were rested for it, and a
+        tier 1 booking with 20 s to go found nobody to run it.
+        """
+        bench = support.new_bench(count=2)
+        for number in range(2):
+            support.ask(bench, f"r{number}")
+        lost = {grant.engine for grant in bench.running.values()}
+        self.assertEqual(2, len(lost))
+        for key in list(bench.running):
+            support.finish(bench, key, "broken")
+        support.report(bench)
+        support.ask(bench, "booking")
+        self.assertIn(("booking", 1), bench.running)
+
+    def test_losses_of_one_time_count_once(self):
+        """A server rests for 15 s after a hiccup of a moment.
+
+        Attempts granted before it was first rested end one by one
+        later; each doubled the span, though nothing new had failed.
+        """
+        bench = support.new_bench(count=1)
+        for number in range(4):
+            support.ask(bench, f"r{number}")
+        view = limits.engine(bench.daemon, ENGINE)
+        for number in range(4):
+            support.finish(bench, (f"r{number}", 1), "silent")
+            bench.now += 3.0
+        self.assertEqual(1, view.failures)
--- a/tests/quarantine/test_poison.py
+++ b/tests/quarantine/test_poison.py
@@ -97,6 +97,36 @@
         self.assertEqual(1, self.crashes)
         self.assertEqual("quarantined", self._verdict(POISON))
 
+    def test_a_report_that_comes_before_the_loss(self):
+        """A request crashes a third engine.
+
+        The restarted engine's load report reached the dispatcher before
+        the door told of the loss. Compared with the newest boot id the
+        engine seemed never to have gone down.
+        """
+        self._ask("suspect")
+        bench = self.bench
+        for _ in range(2):
+            self._settle_one("suspect")
+        self.assertEqual("quarantined", self._verdict("suspect"))
+        self.assertEqual({}, bench.running)
+
+    def _settle_one(self, fingerprint):
+        """Crash under the request, report first, then the loss."""
+        bench = self.bench
+        for _ in range(40):
+            if bench.running:
+                break
+            support.advance(bench, STEP_S)
+            support.report(bench)
+        key, grant = next(iter(bench.running.items()))
+        bench.boots[grant.engine] += 1
+        support.report(bench)
+        support.finish(bench, key, "broken")
+        support.advance(bench, STEP_S)
+        support.report(bench)
+        self._ask(fingerprint)
+
     def test_a_broken_connection_is_no_crash(self):
         """A suspect whose connection breaks twice is not condemned.
 
