--- /dev/null
+++ b/bench/outage/__init__.py
@@ -0,0 +1,1 @@
+"""A long outage of the platform, driven on a virtual clock."""
--- a/bench/policy/fleet.py
+++ b/bench/policy/fleet.py
@@ -15,12 +15,14 @@
 from crocuskeel.core import effects
 from crocuskeel.core import events
 from crocuskeel.core import factory
+from crocuskeel.core import follower
 from crocuskeel.core import membership
 from crocuskeel.core import messages
 from crocuskeel.core import reducer
 from crocuskeel.core import state as states
 
-__all__ = ["Fleet", "Node", "arrive", "kill", "new_fleet", "silence"]
+__all__ = ["Fleet", "Node", "arrive", "deliver", "execute", "kill",
+           "new_fleet", "silence"]
 
 NEAR_S = 0.0005
 FAR_S = 0.002
@@ -42,7 +44,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Node:
-    """One entry host."""
+    """One entry host; ``held`` keeps the events of a paused one."""
 
     name: str
     domain: str
@@ -51,21 +53,28 @@
     died_at: float = 0.0
     timers: dict = dataclasses.field(default_factory=dict)
     count: int = 0
+    held: list | None = None
 
 
 @dataclasses.dataclass(slots=True)
 class Fleet:
-    """All hosts, servers and the store; ``rids`` maps to calls."""
+    """All hosts, servers and the store; ``rids`` maps to calls.
+
+    ``tally`` may be None: then nothing is judged.
+    ``intercept(node, effect)`` may carry out an effect in place of this
+    module; it tells whether it did.
+    """
 
     clock: clocks.Clock
     rng: typing.Any
     nodes: dict[str, Node]
     servers: dict[str, engines.Engine]
-    tally: tally.Tally
+    tally: tally.Tally | None
     rids: dict[str, load.Call]
     objects: dict[str, tuple[int, bytes]]
     list_at: int = 1
     turn: int = 0
+    intercept: typing.Callable | None = None
 
 
 def new_fleet(deployment, clock, rng, servers, counts, seed):
@@ -81,20 +90,29 @@
         nodes[name] = Node(name, domain, daemon)
     fleet = Fleet(clock, rng, nodes, servers, counts, {}, {})
     for node in nodes.values():
-        clocks.at(clock, 0.0, _deliver, fleet, node, events.Started())
+        clocks.at(clock, 0.0, deliver, fleet, node, events.Started())
     clocks.at(clock, REPORT_EVERY_S, _reports, fleet)
     return fleet
 
 
-def _deliver(fleet, node, event):
+def deliver(fleet, node, event):
+    """Reduce an event on a host and carry out its effects."""
     if not node.up:
         return
+    if node.held is not None:
+        node.held.append(event)
+        return
     out = reducer.reduce(node.daemon, event, fleet.clock.now)
+    if fleet.tally is not None:
+        _judge(fleet, out)
+    for effect in out:
+        execute(fleet, node, effect)
+
+
+def _judge(fleet, out):
     tally.judge(fleet.tally, out, fleet.clock.now)
     if fleet.tally.judged:
         tally.inversions(fleet.tally, lambda name: _cells(fleet, name))
-    for effect in out:
-        _execute(fleet, node, effect)
 
 
 def _cells(fleet, name):
@@ -104,7 +122,10 @@
             yield cell, choice.most_slots(node.daemon, cell)
 
 
-def _execute(fleet, node, effect):
+def execute(fleet, node, effect):
+    """Carry out one effect of a host."""
+    if fleet.intercept and fleet.intercept(node, effect):
+        return
     match effect:
         case effects.SetTimer(key=key, after_s=after_s):
             token = node.timers[key] = object()
@@ -129,7 +150,7 @@
             _answered(fleet, rid, problem)
         case effects.ReplayFrom(rid=rid):
             gone = events.AttemptClosed(rid, 0, events.AttemptEnd.GONE)
-            clocks.at(fleet.clock, FAR_S, _deliver, fleet, node, gone)
+            clocks.at(fleet.clock, FAR_S, deliver, fleet, node, gone)
         case effects.Record(kind="answered", rid=rid, fields=fields):
             _finished(fleet, rid, dict(fields))
         case effects.WantHostList():
@@ -141,7 +162,7 @@
 def _fire(fleet, node, key, token):
     if node.timers.get(key) is token:
         del node.timers[key]
-        _deliver(fleet, node, events.TimerFired(key))
+        deliver(fleet, node, events.TimerFired(key))
 
 
 def _send(fleet, node, host, message):
@@ -151,8 +172,8 @@
     delay = NEAR_S if target.domain == node.domain else FAR_S
     event = events.Received(
         node.name, node.daemon.me.incarnation, message,
-        node.daemon.follower.tree.generation, node.daemon.me.address)
-    clocks.at(fleet.clock, delay, _deliver, fleet, target, event)
+        follower.generation(node.daemon), node.daemon.me.address)
+    clocks.at(fleet.clock, delay, deliver, fleet, target, event)
 
 
 # The platform.
@@ -176,7 +197,7 @@
             return
     answer = events.StoreAnswered(effect.op, status, version, body)
     delay = getattr(effect, "timeout_s", STORE_S)
-    clocks.at(fleet.clock, delay, _deliver, fleet, node, answer)
+    clocks.at(fleet.clock, delay, deliver, fleet, node, answer)
 
 
 def _host_list(fleet, node):
@@ -187,14 +208,15 @@
                          f"http://{server.name}", server.domain, "region",
                          server.kind, server.leaving)
         for server in fleet.servers.values())
-    _deliver(fleet, node,
-             events.HostListSeen(fleet.list_at, hosts, backends))
+    deliver(fleet, node,
+            events.HostListSeen(fleet.list_at, hosts, backends))
 
 
 def _reports(fleet):
     """Load and cache reports of all servers to their dispatchers."""
     clocks.at(fleet.clock, REPORT_EVERY_S, _reports, fleet)
-    _note_slots(fleet)
+    if fleet.tally is not None:
+        _note_slots(fleet)
     for server in fleet.servers.values():
         load_seen = events.EngineLoadSeen(
             server.name, server.up, f"boot-{server.boot}",
@@ -209,7 +231,7 @@
             cells = node.daemon.dispatch.cells.values()
             if any(cell.service == server.service for cell in cells):
                 for seen in filter(None, (load_seen, cache)):
-                    clocks.at(fleet.clock, REPORT_LAG_S, _deliver, fleet,
+                    clocks.at(fleet.clock, REPORT_LAG_S, deliver, fleet,
                               node, seen)
 
 
@@ -240,7 +262,7 @@
     call.rid = f"{node.name}.1.{node.count}"
     fleet.rids[call.rid] = call
     policy = call.policy
-    _deliver(fleet, node, events.RequestArrived(
+    deliver(fleet, node, events.RequestArrived(
         call.rid, load.token_of(call.workspace), "POST", "/v1", policy.name,
         "", policy.kind == "engine", call.prompt,
         policy.max_tokens if policy.kind == "engine" else 0, call.prefix,
@@ -318,7 +340,7 @@
         end = _ENDS.get(kind, events.AttemptEnd.SILENT)
         event = events.AttemptClosed(
             job.rid, job.attempt, end, job.forwarded, tokens, ttft, itl)
-    _deliver(fleet, node, event)
+    deliver(fleet, node, event)
 
 
 def _resume(fleet, node, effect):
@@ -328,7 +350,7 @@
         kind = (events.AttemptEnd.GONE if server.up
                 else events.AttemptEnd.REFUSED)
         event = events.AttemptClosed(effect.rid, effect.attempt, kind)
-        clocks.at(fleet.clock, NEAR_S, _deliver, fleet, node, event)
+        clocks.at(fleet.clock, NEAR_S, deliver, fleet, node, event)
         return
     was_done = (effect.rid, effect.attempt) in server.kept
     job.silent = False
@@ -368,5 +390,5 @@
                 rid.startswith(f"{host}.")):
             clocks.at(fleet.clock, RECONNECT_S, arrive, fleet, call)
     for other in fleet.nodes.values():
-        clocks.at(fleet.clock, PEER_DOWN_S, _deliver, fleet, other,
+        clocks.at(fleet.clock, PEER_DOWN_S, deliver, fleet, other,
                   events.PeerDown(host))
--- a/crocuskeel/core/dispatch/ownership.py
+++ b/crocuskeel/core/dispatch/ownership.py
@@ -78,7 +78,9 @@
     out = _hand_over(daemon, now)
     if view == daemon.dispatch.view:
         return out
+    before = daemon.dispatch.view[0] if daemon.dispatch.view else ()
     daemon.dispatch.view = view
+    out += _ask_returned(daemon, live, before)
     for cell_name in view[1]:
         if is_owner(daemon, cell_name):
             out += open_cell(daemon, cell_name, now)[1]
@@ -88,6 +90,15 @@
     return out
 
 
+def _ask_returned(daemon, live, before):
+    # What a door held was dropped when it was thought dead. If it had
+    # only paused, and its links held, nothing else would make it
+    # register again, and its callers would wait for their deadlines.
+    back = [host for host in live if host not in before]
+    return [effect for cell in daemon.dispatch.cells.values()
+            if cell.lost_at is None for effect in ask_doors(cell, back)]
+
+
 def _hand_over(daemon, now):
     out = []
     for cell in list(daemon.dispatch.cells.values()):
