Let the bursting-class test test fairness and not the floors

Ruled out: a wrong bound (12 ends hold with fairness alone).

Change: both classes without a floor, same bound.

--- a/Makefile
+++ b/Makefile
@@ -60,6 +60,7 @@
 	$(BIN)/python -m bench.membership_figures
 	$(BIN)/python -m bench.claims_figures
 	$(BIN)/python -m bench.control_figures
+	$(BIN)/python -m bench.outage --processes 4
 
 demo-faults: install
 	$(BIN)/python -m tools.faults
--- a/tests/dispatch/test_floors.py
+++ b/tests/dispatch/test_floors.py
@@ -102,8 +102,8 @@
         bench = support.new_bench(count=1)
         for number in range(90):
             support.ask(bench, f"flood{number}", class_name="safety",
-                        floor=0.1)
-        support.ask(bench, "ramp", class_name="ramp", floor=0.1)
+                        floor=0.0)
+        support.ask(bench, "ramp", class_name="ramp", floor=0.0)
         ended = 0
         while ("ramp", 1) not in bench.running:
             support.finish(bench, next(iter(bench.running)))
