Say not_run of a key only when the ledger says so

Besides, a 404 on a resume counted as the caller's own error, so that a silent connection ended a repeatable request as unknown instead of running it again.

Ruled out: the owner's cache as proof of absence (another owner may have written since); holding each refusal until the claim is known (final answers are due at once: the look is bounded at 0.5 s, in practice a store's read).

Change: before a refusal of a keyed non-repeatable request the door looks the key up at the slot's owner; absent rests on a read begun after the look came; known holders are told in an outage too; no answer gives unknown. A caller that says it sent nothing before gets not_run without a look, in an outage too, where all others now get unknown. A first byte waits 4 targets, not 8.

Conclusion: not_run now speaks of the key.

--- a/crocuskeel/core/claims/reducer.py
+++ b/crocuskeel/core/claims/reducer.py
@@ -7,8 +7,10 @@
 has granted nothing. No answer rests on a write that is not confirmed.
 """
 
+from crocuskeel.core.claims import answers
 from crocuskeel.core.claims import commits
 from crocuskeel.core.claims import ledger as ledgers
+from crocuskeel.core.claims import looking
 from crocuskeel.core.claims import state as states
 from crocuskeel.core import effects
 from crocuskeel.core import events
@@ -21,9 +23,7 @@
 _PUMP = "pump"
 _FORGET = "forget"
 _TOO_NEW = "too_new"
-_UNAVAILABLE = "unavailable"
 _GRANTED = "granted"
-_MIN_RETRY_S = 0.1
 _OUTCOMES = {
     each.value: each for each in (
         ledgers.Outcome.RAN, ledgers.Outcome.UNKNOWN,
@@ -35,6 +35,8 @@
 def handle(state, event, now):
     """Take one event; return the effects. Others' events give none."""
     match event:
+        case events.Received(message=messages.ClaimAsk(look=True)):
+            return _looked(state, event, now)
         case events.Received(message=messages.ClaimAsk()):
             return _asked(state, event, now)
         case events.Received(message=messages.ClaimSettle()):
@@ -68,16 +70,20 @@
     over = (ask.key, ask.rid) in slot.settles
     if ask.rid in slot.asks or over:
         return []
-    refusal = _refusal(state, slot, ask, now)
-    if refusal is not None:
-        return [effects.Send(ask.host, refusal)]
-    known = _known_answer(state, slot, ask)
-    if known is not None:
-        return [effects.Send(ask.host, known)]
+    answer = (answers.known(state, slot, ask)
+              or _refusal(state, slot, ask, now))
+    if answer is not None:
+        return [effects.Send(ask.host, answer)]
     slot.asks[ask.rid] = ask
     return _pump(state, slot, now)
 
 
+def _looked(state, event, now):
+    slot = _slot(state, event.message.slot)
+    out = looking.take(state, slot, event, now)
+    return out + _pump(state, slot, now)
+
+
 def _refusal(state, slot, ask, now):
     cfg = state.cfg
     # A key dated far ahead would, when dropped, refuse all keys issued
@@ -86,28 +92,10 @@
     if ahead:
         return messages.ClaimAnswer(ask.rid, ask.key, _TOO_NEW)
     if now < slot.down_until or len(slot.asks) >= cfg.max_waiting:
-        return _unavailable(state, slot, ask, now)
+        return answers.unavailable(state, slot, ask, now)
     return None
 
 
-def _unavailable(state, slot, ask, now):
-    spread_s = state.rng.uniform(0.0, max(_MIN_RETRY_S, slot.backoff_s))
-    wait_s = max(_MIN_RETRY_S, slot.down_until - now) + spread_s
-    return messages.ClaimAnswer(
-        ask.rid, ask.key, _UNAVAILABLE, retry_after_s=round(wait_s, 3))
-
-
-def _known_answer(state, slot, ask):
-    """Answer from the confirmed ledger where no commit can help."""
-    if slot.ledger is None or ask.key not in slot.ledger.entries:
-        return None
-    holder = slot.ledger.entries[ask.key].rid
-    if (ask.key, holder) in slot.settles:
-        return None
-    verdict = ledgers.judge(slot.ledger, ask, state.cfg.max_bytes)
-    return commits.answer_for(ask, verdict, slot.ledger, state.cfg)
-
-
 def _settled(state, msg, now):
     outcome = _OUTCOMES.get(msg.outcome)
     if outcome is None:
@@ -178,7 +166,8 @@
         return [unreadable, *_fail(state, slot, now)]
     slot.backoff_s = 0.0
     commits.observe_epoch(slot, now)
-    return _resolve_doubt(slot) + _answer_known(state, slot)
+    out = _resolve_doubt(slot) + _answer_known(state, slot)
+    return out + looking.read_done(state, slot, now)
 
 
 def _loaded(event):
@@ -273,14 +262,14 @@
     slot.backoff_s = min(
         cfg.backoff_max_s, max(cfg.backoff_s, slot.backoff_s * 2))
     slot.down_until = now + state.rng.uniform(0.5, 1.0) * slot.backoff_s
-    out = []
+    out = looking.fail(state, slot, now)
     for ask in list(slot.asks.values()):
         if ask.doubtful:
             continue
         del slot.asks[ask.rid]
         if not ask.given_up:
             out.append(effects.Send(
-                ask.host, _unavailable(state, slot, ask, now)))
+                ask.host, answers.unavailable(state, slot, ask, now)))
     return out
 
 
@@ -289,7 +278,7 @@
     for ask in list(slot.asks.values()):
         if ask.doubtful or ask.given_up:
             continue
-        answer = _known_answer(state, slot, ask)
+        answer = answers.known(state, slot, ask)
         if answer is not None:
             del slot.asks[ask.rid]
             out.append(effects.Send(ask.host, answer))
@@ -299,6 +288,10 @@
 # The pump: what a slot does next.
 
 def _has_work(slot):
+    return bool(slot.looks or _has_writes(slot))
+
+
+def _has_writes(slot):
     return bool(
         slot.asks or slot.settles or slot.doubt_base is not None)
 
@@ -313,8 +306,8 @@
     if wait_s > 0:
         pump = (CONCERN, slot.number, _PUMP)
         return [*out, effects.SetTimer(pump, wait_s)]
-    if slot.ledger is None:
-        return [*out, _read(state, slot)]
+    if slot.ledger is None or (slot.looks and looking.due(slot) <= now):
+        return [*out, _read(state, slot, now)]
     return [*out, *_commit(state, slot, now)]
 
 
@@ -324,6 +317,13 @@
 
 
 def _wait_s(state, slot, now):
+    times = [looking.due(slot)] if slot.looks else []
+    if _has_writes(slot):
+        times.append(_write_due(state, slot))
+    return min(times) - now
+
+
+def _write_due(state, slot):
     due = slot.down_until
     # After a conflict the ledger is read right before the next write:
     # read at once and written later it would conflict again with each
@@ -332,7 +332,7 @@
         due = max(due, commits.ready_at(slot, state.cfg))
     if not slot.asks and slot.doubt_base is None:
         due = max(due, slot.settle_at)
-    return due - now
+    return due
 
 
 def _expire(state, slot, now):
@@ -345,12 +345,13 @@
         del slot.asks[ask.rid]
         if not ask.doubtful:
             out.append(effects.Send(
-                ask.host, _unavailable(state, slot, ask, now)))
+                ask.host, answers.unavailable(state, slot, ask, now)))
     return out
 
 
-def _read(state, slot):
+def _read(state, slot, now):
     slot.phase = states.Phase.READING
+    looking.read_begins(slot, now)
     return effects.StoreGet(_new_op(state, slot), _path(state, slot))
 
 
--- a/crocuskeel/core/claims/state.py
+++ b/crocuskeel/core/claims/state.py
@@ -86,7 +86,9 @@
     ``ledger`` is None until read, and after a write that did not
     succeed. ``doubt_base``: a write on this version may still land.
     ``free_at`` is the time at which the pacing is fully paid off.
-    ``settles`` maps (key, rid) to an outcome.
+    ``settles`` maps (key, rid) to an outcome. ``looks`` wait for a
+    read, which for ``looked`` has begun; the next may go out at
+    ``look_at``.
     """
 
     number: int
@@ -98,6 +100,9 @@
     settles: dict[tuple, ledgers.Outcome] = dataclasses.field(
         default_factory=dict)
     settle_at: float = 0.0
+    looks: dict[str, Ask] = dataclasses.field(default_factory=dict)
+    looked: set[str] = dataclasses.field(default_factory=set)
+    look_at: float = 0.0
     doubt_base: int | None = None
     down_until: float = 0.0
     backoff_s: float = 0.0
--- a/crocuskeel/core/door/admitting.py
+++ b/crocuskeel/core/door/admitting.py
@@ -3,6 +3,7 @@
 from crocuskeel.core.door import deadlines
 from crocuskeel.core.door import ending
 from crocuskeel.core.door import locating
+from crocuskeel.core.door import looking
 from crocuskeel.core.door import models
 from crocuskeel.core.door import queueing
 from crocuskeel.core.door import recovering
@@ -23,8 +24,15 @@
 
 def arrived(daemon, event, now):
     """Admit a request or refuse it; the first check that fails wins."""
-    if event.rid in daemon.door.requests:
+    if event.rid in daemon.door.requests or event.rid in daemon.door.looks:
         return []
+    out = _judged(daemon, event, now)
+    if not event.idempotency_key:
+        return out
+    return looking.unless_ran(daemon, event, out)
+
+
+def _judged(daemon, event, now):
     refusal = _host_refuses(daemon, event, now)
     if refusal is not None:
         return refusal
--- a/crocuskeel/core/door/claiming.py
+++ b/crocuskeel/core/door/claiming.py
@@ -4,6 +4,7 @@
 never granted needs none, and answered before anything is sent.
 """
 
+from crocuskeel.core.door import claim_keys
 from crocuskeel.core.door import ending
 from crocuskeel.core.door import reporting
 from crocuskeel.core.door import state
@@ -41,11 +42,11 @@
     key = ending.claim_key(req)
     left = max(0.0, req.claim_until - now)
     message = messages.ClaimAsk(
-        req.rid, ending.claim_slot(daemon, key), key, req.arrival.digest,
+        req.rid, claim_keys.slot_of(daemon, key), key, req.arrival.digest,
         left, req.arrival.issued_at)
     out = [effects.SetTimer(("door", "claim", req.rid),
                             min(ASK_AGAIN_S, left))]
-    owner = ending.claim_owner(daemon, key)
+    owner = claim_keys.owner_of(daemon, key)
     if owner:
         out.append(effects.Send(owner, message))
     return out
@@ -67,17 +68,23 @@
 
 
 def refused(daemon, req, message, now):
-    """Answer a request whose claim was refused; it never ran."""
+    """Answer a request whose claim was refused; it never ran itself.
+
+    Of a key older than what is kept nobody knows whether it ran.
+    """
     reason = _REFUSALS.get(message.status,
                            problems.Reason.CLAIM_UNAVAILABLE)
     return _refuse(daemon, req, now, reason,
-                   message.retry_after_s)
+                   message.retry_after_s,
+                   problems.Outcome.UNKNOWN if message.status == "too_old"
+                   else None)
 
 
-def _refuse(daemon, req, now, reason, retry_after_s):
+def _refuse(daemon, req, now, reason, retry_after_s, outcome=None):
     out = ending.release(daemon, req, events.AttemptEnd.CANCELLED)
     return out + ending.answer(daemon, req, reason, now,
-                               retry_after_s=retry_after_s)
+                               retry_after_s=retry_after_s,
+                               outcome=outcome)
 
 
 def late_answer(daemon, message):
--- a/crocuskeel/core/door/disconnecting.py
+++ b/crocuskeel/core/door/disconnecting.py
@@ -1,6 +1,7 @@
 """Callers that leave before their answer is complete."""
 
 from crocuskeel.core.door import ending
+from crocuskeel.core.door import looking
 from crocuskeel.core.door import recovering
 from crocuskeel.core.door import replaying
 from crocuskeel.core.door import reporting
@@ -18,7 +19,9 @@
     if rid in door.relays:
         return _relay_gone(daemon, door.relays[rid], now)
     req = door.requests.get(rid)
-    if req is None or req.caller_gone:
+    if req is None:
+        return looking.caller_gone(daemon, rid)
+    if req.caller_gone:
         return []
     req.caller_gone = True
     out = [reporting.record(req, "caller_gone", now)]
--- a/crocuskeel/core/door/draining.py
+++ b/crocuskeel/core/door/draining.py
@@ -25,7 +25,7 @@
     door = daemon.door
     if door.drain_at is None or door.exited:
         return []
-    if door.requests or door.relays:
+    if door.requests or door.relays or door.looks:
         return []
     if now - door.drain_at < MIN_DRAIN_S:
         return []
--- a/crocuskeel/core/door/ending.py
+++ b/crocuskeel/core/door/ending.py
@@ -1,16 +1,15 @@
 """The end of a request: slot, claim, kept answer, final answer."""
 
-from crocuskeel.core import claims
+from crocuskeel.core.door import claim_keys
+from crocuskeel.core.door import looking
 from crocuskeel.core.door import reporting
 from crocuskeel.core.door import state
 from crocuskeel.core import effects
 from crocuskeel.core import events
-from crocuskeel.core import membership
 from crocuskeel.core import messages
 from crocuskeel.core import problems
 
-__all__ = ["abandon_claim", "answer", "claim_key", "claim_owner",
-           "claim_slot", "done",
+__all__ = ["abandon_claim", "answer", "claim_key", "claim_slot", "done",
            "drop_oldest", "end", "leave_queue", "listeners",
            "refuse_arrival", "release", "settle", "withdraw"]
 
@@ -80,25 +79,19 @@
 
 def claim_key(req):
     """Return the ledger's key: callers can't reach each other's."""
-    return claims.key_digest(*req.scope)
+    return claim_keys.key_of(req.scope)
 
 
 def claim_slot(daemon, key):
     """Return the ledger slot of a claim key."""
-    return claims.slot_of(key, daemon.claims.cfg.slots)
-
-
-def claim_owner(daemon, key):
-    """Return the host that records claims of the key's slot."""
-    slot = claim_slot(daemon, key)
-    return claims.owner_of(slot, membership.live(daemon))
+    return claim_keys.slot_of(daemon, key)
 
 
 def settle(daemon, rid, key, outcome):
     """Tell the ledger how a claimed request ended."""
     message = messages.ClaimSettle(
         rid, claim_slot(daemon, key), key, str(outcome))
-    return _to(claim_owner(daemon, key), message)
+    return _to(claim_keys.owner_of(daemon, key), message)
 
 
 def abandon_claim(daemon, req):
@@ -124,6 +117,8 @@
     """
     req.outcome = req.outcome if outcome is None else outcome
     found = problems.problem(reason, req.outcome, detail, retry_after_s)
+    if looking.unproved(found) and not (req.repeatable or req.claimed):
+        return _look_first(daemon, req, found, now)
     out = [effects.Answer(rid, found) for rid in listeners(req)]
     out.append(reporting.record(
         req, "answered", now, reason=str(reason),
@@ -134,6 +129,19 @@
     return out + end(daemon, req, now, kept=not req.repeatable)
 
 
+def _look_first(daemon, req, found, now):
+    """End the request; its callers hear of it once that is proved."""
+    callers = listeners(req)
+    for rid in req.watchers:
+        daemon.door.relays.pop(rid, None)
+    out = end(daemon, req, now)
+    if not callers:
+        return out
+    look = state.Look(req.rid, callers, claim_key(req), req.policy.name,
+                      found)
+    return out + looking.start(daemon, look, req.arrival)
+
+
 def done(daemon, req, closed, now):
     """End a request whose whole answer was relayed."""
     req.outcome = problems.Outcome.RAN
--- a/crocuskeel/core/door/handling.py
+++ b/crocuskeel/core/door/handling.py
@@ -8,6 +8,7 @@
 from crocuskeel.core.door import going_alone
 from crocuskeel.core.door import granting
 from crocuskeel.core.door import locating
+from crocuskeel.core.door import looked_up
 from crocuskeel.core.door import queueing
 from crocuskeel.core.door import recovering
 from crocuskeel.core.door import replaying
@@ -64,6 +65,8 @@
 def _timer(daemon, kind, rid, now):
     if kind == "tick":
         return _tick(daemon, now)
+    if kind == "look":
+        return looked_up.timed_out(daemon, rid)
     req = daemon.door.requests.get(rid)
     if req is None:
         return []
@@ -135,6 +138,8 @@
 
 
 def _claim_answer(daemon, message, now):
+    if message.rid in daemon.door.looks and message.status != "granted":
+        return looked_up.answered(daemon, message)
     req = daemon.door.requests.get(message.rid)
     if req is None or req.stage is not state.Stage.CLAIMING:
         return claiming.late_answer(daemon, message)
--- a/crocuskeel/core/door/recovering.py
+++ b/crocuskeel/core/door/recovering.py
@@ -143,10 +143,17 @@
             and not req.opened
             and not req.caller_gone
             and event.end is not End.CANCELLED
-            and event.http_status not in _CLIENT_ERRORS
+            and not _is_client_error(event)
             and req.opened_attempts < MAX_ATTEMPTS)
 
 
+def _is_client_error(event):
+    # GONE is an engine's 404 to a resume, which tells of the engine's
+    # memory and not of the request.
+    return (event.end is not End.GONE
+            and event.http_status in _CLIENT_ERRORS)
+
+
 def _fail(daemon, req, event, now):
     outcome = Outcome.UNKNOWN
     if req.repeatable and (req.opened or req.forwarded):
--- a/crocuskeel/core/door/replaying.py
+++ b/crocuskeel/core/door/replaying.py
@@ -10,7 +10,7 @@
 from crocuskeel.core import problems
 
 __all__ = ["by_key", "claim_duplicate", "closed", "drop", "expire",
-           "peer_asked", "resume_arrived", "start_watchers"]
+           "from_holder", "peer_asked", "resume_arrived", "start_watchers"]
 
 End = events.AttemptEnd
 Reason = problems.Reason
@@ -103,13 +103,18 @@
     """
     listeners = ending.listeners(req)
     req.claim_asked = False
+    for rid in req.watchers:
+        # One that only hears "duplicate" would stay here for good and
+        # keep a planned stop from its end.
+        daemon.door.relays.pop(rid, None)
     out = ending.end(daemon, req, now)
     for rid in listeners:
-        out += _from_holder(daemon, rid, message)
+        out += from_holder(daemon, rid, message)
     return out
 
 
-def _from_holder(daemon, rid, message):
+def from_holder(daemon, rid, message):
+    """Answer a caller as the request that holds its key was answered."""
     outcome = _ledger_outcome(message.outcome)
     host = message.holder_host
     held = message.holder_rid
--- a/crocuskeel/core/door/running.py
+++ b/crocuskeel/core/door/running.py
@@ -11,7 +11,7 @@
            "silence_s"]
 
 FIRST_BYTE_MIN_S = 3.0
-FIRST_BYTE_TARGETS = 8.0
+FIRST_BYTE_TARGETS = 4.0
 SILENCE_MIN_S = 2.0
 SILENCE_TARGETS = 20.0
 
@@ -42,7 +42,8 @@
 def first_byte_s(req, now):
     """Return how long the first byte may take, seconds.
 
-    A connection that went silent for good shows as no byte at all. What
+    A connection that went silent for good shows as no byte at all, on
+    each attempt anew: the span is a small multiple of the target. What
     may not be repeated gets until its deadline: giving it up early
     would turn a slow answer into an unknown outcome. So does an
     engine's answer in one piece, whose first byte comes with its last.
--- a/crocuskeel/core/door/state.py
+++ b/crocuskeel/core/door/state.py
@@ -8,8 +8,8 @@
 from crocuskeel.core import events
 from crocuskeel.core import problems
 
-__all__ = ["Business", "Budget", "DoorState", "Kept", "Relay", "Request",
-           "Source", "Stage", "new_state"]
+__all__ = ["Business", "Budget", "DoorState", "Kept", "Look", "Relay",
+           "Request", "Source", "Stage", "new_state"]
 
 
 class Stage(enum.StrEnum):
@@ -81,6 +81,22 @@
                 self.arrival.idempotency_key)
 
 
+@dataclasses.dataclass(slots=True)
+class Look:
+    """A refusal held back until the ledger was asked for its key.
+
+    ``rids`` are the callers' requests that get it, ``key`` the ledger's
+    key, ``problem`` what is said if nobody holds the key.
+    """
+
+    rid: str
+    rids: list[str]
+    key: str
+    class_name: str
+    problem: problems.Problem
+    location: str = ""
+
+
 class Source(enum.StrEnum):
     """Where a relayed answer comes from."""
 
@@ -160,7 +176,8 @@
 
     ``keys`` maps the scope of an Idempotency-Key to a rid in
     ``requests`` or ``kept``. ``abandoned`` maps a rid to the claim key
-    that it gave up before running. ``down`` holds unreachable hosts.
+    that it gave up before running. ``looks`` are refusals on their way,
+    by rid. ``down`` holds unreachable hosts.
     """
 
     requests: dict[str, Request] = dataclasses.field(
@@ -174,6 +191,7 @@
         default_factory=collections.OrderedDict)
     budgets: collections.OrderedDict[str, Budget] = dataclasses.field(
         default_factory=collections.OrderedDict)
+    looks: dict[str, Look] = dataclasses.field(default_factory=dict)
     down: set[str] = dataclasses.field(default_factory=set)
     live: tuple[str, ...] = ()
     changed_at: float = 0.0
--- a/crocuskeel/core/events.py
+++ b/crocuskeel/core/events.py
@@ -44,6 +44,8 @@
     ``digest`` is a hash of method, path and body; ``fingerprint`` of
     workspace-independent content (for poison requests); ``issued_at``
     is the caller's own issue time of the key in Unix seconds or 0.
+    ``first_sending``: the caller says that no earlier sending of the
+    key went out.
     """
 
     rid: str
@@ -61,6 +63,7 @@
     idempotency_key: str = ""
     non_repeatable: bool = False
     issued_at: float = 0.0
+    first_sending: bool = False
 
 
 @_event
--- a/crocuskeel/core/messages.py
+++ b/crocuskeel/core/messages.py
@@ -191,7 +191,7 @@
 
 @_message
 class ClaimAsk:
-    """A door asks a slot's owner to record a claim before dispatch."""
+    """A door asks a slot's owner for a claim, or only to ``look``."""
 
     rid: str
     slot: int
@@ -199,6 +199,7 @@
     digest: str
     deadline_in_s: float
     issued_at: float = 0.0
+    look: bool = False
 
 
 @_message
@@ -206,9 +207,9 @@
     """The owner's answer to a claim.
 
     ``status`` is one of ``granted``, ``duplicate``, ``mismatch``,
-    ``too_old``, ``too_new`` (dated ahead), ``unavailable``. For a
-    duplicate: the host and request that hold the claim and the outcome
-    as far as the ledger knows it.
+    ``too_old``, ``too_new`` (dated ahead), ``unavailable``, for a look
+    ``absent``. For a duplicate: the host and request that hold the
+    claim and the outcome as far as the ledger knows it.
     """
 
     rid: str
--- a/crocuskeel/core/problems.py
+++ b/crocuskeel/core/problems.py
@@ -41,6 +41,7 @@
     NOT_READY = "not_ready"
     LEAVING = "leaving"
     SETTINGS_STALE = "settings_stale"
+    INTERNAL = "internal"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,6 +79,7 @@
     Reason.LEAVING: Kind(503, "This host is leaving"),
     Reason.SETTINGS_STALE: Kind(
         503, "This host has heard no settings for too long"),
+    Reason.INTERNAL: Kind(500, "This host failed on the request"),
 }
 
 
--- a/crocuskeel/runtime/parsing.py
+++ b/crocuskeel/runtime/parsing.py
@@ -68,7 +68,10 @@
         idempotency_key=_header(req, "Idempotency-Key", MAX_KEY_CHARS),
         non_repeatable=_header(
             req, "X-Crocuskeel-Repeatable", MAX_NAME_CHARS) == "no",
-        issued_at=_issued_at(req), **known)
+        issued_at=_issued_at(req),
+        first_sending=_header(
+            req, "X-Crocuskeel-First-Sending", MAX_NAME_CHARS) == "yes",
+        **known)
 
 
 def _document(body):
--- a/tests/claims/test_faults.py
+++ b/tests/claims/test_faults.py
@@ -156,6 +156,73 @@
         self.world.advance(1.0)
         self.assertEqual("granted", self.answered("k").status)
 
+    def test_look_is_not_answered_from_the_cache(self):
+        """A clerk books by hand what was booked already.
+
+        Owner 0 has read the ledger; the key is claimed and run through
+        owner 1. The refused resend's look comes to owner 0, whose cache
+        knows nothing of it.
+        """
+        self.answered("other")
+        first = self.world.ask("k", at=1)
+        self.world.calm(1.0)
+        look = self.world.look("k")
+        self.assertEqual([], statuses(look))
+        self.world.calm(1.0)
+        self.assertEqual(["granted"], statuses(first))
+        self.assertEqual(["duplicate"], statuses(look))
+        self.assertEqual("r1", look.answers[0].holder_rid)
+
+    def test_look_waits_for_a_read_of_its_own(self):
+        """As above: the read under way when the look came is older."""
+        self.world.ask("other")
+        look = self.world.look("k")
+        later = self.world.look("k", digest="e")
+        self.world.answer("well")
+        self.assertEqual([], statuses(look) + statuses(later))
+        self.world.calm(1.0)
+        self.assertEqual(["absent"] * 2, statuses(look) + statuses(later))
+
+    def test_look_claims_nothing(self):
+        """A refused booking can't be made: its look took the key."""
+        look = self.world.look("k")
+        self.world.calm(1.0)
+        self.assertEqual(["absent"], statuses(look))
+        self.assertEqual(0, self.world.version)
+        self.assertEqual("granted", self.answered("k").status)
+
+    def test_look_in_an_outage(self):
+        """With the store out, an absent key is taken for a free one.
+
+        Another owner may reach the store. What is known to be held is
+        told all the same.
+        """
+        self.answered("k")
+        self.world.advance(1.0)
+        free = self.world.look("new")
+        self.world.answer("out")
+        looks = [free, self.world.look("new"), self.world.look("k")]
+        self.assertEqual(
+            [["unavailable"], ["unavailable"], ["duplicate"]],
+            [statuses(each) for each in looks])
+        self.assertEqual([], self.world.ops)
+
+    def test_look_while_a_claim_is_in_doubt(self):
+        """``not_run`` is said of a key that another door starts next."""
+        self.put_in_flight("k", "late")
+        look = self.world.look("k")
+        for mode in ("well", "late", "well"):
+            self.world.answer(mode)
+        self.assertEqual(["unavailable"], statuses(look))
+
+    def test_looks_share_reads(self):
+        """In an overload each refusal costs the store a call."""
+        for at in range(200):
+            self.world.look(f"k{at}")
+            self.world.calm(0.1)
+        reads = self.world.owners[0].state.seq
+        self.assertTrue(50 < reads <= 105, reads)
+
     def test_same_commit_answers_wait_for_it(self):
         """A resend is told of a holder that never was.
 
--- a/tests/claims/test_properties.py
+++ b/tests/claims/test_properties.py
@@ -14,6 +14,7 @@
 
 STEP = st.one_of(
     st.tuples(st.just("ask"), st.integers(0, KEYS - 1), OWNER),
+    st.tuples(st.just("look"), st.integers(0, KEYS - 1), OWNER),
     st.tuples(st.just("reask"), PICK, OWNER),
     st.tuples(st.just("give_up"), PICK, OWNER),
     st.tuples(st.just("end"), PICK, OWNER, st.booleans()),
@@ -33,6 +34,9 @@
     if name == "ask":
         world.ask(f"k{args[0]}", args[1],
                   issued_at=issue_times[args[0]])
+    elif name == "look":
+        world.look(f"k{args[0]}", args[1],
+                   issued_at=issue_times[args[0]])
     elif name in ("answer", "land", "pause", "restart", "advance"):
         getattr(world, name)(*args)
     elif attempts:
@@ -86,4 +90,5 @@
         for owner in world.owners:
             for slot in owner.state.slots.values():
                 self.assertEqual({}, slot.asks)
+                self.assertEqual({}, slot.looks)
                 self.assertIsNone(slot.doubt_base)
--- a/tests/claims/world.py
+++ b/tests/claims/world.py
@@ -40,6 +40,16 @@
     answers: list = dataclasses.field(default_factory=list)
 
 
+@dataclasses.dataclass
+class Look:
+    """A look for a key; ``begun`` had started when it was sent."""
+
+    rid: str
+    key: str
+    begun: list
+    answers: list = dataclasses.field(default_factory=list)
+
+
 class World:
     """Owners, store and doors; ``ops`` are calls not yet answered."""
 
@@ -55,6 +65,7 @@
         self.runs = {}
         self.recorded = set()
         self.attempts = {}
+        self.looks = {}
         self.owners = [self._new_owner(0, 1), self._new_owner(1, 1)]
 
     def _new_owner(self, at, incarnation):
@@ -76,6 +87,25 @@
             attempt.rid, 0, attempt.key, attempt.digest, deadline_s,
             attempt.issued_at)))
 
+    def look(self, key, at=0, digest="d", issued_at=0.0):
+        """Let a door look for ``key`` at owner ``at``."""
+        begun = [each for each in self.attempts.values()
+                 if each.key == key and each.state in ("started", "ran")]
+        look = Look(f"l{len(self.looks)}", key, begun)
+        self.looks[look.rid] = look
+        self.deliver(at, events.Received(DOOR, 1, messages.ClaimAsk(
+            look.rid, 0, key, digest, 0.0, issued_at, look=True)))
+        return look
+
+    def _look_answered(self, answer):
+        look = self.looks[answer.rid]
+        look.answers.append(answer)
+        if answer.status == "granted":
+            raise AssertionError("a look was granted")
+        held = [each for each in look.begun if each.state != "over"]
+        if answer.status == "absent" and held:
+            raise AssertionError(f"absent, but held by {held}")
+
     def settle(self, attempt, outcome, at):
         """Let the door report an outcome to one owner."""
         self.deliver(at, events.Received(DOOR, 1, messages.ClaimSettle(
@@ -97,6 +127,9 @@
         self.settle(attempt, "ran" if ran else "not_run", at)
 
     def _answered(self, answer):
+        if answer.rid in self.looks:
+            self._look_answered(answer)
+            return
         attempt = self.attempts[answer.rid]
         attempt.answers.append(answer)
         if answer.status != "granted":
--- a/tests/door/driver.py
+++ b/tests/door/driver.py
@@ -178,6 +178,8 @@
             return f"settle {msg.outcome}"
         case effects.Send(message=messages.Reregister() as msg):
             return f"reregister {len(msg.waiting)}+{len(msg.running)}"
+        case effects.Send(message=messages.ClaimAsk(look=True)):
+            return "claimlook"
         case effects.Send(message=message):
             return type(message).__name__.lower()
         case effects.OpenAttempt(backend=name):
--- a/tests/door/test_faults.py
+++ b/tests/door/test_faults.py
@@ -6,6 +6,7 @@
 from crocuskeel.core import events
 from crocuskeel.core import membership
 from tests.door import driver
+from tests.door import key_rows
 from tests.door import rows
 
 
@@ -33,6 +34,27 @@
     def test_peer(self):
         self._run(rows.PEER)
 
+    def test_keys(self):
+        self._run(key_rows.KEYS)
+
+
+class SilentConnection(unittest.TestCase):
+
+    def test_first_byte_is_not_waited_for_long(self):
+        """A briefing takes 40 s to be given up on.
+
+        Its connection went silent before the first byte. Each attempt
+        waits for that byte, and there are up to four.
+        """
+        host = driver.Host()
+        rid = host.arrive()
+        host.grant(rid)
+        attempt = next(one for one in host.log
+                       if isinstance(one, effects.OpenAttempt))
+        target = host.request(rid).policy.target_ttft_s
+        self.assertEqual(1.0, target)
+        self.assertLessEqual(attempt.first_byte_s, 4.0 * target)
+
 
 class PlannedStop(unittest.TestCase):
 
