One reactor, one body reader, one settings reader; land the fault drive

Ruled out: one loop for both programs (their reducers and effects differ; eight shared lines are no reason to couple them).

Change: programs.reactors, runtime.bodies and runtime.documents serve both.

--- a/crocuskeel/control/engine_calls.py
+++ b/crocuskeel/control/engine_calls.py
@@ -2,7 +2,6 @@
 
 import json
 
-import treq
 from twisted.internet import defer
 from twisted.web import iweb
 from zope.interface import implementer
@@ -10,6 +9,7 @@
 from crocuskeel.control import exceptions
 from crocuskeel.core import control
 from crocuskeel.core.control import events
+from crocuskeel.runtime import bodies
 
 __all__ = ["CheckedBody", "read_engine", "send_order"]
 
@@ -128,18 +128,4 @@
 async def _exchange(ctx, method, url, body=None):
     rsp = await ctx.http.request(
         method, url, data=body, headers=_JSON, allow_redirects=False)
-    return rsp.code, await _content(rsp)
-
-
-async def _content(rsp):
-    data = []
-    size = 0
-
-    def more(chunk):
-        nonlocal size
-        size += len(chunk)
-        if size <= MAX_REPORT_BYTES:
-            data.append(chunk)
-
-    await treq.collect(rsp, more)
-    return b"".join(data)
+    return rsp.code, await bodies.read(rsp, MAX_REPORT_BYTES)
--- a/crocuskeel/control/settings.py
+++ b/crocuskeel/control/settings.py
@@ -3,11 +3,11 @@
 import dataclasses
 import pathlib
 
-import json5
 import jsonschema
 
 from crocuskeel.control import exceptions
 from crocuskeel.core import control
+from crocuskeel.runtime import documents
 
 __all__ = ["ProgramSettings", "parse", "read"]
 
@@ -66,14 +66,7 @@
 
 def parse(text, folder):
     """Parse a settings text; its file names are under ``folder``."""
-    try:
-        doc = json5.loads(text)
-    except ValueError as exc:
-        raise exceptions.BadSettingsFile(str(exc)) from exc
-    faults = [f"{error.json_path}: {error.message}"
-              for error in _VALIDATOR.iter_errors(doc)]
-    if faults:
-        raise exceptions.BadSettingsFile("\n".join(faults))
+    doc = documents.load(text, _VALIDATOR, exceptions.BadSettingsFile)
     values = {key: value for section in _SECTIONS
               for key, value in doc.get(section, {}).items()}
     cfg = control.Config(host=doc["host"], **values)
--- a/crocuskeel/programs/control.py
+++ b/crocuskeel/programs/control.py
@@ -1,15 +1,13 @@
 """crocuskeel-control: gives engines their orders, under a lease."""
 
 import argparse
-import asyncio
 import signal
 import sys
 import time
 
-from twisted.internet import asyncioreactor
-
 from crocuskeel.control import exceptions
 from crocuskeel.control import settings
+from crocuskeel.programs import reactors
 
 __all__ = ["main", "new_parser"]
 
@@ -36,22 +34,10 @@
     except exceptions.BadSettingsFile as exc:
         print(f"{args.settings}: {exc}", file=sys.stderr)
         return _EXIT_SETTINGS
-    _run(*_install_reactor(), cfg)
+    _run(*reactors.install(), cfg)
     return 0
 
 
-def _install_reactor():
-    """Return the reactor and its loop's monotonic clock."""
-    # treq imports the default reactor, so this comes before it.
-    loop = asyncio.new_event_loop()
-    asyncioreactor.install(loop)
-    from twisted.internet import reactor
-    # Twisted's seconds are the wall clock's: set back by an hour, it
-    # would make a lease look fresh for an hour more.
-    reactor.seconds = loop.time
-    return reactor, loop
-
-
 def _run(reactor, loop, cfg):
     from crocuskeel.control import assembly
     from crocuskeel.control import program
--- a/crocuskeel/programs/ctl.py
+++ b/crocuskeel/programs/ctl.py
@@ -1,19 +1,18 @@
 """``crocuskeelctl``: the operators' command."""
 
-import asyncio
 import os
 import pathlib
 import sys
 import time
 
-from twisted.internet import asyncioreactor
+from crocuskeel.programs import reactors
 
 __all__ = ["main"]
 
 
 def main(argv=None):
     """Run the command; ends the process with its exit code."""
-    asyncioreactor.install(asyncio.new_event_loop())
+    reactors.install()
     # Klein and Twisted's task install the default reactor when they are
     # imported, so all that imports them comes after ours.
     from crocuskeel import ctl
--- a/crocuskeel/programs/daemon.py
+++ b/crocuskeel/programs/daemon.py
@@ -1,14 +1,12 @@
 """crocuskeeld: the daemon of an entry host."""
 
 import argparse
-import asyncio
 import gc
 import signal
 import sys
 import time
 
-from twisted.internet import asyncioreactor
-
+from crocuskeel.programs import reactors
 from crocuskeel.runtime import exceptions
 from crocuskeel.runtime import settings
 
@@ -37,22 +35,10 @@
     except exceptions.BadSettingsFile as exc:
         print(f"{args.settings}: {exc}", file=sys.stderr)
         return _EXIT_SETTINGS
-    reactor = _install_reactor()
-    return _run(reactor, cfg)
-
-
-def _install_reactor():
-    # grpclib runs on asyncio: both share one loop. klein installs the
-    # default reactor when it is imported, so this comes before it.
-    asyncioreactor.install()
-    from twisted.internet import reactor
-    # Twisted's seconds are the wall clock's: set back by an hour, it
-    # would hold every deadline of the daemon for an hour.
-    reactor.seconds = time.monotonic
-    return reactor
+    return _run(*reactors.install(), cfg)
 
 
-def _run(reactor, cfg):
+def _run(reactor, loop_, cfg):
     from crocuskeel.core import events
     from crocuskeel.runtime import loop
     from crocuskeel.runtime import program
@@ -61,7 +47,7 @@
     records.begin_logs(cfg.log_file, cfg.host)
     ctx = program.new_runtime(reactor, cfg, time.time)
     for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_event_loop().add_signal_handler(
+        loop_.add_signal_handler(
             number, loop.feed, ctx, events.DrainAsked())
     return serve(ctx)
 
--- a/crocuskeel/runtime/polling.py
+++ b/crocuskeel/runtime/polling.py
@@ -9,10 +9,10 @@
 from crocuskeel.core import events
 from crocuskeel.core import membership
 from crocuskeel.core import placement
+from crocuskeel.runtime import bodies
 from crocuskeel.runtime import http_client
 from crocuskeel.runtime import loop
 
-import treq
 
 __all__ = ["Polls", "new_polls", "start"]
 
@@ -115,19 +115,6 @@
         return None
 
 
-async def _collect(rsp):
-    data = []
-    size = 0
-
-    def more(chunk):
-        nonlocal size
-        size += len(chunk)
-        if size <= MAX_REPORT_BYTES:
-            data.append(chunk)
-
-    await treq.collect(rsp, more)
-    return b"".join(data)
-
-
 def _content(rsp):
-    return defer.Deferred.fromCoroutine(_collect(rsp))
+    return defer.Deferred.fromCoroutine(
+        bodies.read(rsp, MAX_REPORT_BYTES))
--- a/crocuskeel/runtime/settings.py
+++ b/crocuskeel/runtime/settings.py
@@ -7,10 +7,10 @@
 import dataclasses
 import pathlib
 
-import json5
 import jsonschema
 
 from crocuskeel.core import state
+from crocuskeel.runtime import documents
 from crocuskeel.runtime import exceptions
 
 __all__ = ["ProcessSettings", "identity", "parse", "read"]
@@ -104,14 +104,7 @@
 
 def parse(text, folder):
     """Parse a settings text; its file names are under ``folder``."""
-    try:
-        doc = json5.loads(text)
-    except ValueError as exc:
-        raise exceptions.BadSettingsFile(str(exc)) from exc
-    faults = [f"{error.json_path}: {error.message}"
-              for error in _VALIDATOR.iter_errors(doc)]
-    if faults:
-        raise exceptions.BadSettingsFile("\n".join(faults))
+    doc = documents.load(text, _VALIDATOR, exceptions.BadSettingsFile)
     return _settings(doc, pathlib.Path(folder))
 
 
--- /dev/null
+++ b/tools/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Fault drive: a fleet of real processes, a load, and faults under it."""
