Set the reactor's loop as the current one; no daemon started without it

Ruled out: the settings reader (it is the same code in one place; the process got as far as its log).

--- a/crocuskeel/programs/reactors.py
+++ b/crocuskeel/programs/reactors.py
@@ -15,6 +15,9 @@
     asyncio, so both share one loop.
     """
     loop = asyncio.new_event_loop()
+    # Servers and tasks made before the reactor runs take the current
+    # loop.
+    asyncio.set_event_loop(loop)
     asyncioreactor.install(loop)
     from twisted.internet import reactor
     # Twisted's seconds are the wall clock's: set back by an hour, it
