--- a/bench/capacity_rows.py
+++ b/bench/capacity_rows.py
@@ -29,6 +29,8 @@
 LEDGER_MAX_BYTES = 512 * 1024
 LEDGER_KEPT_S = 900
 SLOT_WRITES = 3
+# A look before a refusal shares its slot's reads (core/claims/looking).
+SLOT_LOOKS = 5
 DAY_S = 86_400
 # Sealing and opening one batch around a message, both ends, shared by
 # the messages of a flush; counted in full for each message here.
@@ -159,7 +161,8 @@
              + (TARGET.daemons - owners) / READ_OTHER_S)
     settings = figures.get("settings_platform_reads", TARGET.daemons)
     writes = LEDGER_SLOTS * SLOT_WRITES
-    reads = lists + settings
+    looks = LEDGER_SLOTS * SLOT_LOOKS
+    reads = lists + settings + looks
     entry = max(value for (name, _), value in figures.values.items()
                 if name.endswith("bytes_an_entry"))
     claims = LEDGER_SLOTS * LEDGER_MAX_BYTES / entry / LEDGER_KEPT_S
@@ -168,6 +171,8 @@
          "every second by hosts with cells, else every 15 s", ""),
         ("settings reads and watches", f"{settings:.1f}/s",
          "3 watchers, slow reads by the others", ""),
+        ("claims: looks before refusals at most", f"{looks}/s",
+         f"one shared read each {1 / SLOT_LOOKS:.1f} s a slot", ""),
         ("**reads**", f"**{reads:.0f}/s**", "",
          _fits(reads, TARGET.platform_reads)),
         ("claims: writes at most", f"{writes}/s",
