--- a/bench/outage/store.py
+++ b/bench/outage/store.py
@@ -14,8 +14,8 @@
 from twisted.internet import defer
 
 from bench.policy import clock as clocks
-from crocuskeel.platform import exceptions
-from crocuskeel.platform import results
+from crocuskeel.objectapi import exceptions
+from crocuskeel.objectapi import results
 
 __all__ = ["DOWN", "LOSSY", "Store", "WELL", "new_store", "put", "sender",
            "set_mode"]
@@ -85,7 +85,7 @@
 
 
 def sender(store):
-    """Return the client's ``send``, see ``platform.new_client``."""
+    """Return the client's ``send``, see ``objectapi.new_client``."""
 
     def send(method, url, headers, data, timeout):
         store.calls[int(store.clock.now)] += 1
--- a/bench/outage/world.py
+++ b/bench/outage/world.py
@@ -24,7 +24,7 @@
 from crocuskeel.core import events
 from crocuskeel.core import factory
 from crocuskeel.core import follower
-from crocuskeel import platform
+from crocuskeel import objectapi
 from crocuskeel.runtime import platform_calls
 
 __all__ = ["World", "commit", "kill", "new_world", "restart",
@@ -93,8 +93,8 @@
         wall=lambda now: callers.EPOCH_S + now)
     name = f"{identity.host}/{identity.incarnation}/{world.seed}"
     reactor = reactors.new_reactor(clock)
-    client = platform.new_client(
-        reactor, platform.ClientConfig("", "token"),
+    client = objectapi.new_client(
+        reactor, objectapi.ClientConfig("", "token"),
         stores.sender(world.store), random.Random(f"client/{name}"))
     world.contexts[node.name] = types.SimpleNamespace(
         daemon=node.daemon, platform=client, reactor=reactor,
--- a/crocuskeel/control/assembly.py
+++ b/crocuskeel/control/assembly.py
@@ -8,7 +8,7 @@
 
 from crocuskeel.control import context
 from crocuskeel.core import control
-from crocuskeel import platform
+from crocuskeel import objectapi
 
 __all__ = ["new_http", "new_runtime"]
 
@@ -21,10 +21,10 @@
     # Two processes with one seed would make the same nonces, and each
     # would take the other's lease for its own.
     rng = random.Random(secrets.randbits(_SEED_BITS))
-    client = platform.new_client(
+    client = objectapi.new_client(
         reactor,
-        platform.ClientConfig(cfg.platform_url, cfg.platform_token),
-        platform.new_treq_send(reactor), rng)
+        objectapi.ClientConfig(cfg.platform_url, cfg.platform_token),
+        objectapi.new_treq_send(reactor), rng)
     state = control.new_state(cfg.cfg, rng, now())
     return context.new_context(
         reactor, now, wall, state, client, new_http(reactor), on_exit)
--- a/crocuskeel/control/platform_calls.py
+++ b/crocuskeel/control/platform_calls.py
@@ -4,7 +4,7 @@
 from crocuskeel.conf import parts
 from crocuskeel.conf import storage
 from crocuskeel.core.control import events
-from crocuskeel import platform
+from crocuskeel import objectapi
 
 __all__ = ["LEASE_KEY", "check_settings", "read_hosts", "read_lease",
            "write_lease"]
@@ -12,18 +12,18 @@
 LEASE_KEY = "control/lease"
 Status = events.Status
 _FAILED = {
-    platform.NotFound: Status.NOT_FOUND,
-    platform.Conflict: Status.CONFLICT,
-    platform.Unavailable: Status.UNAVAILABLE,
-    platform.Rejected: Status.UNAVAILABLE,
-    platform.WriteUnknown: Status.UNKNOWN,
+    objectapi.NotFound: Status.NOT_FOUND,
+    objectapi.Conflict: Status.CONFLICT,
+    objectapi.Unavailable: Status.UNAVAILABLE,
+    objectapi.Rejected: Status.UNAVAILABLE,
+    objectapi.WriteUnknown: Status.UNKNOWN,
 }
 
 
 async def read_lease(ctx, effect):
     """Read the lease object."""
     result = await ctx.platform.get(LEASE_KEY)
-    if isinstance(result, platform.Found):
+    if isinstance(result, objectapi.Found):
         return events.LeaseRead(
             Status.FOUND, result.version, result.body)
     return events.LeaseRead(_FAILED[type(result)])
@@ -36,7 +36,7 @@
     else:
         result = await ctx.platform.put(
             LEASE_KEY, effect.body, effect.version)
-    if isinstance(result, platform.Written):
+    if isinstance(result, objectapi.Written):
         return events.LeaseWritten(
             effect.nonce, effect.number, Status.WRITTEN, result.version)
     return events.LeaseWritten(
@@ -46,9 +46,9 @@
 async def check_settings(ctx, effect):
     """Read the head, and the common sections if they are newer."""
     result = await ctx.platform.get(storage.HEAD_KEY)
-    if isinstance(result, platform.NotFound):
+    if isinstance(result, objectapi.NotFound):
         return events.SettingsChecked(True)
-    if not isinstance(result, platform.Found):
+    if not isinstance(result, objectapi.Found):
         return events.SettingsChecked(False)
     try:
         head = storage.decode_head(result.body)
@@ -78,7 +78,7 @@
 
 async def _part(ctx, digest):
     result = await ctx.platform.get(storage.part_key(digest))
-    if not isinstance(result, platform.Found):
+    if not isinstance(result, objectapi.Found):
         return None
     return conf.Part(digest, result.body)
 
@@ -86,7 +86,7 @@
 async def read_hosts(ctx, effect):
     """Read the engines of the host list."""
     result = await ctx.platform.hosts()
-    if not isinstance(result, platform.HostList):
+    if not isinstance(result, objectapi.HostList):
         return events.HostsSeen(None)
     return events.HostsSeen(tuple(
         _entry(each) for each in result.hosts if each.role == "engine"))
--- /dev/null
+++ b/crocuskeel/core/entry/events.py
@@ -0,0 +1,172 @@
+"""Everything that an entry host may hear. ``key`` numbers a request at
+this host, ``turn`` one of its attempts at backend servers."""
+
+import dataclasses
+
+from crocuskeel.core.entry import model
+
+__all__ = [
+    "Answered", "Arrived", "Broken", "CallerLeft", "CatalogSeen",
+    "Ended", "Heard", "Opened", "PeerGone", "PeersSeen", "Progressed",
+    "ServersChanged", "ServersListed", "Started", "StopAsked", "StoreBack",
+    "StoreLost", "Ticked", "TimerFired",
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Started:
+    """The process listens; ``me`` is this host."""
+
+    me: model.Peer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticked:
+    """A quarter of a second or so has passed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopAsked:
+    """The process is asked to stop."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrived:
+    """A caller's whole request is here."""
+
+    key: int
+    request: model.Request
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLeft:
+    """The caller's connection ended before its answer did."""
+
+    key: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TimerFired:
+    """The time that the request's last Timer effect named has come."""
+
+    key: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Opened:
+    """The first whole event of a stream is here.
+
+    ``load`` is (running, waiting, slots) of the server, or None.
+    """
+
+    key: int
+    turn: int
+    load: tuple | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Progressed:
+    """More of a stream is here."""
+
+    key: int
+    turn: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ended:
+    """A stream that was passed on is complete."""
+
+    key: int
+    turn: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """A whole answer that isn't a stream is here."""
+
+    key: int
+    turn: int
+    status: int
+    load: tuple | None
+    stamped: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Broken:
+    """An attempt ended without an answer; ``detail`` is for the log.
+
+    ``torn``: the server's connection ended, as in a crash of it.
+    """
+
+    key: int
+    turn: int
+    outcome: model.Outcome
+    detail: str = ""
+    torn: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CatalogSeen:
+    """A configuration was read, from the store or from a peer."""
+
+    catalog: model.Catalog
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServersListed:
+    """All registered backend servers as of a revision of the store."""
+
+    servers: tuple
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServersChanged:
+    """Entries that changed, and ids that were removed."""
+
+    changed: tuple
+    removed: tuple
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreLost:
+    """Calls to the store fail."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreBack:
+    """The store answers again."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeersSeen:
+    """Hosts that registered in the store."""
+
+    peers: tuple
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Heard:
+    """A datagram of another host.
+
+    ``crashed`` holds (digest, server id) of requests under which a
+    server ended; ``leaving`` holds ids of servers known to leave.
+    """
+
+    peer: model.Peer
+    ready: bool
+    leaving: bool
+    catalog_revision: int
+    servers_revision: int
+    crashed: tuple = ()
+    loads: tuple = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerGone:
+    """Another host refuses connections or took leave."""
+
+    name: str
--- /dev/null
+++ b/crocuskeel/core/entry/model.py
@@ -0,0 +1,172 @@
+"""What an entry host knows: requests, routes, backend servers, hosts."""
+
+import dataclasses
+import enum
+
+__all__ = [
+    "Catalog", "Engine", "Kind", "Limits", "Outcome", "Peer", "Prompt",
+    "Request", "Route", "Server", "Service", "Workspace",
+]
+
+
+class Kind(enum.Enum):
+    """What may be repeated of a request."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+
+
+class Outcome(enum.Enum):
+    """How an attempt at a backend server ended without an answer."""
+
+    # No byte of the request left this host.
+    UNREACHED = "unreached"
+    # The server says that it did not run the request.
+    NOT_RUN = "not_run"
+    # Another server has the address; it did not run the request.
+    MISDIRECTED = "misdirected"
+    # The connection ended after the request went out.
+    BROKEN = "broken"
+    # Bytes that are no whole answer to this request.
+    GARBLED = "garbled"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prompt:
+    """Parts as (id, tokens), in order; ``output`` is the most tokens."""
+
+    model: str
+    parts: tuple
+    tokens: int
+    output: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """One attempt of a caller; ``digest`` names method, path and body.
+
+    ``deadline_s`` is how long the caller waits from arrival, or None.
+    ``resumed`` is true if the caller asks for the rest of a stream.
+    """
+
+    rid: str
+    method: str
+    host: str
+    path: str
+    api_key: str = ""
+    deadline_s: float | None = None
+    prompt: Prompt | None = None
+    digest: str = ""
+    resumed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """A class of requests; times in seconds, ``priority`` 0 is first.
+
+    ``split`` holds (service, weight). ``tries`` is the most servers one
+    request may be sent to. ``gap_s`` is the longest pause between events
+    for which a stream is on time.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: Kind
+    split: tuple
+    timeout_s: float
+    goal_s: float
+    tries: int
+    priority: int
+    public: bool
+    resumable: bool
+    gap_s: float
+
+    @property
+    def repeatable(self):
+        """Whether a request may run more than once."""
+        if self.kind is Kind.STREAM:
+            return self.resumable
+        return self.kind is Kind.SAFE
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Engine:
+    """A service of model engines: ``memory`` in tokens."""
+
+    slots: int
+    memory: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """``connections`` is the most a server accepts from all hosts."""
+
+    name: str
+    connections: int
+    engine: Engine | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Workspace:
+    """``priority`` goes before a route's, if it is set."""
+
+    name: str
+    priority: int | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """What a caller may send; bytes and seconds."""
+
+    head_bytes: int
+    body_bytes: int
+    head_s: float
+    idle_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Catalog:
+    """The configuration in force. ``revision`` is the store's.
+
+    ``routes`` maps a host name to its routes, longest prefix first;
+    ``api_keys`` maps a key to its workspace, None if keys are not used.
+    """
+
+    revision: int
+    version: int
+    routes: dict
+    services: dict
+    api_keys: dict | None
+    limits: Limits
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Server:
+    """A backend server as registered; ``cold_s`` is left of its warm-up."""
+
+    sid: str
+    service: str
+    address: tuple
+    domain: str
+    slots: int
+    draining: bool
+    cold_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Peer:
+    """An entry host. ``front`` is where callers reach it.
+
+    ``boot`` tells the lives of one host apart; ``capacity`` is its share of
+    processor time, cores.
+    """
+
+    name: str
+    boot: int
+    domain: str
+    front: str
+    control: tuple
+    gossip: tuple
+    capacity: float
--- /dev/null
+++ b/crocuskeel/core/entry/quarantine.py
@@ -0,0 +1,60 @@
+"""Requests that crash the servers that run them.
+
+Such a request comes back at any host and would take one server after the
+other. A request is suspected when its connection was torn and the server
+proves gone: it can't be reached, or several connections to it were torn
+together. It is refused once two servers went under it; one that merely
+stood beside it would have to stand beside two crashes.
+"""
+
+__all__ = ["condemned", "learn", "note_torn", "note_unreached", "pairs"]
+
+# A crash tears all connections of a server at nearly the same time, s.
+TOGETHER_S = 0.3
+# How long a torn connection waits for its explanation, s.
+EXPLAINED_S = 2.0
+# Servers lost under one request before it is refused.
+CRASHES = 2
+KEPT_S = 60.0
+KEPT_MOST = 256
+
+
+def note_torn(host, digest, sid, now):
+    """Note a connection that a server ended under a request."""
+    host.torn = [row for row in host.torn if row[0] > now - EXPLAINED_S]
+    host.torn.append((now, sid, digest))
+    together = {row[2] for row in host.torn
+                if row[1] == sid and row[0] > now - TOGETHER_S}
+    if len(together) > 1:
+        _confirm(host, sid, now)
+
+
+def note_unreached(host, sid, now):
+    """A server can't be reached: what was torn there was a crash."""
+    _confirm(host, sid, now)
+
+
+def _confirm(host, sid, now):
+    for at, torn_sid, digest in host.torn:
+        if torn_sid == sid and at > now - EXPLAINED_S:
+            learn(host, digest, sid, now)
+
+
+def learn(host, digest, sid, now):
+    """Note that a server went under a request, here or elsewhere."""
+    if digest not in host.crashed and len(host.crashed) >= KEPT_MOST:
+        host.crashed.pop(next(iter(host.crashed)))
+    host.crashed.setdefault(digest, {})[sid] = now
+
+
+def condemned(host, digest, now):
+    """Say whether a request must not reach one more server."""
+    sids = host.crashed.get(digest, {})
+    return sum(at > now - KEPT_S for at in sids.values()) >= CRASHES
+
+
+def pairs(host, now, span_s):
+    """Return (digest, server id) learned in the last ``span_s``."""
+    return tuple((digest, sid)
+                 for digest, sids in host.crashed.items()
+                 for sid, at in sids.items() if at > now - span_s)
--- /dev/null
+++ b/crocuskeel/core/entry/reducer.py
@@ -0,0 +1,55 @@
+"""The one reducer of an entry host: an event in, effects out."""
+
+from crocuskeel.core.entry import events
+from crocuskeel.core.entry import lifecycle
+from crocuskeel.core.entry import peers
+from crocuskeel.core.entry import registry
+from crocuskeel.core.entry import requests
+from crocuskeel.core import exceptions
+
+__all__ = ["reduce"]
+
+
+def _started(host, event, now):
+    host.me = event.me
+    return []
+
+
+def _ticked(host, event, now):
+    return (registry.expire(host, now) + peers.tell(host, now)
+            + lifecycle.go_on(host, now))
+
+
+ROUTES = {
+    events.Started: _started,
+    events.Ticked: _ticked,
+    events.StopAsked: lifecycle.stop_asked,
+    events.Arrived: requests.arrived,
+    events.CallerLeft: requests.caller_left,
+    events.TimerFired: requests.timer_fired,
+    events.Opened: requests.opened,
+    events.Progressed: requests.progressed,
+    events.Ended: requests.ended,
+    events.Answered: requests.answered,
+    events.Broken: requests.broken,
+    events.CatalogSeen: registry.catalog_seen,
+    events.ServersListed: registry.servers_listed,
+    events.ServersChanged: registry.servers_changed,
+    events.StoreLost: registry.store_lost,
+    events.StoreBack: registry.store_back,
+    events.PeersSeen: peers.seen,
+    events.Heard: peers.heard,
+    events.PeerGone: peers.gone,
+}
+
+
+def reduce(host, event, now):
+    """Reduce one event into the host's state; return effects in order.
+
+    ``now`` is the runtime's clock, seconds; ``host`` changes in place.
+    Raises :class:`UnknownEvent` for an event without a route.
+    """
+    handler = ROUTES.get(type(event))
+    if handler is None:
+        raise exceptions.UnknownEvent(type(event).__name__)
+    return handler(host, event, now)
--- /dev/null
+++ b/crocuskeel/core/entry/state.py
@@ -0,0 +1,140 @@
+"""What an entry host holds. Only the handlers of this package change it."""
+
+import collections
+import dataclasses
+import random
+
+from crocuskeel.core.entry import model
+
+__all__ = ["Host", "Pending", "PeerState", "ServerState", "Settings", "Try",
+           "new_host", "new_server"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """Bounds of the deployment; seconds, and shares as fractions.
+
+    ``repeat_share`` of a service's requests, and ``repeat_slack`` more,
+    may be repeated in any ``repeat_window_s``, over all hosts.
+    """
+
+    drain_s: float = 2.0
+    grace_s: float = 8.0
+    repeat_share: float = 0.2
+    repeat_window_s: float = 10.0
+    repeat_slack: float = 50.0
+    address_ttl_s: float = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class Try:
+    """One attempt. ``sent_at`` is None once it is known not to have run."""
+
+    turn: int
+    sid: str
+    at: float
+    fresh_tokens: int = 0
+    over: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Pending:
+    """A request from arrival to its final answer."""
+
+    key: int
+    request: model.Request
+    route: model.Route
+    service: str
+    workspace: str
+    priority: int
+    at: float
+    ends_at: float
+    tries: list = dataclasses.field(default_factory=list)
+    # Servers that may have run it, and attempts to reach any.
+    sent: int = 0
+    reached_out: int = 0
+    may_have_run: bool = False
+    # The turn whose answer the caller gets; its stream's last sign.
+    passing: int | None = None
+    progress_at: float = 0.0
+    # A failure that a server answered, kept while another server is tried.
+    fallback: int | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class ServerState:
+    """A backend server and what this host has seen of it.
+
+    ``mine`` maps (key, turn) to tokens still to be read; ``others`` is
+    the estimate of requests there from other hosts. ``parts`` holds the
+    prompt parts sent there, least recently used first.
+    """
+
+    server: model.Server
+    mine: dict = dataclasses.field(default_factory=dict)
+    others: float = 0.0
+    load_at: float = 0.0
+    failing: float = 0.0
+    samples: int = 0
+    slowness: float = 1.0
+    heard_at: float = 0.0
+    suspect_until: float = 0.0
+    strikes: int = 0
+    unreached: bool = False
+    parts: dict = dataclasses.field(
+        default_factory=collections.OrderedDict)
+    parts_tokens: int = 0
+    cold_until: float = 0.0
+    # Set while an entry that lapsed in an outage may still come back.
+    lapses_at: float | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class PeerState:
+    """Another entry host, as last heard of."""
+
+    peer: model.Peer
+    heard_at: float
+    ready: bool = False
+    leaving: bool = False
+    catalog_revision: int = 0
+    servers_revision: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Host:
+    """All of an entry host's state."""
+
+    cfg: Settings
+    rng: random.Random
+    me: model.Peer | None = None
+    catalog: model.Catalog | None = None
+    servers: dict = dataclasses.field(default_factory=dict)
+    by_service: dict = dataclasses.field(default_factory=dict)
+    servers_known: bool = False
+    servers_revision: int = 0
+    pending: dict = dataclasses.field(default_factory=dict)
+    peers: dict = dataclasses.field(default_factory=dict)
+    # By service: times of requests and of repeats within the window.
+    arrivals: dict = dataclasses.field(default_factory=dict)
+    repeats: dict = dataclasses.field(default_factory=dict)
+    # Quarantine: torn attempts not yet explained, crashes by digest.
+    torn: list = dataclasses.field(default_factory=list)
+    crashed: dict = dataclasses.field(default_factory=dict)
+    store_lost_at: float | None = None
+    store_back_at: float | None = None
+    fetch_at: float = 0.0
+    stop_at: float | None = None
+    retired: bool = False
+    exited: bool = False
+
+
+def new_host(cfg, rng):
+    """Return the state of a host that knows nothing yet."""
+    return Host(cfg=cfg, rng=rng)
+
+
+def new_server(server, now):
+    """Return the state of a server that was just heard of."""
+    return ServerState(server=server, heard_at=now,
+                       cold_until=now + server.cold_s)
--- a/crocuskeel/ctl/client.py
+++ b/crocuskeel/ctl/client.py
@@ -7,7 +7,7 @@
 
 from crocuskeel.ctl.results import Code
 from crocuskeel.ctl.results import Failure
-from crocuskeel import platform
+from crocuskeel import objectapi
 from result import Err
 from result import Ok
 
@@ -29,8 +29,8 @@
     """``hosts`` are ``address:port``, tried in their order.
 
     ``send(method, url, headers, data, timeout)`` returns a Deferred of
-    a ``platform.HttpAnswer``, or fails with ``platform.NotSent`` or
-    ``platform.AnswerLost``.
+    a ``objectapi.HttpAnswer``, or fails with ``objectapi.NotSent`` or
+    ``objectapi.AnswerLost``.
     """
 
     hosts: tuple[str, ...]
@@ -99,9 +99,9 @@
     timeout = READ_S if method == "GET" else WRITE_S
     try:
         answer = await client.send(method, url, headers, data, timeout)
-    except platform.NotSent as exc:
+    except objectapi.NotSent as exc:
         return _NoAnswer(host, f"not reached: {exc}", False)
-    except platform.AnswerLost as exc:
+    except objectapi.AnswerLost as exc:
         return _NoAnswer(host, f"no answer: {exc}", True)
     return _read(host, answer)
 
--- a/crocuskeel/ctl/editing.py
+++ b/crocuskeel/ctl/editing.py
@@ -14,8 +14,8 @@
 from crocuskeel.ctl.results import Failure
 from crocuskeel.ctl.results import Report
 from crocuskeel.ctl import settings
+from crocuskeel import objectapi
 from crocuskeel.ops import store
-from crocuskeel import platform
 from result import Err
 from result import Ok
 
@@ -127,10 +127,10 @@
     token = files.read(session, args.platform_token_file)
     if token.is_err():
         return token
-    client = platform.new_client(
+    client = objectapi.new_client(
         session.reactor,
-        platform.ClientConfig(args.platform.rstrip("/"),
-                              token.unwrap().strip()),
+        objectapi.ClientConfig(args.platform.rstrip("/"),
+                               token.unwrap().strip()),
         session.client.send, random.Random(args.platform))
     tree = conf.empty_tree()
     edits = merging.document_edits(tree, document.unwrap())
--- /dev/null
+++ b/crocuskeel/gateway/exceptions.py
@@ -0,0 +1,11 @@
+"""Errors of an entry host's I/O."""
+
+__all__ = ["CallFailed", "GatewayError"]
+
+
+class GatewayError(Exception):
+    """Base of this package's errors."""
+
+
+class CallFailed(GatewayError):
+    """A call got no whole answer; it may have been carried out."""
--- /dev/null
+++ b/crocuskeel/gateway/gossip.py
@@ -0,0 +1,50 @@
+"""Datagrams between entry hosts: each host's state, some bytes long."""
+
+from crocuskeel.core.entry import events
+from crocuskeel.core.entry import model
+import msgpack
+from twisted.internet import protocol
+
+__all__ = ["Gossip", "decode", "encode"]
+
+
+def encode(heard):
+    """Return the datagram of a Heard event."""
+    peer = heard.peer
+    return msgpack.packb((
+        (peer.name, peer.boot, peer.domain, peer.front, peer.control,
+         peer.gossip, peer.capacity),
+        heard.ready, heard.leaving, heard.catalog_revision,
+        heard.servers_revision, heard.crashed))
+
+
+def decode(data):
+    """Return the Heard event of a datagram; raises ValueError."""
+    try:
+        peer, ready, leaving, catalog, servers, crashed = msgpack.unpackb(
+            data, use_list=False)
+        name, boot, domain, front, control, gossip, capacity = peer
+    except (TypeError, ValueError, msgpack.UnpackException) as exc:
+        raise ValueError(f"no datagram of a host: {exc}") from exc
+    return events.Heard(
+        model.Peer(name, boot, domain, front, control, gossip, capacity),
+        ready, leaving, catalog, servers, crashed)
+
+
+class Gossip(protocol.DatagramProtocol):
+    """Sends and takes hosts' states."""
+
+    def __init__(self, gateway):
+        self.gateway = gateway
+
+    def datagramReceived(self, datagram, addr):
+        try:
+            event = decode(datagram)
+        except ValueError as exc:
+            self.gateway.log("datagram_refused", {"why": str(exc)})
+            return
+        self.gateway.feed(event)
+
+    def tell(self, effect):
+        """Send this host's state to one peer."""
+        self.transport.write(encode(effect.event), effect.peer.gossip)
--- /dev/null
+++ b/crocuskeel/gateway/loop.py
@@ -0,0 +1,200 @@
+"""Events into the core, its effects out."""
+
+import json
+
+from crocuskeel.core import entry
+from crocuskeel.core.entry import effects
+from crocuskeel.core.entry import events
+from crocuskeel.core.entry import peers
+from crocuskeel.gateway import servers
+
+__all__ = ["Gateway", "feed", "new_gateway"]
+
+# Hosts tell their state this often, s: one that dies is out of callers'
+# lists after four of these.
+TICK_S = 0.3
+JSON = (b"Content-Type", b"application/json")
+
+
+class Gateway:
+    """An entry host at work. ``log(event, fields)`` writes a line.
+
+    ``fetch(peer)`` reads a peer's configuration; ``on_retire`` and
+    ``on_exit`` end listening and the process.
+    """
+
+    def __init__(self, reactor, host, dialect, log):
+        self.reactor = reactor
+        self.host = host
+        self.dialect = dialect
+        self.log = log
+        self.exchanges = {}
+        self.gossip = None
+        self.fetch = None
+        self.metrics = None
+        self.on_retire = None
+        self.on_exit = None
+
+    def start(self, me):
+        """Begin to tick."""
+        self.feed(events.Started(me))
+        self.tick()
+
+    def tick(self):
+        """Tell the core that time passes."""
+        self.reactor.callLater(TICK_S, self.tick)
+        self.feed(events.Ticked())
+
+    def feed(self, event):
+        """Reduce one event and carry out its effects, in order."""
+        now = self.reactor.seconds()
+        for effect in entry.reduce(self.host, event, now):
+            PERFORM[type(effect)](self, effect)
+
+    def limits(self):
+        """Return the limits on what callers send."""
+        catalog = self.host.catalog
+        return catalog.limits if catalog else DEFAULT_LIMITS
+
+    def arrived(self, exchange):
+        """A caller's whole request is here."""
+        try:
+            exchange.request = self.dialect.read_request(
+                exchange.head, exchange.body)
+        except ValueError as exc:
+            self.log("bad_request", {"why": str(exc)})
+            _answer(exchange, 400, str(exc), None)
+            return
+        self.exchanges[exchange.key] = exchange
+        self.feed(events.Arrived(exchange.key, exchange.request))
+
+    def left(self, exchange):
+        """The caller's connection ended before its answer."""
+        self.feed(events.CallerLeft(exchange.key))
+        self.forget(exchange)
+
+    def refused(self, status, why):
+        """A request could not be read."""
+        self.log("unreadable", {"status": status, "why": why})
+
+    def forget(self, exchange):
+        """Let go of all that an exchange holds."""
+        self.exchanges.pop(exchange.key, None)
+        if exchange.timer is not None and exchange.timer.active():
+            exchange.timer.cancel()
+        for attempt in exchange.attempts.values():
+            if not attempt.over:
+                attempt.cancel()
+
+    def addresses(self):
+        """Return the front addresses that callers may use."""
+        return peers.addresses(self.host, self.reactor.seconds())
+
+    def is_ready(self):
+        """Say whether this host takes callers."""
+        return peers.is_ready(self.host)
+
+
+DEFAULT_LIMITS = entry.model.Limits(16384, 4 << 20, 3.0, 15.0)
+
+
+def feed(gateway, event):
+    """Reduce one event; for callbacks that take the gateway first."""
+    gateway.feed(event)
+
+
+def _send(gateway, effect):
+    exchange = gateway.exchanges.get(effect.key)
+    if exchange is not None:
+        exchange.attempts[effect.turn] = servers.begin(
+            gateway, exchange, effect)
+
+
+def _cancel(gateway, effect):
+    exchange = gateway.exchanges.get(effect.key)
+    if exchange is not None:
+        exchange.attempts[effect.turn].cancel()
+
+
+def _pass_on(gateway, effect):
+    exchange = gateway.exchanges.get(effect.key)
+    if exchange is None:
+        return
+    exchange.attempts[effect.turn].pass_on()
+    if exchange.over:
+        gateway.forget(exchange)
+
+
+def _answer_effect(gateway, effect):
+    exchange = gateway.exchanges.get(effect.key)
+    if exchange is None:
+        return
+    _answer(exchange, effect.status, effect.reason, effect.retry_s)
+    gateway.forget(exchange)
+
+
+def _answer(exchange, status, reason, retry_s):
+    headers = [JSON]
+    if retry_s is not None:
+        headers.append((b"Retry-After", b"%.3f" % retry_s))
+    exchange.answer(status, headers,
+                    json.dumps({"error": reason}).encode())
+
+
+def _cut(gateway, effect):
+    exchange = gateway.exchanges.get(effect.key)
+    if exchange is not None:
+        exchange.cut()
+        gateway.forget(exchange)
+
+
+def _timer(gateway, effect):
+    exchange = gateway.exchanges.get(effect.key)
+    if exchange is None:
+        return
+    if exchange.timer is not None and exchange.timer.active():
+        exchange.timer.cancel()
+    delay = max(0.0, effect.at - gateway.reactor.seconds())
+    exchange.timer = gateway.reactor.callLater(
+        delay, gateway.feed, events.TimerFired(effect.key))
+
+
+def _tell(gateway, effect):
+    if gateway.gossip is not None:
+        gateway.gossip.tell(effect)
+
+
+def _fetch(gateway, effect):
+    gateway.fetch(effect.peer)
+
+
+def _retire(gateway, effect):
+    gateway.on_retire()
+
+
+def _exit(gateway, effect):
+    gateway.on_exit()
+
+
+def _note(gateway, effect):
+    gateway.log(effect.event, effect.fields)
+
+
+PERFORM = {
+    effects.Send: _send,
+    effects.Cancel: _cancel,
+    effects.PassOn: _pass_on,
+    effects.Answer: _answer_effect,
+    effects.Cut: _cut,
+    effects.Timer: _timer,
+    effects.Tell: _tell,
+    effects.FetchCatalog: _fetch,
+    effects.Retire: _retire,
+    effects.Exit: _exit,
+    effects.Note: _note,
+}
+
+
+def new_gateway(reactor, host, dialect, log):
+    """Return a gateway that listens nowhere yet."""
+    return Gateway(reactor, host, dialect, log)
--- a/crocuskeel/platform/answers.py
+++ b/crocuskeel/objectapi/answers.py
@@ -3,7 +3,7 @@
 import functools
 import json
 
-from crocuskeel.platform import results
+from crocuskeel.objectapi import results
 
 __all__ = [
     "BUDGET_SPENT", "BUSY", "CANCELLED", "CIRCUIT_OPEN", "IN_FLIGHT",
--- a/crocuskeel/platform/circuit.py
+++ b/crocuskeel/objectapi/circuit.py
@@ -13,7 +13,7 @@
 
 import automat
 
-from crocuskeel.platform import budget as budgets
+from crocuskeel.objectapi import budget as budgets
 
 __all__ = ["Circuit", "CircuitConfig", "new_circuit"]
 
--- a/crocuskeel/platform/client.py
+++ b/crocuskeel/objectapi/client.py
@@ -14,11 +14,11 @@
 from twisted.internet import defer
 from twisted.internet import task
 
-from crocuskeel.platform import answers
-from crocuskeel.platform import budget as budgets
-from crocuskeel.platform import circuit as circuits
-from crocuskeel.platform import exceptions
-from crocuskeel.platform import results
+from crocuskeel.objectapi import answers
+from crocuskeel.objectapi import budget as budgets
+from crocuskeel.objectapi import circuit as circuits
+from crocuskeel.objectapi import exceptions
+from crocuskeel.objectapi import results
 
 __all__ = ["ClientConfig", "PlatformClient", "new_client"]
 
--- a/crocuskeel/platform/transport.py
+++ b/crocuskeel/objectapi/transport.py
@@ -6,8 +6,8 @@
 from twisted.web import _newclient
 from twisted.web import client as web_client
 
-from crocuskeel.platform import exceptions
-from crocuskeel.platform import results
+from crocuskeel.objectapi import exceptions
+from crocuskeel.objectapi import results
 
 __all__ = ["new_treq_send"]
 
--- a/crocuskeel/ops/store.py
+++ b/crocuskeel/ops/store.py
@@ -8,7 +8,7 @@
 from crocuskeel import conf
 from crocuskeel.conf import commit
 from crocuskeel.conf import storage
-from crocuskeel import platform
+from crocuskeel import objectapi
 from twisted.internet import task
 
 __all__ = ["COMMIT_S", "read_part", "run_commit"]
@@ -70,9 +70,9 @@
 
 async def _read_head(client):
     match await client.get(storage.HEAD_KEY):
-        case platform.Found(version=version, body=body):
+        case objectapi.Found(version=version, body=body):
             return commit.HeadRead(storage.decode_head(body), version)
-        case platform.NotFound():
+        case objectapi.NotFound():
             return commit.HeadRead(None, None)
     return commit.StoreFailed()
 
@@ -80,7 +80,7 @@
 async def read_part(client, digest):
     """Return the stored part of that digest, None if it can't be had."""
     match await client.get(storage.part_key(digest)):
-        case platform.Found(body=body):
+        case objectapi.Found(body=body):
             return conf.Part(digest, body)
     return None
 
@@ -89,11 +89,11 @@
     for part in parts:
         key = storage.part_key(part.digest)
         match await client.create(key, part.blob):
-            case platform.Written() | platform.Conflict():
+            case objectapi.Written() | objectapi.Conflict():
                 # A part is named by its content: one that is there
                 # already is the same.
                 continue
-            case platform.WriteUnknown():
+            case objectapi.WriteUnknown():
                 return commit.OutcomeUnknown()
         return commit.StoreFailed()
     return commit.PartsWritten()
@@ -106,10 +106,10 @@
     else:
         result = await client.put(storage.HEAD_KEY, body, step.version)
     match result:
-        case platform.Written():
+        case objectapi.Written():
             return commit.HeadWritten()
-        case platform.Conflict() | platform.NotFound():
+        case objectapi.Conflict() | objectapi.NotFound():
             return commit.HeadMoved()
-        case platform.WriteUnknown():
+        case objectapi.WriteUnknown():
             return commit.OutcomeUnknown()
     return commit.StoreFailed()
--- /dev/null
+++ b/crocuskeel/platform/assembly.py
@@ -0,0 +1,92 @@
+"""Puts an entry host together on the platform."""
+
+import json
+import random
+
+from crocuskeel.core import entry
+from crocuskeel.core.entry import model
+from crocuskeel.gateway import callers
+from crocuskeel.gateway import calls
+from crocuskeel.gateway import exceptions as gateway_exceptions
+from crocuskeel.gateway import gossip
+from crocuskeel.gateway import loop
+from crocuskeel.platform import faces
+from crocuskeel.platform import following
+from crocuskeel.platform import headers
+from crocuskeel.platform import store as stores
+from twisted.internet import defer
+
+__all__ = ["start"]
+
+# Reading a peer's snapshot: a configuration of some hundred kilobytes, s.
+SNAPSHOT_S = 1.0
+BACKLOG = 512
+
+
+def start(reactor, boot, log, on_exit):
+    """Listen and follow the store; return the Gateway."""
+    # The generator only breaks ties and spreads retries; hosts must not
+    # do so alike.
+    seed = f"{boot.host}:{random.SystemRandom().getrandbits(32)}"
+    rng = random.Random(seed)
+    host = entry.new_host(boot.settings, rng)
+    gateway = loop.new_gateway(reactor, host, headers.new_dialect(), log)
+    follower = following.new_follower(
+        reactor, gateway, stores.new_store(reactor, boot.store))
+    _listen(reactor, boot, gateway, follower)
+    gateway.fetch = _fetcher(reactor, gateway, follower)
+    gateway.on_exit = on_exit
+    gateway.start(_me(boot, rng))
+    follower.start()
+    _ask_seeds(boot, gateway)
+    return gateway
+
+
+def _me(boot, rng):
+    return model.Peer(
+        boot.host, rng.getrandbits(32), boot.domain,
+        f"{boot.front[0]}:{boot.front[1]}", boot.control, boot.gossip,
+        boot.cores)
+
+
+def _listen(reactor, boot, gateway, follower):
+    front = callers.new_listener(reactor, gateway)
+    port = reactor.listenTCP(boot.front[1], front, BACKLOG, boot.front[0])
+    face = faces.new_face(reactor, gateway, follower)
+    for ip, number in {boot.ready, boot.directory, boot.control}:
+        reactor.listenTCP(number, face, BACKLOG, ip)
+    gateway.gossip = gossip.Gossip(gateway)
+    reactor.listenUDP(boot.gossip[1], gateway.gossip, boot.gossip[0])
+
+    def retire():
+        port.stopListening()
+        front.close_idle()
+
+    gateway.on_retire = retire
+
+
+def _fetcher(reactor, gateway, follower):
+    async def fetch(address, name):
+        try:
+            reply = await calls.call(
+                reactor, address, b"GET", faces.SNAPSHOT.encode(),
+                SNAPSHOT_S)
+            if reply.status != 200:
+                return
+            follower.take_snapshot(json.loads(reply.body))
+        except (gateway_exceptions.CallFailed, ValueError, KeyError) as exc:
+            gateway.log("no_snapshot", {"peer": name, "why": str(exc)})
+
+    def begin(peer):
+        defer.Deferred.fromCoroutine(fetch(peer.control, peer.name))
+
+    begin.address = fetch
+    return begin
+
+
+def _ask_seeds(boot, gateway):
+    """Ask other hosts at once: the store may be away at a start."""
+    for seed in boot.seeds:
+        if seed != boot.control:
+            defer.Deferred.fromCoroutine(
+                gateway.fetch.address(seed, f"{seed[0]}:{seed[1]}"))
--- a/crocuskeel/platform/exceptions.py
+++ b/crocuskeel/platform/exceptions.py
@@ -1,19 +1,27 @@
-"""Errors between the transport and the client.
+"""Errors of the adapter."""
 
-Callers of the client never see them: every call's result is one of the
-types of :mod:`crocuskeel.platform.results`.
-"""
-
-__all__ = ["AnswerLost", "NotSent", "PlatformError"]
+__all__ = ["BadBoot", "BadObject", "PlatformError", "StoreError"]
 
 
 class PlatformError(Exception):
-    """Base of the platform layer's own errors."""
+    """Base of the adapter's errors."""
+
+
+class BadBoot(PlatformError):
+    """The settings file can't be used; ``faults`` lists every reason."""
+
+    def __init__(self, faults):
+        super().__init__("; ".join(faults))
+        self.faults = tuple(faults)
+
 
+class BadObject(PlatformError):
+    """An object of the store is not of the expected form."""
 
-class NotSent(PlatformError):
-    """No byte of the request left this host; it had no effect."""
 
+class StoreError(PlatformError):
+    """The store did not answer as asked; ``status`` is 0 without one."""
 
-class AnswerLost(PlatformError):
-    """The request may have left this host; a write may have happened."""
+    def __init__(self, status, why):
+        super().__init__(f"{why} ({status})" if status else why)
+        self.status = status
--- /dev/null
+++ b/crocuskeel/platform/faces.py
@@ -0,0 +1,67 @@
+"""The platform's small interfaces of a host: ready, where to connect, and
+what this host knows, for other hosts."""
+
+import json
+
+from crocuskeel.gateway import callers
+from crocuskeel.gateway import loop
+
+__all__ = ["new_face"]
+
+READY = "/crocuskeel/ready"
+RESOLVE = "/crocuskeel/resolve"
+SNAPSHOT = "/snapshot"
+JSON = [(b"Content-Type", b"application/json")]
+
+
+class _Face:
+    """Answers whole requests at once, from a table of paths."""
+
+    def __init__(self, gateway, table):
+        self.gateway = gateway
+        self.table = table
+
+    def limits(self):
+        """Return the limits on what callers send."""
+        return loop.DEFAULT_LIMITS
+
+    def arrived(self, exchange):
+        """Answer a request."""
+        path = exchange.head.target.decode("latin-1").partition("?")[0]
+        answer = self.table.get(path)
+        if answer is None:
+            exchange.answer(404, [], b"")
+            return
+        status, body = answer()
+        headers = JSON if body else []
+        exchange.answer(status, headers, body)
+
+    def left(self, exchange):
+        """The caller is gone; nothing is held for it."""
+
+    def refused(self, status, why):
+        """A request could not be read."""
+        self.gateway.log("unreadable", {"status": status, "why": why})
+
+
+def new_face(reactor, gateway, follower):
+    """Return a factory for the ready, directory and control ports."""
+    def ready():
+        return (200 if gateway.is_ready() else 503), b""
+
+    def resolve():
+        addresses = gateway.addresses()
+        if not addresses:
+            return 503, b""
+        ttl = max(1, int(gateway.host.cfg.address_ttl_s))
+        return 200, json.dumps(
+            {"Addrs": addresses, "TtlS": ttl}).encode()
+
+    def snapshot():
+        found = follower.snapshot()
+        if found is None:
+            return 503, b""
+        return 200, json.dumps(found).encode()
+
+    return callers.new_listener(reactor, _Face(gateway, {
+        READY: ready, RESOLVE: resolve, SNAPSHOT: snapshot}))
--- /dev/null
+++ b/crocuskeel/platform/following.py
@@ -0,0 +1,179 @@
+"""Follows the store: configuration, backend servers, other hosts."""
+
+from crocuskeel.core.entry import events
+from crocuskeel.platform import exceptions
+from crocuskeel.platform import objects
+from crocuskeel.platform import store as stores
+from twisted.internet import defer
+from twisted.internet import task
+
+__all__ = ["Follower", "new_follower"]
+
+CONFIG = "config"
+CONFIG_NAME = "main"
+SERVERS = "servers"
+# This system's own kind of objects: its entry hosts.
+HOSTS = "crocuskeel-hosts"
+# Between calls to a store that fails, s: each call is billed, and
+# configuration has to be in force within 2 s.
+RETRY_LEAST_S = 0.2
+RETRY_MOST_S = 1.0
+
+
+class Follower:
+    """Keeps the gateway's core told of what the store holds.
+
+    ``raw`` holds the objects as read, for hosts that ask.
+    """
+
+    def __init__(self, reactor, gateway, store):
+        self.reactor = reactor
+        self.gateway = gateway
+        self.store = store
+        self.raw_config = None
+        self.raw_servers = {}
+        self.revision = 0
+
+    def start(self):
+        """Begin to follow; never ends."""
+        for run in (self._follow(CONFIG, self._config_listed,
+                                 self._config_changed),
+                    self._follow(SERVERS, self._servers_listed,
+                                 self._servers_changed),
+                    self._register()):
+            defer.Deferred.fromCoroutine(run).addErrback(self._died)
+
+    def _died(self, failure):
+        self.gateway.log("follower_died", {
+            "why": failure.getErrorMessage(),
+            "where": failure.getBriefTraceback()})
+
+    async def _follow(self, kind, listed, changed):
+        revision = None
+        failures = 0
+        while True:
+            try:
+                if revision is None:
+                    listing = await self.store.list(kind)
+                    revision = listing.revision
+                    self._is_back()
+                    listed(listing)
+                else:
+                    news = await self.store.watch(kind, revision)
+                    revision = news.revision
+                    self._is_back()
+                    changed(news)
+                failures = 0
+            except exceptions.StoreError as exc:
+                failures += 1
+                if exc.status == stores.GONE:
+                    revision = None
+                elif failures > 1:
+                    self._is_lost(str(exc))
+                await self._pause(failures)
+
+    def _is_lost(self, why):
+        self.gateway.feed(events.StoreLost(why))
+
+    def _is_back(self):
+        self.gateway.feed(events.StoreBack())
+
+    def _pause(self, failures):
+        span = min(RETRY_MOST_S, RETRY_LEAST_S * 2 ** (failures - 1))
+        span *= 0.75 + 0.5 * self.gateway.host.rng.random()
+        return task.deferLater(self.reactor, span)
+
+    def _config_listed(self, listing):
+        for obj in listing.items:
+            self.take_config(obj)
+
+    def _config_changed(self, news):
+        for obj, removed in news.rows:
+            if not removed:
+                self.take_config(obj)
+
+    def take_config(self, obj):
+        """Put a configuration in force, from the store or a peer."""
+        if objects.name(obj) != CONFIG_NAME:
+            return
+        try:
+            catalog = objects.catalog(obj)
+        except exceptions.BadObject as exc:
+            self.gateway.log("bad_object", {"why": str(exc)})
+            return
+        current = self.gateway.host.catalog
+        if current is None or catalog.revision > current.revision:
+            self.raw_config = obj
+        self.gateway.feed(events.CatalogSeen(catalog))
+
+    def _servers_listed(self, listing):
+        self.raw_servers = {}
+        servers = self._decode_servers(listing.items)
+        self.revision = listing.revision
+        self.gateway.feed(events.ServersListed(servers, listing.revision))
+
+    def _servers_changed(self, news):
+        removed = tuple(objects.name(obj) for obj, gone in news.rows
+                        if gone)
+        for sid in removed:
+            self.raw_servers.pop(sid, None)
+        changed = self._decode_servers(
+            [obj for obj, gone in news.rows if not gone])
+        self.revision = news.revision
+        self.gateway.feed(events.ServersChanged(
+            changed, removed, news.revision))
+
+    def _decode_servers(self, items):
+        servers = []
+        for obj in items:
+            try:
+                servers.append(objects.server(obj))
+            except exceptions.BadObject as exc:
+                self.gateway.log("bad_object", {"why": str(exc)})
+                continue
+            self.raw_servers[objects.name(obj)] = obj
+        return tuple(servers)
+
+    async def _register(self):
+        """Register this host, then learn of the others, once."""
+        me = self.gateway.host.me
+        failures = 0
+        while True:
+            try:
+                await self.store.put(HOSTS, me.name,
+                                     objects.peer_spec(me))
+                listing = await self.store.list(HOSTS)
+                break
+            except exceptions.StoreError as exc:
+                failures += 1
+                self.gateway.log("not_registered", {"why": str(exc)})
+                await self._pause(failures)
+        self.gateway.feed(events.PeersSeen(tuple(
+            peer for peer in map(self._peer, listing.items) if peer)))
+
+    def _peer(self, obj):
+        try:
+            return objects.peer(obj)
+        except exceptions.BadObject as exc:
+            self.gateway.log("bad_object", {"why": str(exc)})
+            return None
+
+    def snapshot(self):
+        """Return what a host without the store needs, or None."""
+        if self.raw_config is None:
+            return None
+        return {"config": self.raw_config,
+                "servers": list(self.raw_servers.values()),
+                "revision": self.revision}
+
+    def take_snapshot(self, snapshot):
+        """Take another host's snapshot."""
+        self.take_config(snapshot["config"])
+        if not self.gateway.host.servers_known:
+            self._servers_listed(stores.Listing(
+                tuple(snapshot["servers"]), snapshot["revision"]))
+
+
+def new_follower(reactor, gateway, store):
+    """Return a follower that has not begun."""
+    return Follower(reactor, gateway, store)
--- /dev/null
+++ b/crocuskeel/platform/store.py
@@ -0,0 +1,112 @@
+"""The one client of the platform's store."""
+
+import dataclasses
+import json
+import urllib.parse
+
+from crocuskeel.gateway import calls
+from crocuskeel.gateway import exceptions as gateway_exceptions
+from crocuskeel.platform import exceptions
+
+__all__ = ["Changes", "Listing", "Store", "new_store"]
+
+PATH = "/crocuskeel/objects/"
+# The store answers in 4 ms, when slow in some hundred, s.
+CALL_S = 2.0
+# The longest that the store holds a watch, s: each one is billed.
+WATCH_S = 30.0
+PAGES_MOST = 1000
+OK = 200
+CREATED = 201
+CONFLICT = 409
+GONE = 410
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listing:
+    """All objects of a kind, as of a revision."""
+
+    items: tuple
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """Changed objects as (object, removed), up to a revision."""
+
+    rows: tuple
+    revision: int
+
+
+class Store:
+    """Calls to the store. ``counts`` of calls by name, for metrics."""
+
+    def __init__(self, reactor, address):
+        self.reactor = reactor
+        self.address = address
+        self.counts = {}
+
+    async def list(self, kind):
+        """Return the Listing of a kind; raises StoreError."""
+        items = []
+        after = ""
+        for _ in range(PAGES_MOST):
+            page = await self._get("list", kind, after)
+            items += page["Items"]
+            if not page.get("More"):
+                break
+            after = f"?AfterRev={_quote(items[-1]['Meta']['Name'])}"
+        return Listing(tuple(items), page["AsOf"])
+
+    async def watch(self, kind, revision):
+        """Wait for changes after a revision; return Changes.
+
+        Raises StoreError; its status is 410 if the history is gone.
+        """
+        query = f"?Watch={revision}&WaitMs={int(WATCH_S * 1000)}"
+        page = await self._get("watch", kind, query, WATCH_S + CALL_S)
+        rows = tuple((row["Object"], bool(row["Removed"]))
+                     for row in page.get("events") or ())
+        return Changes(rows, page["AsOf"])
+
+    async def put(self, kind, name, spec):
+        """Create an object or replace its content; raises StoreError."""
+        body = {"Meta": {"Name": name}, "Spec": spec}
+        reply = await self._call("create", b"POST", kind, body)
+        if reply.status == CONFLICT:
+            reply = await self._call(
+                "put", b"PUT", f"{kind}/{_quote(name)}", body)
+        if reply.status not in (OK, CREATED):
+            raise exceptions.StoreError(reply.status, "not written")
+
+    async def _get(self, what, kind, query, timeout_s=CALL_S):
+        reply = await self._call(what, b"GET", kind + query, None,
+                                 timeout_s)
+        if reply.status != OK:
+            raise exceptions.StoreError(reply.status, f"{what} {kind}")
+        try:
+            page = json.loads(reply.body)
+            page["AsOf"]
+        except (ValueError, KeyError, TypeError) as exc:
+            raise exceptions.StoreError(
+                0, f"{what} {kind}: {exc!r}") from exc
+        return page
+
+    async def _call(self, what, method, target, body, timeout_s=CALL_S):
+        self.counts[what] = self.counts.get(what, 0) + 1
+        data = json.dumps(body).encode() if body is not None else b""
+        try:
+            return await calls.call(
+                self.reactor, self.address, method,
+                (PATH + target).encode(), timeout_s, data)
+        except gateway_exceptions.CallFailed as exc:
+            raise exceptions.StoreError(0, f"{what}: {exc}") from exc
+
+
+def _quote(text):
+    return urllib.parse.quote(text, safe="")
+
+
+def new_store(reactor, address):
+    """Return a client of the store at (ip, port)."""
+    return Store(reactor, address)
--- a/crocuskeel/programs/ctl.py
+++ b/crocuskeel/programs/ctl.py
@@ -28,9 +28,9 @@
 
 async def _start(reactor, args, code):
     from crocuskeel import ctl
-    from crocuskeel import platform
+    from crocuskeel import objectapi
 
-    send = platform.new_treq_send(reactor)
+    send = objectapi.new_treq_send(reactor)
     client = ctl.connection(args, os.environ, _read_text, send)
     if client.is_err():
         result = client
--- /dev/null
+++ b/crocuskeel/programs/entry.py
@@ -0,0 +1,84 @@
+"""crocuskeel-entry: the daemon of an entry host on the platform."""
+
+import argparse
+import os
+import signal
+import sys
+import time
+
+from crocuskeel.platform import boot as boots
+from crocuskeel.platform import exceptions
+
+__all__ = ["main", "new_parser"]
+
+SETTINGS_VARIABLE = "CROCUSKEEL_BOOT"
+SETTINGS_PATH = "/etc/crocuskeel/boot.conf"
+EXIT_SETTINGS = 2
+
+
+def new_parser():
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(
+        prog="crocuskeel-entry",
+        description="Daemon of an entry host on the platform.")
+    parser.add_argument(
+        "--settings", metavar="FILE",
+        default=os.environ.get(SETTINGS_VARIABLE, SETTINGS_PATH),
+        help="the platform's settings file")
+    parser.add_argument(
+        "--check", action="store_true",
+        help="check the settings file and exit")
+    return parser
+
+
+def main(argv=None):
+    """Run until stopped; return the exit code."""
+    args = new_parser().parse_args(argv)
+    try:
+        with open(args.settings, encoding="utf-8") as lines:
+            boot = boots.read_boot(lines.read())
+    except OSError as exc:
+        print(f"{args.settings}: {exc.strerror}", file=sys.stderr)
+        return EXIT_SETTINGS
+    except exceptions.BadBoot as exc:
+        for fault in exc.faults:
+            print(f"{args.settings}: {fault}", file=sys.stderr)
+        return EXIT_SETTINGS
+    if args.check:
+        print(f"{args.settings}: good")
+        return 0
+    return _run(boot)
+
+
+def _run(boot):
+    from twisted.internet import asyncioreactor
+
+    asyncioreactor.install()
+    from twisted.internet import reactor
+
+    from crocuskeel.core.entry import events
+    from crocuskeel.gateway import logs
+    from crocuskeel.platform import assembly
+
+    # Twisted's own clock is the time of day, which jumps.
+    reactor.seconds = time.monotonic
+    log, flush = logs.new_log(reactor, sys.stdout.fileno(), boot.host)
+    log("started", {"pid": os.getpid(), "domain": boot.domain})
+    gateway = assembly.start(reactor, boot, log, reactor.stop)
+    reactor._asyncioEventloop.add_signal_handler(
+        signal.SIGTERM, gateway.feed, events.StopAsked())
+    reactor._asyncioEventloop.add_signal_handler(
+        signal.SIGHUP, _reload, log)
+    reactor.run(installSignalHandlers=False)
+    flush()
+    return 0
+
+
+def _reload(log):
+    # A process's addresses and bounds hold for its life; what changes
+    # while it runs is in the store.
+    log("reload", {"changed": []})
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/crocuskeel/runtime/platform_calls.py
+++ b/crocuskeel/runtime/platform_calls.py
@@ -3,18 +3,18 @@
 from crocuskeel.core import effects
 from crocuskeel.core import events
 from crocuskeel.core import messages
-from crocuskeel import platform
+from crocuskeel import objectapi
 from crocuskeel.runtime import loop
 
 __all__ = ["handlers"]
 
 Status = events.StoreStatus
 _FAILED = {
-    platform.NotFound: Status.NOT_FOUND,
-    platform.Conflict: Status.CONFLICT,
-    platform.Unavailable: Status.UNAVAILABLE,
-    platform.Rejected: Status.UNAVAILABLE,
-    platform.WriteUnknown: Status.UNKNOWN,
+    objectapi.NotFound: Status.NOT_FOUND,
+    objectapi.Conflict: Status.CONFLICT,
+    objectapi.Unavailable: Status.UNAVAILABLE,
+    objectapi.Rejected: Status.UNAVAILABLE,
+    objectapi.WriteUnknown: Status.UNKNOWN,
 }
 _KINDS = {"engine": "engine", "service": "plain"}
 
@@ -59,11 +59,11 @@
 
 def _answered(op, result):
     match result:
-        case platform.Found(version=version, body=body):
+        case objectapi.Found(version=version, body=body):
             return events.StoreAnswered(op, Status.FOUND, version, body)
-        case platform.Written(version=version):
+        case objectapi.Written(version=version):
             return events.StoreAnswered(op, Status.WRITTEN, version)
-        case platform.Unchanged(version=version):
+        case objectapi.Unchanged(version=version):
             return events.StoreAnswered(op, Status.UNCHANGED, version)
     return events.StoreAnswered(op, _FAILED[type(result)])
 
@@ -78,7 +78,7 @@
 
 
 def _listed(result):
-    if not isinstance(result, platform.HostList):
+    if not isinstance(result, objectapi.HostList):
         return events.HostListFailed()
     entries = tuple(_entry(each) for each in result.hosts
                     if each.role == "entry")
--- a/crocuskeel/runtime/program.py
+++ b/crocuskeel/runtime/program.py
@@ -10,8 +10,8 @@
 from crocuskeel.core import factory
 from crocuskeel.core import messages
 from crocuskeel.core import reducer
-from crocuskeel import platform
-from crocuskeel.platform import transport
+from crocuskeel import objectapi
+from crocuskeel.objectapi import transport
 from crocuskeel.runtime import attempts
 from crocuskeel.runtime import bounded_request
 from crocuskeel.runtime import callers
@@ -79,9 +79,9 @@
     if not cfg.platform_url:
         return None
     rng = random.Random(f"{identity.host}/{identity.incarnation}")
-    return platform.new_client(
+    return objectapi.new_client(
         reactor,
-        platform.ClientConfig(cfg.platform_url, cfg.platform_token),
+        objectapi.ClientConfig(cfg.platform_url, cfg.platform_token),
         transport.new_treq_send(reactor), rng)
 
 
--- a/crocuskeel/runtime/records.py
+++ b/crocuskeel/runtime/records.py
@@ -12,7 +12,7 @@
 
 from crocuskeel.core import effects
 from crocuskeel.core import follower
-from crocuskeel.platform import budget as budgets
+from crocuskeel.objectapi import budget as budgets
 from crocuskeel.timeline import hlc
 
 __all__ = ["Records", "begin_logs", "flush", "handlers", "heard",
--- a/tests/ctl/fleet.py
+++ b/tests/ctl/fleet.py
@@ -17,8 +17,8 @@
 from crocuskeel.core import quarantine
 from crocuskeel.core import state
 from crocuskeel import ctl
+from crocuskeel import objectapi
 from crocuskeel import ops
-from crocuskeel import platform
 import klein
 from tests.conf import samples
 from treq import testing
@@ -48,10 +48,10 @@
     def get(self, path):
         """Read an object."""
         if self.down:
-            return defer.succeed(platform.Unavailable("not_sent"))
+            return defer.succeed(objectapi.Unavailable("not_sent"))
         if path not in self.objects:
-            return defer.succeed(platform.NotFound())
-        return defer.succeed(platform.Found(*self.objects[path]))
+            return defer.succeed(objectapi.NotFound())
+        return defer.succeed(objectapi.Found(*self.objects[path]))
 
     def create(self, path, body):
         """Write an object that must not exist."""
@@ -64,13 +64,13 @@
 
     def _write(self, path, body, allowed):
         if not allowed:
-            return defer.succeed(platform.Conflict())
+            return defer.succeed(objectapi.Conflict())
         self.version += 1
         self.objects[path] = (self.version, body)
         if path == storage.HEAD_KEY and self.lose:
             self.lose -= 1
-            return defer.succeed(platform.WriteUnknown("lost"))
-        return defer.succeed(platform.Written(self.version))
+            return defer.succeed(objectapi.WriteUnknown("lost"))
+        return defer.succeed(objectapi.Written(self.version))
 
     def head(self):
         """Return the stored head."""
@@ -161,7 +161,7 @@
         address = urllib.parse.urlsplit(url).hostname
         host = f"h{address.rpartition('.')[2]}"
         if host in self.down:
-            raise platform.NotSent("refused")
+            raise objectapi.NotSent("refused")
         web = self._web[host]
         fut = web.request(method, url, headers=headers, data=data)
         web.flush()
@@ -170,8 +170,8 @@
         if host not in self.stuck and method == "POST":
             self.spread()
         if host in self.lose_answers_of:
-            raise platform.AnswerLost("connection lost")
-        return platform.HttpAnswer(answer.code, {}, body)
+            raise objectapi.AnswerLost("connection lost")
+        return objectapi.HttpAnswer(answer.code, {}, body)
 
     def run(self, *argv, token=OPERATOR, hosts="10.0.0.1:8100"):
         """Run the command; return its exit code, output and errors."""
--- a/tests/platform/test_client.py
+++ b/tests/objectapi/test_client.py
@@ -6,7 +6,7 @@
 from twisted.internet import defer
 from twisted.internet import task
 
-from crocuskeel import platform
+from crocuskeel import objectapi
 
 
 class FakeApi:
@@ -14,7 +14,7 @@
 
     def __init__(self, script=None):
         self.script = list(script or ())
-        self.default = platform.HttpAnswer(200, {"etag": '"7"'}, b"x")
+        self.default = objectapi.HttpAnswer(200, {"etag": '"7"'}, b"x")
         self.calls = []
         self.held = []
         self.open_calls = 0
@@ -40,13 +40,13 @@
 def answer(status, body=b"", **headers):
     """Build an answer of the API."""
     named = {key.replace("_", "-"): val for key, val in headers.items()}
-    return platform.HttpAnswer(status, named, body)
+    return objectapi.HttpAnswer(status, named, body)
 
 
 def new_client(api, clock, seed=1, **kwargs):
     """Return a client on a fake API and a paused clock."""
-    cfg = platform.ClientConfig("http://127.0.0.1:1", "t0", **kwargs)
-    return platform.new_client(
+    cfg = objectapi.ClientConfig("http://127.0.0.1:1", "t0", **kwargs)
+    return objectapi.new_client(
         clock, cfg, api.send, random.Random(seed))
 
 
@@ -60,54 +60,54 @@
     return (fired or [None])[0], clock.seconds() - begun
 
 
-LOST = platform.AnswerLost("connection lost")
-REFUSED = platform.NotSent("connection refused")
+LOST = objectapi.AnswerLost("connection lost")
+REFUSED = objectapi.NotSent("connection refused")
 PUT = ("put", "a/b", b"x", 3)
 
 # One row a fault: script of answers, call, expected result, calls made.
 FAULTS = [
-    ("found", [], ("get", "a"), platform.Found(7, b"x"), 1),
-    ("missing", [answer(404)], ("get", "a"), platform.NotFound(), 1),
+    ("found", [], ("get", "a"), objectapi.Found(7, b"x"), 1),
+    ("missing", [answer(404)], ("get", "a"), objectapi.NotFound(), 1),
     ("read lost, then well", [LOST], ("get", "a"),
-     platform.Found(7, b"x"), 2),
+     objectapi.Found(7, b"x"), 2),
     ("read 500, then well", [answer(500)], ("get", "a"),
-     platform.Found(7, b"x"), 2),
+     objectapi.Found(7, b"x"), 2),
     ("read lost for good", [LOST] * 3, ("get", "a"),
-     platform.Unavailable("lost"), 3),
+     objectapi.Unavailable("lost"), 3),
     ("read without version", [answer(200)] * 3, ("get", "a"),
-     platform.Unavailable("bad_answer"), 3),
-    ("written", [answer(200, etag='"8"')], PUT, platform.Written(8), 1),
-    ("stale version", [answer(412)], PUT, platform.Conflict(), 1),
+     objectapi.Unavailable("bad_answer"), 3),
+    ("written", [answer(200, etag='"8"')], PUT, objectapi.Written(8), 1),
+    ("stale version", [answer(412)], PUT, objectapi.Conflict(), 1),
     ("write lost is never repeated", [LOST], PUT,
-     platform.WriteUnknown("lost"), 1),
+     objectapi.WriteUnknown("lost"), 1),
     ("write silent is never repeated", [None], PUT,
-     platform.WriteUnknown("lost"), 1),
+     objectapi.WriteUnknown("lost"), 1),
     ("write 503 may have happened", [answer(503)], PUT,
-     platform.WriteUnknown("server_error"), 1),
+     objectapi.WriteUnknown("server_error"), 1),
     ("write without version", [answer(200)], PUT,
-     platform.WriteUnknown("bad_answer"), 1),
+     objectapi.WriteUnknown("bad_answer"), 1),
     ("write not sent, then well", [REFUSED], PUT,
-     platform.Written(7), 2),
+     objectapi.Written(7), 2),
     ("write not sent for good", [REFUSED] * 3, PUT,
-     platform.Unavailable("not_sent"), 3),
-    ("write too large", [answer(413)], PUT, platform.Rejected(413), 1),
+     objectapi.Unavailable("not_sent"), 3),
+    ("write too large", [answer(413)], PUT, objectapi.Rejected(413), 1),
     ("busy, told when", [answer(429, retry_after="0.5")], PUT,
-     platform.Written(7), 2),
+     objectapi.Written(7), 2),
     ("create loses a race", [answer(412)], ("create", "a", b""),
-     platform.Conflict(), 1),
+     objectapi.Conflict(), 1),
     ("delete lost is never repeated", [LOST], ("delete", "a", 3),
-     platform.WriteUnknown("lost"), 1),
+     objectapi.WriteUnknown("lost"), 1),
     ("watch ends", [answer(304)], ("watch", "a", 7, 30.0),
-     platform.Unchanged(7), 1),
+     objectapi.Unchanged(7), 1),
     ("listing", [answer(200, b'{"objects":[{"path":"a","version":2}]}')],
      ("list_objects", "a"),
-     platform.Listed((platform.ObjectRef("a", 2),)), 1),
+     objectapi.Listed((objectapi.ObjectRef("a", 2),)), 1),
     ("host list", [answer(
         200, b'{"at":4,"hosts":[{"name":"e1","address":"127.0.0.2",'
         b'"port":80,"domain":"perth-a","region":"wa-south",'
         b'"role":"engine","service":"guide-llm","state":"leaving"}]}')],
      ("hosts",),
-     platform.HostList(4, (platform.HostEntry(
+     objectapi.HostList(4, (objectapi.HostEntry(
          "e1", "127.0.0.2", 80, "perth-a", "wa-south", "engine",
          "guide-llm", "leaving"),)), 1),
 ]
--- a/tests/platform/test_transport.py
+++ b/tests/objectapi/test_transport.py
@@ -6,7 +6,7 @@
 from twisted.internet import testing
 from twisted.python import failure
 
-from crocuskeel import platform
+from crocuskeel import objectapi
 
 
 class TransportTest(unittest.TestCase):
@@ -14,7 +14,7 @@
 
     def setUp(self):
         self.reactor = testing.MemoryReactorClock()
-        self.send = platform.new_treq_send(self.reactor)
+        self.send = objectapi.new_treq_send(self.reactor)
         self.fired = []
 
     def start(self, method="PUT"):
@@ -50,7 +50,7 @@
         factory.clientConnectionFailed(
             None, failure.Failure(error.ConnectionRefusedError()))
         self.reactor.advance(0.5)
-        self.assertTrue(self.fired[0].check(platform.NotSent))
+        self.assertTrue(self.fired[0].check(objectapi.NotSent))
 
     def test_lost_delete_is_not_repeated(self):
         """A finished delete is reported as a conflict.
@@ -66,10 +66,10 @@
         self.start("DELETE")
         transport.loseConnection()
         self.assertEqual(1, len(self.reactor.tcpClients))
-        self.assertTrue(self.fired[1].check(platform.AnswerLost))
+        self.assertTrue(self.fired[1].check(objectapi.AnswerLost))
 
     def test_silent_connection_is_bounded(self):
         self.start()
         self.connect()
         self.reactor.advance(1.01)
-        self.assertTrue(self.fired[0].check(platform.AnswerLost))
+        self.assertTrue(self.fired[0].check(objectapi.AnswerLost))
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -14,7 +14,7 @@
 PURE = ("core", "conf")
 NOT_IN_PURE = (
     "twisted", "klein", "treq", "grpclib", "loguru", "asyncio", "statsd",
-    "time", "socket", "crocuskeel.runtime", "crocuskeel.platform",
+    "time", "socket", "crocuskeel.runtime", "crocuskeel.objectapi",
     "crocuskeel.ctl", "crocuskeel.ops", "crocuskeel.wire",
     "crocuskeel.programs", "crocuskeel.control")
 MAX_LINES = 400
--- a/tools/demo_settings.py
+++ b/tools/demo_settings.py
@@ -7,8 +7,8 @@
 from crocuskeel import conf
 from crocuskeel.conf import commit
 from crocuskeel.conf import storage
-from crocuskeel import platform
-from crocuskeel.platform import transport
+from crocuskeel import objectapi
+from crocuskeel.objectapi import transport
 
 __all__ = ["load", "parse_tree", "read_tree"]
 
@@ -30,8 +30,8 @@
 
 async def load(reactor, url, token, tree):
     """Commit the whole of ``tree`` as the first batch."""
-    client = platform.new_client(
-        reactor, platform.ClientConfig(url, token),
+    client = objectapi.new_client(
+        reactor, objectapi.ClientConfig(url, token),
         transport.new_treq_send(reactor), random.Random(1))
     edits = conf.document_edits(
         conf.empty_tree(), conf.to_document(tree))
@@ -66,19 +66,19 @@
 
 
 def _head(result):
-    if isinstance(result, platform.Found):
+    if isinstance(result, objectapi.Found):
         return commit.HeadRead(
             storage.decode_head(result.body), result.version)
-    if isinstance(result, platform.NotFound):
+    if isinstance(result, objectapi.NotFound):
         return commit.HeadRead(None, None)
     return commit.StoreFailed()
 
 
 def _written(result):
-    if isinstance(result, platform.Written):
+    if isinstance(result, objectapi.Written):
         return commit.HeadWritten()
-    if isinstance(result, platform.Conflict):
+    if isinstance(result, objectapi.Conflict):
         return commit.HeadMoved()
-    if isinstance(result, platform.WriteUnknown):
+    if isinstance(result, objectapi.WriteUnknown):
         return commit.OutcomeUnknown()
     return commit.StoreFailed()
