Hosts tell each other loads and placements

Change: datagrams carry requests and unread tokens a server, and parts sent; a re-read counts four times; lapsed servers are kept for 1.6 s.

--- a/crocuskeel/core/entry/choosing.py
+++ b/crocuskeel/core/entry/choosing.py
@@ -2,16 +2,16 @@
 
 The wait at an engine is estimated from tokens that it has to read before
 the first token of this request: those of requests ahead, and those of
-this prompt that it doesn't hold yet. Every host expects a prompt's
-shared parts at the same engine (highest random weight), so a part is
-read once by the fleet and not once by each host, and goes elsewhere only
-when waiting there would cost more than reading it again.
+this prompt that it doesn't hold yet. Hosts tell each other what they
+have under way at each engine and which parts they sent there, so that a
+shared part is read once by the fleet and not once by each host. It goes
+elsewhere only when waiting there costs more than reading it again.
 """
 
 from crocuskeel.core.entry import routing
 
-__all__ = ["choose", "fresh_tokens", "note_load", "remember",
-           "running"]
+__all__ = ["ahead_tokens", "choose", "fresh_tokens", "note_load",
+           "place", "remember", "running"]
 
 # Reading speed of an engine, tokens a second: between the 36,700 and
 # 48,200 that the two deployments' engines are rated at.
@@ -19,9 +19,9 @@
 # One more running request slows each step of an engine by 0.12 ms of
 # 2.6 ms; over the some 100 steps of an answer that is 12 ms.
 RUNNING_S = 0.012
-# A request of another host that waits, in tokens: the mean prompt less
-# what is shared, by the deployments' sheets.
-WAITING_TOKENS = 4_000
+# Reading a shared part once more takes an engine's time from every other
+# request and is billed besides: it counts this many times its own time.
+REREAD = 4.0
 # All slots taken: waiting for one takes the better part of an answer.
 FULL_S = 1.0
 # A plain service's call takes some tens of milliseconds.
@@ -30,11 +30,12 @@
 ACROSS_S = 0.004
 # A server with this share of failures looks as slow as a full one.
 FAILING_S = 1.0
-# Reports of other hosts' load fade: half of it is gone after this, s.
-LOAD_HALF_S = 0.5
-# Parts that this host remembers at a server, as a share of its memory:
-# the rest is taken by running requests and other hosts' parts.
-PARTS_SHARE = 0.6
+# What another host said of its load counts for this long, s: three of
+# its datagrams.
+SAID_S = 1.0
+# Parts that a server is thought to hold, as a share of its memory: the
+# rest is taken by running requests.
+PARTS_SHARE = 0.7
 
 
 def choose(host, service, request, exclude, now):
@@ -68,10 +69,16 @@
 
 
 def _home(states, request):
-    """Return the engine where all hosts expect the shared parts."""
+    """Return the engine where a prompt's shared parts go first.
+
+    All hosts find the same one (highest random weight), so that two of
+    them don't have a new part read twice.
+    """
     if request.prompt is None or len(request.prompt.parts) < 2:
         return None
     shared = request.prompt.parts[-2][0]
+    if any(shared in state.parts for state in states):
+        return None
     return max(states, key=lambda state: routing.unit_hash(
         shared, state.server.sid))
 
@@ -100,55 +107,79 @@
 
 
 def _engine_wait(state, request, at_home, now):
-    ahead = sum(state.mine.values())
-    waiting = max(0.0, running(state, now) - state.server.slots)
-    ahead += waiting * WAITING_TOKENS
-    tokens = ahead + fresh_tokens(state, request.prompt, at_home)
-    wait = tokens / PREFILL_TOKENS_S
-    wait += RUNNING_S * running(state, now)
-    if waiting:
+    prompt = request.prompt
+    shared = _shared_fresh(state, prompt)
+    own = prompt.tokens - sum(tokens for _, tokens in prompt.parts[:-1])
+    tokens = ahead_tokens(state, now) + own
+    if not at_home:
+        tokens += REREAD * shared
+    busy = running(state, now)
+    wait = tokens / PREFILL_TOKENS_S + RUNNING_S * busy
+    if busy >= state.server.slots:
         wait += FULL_S
     return wait
 
 
-def fresh_tokens(state, prompt, at_home):
+def _shared_fresh(state, prompt):
+    """Return how many tokens of the shared parts are not held."""
+    held = 0
+    shared = prompt.parts[:-1]
+    for part, tokens in shared:
+        if part not in state.parts:
+            break
+        held += tokens
+    return sum(tokens for _, tokens in shared) - held
+
+
+def fresh_tokens(state, prompt):
     """Return how many tokens of a prompt an engine has yet to read.
 
-    A part counts as held only if all parts before it are. The last part
-    is the request's own; it is held only if this host sent it there.
+    A part counts as held only if all parts before it are.
     """
     fresh = prompt.tokens
-    last = len(prompt.parts) - 1
-    for place, (part, tokens) in enumerate(prompt.parts):
-        held = part in state.parts or (at_home and place < last)
-        if not held:
+    for part, tokens in prompt.parts:
+        if part not in state.parts:
             break
         fresh -= tokens
     return max(0, fresh)
 
 
+def ahead_tokens(state, now):
+    """Return the tokens that all hosts wait for an engine to read."""
+    said = sum(tokens for _, tokens, at in state.others.values()
+               if at > now - SAID_S)
+    return said + sum(state.mine.values())
+
+
 def running(state, now):
-    """Return the estimate of requests at a server, of all hosts."""
-    age = max(0.0, now - state.load_at)
-    return len(state.mine) + state.others * 0.5 ** (age / LOAD_HALF_S / 4)
+    """Return the requests at a server, of all hosts."""
+    said = sum(count for count, _, at in state.others.values()
+               if at > now - SAID_S)
+    return len(state.mine) + said
 
 
 def note_load(state, load, now):
-    """Learn of other hosts' requests from a server's own count."""
-    if load is None:
-        return
-    active, waiting, _ = load
-    state.others = max(0.0, active + waiting - len(state.mine))
-    state.load_at = now
+    """Note what a server says of its own load."""
+    if load is not None:
+        active, waiting, _ = load
+        state.load = active + waiting
+        state.load_at = now
 
 
-def remember(state, prompt, memory):
-    """Note that an engine holds the parts of a prompt from now on."""
+def place(host, state, prompt, memory, now):
+    """Note that an engine holds a prompt's parts, and tell the others."""
     for part, tokens in prompt.parts:
-        if part in state.parts:
-            state.parts_tokens -= state.parts.pop(part)
-        state.parts[part] = tokens
-        state.parts_tokens += tokens
+        remember(state, part, tokens, memory)
+    for part, tokens in prompt.parts[:-1]:
+        host.placed.append((now, state.server.sid, part, tokens))
+
+
+def remember(state, part, tokens, memory):
+    """Note that an engine holds a part from now on."""
+    if part in state.parts:
+        state.parts_tokens -= state.parts.pop(part)
+    state.parts[part] = tokens
+    state.parts_tokens += tokens
     while state.parts_tokens > memory * PARTS_SHARE:
-        _, tokens = state.parts.popitem(last=False)
-        state.parts_tokens -= tokens
+        _, dropped = state.parts.popitem(last=False)
+        state.parts_tokens -= dropped
--- a/crocuskeel/core/entry/events.py
+++ b/crocuskeel/core/entry/events.py
@@ -153,7 +153,9 @@
     """A datagram of another host.
 
     ``crashed`` holds (digest, server id) of requests under which a
-    server ended; ``leaving`` holds ids of servers known to leave.
+    server ended; ``loads`` holds (server id, requests, tokens to be read,
+    milliseconds since it was heard) of that host's own requests, and
+    ``parts`` (server id, part, tokens) that it sent there lately.
     """
 
     peer: model.Peer
@@ -163,6 +165,7 @@
     servers_revision: int
     crashed: tuple = ()
     loads: tuple = ()
+    parts: tuple = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/crocuskeel/core/entry/peers.py
+++ b/crocuskeel/core/entry/peers.py
@@ -2,6 +2,7 @@
 
 import zlib
 
+from crocuskeel.core.entry import choosing
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import quarantine
@@ -19,6 +20,10 @@
 # One peer is asked for a newer configuration at a time, each, s.
 FETCH_S = 0.5
 ADDRESSES_MOST = 64
+# Servers that were heard within this are told of, s.
+LOADS_S = 1.0
+# Parts sent to engines are told for this long, s: in two datagrams.
+PARTS_S = 0.6
 
 
 def seen(host, event, now):
@@ -49,9 +54,32 @@
     known.servers_revision = event.servers_revision
     for digest, sid in event.crashed:
         quarantine.learn(host, digest, sid, now)
+    _take_loads(host, event, now)
     return out + _catch_up(host, known, now)
 
 
+def _take_loads(host, event, now):
+    """Learn what another host has under way at each server."""
+    for sid, count, tokens, silent_ms in event.loads:
+        state = host.servers.get(sid)
+        if state is None:
+            continue
+        state.others[event.peer.name] = (count, tokens, now)
+        state.heard_at = max(state.heard_at, now - silent_ms / 1000)
+    for sid, part, tokens in event.parts:
+        state = host.servers.get(sid)
+        if state is not None:
+            choosing.remember(state, part, tokens,
+                              _memory(host, state.server.service))
+
+
+def _memory(host, service):
+    known = host.catalog.services.get(service) if host.catalog else None
+    if known is None or known.engine is None:
+        return 0
+    return known.engine.memory
+
+
 def _catch_up(host, known, now):
     """Ask a peer whose configuration is newer than this host's."""
     mine = host.catalog.revision if host.catalog else 0
@@ -85,7 +113,22 @@
         leaving=host.stop_at is not None,
         catalog_revision=host.catalog.revision if host.catalog else 0,
         servers_revision=host.servers_revision,
-        crashed=quarantine.pairs(host, now, RETOLD_S))
+        crashed=quarantine.pairs(host, now, RETOLD_S),
+        loads=_loads(host, now), parts=_parts(host, now))
+
+
+def _loads(host, now):
+    return tuple(
+        (state.server.sid, len(state.mine), sum(state.mine.values()),
+         int(min(LOADS_S, now - state.heard_at) * 1000))
+        for state in host.servers.values()
+        if state.mine or state.heard_at > now - LOADS_S)
+
+
+def _parts(host, now):
+    while host.placed and host.placed[0][0] < now - PARTS_S:
+        host.placed.popleft()
+    return tuple({row[1:]: None for row in host.placed})
 
 
 def is_ready(host):
--- a/crocuskeel/core/entry/registry.py
+++ b/crocuskeel/core/entry/registry.py
@@ -12,8 +12,10 @@
 __all__ = ["catalog_seen", "expire", "servers_changed", "servers_listed",
            "store_back", "store_lost"]
 
-# Lapsed servers are back this long after the store, s.
-BACK_S = 2.0
+# Lapsed servers register again within some 2 s of the store's return. One
+# that left instead must get nothing 2 s after its entry went, so what is
+# sent last must have reached it by then: s.
+BACK_S = 1.6
 # At least this share of a service removed at once is a lapse of entries
 # and not servers that leave, if none of them said that it drains.
 LAPSE_SHARE = 0.5
--- a/crocuskeel/core/entry/requests.py
+++ b/crocuskeel/core/entry/requests.py
@@ -21,6 +21,8 @@
 # The answer to a request that runs out of time is sent this much before
 # its caller stops waiting, s: several one-way delays to a caller.
 LAST_WORD_S = 0.03
+# A server that sheds is left alone for this long, s.
+FULL_S = 0.15
 # Less than this is left: no server can do anything with it, s.
 WORTH_SENDING_S = 0.02
 # Attempts to reach a server, on top of servers that may have run it.
@@ -99,8 +101,11 @@
     return [send,
             _note("sent", pending.request, turn=attempt.turn,
                   server=target.server.sid, service=pending.service,
-                  mine=len(target.mine), others=round(target.others, 1),
-                  load_age_s=round(now - target.load_at, 2),
+                  mine=len(target.mine),
+                  running=choosing.running(target, now),
+                  ahead=choosing.ahead_tokens(target, now),
+                  said=target.load,
+                  said_age_s=round(min(99, now - target.load_at), 1),
                   fresh=attempt.fresh_tokens, left_s=round(left, 2),
                   version=host.catalog.version),
             effects.Timer(pending.key, _next_check(pending, now))]
@@ -111,9 +116,9 @@
     prompt = pending.request.prompt
     if prompt is not None:
         engine = host.catalog.services[pending.service].engine
-        fresh = choosing.fresh_tokens(target, prompt, False)
+        fresh = choosing.fresh_tokens(target, prompt)
         if engine is not None:
-            choosing.remember(target, prompt, engine.memory)
+            choosing.place(host, target, prompt, engine.memory, now)
     attempt = states.Try(len(pending.tries), target.server.sid, now, fresh)
     pending.tries.append(attempt)
     pending.sent += 1
@@ -372,10 +377,8 @@
 
 def _note_full(target, now):
     """A server that sheds is full, whatever was thought of it."""
-    target.others = max(target.others,
-                        target.server.slots * 1.5 - len(target.mine))
-    target.load_at = now
     target.heard_at = now
+    target.suspect_until = max(target.suspect_until, now + FULL_S)
 
 
 def caller_left(host, event, now):
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -65,14 +65,17 @@
 class ServerState:
     """A backend server and what this host has seen of it.
 
-    ``mine`` maps (key, turn) to tokens still to be read; ``others`` is
-    the estimate of requests there from other hosts. ``parts`` holds the
-    prompt parts sent there, least recently used first.
+    ``mine`` maps (key, turn) to tokens still to be read; ``others`` maps
+    another host to (requests, tokens to be read, when it said so).
+    ``parts`` holds the prompt parts sent there by any host, least
+    recently used first.
     """
 
     server: model.Server
     mine: dict = dataclasses.field(default_factory=dict)
-    others: float = 0.0
+    others: dict = dataclasses.field(default_factory=dict)
+    # Requests there when it last said so itself.
+    load: int = 0
     load_at: float = 0.0
     failing: float = 0.0
     samples: int = 0
@@ -124,6 +127,9 @@
     store_lost_at: float | None = None
     store_back_at: float | None = None
     fetch_at: float = 0.0
+    # (server id, part, tokens) sent lately, with when.
+    placed: collections.deque = dataclasses.field(
+        default_factory=collections.deque)
     stop_at: float | None = None
     retired: bool = False
     exited: bool = False
--- a/crocuskeel/gateway/callers.py
+++ b/crocuskeel/gateway/callers.py
@@ -76,8 +76,11 @@
 
 
 class CallerConnection(protocol.Protocol):
-    """A caller's connection. ``handler`` has ``arrived(exchange)``,
-    ``left(exchange)`` and ``limits()``."""
+    """A caller's connection.
+
+    ``handler`` has ``arrived(exchange)``,
+    ``left(exchange)``, ``refused(status, why)`` and ``limits()``.
+    """
 
     def __init__(self, reactor, handler, listener):
         self.reactor = reactor
--- a/crocuskeel/gateway/events_split.py
+++ b/crocuskeel/gateway/events_split.py
@@ -16,8 +16,11 @@
     rest: bytes = b""
 
     def feed(self, data):
-        """Return the whole events that ``data`` completes, with their
-        blank lines; raises ValueError for one that is too large."""
+        """Return the whole events that ``data`` completes.
+
+        They keep their blank lines. Raises ValueError for one that is
+        too large.
+        """
         self.rest += data
         found = []
         while True:
--- a/crocuskeel/gateway/gossip.py
+++ b/crocuskeel/gateway/gossip.py
@@ -15,20 +15,20 @@
         (peer.name, peer.boot, peer.domain, peer.front, peer.control,
          peer.gossip, peer.capacity),
         heard.ready, heard.leaving, heard.catalog_revision,
-        heard.servers_revision, heard.crashed))
+        heard.servers_revision, heard.crashed, heard.loads, heard.parts))
 
 
 def decode(data):
     """Return the Heard event of a datagram; raises ValueError."""
     try:
-        peer, ready, leaving, catalog, servers, crashed = msgpack.unpackb(
-            data, use_list=False)
+        peer, *state = msgpack.unpackb(data, use_list=False)
+        (ready, leaving, catalog, servers, crashed, loads, parts) = state
         name, boot, domain, front, control, gossip, capacity = peer
     except (TypeError, ValueError, msgpack.UnpackException) as exc:
         raise ValueError(f"no datagram of a host: {exc}") from exc
     return events.Heard(
         model.Peer(name, boot, domain, front, control, gossip, capacity),
-        ready, leaving, catalog, servers, crashed)
+        ready, leaving, catalog, servers, crashed, loads, parts)
 
 
 class Gossip(protocol.DatagramProtocol):
--- a/crocuskeel/gateway/servers.py
+++ b/crocuskeel/gateway/servers.py
@@ -212,7 +212,8 @@
         if self.transport is not None:
             self.transport.abortConnection()
         elif self.connector is not None:
-            self.connector.stopConnecting()
+            # Nothing happens if the connection has failed already.
+            self.connector.disconnect()
 
 
 class _Dialer(protocol.ClientFactory):
