--- /dev/null
+++ b/crocuskeel/core/entry/admission.py
@@ -0,0 +1,82 @@
+"""Which requests a loaded service takes: early, by tier, with a reason.
+
+An engine that takes every prompt reads all of them at once: each gets
+its first token late, and streams run out of time half done. So a request
+is sent only while its engine can be expected to begin it well within its
+goal. A lower tier stops sooner, which leaves the rest of each engine's
+time to higher tiers. What is not sent is refused soon, with the time to
+come back; one that did come back is let in before others.
+"""
+
+from crocuskeel.core.entry import choosing
+
+__all__ = ["HOLD_SHARE", "RECHECK_S", "admits", "came_back", "hold_until",
+           "retry_s"]
+
+# Share of its goal that a request may expect to wait for its first
+# token, by rank, most urgent first; the last holds for all ranks below.
+WAIT_SHARES = (0.5, 0.3, 0.15)
+# Prompts that an engine may be reading at once, by rank. It reads a part
+# of each between two tokens of its running streams, so each one more
+# slows all of them.
+READING_MOST = (4, 3, 2)
+# A request that comes back after a refusal may wait this many times as
+# long: it is late already, and a second refusal is for good.
+BACK_SHARE = 2.0
+# Slots that each rank may fill, as a share.
+SLOT_SHARES = (1.0, 0.95, 0.85)
+# A request is held for room this long, as a share of its goal, and
+# looked at this often, s.
+HOLD_SHARE = 0.5
+RECHECK_S = 0.04
+# A caller's time limit that is this much below its route's shows that a
+# part of it went by elsewhere.
+BACK_LIMIT = 0.97
+# When to come back, as shares of the time that is left: a caller waits
+# no longer than a third.
+RETRY_SHARES = (0.15, 0.33)
+
+
+def admits(host, pending, target, now):
+    """Say whether a request may go to a server now."""
+    prompt = pending.request.prompt
+    if prompt is None:
+        return True
+    rank = _rank(host, pending)
+    busy = choosing.running(target, now)
+    if busy >= target.server.slots * SLOT_SHARES[rank]:
+        return False
+    if choosing.reading(target, now) >= READING_MOST[rank]:
+        return False
+    share = WAIT_SHARES[rank]
+    if came_back(pending):
+        share *= BACK_SHARE
+    ahead = choosing.ahead_tokens(target, now)
+    wait = ahead / choosing.PREFILL_TOKENS_S * target.slowness
+    return wait <= share * pending.route.goal_s
+
+
+def _rank(host, pending):
+    return min(max(0, pending.priority), len(WAIT_SHARES) - 1)
+
+
+def came_back(pending):
+    """Say whether a request was refused or failed somewhere before."""
+    limit = pending.request.deadline_s
+    return limit is not None and (
+        limit < pending.route.timeout_s * BACK_LIMIT)
+
+
+def hold_until(pending):
+    """Return until when a request is held for room."""
+    return pending.at + HOLD_SHARE * pending.route.goal_s
+
+
+def retry_s(host, pending, now):
+    """Return when a refused caller should come back, s.
+
+    Spread out, so that callers of one burst don't return as another.
+    """
+    least, most = RETRY_SHARES
+    left = pending.ends_at - now
+    return left * (least + (most - least) * host.rng.random())
--- a/crocuskeel/core/entry/choosing.py
+++ b/crocuskeel/core/entry/choosing.py
@@ -11,7 +11,7 @@
 from crocuskeel.core.entry import routing
 
 __all__ = ["ahead_tokens", "choose", "fresh_tokens", "note_load",
-           "place", "remember", "running"]
+           "place", "reading", "remember", "running"]
 
 # Reading speed of an engine, tokens a second: between the 36,700 and
 # 48,200 that the two deployments' engines are rated at.
@@ -146,14 +146,21 @@
 
 def ahead_tokens(state, now):
     """Return the tokens that all hosts wait for an engine to read."""
-    said = sum(tokens for _, tokens, at in state.others.values()
+    said = sum(tokens for _, tokens, _, at in state.others.values()
                if at > now - SAID_S)
     return said + sum(state.mine.values())
 
 
+def reading(state, now):
+    """Return the requests whose prompts an engine has yet to read."""
+    said = sum(count for _, _, count, at in state.others.values()
+               if at > now - SAID_S)
+    return said + sum(tokens > 0 for tokens in state.mine.values())
+
+
 def running(state, now):
     """Return the requests at a server, of all hosts."""
-    said = sum(count for count, _, at in state.others.values()
+    said = sum(count for count, _, _, at in state.others.values()
                if at > now - SAID_S)
     return len(state.mine) + said
 
@@ -168,10 +175,11 @@
 
 def place(host, state, prompt, memory, now):
     """Note that an engine holds a prompt's parts, and tell the others."""
+    for part, tokens in prompt.parts[:-1]:
+        if part not in state.parts:
+            host.placed.append((now, state.server.sid, part, tokens))
     for part, tokens in prompt.parts:
         remember(state, part, tokens, memory)
-    for part, tokens in prompt.parts[:-1]:
-        host.placed.append((now, state.server.sid, part, tokens))
 
 
 def remember(state, part, tokens, memory):
--- a/crocuskeel/core/entry/events.py
+++ b/crocuskeel/core/entry/events.py
@@ -7,7 +7,7 @@
 
 __all__ = [
     "Answered", "Arrived", "Broken", "CallerLeft", "CatalogSeen",
-    "Ended", "Heard", "Opened", "PeerGone", "PeersSeen", "Progressed",
+    "Ended", "Heard", "LoadHeard", "Opened", "PeerGone", "PeersSeen", "Progressed",
     "ServersChanged", "ServersListed", "Started", "StopAsked", "StoreBack",
     "StoreLost", "Ticked", "TimerFired",
 ]
@@ -152,10 +152,12 @@
 class Heard:
     """A datagram of another host.
 
+    ``reads_store``: it follows the store itself, with success.
+    ``carriers`` names hosts that it knows to be ready for callers.
+
     ``crashed`` holds (digest, server id) of requests under which a
-    server ended; ``loads`` holds (server id, requests, tokens to be read,
-    milliseconds since it was heard) of that host's own requests, and
-    ``parts`` (server id, part, tokens) that it sent there lately.
+    server ended; ``loads`` is that of LoadHeard, ``parts`` holds (server
+    id, part, tokens) that it sent there lately.
     """
 
     peer: model.Peer
@@ -166,6 +168,20 @@
     crashed: tuple = ()
     loads: tuple = ()
     parts: tuple = ()
+    reads_store: bool = False
+    carriers: tuple = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadHeard:
+    """What changed at engines, as host ``name`` says.
+
+    ``loads`` holds (server id, requests, tokens to be read, requests with
+    any, milliseconds since the server was heard), as in Heard.
+    """
+
+    name: str
+    loads: tuple
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/crocuskeel/core/entry/reducer.py
+++ b/crocuskeel/core/entry/reducer.py
@@ -39,6 +39,7 @@
     events.StoreBack: registry.store_back,
     events.PeersSeen: peers.seen,
     events.Heard: peers.heard,
+    events.LoadHeard: peers.load_heard,
     events.PeerGone: peers.gone,
 }
 
@@ -52,4 +53,7 @@
     handler = ROUTES.get(type(event))
     if handler is None:
         raise exceptions.UnknownEvent(type(event).__name__)
-    return handler(host, event, now)
+    out = handler(host, event, now)
+    if host.changed:
+        out += peers.tell_load(host, now)
+    return out
--- a/crocuskeel/core/entry/registry.py
+++ b/crocuskeel/core/entry/registry.py
@@ -7,6 +7,7 @@
 """
 
 from crocuskeel.core.entry import effects
+from crocuskeel.core.entry import peers
 from crocuskeel.core.entry import state as states
 
 __all__ = ["catalog_seen", "expire", "servers_changed", "servers_listed",
@@ -27,9 +28,10 @@
     if host.catalog and catalog.revision <= host.catalog.revision:
         return []
     host.catalog = catalog
-    return [effects.Note("catalog", {
+    line = effects.Note("catalog", {
         "version": catalog.version, "revision": catalog.revision,
-        "routes": sum(map(len, catalog.routes.values()))})]
+        "routes": sum(map(len, catalog.routes.values()))})
+    return [line, *peers.tell_news(host, now)]
 
 
 def servers_listed(host, event, now):
@@ -62,7 +64,7 @@
             "server": sid, "revision": revision,
             "lapse": sid in lapsing}))
     _index(host)
-    return out
+    return out + peers.tell_news(host, now)
 
 
 def _put(host, server, now):
--- a/crocuskeel/core/entry/requests.py
+++ b/crocuskeel/core/entry/requests.py
@@ -1,5 +1,6 @@
 """A request from arrival to its one final answer."""
 
+from crocuskeel.core.entry import admission
 from crocuskeel.core.entry import budget
 from crocuskeel.core.entry import choosing
 from crocuskeel.core.entry import effects
@@ -93,6 +94,9 @@
         host, pending.service, pending.request, tried, now)
     if target is None:
         return _give_up(host, pending, "no server", now)
+    if not pending.tries and not admission.admits(
+            host, pending, target, now):
+        return _hold(host, pending, target, now)
     attempt = _begin(host, pending, target, now)
     send = effects.Send(
         pending.key, attempt.turn, target.server, left, pending.priority,
@@ -111,6 +115,22 @@
             effects.Timer(pending.key, _next_check(pending, now))]
 
 
+def _hold(host, pending, target, now):
+    """Wait a moment for room, then refuse."""
+    if now < admission.hold_until(pending):
+        return [effects.Timer(pending.key, now + admission.RECHECK_S)]
+    line = _note("shed", pending.request, server=target.server.sid,
+                 priority=pending.priority,
+                 running=choosing.running(target, now),
+                 ahead=choosing.ahead_tokens(target, now),
+                 reading=choosing.reading(target, now),
+                 back=admission.came_back(pending))
+    _finish(host, pending)
+    retry_s = admission.retry_s(host, pending, now)
+    return [_refuse(pending.key, pending.ends_at - now, "overload",
+                    retry_s), line]
+
+
 def _begin(host, pending, target, now):
     fresh = 0
     prompt = pending.request.prompt
@@ -124,6 +144,7 @@
     pending.sent += 1
     pending.reached_out += 1
     target.mine[pending.key, attempt.turn] = fresh
+    _changed(host, pending, target)
     if pending.sent > 1:
         budget.repeated(host, pending.service, now)
     return attempt
@@ -153,6 +174,8 @@
         return []
     if now >= pending.ends_at:
         return _out_of_time(host, pending, now)
+    if not pending.tries:
+        return _send(host, pending, now)
     if pending.route.kind is not model.Kind.STREAM:
         return _hedge(host, pending, now)
     return _move(host, pending, now)
@@ -240,6 +263,7 @@
     if target is not None:
         _note_pace(target, attempt, now)
         target.mine[pending.key, attempt.turn] = 0
+        _changed(host, pending, target)
         choosing.note_load(target, event.load, now)
     pending.may_have_run = True
     pending.passing = attempt.turn
@@ -455,6 +479,12 @@
     target = host.servers.get(attempt.sid)
     if target is not None:
         target.mine.pop((pending.key, attempt.turn), None)
+        _changed(host, pending, target)
+
+
+def _changed(host, pending, target):
+    if pending.request.prompt is not None:
+        host.changed.add(target.server.sid)
 
 
 def _finish(host, pending):
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -66,7 +66,8 @@
     """A backend server and what this host has seen of it.
 
     ``mine`` maps (key, turn) to tokens still to be read; ``others`` maps
-    another host to (requests, tokens to be read, when it said so).
+    another host to (requests, tokens to be read, requests with any, when
+    it said so).
     ``parts`` holds the prompt parts sent there by any host, least
     recently used first.
     """
@@ -102,6 +103,10 @@
     leaving: bool = False
     catalog_revision: int = 0
     servers_revision: int = 0
+    reads_store: bool = False
+    told_at: float = 0.0
+    # When another host last said that this one is ready.
+    vouched_at: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -127,6 +132,8 @@
     store_lost_at: float | None = None
     store_back_at: float | None = None
     fetch_at: float = 0.0
+    # Engines whose load changed and was not told yet.
+    changed: set = dataclasses.field(default_factory=set)
     # (server id, part, tokens) sent lately, with when.
     placed: collections.deque = dataclasses.field(
         default_factory=collections.deque)
--- a/crocuskeel/gateway/gossip.py
+++ b/crocuskeel/gateway/gossip.py
@@ -9,26 +9,34 @@
 
 
 def encode(heard):
-    """Return the datagram of a Heard event."""
+    """Return the datagram of a Heard or LoadHeard event."""
+    if isinstance(heard, events.LoadHeard):
+        return msgpack.packb((heard.name, heard.loads))
     peer = heard.peer
     return msgpack.packb((
         (peer.name, peer.boot, peer.domain, peer.front, peer.control,
          peer.gossip, peer.capacity),
         heard.ready, heard.leaving, heard.catalog_revision,
-        heard.servers_revision, heard.crashed, heard.loads, heard.parts))
+        heard.servers_revision, heard.crashed, heard.loads, heard.parts,
+        heard.reads_store, heard.carriers))
 
 
 def decode(data):
-    """Return the Heard event of a datagram; raises ValueError."""
+    """Return the event of a datagram; raises ValueError."""
     try:
         peer, *state = msgpack.unpackb(data, use_list=False)
-        (ready, leaving, catalog, servers, crashed, loads, parts) = state
+        if isinstance(peer, str):
+            (loads,) = state
+            return events.LoadHeard(peer, loads)
+        (ready, leaving, catalog, servers, crashed, loads, parts,
+         reads_store, carriers) = state
         name, boot, domain, front, control, gossip, capacity = peer
     except (TypeError, ValueError, msgpack.UnpackException) as exc:
         raise ValueError(f"no datagram of a host: {exc}") from exc
     return events.Heard(
         model.Peer(name, boot, domain, front, control, gossip, capacity),
-        ready, leaving, catalog, servers, crashed, loads, parts)
+        ready, leaving, catalog, servers, crashed, loads, parts,
+        reads_store, carriers)
 
 
 class Gossip(protocol.DatagramProtocol):
--- a/crocuskeel/platform/assembly.py
+++ b/crocuskeel/platform/assembly.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+import zlib
 
 from crocuskeel.core import entry
 from crocuskeel.core.entry import model
@@ -68,13 +69,16 @@
 def _fetcher(reactor, gateway, follower):
     async def fetch(address, name):
         try:
+            catalog = gateway.host.catalog
+            known = catalog.revision if catalog else 0
             reply = await calls.call(
-                reactor, address, b"GET", faces.SNAPSHOT.encode(),
-                SNAPSHOT_S)
+                reactor, address, b"GET",
+                f"{faces.SNAPSHOT}?known={known}".encode(), SNAPSHOT_S)
             if reply.status != 200:
                 return
-            follower.take_snapshot(json.loads(reply.body))
-        except (gateway_exceptions.CallFailed, ValueError, KeyError) as exc:
+            follower.take_snapshot(json.loads(zlib.decompress(reply.body)))
+        except (gateway_exceptions.CallFailed, ValueError, KeyError,
+                zlib.error) as exc:
             gateway.log("no_snapshot", {"peer": name, "why": str(exc)})
 
     def begin(peer):
--- a/crocuskeel/platform/faces.py
+++ b/crocuskeel/platform/faces.py
@@ -2,6 +2,7 @@
 what this host knows, for other hosts."""
 
 import json
+import zlib
 
 from crocuskeel.gateway import callers
 from crocuskeel.gateway import loop
@@ -32,7 +33,7 @@
         if answer is None:
             exchange.answer(404, [], b"")
             return
-        status, body = answer()
+        status, body = answer(exchange)
         headers = JSON if body else []
         exchange.answer(status, headers, body)
 
@@ -46,10 +47,10 @@
 
 def new_face(reactor, gateway, follower):
     """Return a factory for the ready, directory and control ports."""
-    def ready():
+    def ready(exchange):
         return (200 if gateway.is_ready() else 503), b""
 
-    def resolve():
+    def resolve(exchange):
         addresses = gateway.addresses()
         if not addresses:
             return 503, b""
@@ -57,11 +58,14 @@
         return 200, json.dumps(
             {"Addrs": addresses, "TtlS": ttl}).encode()
 
-    def snapshot():
-        found = follower.snapshot()
+    def snapshot(exchange):
+        query = exchange.head.target.partition(b"=")[2]
+        found = follower.snapshot(int(query) if query.isdigit() else 0)
         if found is None:
             return 503, b""
-        return 200, json.dumps(found).encode()
+        # Hosts with narrow links fetch this: configurations shrink to a
+        # tenth.
+        return 200, zlib.compress(json.dumps(found).encode(), 1)
 
     return callers.new_listener(reactor, _Face(gateway, {
         READY: ready, RESOLVE: resolve, SNAPSHOT: snapshot}))
--- a/crocuskeel/platform/following.py
+++ b/crocuskeel/platform/following.py
@@ -1,6 +1,7 @@
 """Follows the store: configuration, backend servers, other hosts."""
 
 from crocuskeel.core.entry import events
+from crocuskeel.core.entry import peers
 from crocuskeel.platform import exceptions
 from crocuskeel.platform import objects
 from crocuskeel.platform import store as stores
@@ -18,6 +19,8 @@
 # configuration has to be in force within 2 s.
 RETRY_LEAST_S = 0.2
 RETRY_MOST_S = 1.0
+# A host that doesn't read the store looks this often whether it should, s.
+ROLE_S = 0.3
 
 
 class Follower:
@@ -52,6 +55,10 @@
         revision = None
         failures = 0
         while True:
+            if not self._reads():
+                revision = None
+                await task.deferLater(self.reactor, ROLE_S)
+                continue
             try:
                 if revision is None:
                     listing = await self.store.list(kind)
@@ -72,6 +79,10 @@
                     self._is_lost(str(exc))
                 await self._pause(failures)
 
+    def _reads(self):
+        return peers.reads_store(self.gateway.host,
+                                 self.reactor.seconds())
+
     def _is_lost(self, why):
         self.gateway.feed(events.StoreLost(why))
 
@@ -158,18 +169,22 @@
             self.gateway.log("bad_object", {"why": str(exc)})
             return None
 
-    def snapshot(self):
-        """Return what a host without the store needs, or None."""
+    def snapshot(self, known_revision):
+        """Return what a host lacks that has a configuration, or None."""
         if self.raw_config is None:
             return None
-        return {"config": self.raw_config,
+        config = self.raw_config
+        if config["Meta"]["Rev"] <= known_revision:
+            config = None
+        return {"config": config,
                 "servers": list(self.raw_servers.values()),
                 "revision": self.revision}
 
     def take_snapshot(self, snapshot):
         """Take another host's snapshot."""
-        self.take_config(snapshot["config"])
-        if not self.gateway.host.servers_known:
+        if snapshot["config"] is not None:
+            self.take_config(snapshot["config"])
+        if snapshot["revision"] > self.revision:
             self._servers_listed(stores.Listing(
                 tuple(snapshot["servers"]), snapshot["revision"]))
 
