--- a/crocuskeel/core/entry/admission.py
+++ b/crocuskeel/core/entry/admission.py
@@ -15,11 +15,14 @@
 
 # Share of its goal that a request may expect to wait for its first
 # token, by rank, most urgent first; the last holds for all ranks below.
-WAIT_SHARES = (0.5, 0.3, 0.15)
-# Prompts that an engine may be reading at once, by rank. It reads a part
-# of each between two tokens of its running streams, so each one more
-# slows all of them.
-READING_MOST = (4, 3, 2)
+WAIT_SHARES = (0.6, 0.4, 0.18)
+# Prompts that an engine may have before it, by rank. It reads a part of
+# one between any two tokens of its running streams: while it reads
+# without a pause, a token takes 27 ms in place of 5 ms, and one stream in
+# ten runs out of time.
+READING_MOST = (6, 4, 2)
+# A workspace of the first priority may wait this many times as long.
+FIRST_SHARE = 1.3
 # A request that comes back after a refusal may wait this many times as
 # long: it is late already, and a second refusal is for good.
 BACK_SHARE = 2.0
@@ -42,13 +45,15 @@
     prompt = pending.request.prompt
     if prompt is None:
         return True
-    rank = _rank(host, pending)
+    rank = _rank(pending)
     busy = choosing.running(target, now)
     if busy >= target.server.slots * SLOT_SHARES[rank]:
         return False
+    share = WAIT_SHARES[rank]
+    if pending.priority < pending.route.priority and not pending.priority:
+        share *= FIRST_SHARE
     if choosing.reading(target, now) >= READING_MOST[rank]:
         return False
-    share = WAIT_SHARES[rank]
     if came_back(pending):
         share *= BACK_SHARE
     ahead = choosing.ahead_tokens(target, now)
@@ -56,8 +61,11 @@
     return wait <= share * pending.route.goal_s
 
 
-def _rank(host, pending):
-    return min(max(0, pending.priority), len(WAIT_SHARES) - 1)
+def _rank(pending):
+    # Workspaces' priorities order what an engine has; which kinds of
+    # request are let in is for the routes' to say, as most workspaces
+    # share one.
+    return min(max(0, pending.route.priority), len(WAIT_SHARES) - 1)
 
 
 def came_back(pending):
--- a/crocuskeel/core/entry/choosing.py
+++ b/crocuskeel/core/entry/choosing.py
@@ -11,11 +11,15 @@
 from crocuskeel.core.entry import routing
 
 __all__ = ["ahead_tokens", "choose", "fresh_tokens", "note_load",
-           "place", "reading", "remember", "running"]
+           "place", "reading", "remember", "running",
+           "spilled_tokens"]
 
 # Reading speed of an engine, tokens a second: between the 36,700 and
 # 48,200 that the two deployments' engines are rated at.
 PREFILL_TOKENS_S = 40_000.0
+# While an engine reads a prompt, each of its running streams waits: this
+# share of their wait counts against sending the prompt there.
+OTHERS_SHARE = 0.1
 # One more running request slows each step of an engine by 0.12 ms of
 # 2.6 ms; over the some 100 steps of an answer that is 12 ms.
 RUNNING_S = 0.012
@@ -115,6 +119,7 @@
         tokens += REREAD * shared
     busy = running(state, now)
     wait = tokens / PREFILL_TOKENS_S + RUNNING_S * busy
+    wait += OTHERS_SHARE * busy * (own + shared) / PREFILL_TOKENS_S
     if busy >= state.server.slots:
         wait += FULL_S
     return wait
@@ -144,6 +149,15 @@
     return max(0, fresh)
 
 
+def spilled_tokens(host, state, prompt):
+    """Return shared tokens that another engine holds and this one not."""
+    fresh = _shared_fresh(state, prompt)
+    if not fresh:
+        return 0
+    others = host.by_service.get(state.server.service, ())
+    return fresh - min(_shared_fresh(other, prompt) for other in others)
+
+
 def ahead_tokens(state, now):
     """Return the tokens that all hosts wait for an engine to read."""
     said = sum(tokens for _, tokens, _, at in state.others.values()
--- a/crocuskeel/core/entry/requests.py
+++ b/crocuskeel/core/entry/requests.py
@@ -110,7 +110,8 @@
                   ahead=choosing.ahead_tokens(target, now),
                   said=target.load,
                   said_age_s=round(min(99, now - target.load_at), 1),
-                  fresh=attempt.fresh_tokens, left_s=round(left, 2),
+                  fresh=attempt.fresh_tokens, spill=attempt.spilled_tokens,
+                  left_s=round(left, 2),
                   version=host.catalog.version),
             effects.Timer(pending.key, _next_check(pending, now))]
 
@@ -132,14 +133,16 @@
 
 
 def _begin(host, pending, target, now):
-    fresh = 0
+    fresh = spilled = 0
     prompt = pending.request.prompt
     if prompt is not None:
         engine = host.catalog.services[pending.service].engine
         fresh = choosing.fresh_tokens(target, prompt)
+        spilled = choosing.spilled_tokens(host, target, prompt)
         if engine is not None:
             choosing.place(host, target, prompt, engine.memory, now)
-    attempt = states.Try(len(pending.tries), target.server.sid, now, fresh)
+    attempt = states.Try(len(pending.tries), target.server.sid, now, fresh,
+                         spilled)
     pending.tries.append(attempt)
     pending.sent += 1
     pending.reached_out += 1
@@ -271,6 +274,9 @@
     out = _cancel_others(host, pending, attempt)
     out.append(effects.PassOn(pending.key, attempt.turn))
     out.append(effects.Timer(pending.key, _next_check(pending, now)))
+    out.append(_note("opened", pending.request, turn=attempt.turn,
+                     server=attempt.sid, load=event.load,
+                     after_s=round(now - attempt.at, 3)))
     return out
 
 
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -34,6 +34,8 @@
     sid: str
     at: float
     fresh_tokens: int = 0
+    # Shared tokens that are read again, though another server holds them.
+    spilled_tokens: int = 0
     over: bool = False
 
 
