--- a/crocuskeel/core/entry/admission.py
+++ b/crocuskeel/core/entry/admission.py
@@ -20,7 +20,9 @@
 # one between any two tokens of its running streams: while it reads
 # without a pause, a token takes 27 ms in place of 5 ms, and one stream in
 # ten runs out of time.
-READING_MOST = (6, 4, 2)
+READING_MOST = (6, 3, 1)
+# One that comes back finds this many more places.
+BACK_PLACES = 1
 # A workspace of the first priority may wait this many times as long.
 FIRST_SHARE = 1.3
 # A request that comes back after a refusal may wait this many times as
@@ -52,10 +54,12 @@
     share = WAIT_SHARES[rank]
     if pending.priority < pending.route.priority and not pending.priority:
         share *= FIRST_SHARE
-    if choosing.reading(target, now) >= READING_MOST[rank]:
-        return False
+    most = READING_MOST[rank]
     if came_back(pending):
         share *= BACK_SHARE
+        most += BACK_PLACES
+    if choosing.reading(target, now) >= most:
+        return False
     ahead = choosing.ahead_tokens(target, now)
     wait = ahead / choosing.PREFILL_TOKENS_S * target.slowness
     return wait <= share * pending.route.goal_s
--- a/crocuskeel/core/entry/events.py
+++ b/crocuskeel/core/entry/events.py
@@ -6,8 +6,8 @@
 from crocuskeel.core.entry import model
 
 __all__ = [
-    "Answered", "Arrived", "Broken", "CallerLeft", "CatalogSeen",
-    "Ended", "Heard", "LoadHeard", "Opened", "PeerGone", "PeersSeen", "Progressed",
+    "Answered", "Arrived", "Broken", "CallerLeft", "CatalogSeen", "Ended",
+    "Heard", "LoadHeard", "Opened", "PeerGone", "PeersSeen", "Progressed",
     "ServersChanged", "ServersListed", "Started", "StopAsked", "StoreBack",
     "StoreLost", "Ticked", "TimerFired",
 ]
--- a/crocuskeel/core/entry/peers.py
+++ b/crocuskeel/core/entry/peers.py
@@ -14,9 +14,9 @@
 from crocuskeel.core.entry import routing
 from crocuskeel.core.entry import state as states
 
-__all__ = ["addresses", "carriers", "gone", "heard", "is_ready",
-           "load_heard", "reads_store", "seen", "tell", "tell_load",
-           "tell_news"]
+__all__ = ["addresses", "carriers", "gone", "heard", "is_large",
+           "is_ready", "load_heard", "reads_store", "seen", "tell",
+           "tell_load", "tell_news"]
 
 # A host that was silent for this long is not named to callers, s: four
 # of its datagrams are missing.
@@ -25,13 +25,17 @@
 RETOLD_S = 2.0
 # One peer is asked for newer state at a time, each, s.
 FETCH_S = 0.25
+# A host that follows the store fetches from a peer when it is behind for
+# this long, s: the store tells of a change in some ms.
+BEHIND_S = 0.4
 ADDRESSES_MOST = 64
 # Servers that were heard within this are told of, s.
 LOADS_S = 1.0
 # Parts sent to engines are told for this long, s: in two datagrams.
 PARTS_S = 0.6
 # At least so many hosts carry callers, so that one that fails takes a
-# fifth of the requests under way; and all that have half of the largest's capacity.
+# fifth of the requests under way; and all that have half of the largest's
+# capacity.
 CARRIERS_LEAST = 5
 CAPACITY_SHARE = 0.5
 # Up to so many carriers tell each other everything; of more, each tells
@@ -132,10 +136,16 @@
     mine = host.catalog.revision if host.catalog else 0
     newer = (known.catalog_revision > mine
              or known.servers_revision > host.servers_revision)
-    if not newer or known.catalog_revision == 0 or now < host.fetch_at:
+    if not newer:
         return []
-    if reads_store(host, now) and host.store_lost_at is None and mine:
-        # The store tells this host itself, in a moment.
+    if host.behind_at is None:
+        host.behind_at = now
+    if known.catalog_revision == 0 or now < host.fetch_at:
+        return []
+    reads = reads_store(host, now) and host.store_lost_at is None
+    if reads and mine and now < host.behind_at + BEHIND_S:
+        # The store tells this host itself, in a moment. It does not if
+        # this host's watch fell silent: the wait is bounded.
         return []
     host.fetch_at = now + FETCH_S
     return [effects.FetchCatalog(known.peer)]
@@ -238,13 +248,18 @@
     return host.rng.sample(silent, min(len(silent), LOST_MOST))
 
 
+def is_large(host):
+    """Say whether the fleet is so large that a few hosts read for all."""
+    return len(host.peers) >= ALL_READ_MOST
+
+
 def _is_carrier(host, now):
     return any(peer.name == host.me.name for peer in carriers(host, now))
 
 
 def reads_store(host, now):
     """Say whether this host should follow the store itself."""
-    if len(host.peers) < ALL_READ_MOST or not is_ready(host):
+    if not is_large(host) or not is_ready(host):
         return True
     readers = 0
     for peer in carriers(host, now):
@@ -275,7 +290,7 @@
 
 
 def _known_carriers(host, now):
-    if len(host.peers) < ALL_READ_MOST:
+    if not is_large(host):
         # Each host hears all others itself.
         return ()
     return tuple(peer.name for peer in carriers(host, now)
--- a/crocuskeel/core/entry/registry.py
+++ b/crocuskeel/core/entry/registry.py
@@ -28,6 +28,7 @@
     if host.catalog and catalog.revision <= host.catalog.revision:
         return []
     host.catalog = catalog
+    host.behind_at = None
     line = effects.Note("catalog", {
         "version": catalog.version, "revision": catalog.revision,
         "routes": sum(map(len, catalog.routes.values()))})
@@ -49,6 +50,7 @@
 
 def _apply(host, changed, removed, revision, now):
     host.servers_revision = max(host.servers_revision, revision)
+    host.behind_at = None
     out = []
     for server in changed:
         out += _put(host, server, now)
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -134,6 +134,8 @@
     store_lost_at: float | None = None
     store_back_at: float | None = None
     fetch_at: float = 0.0
+    # Since when a peer knows something newer.
+    behind_at: float | None = None
     # Engines whose load changed and was not told yet.
     changed: set = dataclasses.field(default_factory=set)
     # (server id, part, tokens) sent lately, with when.
--- a/crocuskeel/gateway/calls.py
+++ b/crocuskeel/gateway/calls.py
@@ -117,7 +117,7 @@
     if body:
         headers += [(b"Content-Type", b"application/json"),
                     (b"Content-Length", b"%d" % len(body))]
-    done = defer.Deferred()
+    done = defer.Deferred(lambda _: connector.disconnect())
     caller = _Caller((method, target, headers, body), done)
     connector = reactor.connectTCP(
         *address, _Dialer(caller), timeout=CONNECT_S)
--- a/crocuskeel/platform/following.py
+++ b/crocuskeel/platform/following.py
@@ -19,6 +19,10 @@
 # configuration has to be in force within 2 s.
 RETRY_LEAST_S = 0.2
 RETRY_MOST_S = 1.0
+# In a large fleet all hosts depend on a few that read. A store that turns
+# one of these away may leave its watch silent, which shows only when the
+# watch should have ended, s.
+LARGE_WATCH_S = 2.0
 # A host that doesn't read the store looks this often whether it should, s.
 ROLE_S = 0.3
 
@@ -33,6 +37,7 @@
         self.reactor = reactor
         self.gateway = gateway
         self.store = store
+        self.watches = {}
         self.raw_config = None
         self.raw_servers = {}
         self.revision = 0
@@ -63,19 +68,24 @@
                 if revision is None:
                     listing = await self.store.list(kind)
                     revision = listing.revision
-                    self._is_back()
+                    self._is_back(kind)
                     listed(listing)
                 else:
-                    news = await self.store.watch(kind, revision)
+                    self.watches[kind] = defer.Deferred.fromCoroutine(
+                        self.store.watch(kind, revision, self._span_s()))
+                    news = await self.watches[kind]
                     revision = news.revision
-                    self._is_back()
+                    self._is_back(kind)
                     changed(news)
                 failures = 0
+            except defer.CancelledError:
+                # The store is back: this watch may be a dead one.
+                continue
             except exceptions.StoreError as exc:
                 failures += 1
                 if exc.status == stores.GONE:
                     revision = None
-                elif failures > 1:
+                elif failures > 1 or not exc.status:
                     self._is_lost(str(exc))
                 await self._pause(failures)
 
@@ -83,11 +93,24 @@
         return peers.reads_store(self.gateway.host,
                                  self.reactor.seconds())
 
+    def _span_s(self):
+        if peers.is_large(self.gateway.host):
+            return LARGE_WATCH_S
+        return stores.WATCH_S
+
     def _is_lost(self, why):
         self.gateway.feed(events.StoreLost(why))
 
-    def _is_back(self):
+    def _is_back(self, kind):
+        if self.gateway.host.store_lost_at is None:
+            return
         self.gateway.feed(events.StoreBack())
+        # A host that was cut off and healed may hold a watch on a
+        # connection that is dead without showing it: what changes then
+        # would be seen only when that watch should have ended.
+        for other, watch in self.watches.items():
+            if other != kind:
+                watch.cancel()
 
     def _pause(self, failures):
         span = min(RETRY_MOST_S, RETRY_LEAST_S * 2 ** (failures - 1))
--- a/crocuskeel/platform/store.py
+++ b/crocuskeel/platform/store.py
@@ -15,6 +15,8 @@
 CALL_S = 2.0
 # The longest that the store holds a watch, s: each one is billed.
 WATCH_S = 30.0
+# A watch that has not ended by itself this much later is dead, s.
+LATE_S = 0.7
 PAGES_MOST = 1000
 OK = 200
 CREATED = 201
@@ -58,13 +60,14 @@
             after = f"?AfterRev={_quote(items[-1]['Meta']['Name'])}"
         return Listing(tuple(items), page["AsOf"])
 
-    async def watch(self, kind, revision):
-        """Wait for changes after a revision; return Changes.
+    async def watch(self, kind, revision, span_s=WATCH_S):
+        """Wait for changes after a revision, ``span_s`` at most.
 
-        Raises StoreError; its status is 410 if the history is gone.
+        Returns Changes. Raises StoreError; its status is 410 if the
+        history is gone.
         """
-        query = f"?Watch={revision}&WaitMs={int(WATCH_S * 1000)}"
-        page = await self._get("watch", kind, query, WATCH_S + CALL_S)
+        query = f"?Watch={revision}&WaitMs={int(span_s * 1000)}"
+        page = await self._get("watch", kind, query, span_s + LATE_S)
         rows = tuple((row["Object"], bool(row["Removed"]))
                      for row in page.get("events") or ())
         return Changes(rows, page["AsOf"])
--- /dev/null
+++ b/tests/entry/support.py
@@ -0,0 +1,96 @@
+"""Hosts, catalogs and requests for the tests of an entry host."""
+
+import random
+
+from crocuskeel.core import entry
+from crocuskeel.core.entry import events
+from crocuskeel.core.entry import model
+
+NOW = 100.0
+HOST = "desk.example"
+KEY = "key-1"
+
+
+def route(name="booking", kind=model.Kind.SAFE, **kwargs):
+    """Return a route /NAME/ to service ``plain``."""
+    values = {
+        "name": name, "host": HOST, "prefix": f"/{name}/", "kind": kind,
+        "split": (("plain", 1),), "timeout_s": 2.0, "goal_s": 0.4,
+        "tries": 2, "priority": 2, "public": False, "resumable": False,
+        "gap_s": 0.4}
+    return model.Route(**{**values, **kwargs})
+
+
+def stream(name="advice", **kwargs):
+    """Return a resumable route of model engines."""
+    values = {"kind": model.Kind.STREAM, "split": (("engines", 1),),
+              "timeout_s": 8.0, "goal_s": 1.2, "resumable": True,
+              "priority": 0}
+    return route(name, **{**values, **kwargs})
+
+
+def catalog(*routes, revision=10):
+    """Return a catalog with the routes, longest prefix first."""
+    ordered = sorted(routes, key=lambda row: -len(row.prefix))
+    services = {
+        "plain": model.Service("plain", 96, None),
+        "engines": model.Service(
+            "engines", 360, model.Engine(64, 500_000))}
+    return model.Catalog(
+        revision, revision, {HOST: ordered}, services,
+        {KEY: model.Workspace("hire", None)},
+        model.Limits(16384, 1 << 20, 3.0, 15.0))
+
+
+def server(sid, service="plain", **kwargs):
+    """Return a registered server."""
+    values = {"sid": sid, "service": service, "address": ("10.0.0.1", 80),
+              "domain": "perth-a", "slots": 64, "draining": False}
+    return model.Server(**{**values, **kwargs})
+
+
+def peer(name="host-1", boot=1, capacity=1.0):
+    """Return a host."""
+    return model.Peer(name, boot, "perth-a", f"{name}:80",
+                      (name, 81), (name, 82), capacity)
+
+
+def request(path="/booking/1", prompt=None, deadline_s=3.0, rid="r1",
+            digest="d1"):
+    """Return a caller's request."""
+    return model.Request(rid, "POST", HOST, path, KEY, deadline_s,
+                         prompt, digest)
+
+
+def prompt(part="shared", shared=13_000, own=3_000):
+    """Return a prompt of one shared part and its own."""
+    return model.Prompt("m", ((part, shared), ("own", own)),
+                        shared + own, 200)
+
+
+class Driver:
+    """Feeds a host and keeps what it did."""
+
+    def __init__(self, *routes, servers=(), **settings):
+        self.now = NOW
+        self.host = entry.new_host(
+            entry.Settings(**settings), random.Random(1))
+        self.feed(events.Started(peer("me")))
+        if routes:
+            self.feed(events.CatalogSeen(catalog(*routes)))
+        if servers:
+            self.feed(events.ServersListed(tuple(servers), 5))
+
+    def feed(self, event, after=0.0):
+        """Feed an event ``after`` seconds; return its effects."""
+        self.now += after
+        return entry.reduce(self.host, event, self.now)
+
+    def arrive(self, key=1, **kwargs):
+        """Feed a request; return its effects."""
+        return self.feed(events.Arrived(key, request(**kwargs)))
+
+
+def only(effects, kind):
+    """Return the effects of a kind."""
+    return [effect for effect in effects if type(effect) is kind]
--- /dev/null
+++ b/tests/entry/test_choosing.py
@@ -0,0 +1,131 @@
+"""Which engine a prompt goes to, and which are let in."""
+
+import unittest
+
+from crocuskeel.core.entry import choosing
+from crocuskeel.core.entry import effects
+from crocuskeel.core.entry import events
+from tests.entry import support
+
+ENGINES = tuple(support.server(f"e{n}", "engines") for n in range(4))
+TOP = support.stream("top", priority=0, goal_s=1.2)
+LOW = support.stream("low", priority=2, goal_s=2.0)
+
+
+def _driver(**kwargs):
+    return support.Driver(TOP, LOW, servers=ENGINES, **kwargs)
+
+
+def _choose(driver, prompt, exclude=()):
+    request = support.request(prompt=prompt)
+    return choosing.choose(driver.host, "engines", request, set(exclude),
+                           driver.now).server.sid
+
+
+class ChooseTest(unittest.TestCase):
+    """The least expected wait."""
+
+    def test_all_hosts_send_a_new_part_to_the_same_engine(self):
+        # Two hosts that don't know of each other yet would have a part
+        # of 13,000 tokens read twice, a third of a second each.
+        prompt = support.prompt("tide-7")
+        found = {_choose(_driver(), prompt) for _ in range(5)}
+        self.assertEqual(1, len(found))
+
+    def test_a_part_is_sent_where_it_is_held(self):
+        driver = _driver()
+        choosing.remember(driver.host.servers["e2"], "tide", 13_000, 5e5)
+        self.assertEqual("e2", _choose(driver, support.prompt("tide")))
+
+    def test_waiting_too_long_costs_more_than_reading_again(self):
+        driver = _driver()
+        holder = driver.host.servers["e2"]
+        choosing.remember(holder, "tide", 13_000, 5e5)
+        holder.others["host-1"] = (4, 40_000, 4, driver.now)
+        self.assertEqual("e2", _choose(driver, support.prompt("tide")))
+        holder.others["host-1"] = (9, 90_000, 9, driver.now)
+        self.assertNotEqual("e2", _choose(driver, support.prompt("tide")))
+
+    def test_what_a_host_said_long_ago_does_not_count(self):
+        driver = _driver()
+        holder = driver.host.servers["e2"]
+        holder.others["host-1"] = (9, 90_000, 9, driver.now - 2)
+        self.assertEqual(0, choosing.ahead_tokens(holder, driver.now))
+
+    def test_draining_never_and_suspect_last(self):
+        driver = _driver()
+        for sid in ("e0", "e1", "e2"):
+            driver.host.servers[sid].suspect_until = driver.now + 1
+        self.assertEqual("e3", _choose(driver, support.prompt("tide")))
+        driver.feed(events.ServersChanged(
+            (support.server("e3", "engines", draining=True),), (), 6))
+        self.assertNotEqual("e3", _choose(driver, support.prompt("tide")))
+
+    def test_parts_are_forgotten_beyond_an_engines_memory(self):
+        state = _driver().host.servers["e1"]
+        for number in range(10):
+            choosing.remember(state, f"p{number}", 10_000, 100_000)
+        self.assertEqual(7, len(state.parts))
+        self.assertNotIn("p0", state.parts)
+
+
+class AdmitTest(unittest.TestCase):
+    """Who is let in under load."""
+
+    def _load(self, driver, reading, tokens):
+        for state in driver.host.servers.values():
+            state.others["host-1"] = (reading, tokens, reading, driver.now)
+
+    def _sends(self, driver, name, key=1, **kwargs):
+        out = driver.feed(events.Arrived(key, support.request(
+            f"/{name}/1", prompt=support.prompt(own=500),
+            **{"deadline_s": 8.0, **kwargs})))
+        return support.only(out, effects.Send), out
+
+    def test_the_lower_rank_stops_first(self):
+        # A burst of long briefings: engines would take them all, and a
+        # safety question gets its first token after six seconds.
+        driver = _driver()
+        self._load(driver, 3, 20_000)
+        self.assertEqual(0, len(self._sends(driver, "low", 1)[0]))
+        self.assertEqual(1, len(self._sends(driver, "top", 2)[0]))
+
+    def test_held_for_room_then_refused_with_a_time_to_come_back(self):
+        driver = _driver()
+        self._load(driver, 9, 90_000)
+        _, out = self._sends(driver, "low")
+        self.assertEqual([], support.only(out, effects.Answer))
+        self.assertEqual(1, len(support.only(out, effects.Timer)))
+        self._load(driver, 9, 90_000)
+        driver.now += 1.01
+        self._load(driver, 9, 90_000)
+        out = driver.feed(events.TimerFired(1))
+        (answer,) = support.only(out, effects.Answer)
+        self.assertEqual(503, answer.status)
+        self.assertTrue(0.5 < answer.retry_s <= 8.0 / 3)
+        self.assertEqual({}, driver.host.pending)
+
+    def test_held_until_there_is_room(self):
+        driver = _driver()
+        self._load(driver, 9, 90_000)
+        self._sends(driver, "low")
+        self._load(driver, 0, 0)
+        out = driver.feed(events.TimerFired(1), 0.1)
+        self.assertEqual(1, len(support.only(out, effects.Send)))
+
+    def test_one_that_came_back_goes_before_others(self):
+        driver = _driver()
+        self._load(driver, 1, 12_000)
+        self.assertEqual(0, len(self._sends(driver, "low", 1)[0]))
+        self.assertEqual(1, len(self._sends(
+            driver, "low", 2, deadline_s=5.0)[0]))
+
+    def test_other_hosts_hear_of_a_send_at_once(self):
+        driver = _driver()
+        driver.feed(events.Heard(
+            support.peer(), True, False, 10, 5, reads_store=True))
+        _, out = self._sends(driver, "top")
+        told = [effect.event for effect in support.only(out, effects.Tell)]
+        self.assertEqual([events.LoadHeard], [type(e) for e in told])
+        ((sid, count, tokens, reading, _),) = told[0].loads
+        self.assertEqual((1, 13_500, 1), (count, tokens, reading))
--- /dev/null
+++ b/tests/entry/test_requests.py
@@ -0,0 +1,219 @@
+"""A request's answers under faults of servers, in tables."""
+
+import unittest
+
+from crocuskeel.core.entry import effects
+from crocuskeel.core.entry import events
+from crocuskeel.core.entry import model
+from tests.entry import support
+
+PAIR = (support.server("s1"), support.server("s2"))
+ENGINES = (support.server("e1", "engines"),
+           support.server("e2", "engines"))
+UNSAFE = support.route(kind=model.Kind.UNSAFE, tries=2)
+SAFE = support.route()
+CALL = support.route(goal_s=0.4)
+STREAM = support.stream()
+ONCE = support.stream(resumable=False, tries=1)
+
+
+def _broken(outcome, turn=0, torn=False):
+    return events.Broken(1, turn, outcome, "", torn)
+
+
+class PlainTest(unittest.TestCase):
+    """Requests to plain services."""
+
+    def test_ends_of_the_first_attempt(self):
+        # A booking must not run twice, and "not run" must be true: what
+        # went out without a word from the server may have run.
+        rows = (
+            (UNSAFE, model.Outcome.BROKEN, None, 502),
+            (UNSAFE, model.Outcome.GARBLED, None, 502),
+            (UNSAFE, model.Outcome.NOT_RUN, True, None),
+            (UNSAFE, model.Outcome.MISDIRECTED, True, None),
+            (UNSAFE, model.Outcome.UNREACHED, True, None),
+            (SAFE, model.Outcome.BROKEN, True, None),
+            (SAFE, model.Outcome.GARBLED, True, None),
+            (SAFE, model.Outcome.NOT_RUN, True, None),
+        )
+        for route, outcome, again, status in rows:
+            with self.subTest(kind=route.kind, outcome=outcome):
+                driver = support.Driver(route, servers=PAIR)
+                driver.arrive()
+                out = driver.feed(_broken(outcome), 0.01)
+                self.assertEqual(
+                    bool(again), bool(support.only(out, effects.Send)))
+                answers = support.only(out, effects.Answer)
+                self.assertEqual([status] if status else [],
+                                 [answer.status for answer in answers])
+
+    def test_a_refusal_says_when_to_come_back(self):
+        route = support.route(kind=model.Kind.UNSAFE, tries=1)
+        driver = support.Driver(route, servers=PAIR)
+        driver.arrive(deadline_s=0.6)
+        out = driver.feed(_broken(model.Outcome.NOT_RUN), 0.01)
+        (answer,) = support.only(out, effects.Answer)
+        self.assertEqual(503, answer.status)
+        self.assertLessEqual(answer.retry_s, 0.2)
+
+    def test_a_servers_failure_is_passed_on_when_no_other_helps(self):
+        driver = support.Driver(SAFE, servers=PAIR)
+        driver.arrive()
+        out = driver.feed(events.Answered(1, 0, 500, None, True), 0.01)
+        self.assertEqual(1, len(support.only(out, effects.Send)))
+        out = driver.feed(events.Answered(1, 1, 500, None, True), 0.01)
+        self.assertEqual([effects.PassOn(1, 1)],
+                         support.only(out, effects.PassOn))
+
+    def test_time_is_up(self):
+        # A caller hears of the end before it stops waiting, and 504 says
+        # nothing of whether the request ran.
+        driver = support.Driver(UNSAFE, servers=PAIR)
+        driver.arrive()
+        out = driver.feed(events.TimerFired(1), 1.98)
+        self.assertEqual([effects.Cancel(1, 0)],
+                         support.only(out, effects.Cancel))
+        (answer,) = support.only(out, effects.Answer)
+        self.assertEqual((504, None), (answer.status, answer.retry_s))
+
+    def test_a_slow_call_goes_to_a_second_server_too(self):
+        driver = support.Driver(CALL, servers=PAIR)
+        first = support.only(driver.arrive(), effects.Send)[0]
+        out = driver.feed(events.TimerFired(1), 0.2)
+        second = support.only(out, effects.Send)[0]
+        self.assertNotEqual(first.server.sid, second.server.sid)
+        out = driver.feed(events.Answered(1, 1, 200, None, True), 0.05)
+        self.assertEqual([effects.Cancel(1, 0)],
+                         support.only(out, effects.Cancel))
+        self.assertEqual([effects.PassOn(1, 1)],
+                         support.only(out, effects.PassOn))
+
+    def test_repeats_keep_to_the_hosts_part_of_the_budget(self):
+        # All servers fail at once. If each request were sent twice, the
+        # load on them would double just when they can't bear it.
+        driver = support.Driver(SAFE, servers=PAIR, repeat_slack=10)
+        repeats = 0
+        for key in range(100):
+            driver.feed(events.Arrived(key, support.request()))
+            out = driver.feed(events.Answered(key, 0, 500, None, True))
+            repeats += len(support.only(out, effects.Send))
+        self.assertGreater(repeats, 5)
+        self.assertLessEqual(repeats, 0.2 * 100 + 10)
+
+    def test_a_caller_that_left_ends_its_attempts(self):
+        driver = support.Driver(SAFE, servers=PAIR)
+        driver.arrive()
+        out = driver.feed(events.CallerLeft(1), 0.1)
+        self.assertEqual([effects.Cancel(1, 0)],
+                         support.only(out, effects.Cancel))
+        self.assertEqual([], driver.feed(events.Answered(
+            1, 0, 200, None, True)))
+        self.assertEqual({}, driver.host.servers["s1"].mine)
+
+    def test_a_host_that_knows_nothing_answers_503(self):
+        # 401 or 404 of a host that just started would be taken as final.
+        driver = support.Driver()
+        (answer,) = support.only(driver.arrive(), effects.Answer)
+        self.assertEqual(503, answer.status)
+        self.assertGreater(answer.retry_s, 0)
+
+
+class StreamTest(unittest.TestCase):
+    """Requests to model engines."""
+
+    def test_a_broken_stream_goes_on_elsewhere(self):
+        driver = support.Driver(STREAM, servers=ENGINES)
+        first = support.only(driver.arrive(
+            path="/advice/1", prompt=support.prompt()), effects.Send)[0]
+        driver.feed(events.Opened(1, 0, None), 0.1)
+        out = driver.feed(_broken(model.Outcome.BROKEN, torn=True), 0.1)
+        (again,) = support.only(out, effects.Send)
+        self.assertTrue(again.resume)
+        self.assertNotEqual(first.server.sid, again.server.sid)
+
+    def test_a_stream_that_cannot_resume_is_cut(self):
+        driver = support.Driver(ONCE, servers=ENGINES)
+        driver.arrive(path="/advice/1", prompt=support.prompt())
+        driver.feed(events.Opened(1, 0, None), 0.1)
+        out = driver.feed(_broken(model.Outcome.BROKEN), 0.1)
+        self.assertEqual(1, len(support.only(out, effects.Cut)))
+        self.assertEqual([], support.only(out, effects.Send))
+
+    def test_a_silent_stream_is_moved_after_its_old_run_ends(self):
+        # An engine falls dark in mid-stream: its connection stays open.
+        # The run there is ended first, so that two never go on at once.
+        driver = support.Driver(STREAM, servers=ENGINES)
+        driver.arrive(path="/advice/1", prompt=support.prompt())
+        driver.feed(events.Opened(1, 0, None), 0.1)
+        out = driver.feed(events.TimerFired(1), 0.5)
+        kinds = [type(effect) for effect in out]
+        self.assertLess(kinds.index(effects.Cancel),
+                        kinds.index(effects.Send))
+
+    def test_a_stream_that_goes_on_is_left_alone(self):
+        driver = support.Driver(STREAM, servers=ENGINES)
+        driver.arrive(path="/advice/1", prompt=support.prompt())
+        driver.feed(events.Opened(1, 0, None), 0.1)
+        for _ in range(5):
+            driver.feed(events.Progressed(1, 0), 0.3)
+            out = driver.feed(events.TimerFired(1), 0.01)
+            self.assertEqual([], support.only(out, effects.Cancel))
+
+    def test_a_waiting_stream_stays_while_its_engine_is_heard(self):
+        # Under load first tokens come late. Moving a request whose engine
+        # works on others would only put it at the end of another queue.
+        driver = support.Driver(STREAM, servers=ENGINES)
+        driver.arrive(path="/advice/1", prompt=support.prompt())
+        sid = driver.host.pending[1].tries[0].sid
+        driver.host.servers[sid].heard_at = driver.now + 0.2
+        out = driver.feed(events.TimerFired(1), 0.6)
+        self.assertEqual([], support.only(out, effects.Cancel))
+
+
+class QuarantineTest(unittest.TestCase):
+    """Requests that crash their servers."""
+
+    def _crash(self, driver, key, digest):
+        driver.feed(events.Arrived(key, support.request(digest=digest)))
+        sid = driver.host.pending[key].tries[0].sid
+        driver.feed(events.Broken(
+            key, 0, model.Outcome.BROKEN, "reset", True))
+        driver.feed(events.CallerLeft(key))
+        # Another request finds the server gone.
+        driver.feed(events.Arrived(key + 1, support.request(digest="x")))
+        pending = driver.host.pending[key + 1]
+        pending.tries[0].sid = sid
+        driver.feed(events.Broken(
+            key + 1, 0, model.Outcome.UNREACHED, "refused"))
+        driver.feed(events.CallerLeft(key + 1))
+        del driver.host.servers[sid]
+        driver.host.by_service["plain"] = list(
+            driver.host.servers.values())
+
+    def test_refused_after_two_crashes(self):
+        # One request takes a server with it each time it runs. Its caller
+        # sends it again, to any host, and the service would be gone.
+        servers = [support.server(f"s{n}") for n in range(4)]
+        driver = support.Driver(UNSAFE, servers=servers)
+        self._crash(driver, 1, "poison")
+        out = driver.feed(events.Arrived(
+            3, support.request(digest="poison")))
+        self.assertEqual(1, len(support.only(out, effects.Send)))
+        driver.feed(events.CallerLeft(3))
+        self._crash(driver, 5, "poison")
+        out = driver.feed(events.Arrived(
+            7, support.request(digest="poison")))
+        self.assertEqual([], support.only(out, effects.Send))
+        (answer,) = support.only(out, effects.Answer)
+        self.assertEqual(503, answer.status)
+
+    def test_a_torn_answer_alone_condemns_nothing(self):
+        # A server loses an answer and stays up: no crash.
+        driver = support.Driver(UNSAFE, servers=PAIR)
+        for key in (1, 2, 3):
+            driver.feed(events.Arrived(key, support.request()))
+            driver.feed(events.Broken(
+                key, 0, model.Outcome.BROKEN, "reset", True), 1.0)
+        out = driver.feed(events.Arrived(4, support.request()))
+        self.assertEqual(1, len(support.only(out, effects.Send)))
--- /dev/null
+++ b/tests/gateway/test_callers.py
@@ -0,0 +1,131 @@
+"""Callers' connections: each request gets one whole answer, or none."""
+
+import unittest
+
+from crocuskeel.core.entry import model
+from crocuskeel.gateway import callers
+from tests.gateway import support
+from twisted.internet import error
+from twisted.internet import task
+from twisted.python import failure
+
+POST = (b"POST /a/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc")
+
+
+class _Handler:
+    def __init__(self):
+        self.exchanges = []
+        self.gone = []
+        self.unreadable = []
+
+    def limits(self):
+        return model.Limits(2048, 100, 3.0, 15.0)
+
+    def arrived(self, exchange):
+        self.exchanges.append(exchange)
+
+    def left(self, exchange):
+        self.gone.append(exchange)
+
+    def refused(self, status, why):
+        self.unreadable.append(status)
+
+
+class CallersTest(unittest.TestCase):
+    """One connection of a caller."""
+
+    def setUp(self):
+        self.clock = task.Clock()
+        self.handler = _Handler()
+        self.listener = callers.new_listener(self.clock, self.handler)
+        self.conn = self.listener.buildProtocol(None)
+        self.transport = support.Transport()
+        self.conn.makeConnection(self.transport)
+
+    def _written(self):
+        data = self.transport.value()
+        self.transport.clear()
+        return data
+
+    def test_requests_in_pieces_and_in_a_row(self):
+        for byte in POST:
+            self.conn.dataReceived(bytes([byte]))
+        (first,) = self.handler.exchanges
+        self.assertEqual(b"abc", first.body)
+        self.conn.dataReceived(POST.replace(b"abc", b"xyz"))
+        self.assertEqual(1, len(self.handler.exchanges))
+        first.answer(200, [], b"one")
+        self.clock.advance(0)
+        self.assertEqual(b"xyz", self.handler.exchanges[1].body)
+        self.assertIn(b"\r\n\r\none", self._written())
+
+    def test_a_second_answer_is_not_sent(self):
+        self.conn.dataReceived(POST)
+        (exchange,) = self.handler.exchanges
+        exchange.answer(200, [], b"one")
+        self._written()
+        exchange.answer(503, [], b"two")
+        exchange.begin(200, [])
+        self.assertEqual(b"", self._written())
+
+    def test_a_cut_answer_cannot_look_complete(self):
+        # A stream breaks half way. If the connection closed in order,
+        # or the last chunk were sent, its caller would take the part for
+        # the whole.
+        self.conn.dataReceived(POST)
+        (exchange,) = self.handler.exchanges
+        exchange.begin(200, [])
+        exchange.pass_on(b"data: 1\n\n")
+        exchange.cut()
+        self.assertTrue(self.transport.aborted)
+        self.assertNotIn(b"\r\n0\r\n", self._written())
+
+    def test_requests_that_cannot_be_read(self):
+        rows = (
+            (b"nonsense\r\n\r\n", 400),
+            (b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n",
+             413),
+            (b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+             b"Transfer-Encoding: chunked\r\n\r\n", 400),
+            (b"GET / HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 3000, 431),
+        )
+        for data, status in rows:
+            with self.subTest(status=status, data=data[:30]):
+                self.setUp()
+                self.conn.dataReceived(data)
+                self.assertIn(b"HTTP/1.1 %d" % status, self._written())
+                self.assertEqual([], self.handler.exchanges)
+                self.assertTrue(self.transport.write_closed)
+
+    def test_a_caller_that_leaves_is_told_of_once(self):
+        self.conn.dataReceived(POST)
+        self.conn.connectionLost(failure.Failure(error.ConnectionDone()))
+        self.assertEqual(self.handler.exchanges, self.handler.gone)
+
+    def test_a_slow_head_and_an_idle_connection_end(self):
+        self.conn.dataReceived(b"GET / HTTP/1.1\r\n")
+        self.clock.advance(3.1)
+        self.assertIn(b"408", self._written())
+        self.setUp()
+        self.clock.advance(15.1)
+        self.assertTrue(self.transport.disconnecting)
+
+    def test_a_caller_that_does_not_read_is_let_go(self):
+        # Its answer would pile up in this host's memory.
+        self.conn.dataReceived(POST)
+        (exchange,) = self.handler.exchanges
+        exchange.begin(200, [])
+        self.transport.dataBuffer = b"x" * (callers.UNSENT_MOST + 1)
+        exchange.pass_on(b"data: 1\n\n")
+        self.assertTrue(self.transport.aborted)
+
+    def test_at_a_stop_idle_connections_close_and_others_after_answer(self):
+        self.conn.dataReceived(POST)
+        idle = self.listener.buildProtocol(None)
+        idle.makeConnection(support.Transport())
+        self.listener.close_idle()
+        self.assertTrue(idle.transport.disconnecting)
+        self.assertFalse(self.transport.disconnecting)
+        self.handler.exchanges[0].answer(200, [], b"one")
+        self.assertIn(b"Connection: close", self._written())
+        self.assertTrue(self.transport.write_closed)
--- /dev/null
+++ b/tests/gateway/test_pieces.py
@@ -0,0 +1,81 @@
+"""Events of a stream, datagrams and log lines."""
+
+import json
+import os
+import unittest
+
+from crocuskeel.core.entry import events
+from crocuskeel.gateway import events_split
+from crocuskeel.gateway import gossip
+from crocuskeel.gateway import logs
+from tests.entry import support
+from twisted.internet import task
+
+
+class SplitterTest(unittest.TestCase):
+    """Whole events only."""
+
+    def test_any_cut_gives_the_same_events(self):
+        data = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\n\n"
+        whole = events_split.Splitter().feed(data)
+        self.assertEqual([1, 2, 3], [events_split.event_id(event)
+                                     for event in whole])
+        for cut in range(len(data)):
+            splitter = events_split.Splitter()
+            found = splitter.feed(data[:cut]) + splitter.feed(data[cut:])
+            self.assertEqual(whole, found)
+            self.assertEqual(b"", splitter.rest)
+
+    def test_an_endless_event_is_refused(self):
+        splitter = events_split.Splitter()
+        with self.assertRaises(ValueError):
+            splitter.feed(b"x" * (events_split.EVENT_MOST + 1))
+
+
+class GossipTest(unittest.TestCase):
+    """Datagrams between hosts."""
+
+    def test_both_kinds_come_back_as_sent(self):
+        for event in (
+                events.Heard(support.peer(), True, False, 3, 4,
+                             (("d", "s"),), (("s", 1, 2, 1, 30),),
+                             (("s", "p", 9),), True, ("host-2",)),
+                events.LoadHeard("host-1", (("s", 1, 2, 1, 30),))):
+            self.assertEqual(event, gossip.decode(gossip.encode(event)))
+
+    def test_what_is_no_datagram_of_a_host_is_refused(self):
+        for data in (b"", b"\xc1", b"\x93\x01\x02\x03", b"\x91\xa1x",
+                     b"hello", bytes(200)):
+            with self.assertRaises(ValueError):
+                gossip.decode(data)
+
+
+class LogTest(unittest.TestCase):
+    """Log lines, bounded."""
+
+    def test_a_pipe_that_nobody_reads_holds_nothing_up(self):
+        # A full pipe would stop the one thread, and with it the host.
+        reader, writer = os.pipe()
+        clock = task.Clock()
+        write, flush = logs.new_log(clock, writer, "host-1")
+        for number in range(3000):
+            write("sent", {"n": number, "pad": "x" * 100})
+        text = b""
+        os.set_blocking(reader, False)
+        for _ in range(50):
+            flush()
+            try:
+                text += os.read(reader, 1 << 20)
+            except BlockingIOError:
+                break
+        clock.advance(10)
+        write("later", {})
+        flush()
+        text += os.read(reader, 1 << 20)
+        lines = [json.loads(line) for line in text.splitlines()]
+        self.assertEqual(logs.LINES_BURST,
+                         sum(line["event"] == "sent" for line in lines))
+        self.assertIn(3000 - logs.LINES_BURST,
+                      [line.get("count") for line in lines])
+        os.close(reader)
+        os.close(writer)
--- /dev/null
+++ b/tests/gateway/test_servers.py
@@ -0,0 +1,166 @@
+"""One attempt at a server: what its bytes are taken for, in a table."""
+
+import unittest
+
+from crocuskeel.core.entry import effects
+from crocuskeel.core.entry import events
+from crocuskeel.core.entry import model
+from crocuskeel.gateway import callers
+from crocuskeel.gateway import dialect
+from crocuskeel.gateway import servers
+from tests.entry import support as entry_support
+from tests.gateway import support
+from twisted.internet import error
+from twisted.internet import testing
+from twisted.python import failure
+
+DONE = error.ConnectionDone()
+RESET = error.ConnectionLost()
+OK = b"HTTP/1.1 200 OK\r\n"
+EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+
+
+class _Caller:
+    """Stands for a caller's connection."""
+
+    def __init__(self):
+        self.sent = []
+        self.transport = support.Transport()
+
+    def send_head(self, status, headers):
+        self.sent.append(status)
+
+    def send_data(self, data):
+        self.sent.append(data)
+
+    def send_end(self):
+        self.sent.append("end")
+
+    def send_answer(self, status, headers, body):
+        self.sent.append((status, body))
+
+
+class AttemptTest(unittest.TestCase):
+    """Attempts without sockets."""
+
+    def _begin(self, stream=False, last_event=None):
+        self.gateway = support.Gateway()
+        self.caller = _Caller()
+        self.exchange = callers.Exchange(
+            self.caller, dialect.Head((), b"POST", b"/a/1"), b"abc")
+        self.exchange.request = model.Request("r1", "POST", "h", "/")
+        self.exchange.last_event = last_event
+        send = effects.Send(1, 0, entry_support.server("s1"), 1.0, 0, "",
+                            stream)
+        attempt = servers.Attempt(self.gateway, self.exchange, send)
+        self.transport = support.Transport()
+        attempt.makeConnection(self.transport)
+        self.gateway.on_event = lambda event: (
+            attempt.pass_on() if type(event) in (
+                events.Opened, events.Answered) else None)
+        return attempt
+
+    def _play(self, data, end=None, **kwargs):
+        attempt = self._begin(**kwargs)
+        # Twisted delivers no empty data; h11 would take it for the end.
+        if data:
+            attempt.dataReceived(data)
+        if end is not None:
+            attempt.connectionLost(failure.Failure(end))
+        last = self.gateway.events[-1]
+        return getattr(last, "outcome", type(last))
+
+    def test_plain_answers(self):
+        rows = (
+            ("whole", OK + b"Content-Length: 2\r\n\r\nok", None,
+             events.Answered),
+            ("chunked", OK + b"Transfer-Encoding: chunked\r\n\r\n"
+             b"2\r\nok\r\n0\r\n\r\n", None, events.Answered),
+            ("unframed, closed", OK + b"\r\nok", DONE, events.Answered),
+            ("unframed, reset", OK + b"\r\nok", RESET,
+             model.Outcome.BROKEN),
+            ("truncated", OK + b"Content-Length: 9\r\n\r\nok", DONE,
+             model.Outcome.GARBLED),
+            ("reset at once", b"", RESET, model.Outcome.BROKEN),
+            ("closed at once", b"", DONE, model.Outcome.BROKEN),
+            ("no answer", b"\x00\x01\x02\r\n\r\n", None,
+             model.Outcome.GARBLED),
+            ("another request's", OK + b"Verdict: foreign\r\n"
+             b"Content-Length: 2\r\n\r\nok", None, model.Outcome.GARBLED),
+            ("not run", OK + b"Verdict: not_run\r\n\r\n", None,
+             model.Outcome.NOT_RUN),
+            ("another server", OK + b"Verdict: misdirected\r\n\r\n", None,
+             model.Outcome.MISDIRECTED),
+            ("extra bytes", OK + b"Content-Length: 2\r\n\r\nok" + OK,
+             None, events.Answered),
+        )
+        for name, data, end, expected in rows:
+            with self.subTest(name):
+                self.assertEqual(expected, self._play(data, end))
+        self.assertEqual([(200, b"ok")], self.caller.sent)
+
+    def test_streams(self):
+        head = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+        body = b"%x\r\n%s\r\n" % (len(EVENTS), EVENTS)
+        rows = (
+            ("whole", head + body + b"0\r\n\r\n", None, events.Ended,
+             [200, EVENTS, "end"]),
+            ("reset after an event", head + body, RESET,
+             model.Outcome.BROKEN, [200, EVENTS]),
+            ("half an event", head + b"5\r\nid: 1\r\n", RESET,
+             model.Outcome.BROKEN, []),
+            ("ends in an event", head + body
+             + b"5\r\nid: 3\r\n0\r\n\r\n", None, model.Outcome.GARBLED,
+             [200, EVENTS]),
+        )
+        for name, data, end, expected, sent in rows:
+            with self.subTest(name):
+                self.assertEqual(
+                    expected, self._play(data, end, stream=True))
+                self.assertEqual(sent, self.caller.sent)
+
+    def test_a_resumed_stream_must_not_repeat_events(self):
+        # An engine that begins anew would have the caller read the start
+        # of its answer twice.
+        data = (OK + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n"
+                % (len(EVENTS), EVENTS))
+        self.assertEqual(model.Outcome.GARBLED, self._play(
+            data, stream=True, last_event=2))
+        self.assertEqual([], self.caller.sent)
+
+    def test_what_is_sent(self):
+        self._begin()
+        self.assertEqual(
+            b"POST /a/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc",
+            self.transport.value())
+
+    def test_a_cancelled_attempt_closes_and_says_nothing_more(self):
+        attempt = self._begin()
+        attempt.cancel()
+        self.assertTrue(self.transport.aborted)
+        attempt.dataReceived(OK + b"Content-Length: 2\r\n\r\nok")
+        attempt.connectionLost(failure.Failure(DONE))
+        self.assertEqual([], self.gateway.events)
+
+
+class ConnectTest(unittest.TestCase):
+    """Connections that can't be had."""
+
+    def test_a_refused_connection_is_reported(self):
+        # A host asked the connector to stop after it had failed, which
+        # raised; the request hung until its caller gave up.
+        gateway = support.Gateway()
+        gateway.reactor = testing.MemoryReactorClock()
+        exchange = callers.Exchange(
+            _Caller(), dialect.Head((), b"GET", b"/"), b"")
+        send = effects.Send(1, 0, entry_support.server("s1"), 1.0, 0, "",
+                            False)
+        servers.begin(gateway, exchange, send)
+        _, _, factory, timeout, _ = gateway.reactor.tcpClients[0]
+        connector = gateway.reactor.connectors[0]
+        connector.disconnect = lambda: None
+        factory.clientConnectionFailed(
+            connector, failure.Failure(error.ConnectionRefusedError()))
+        (event,) = gateway.events
+        self.assertEqual(model.Outcome.UNREACHED, event.outcome)
+        self.assertEqual(servers.CONNECT_S, timeout)
--- /dev/null
+++ b/tests/platform/test_following.py
@@ -0,0 +1,186 @@
+"""Following the store through outages, against a store of a few lines."""
+
+import random
+import unittest
+
+from crocuskeel.core import entry
+from crocuskeel.core.entry import events
+from crocuskeel.platform import exceptions
+from crocuskeel.platform import following
+from crocuskeel.platform import objects
+from crocuskeel.platform import store as stores
+from tests.entry import support
+from twisted.internet import defer
+from twisted.internet import task
+
+
+def _config(revision, **spec):
+    return {"Meta": {"Name": "main", "Rev": revision},
+            "Spec": {"Version": revision, "Routes": [], **spec}}
+
+
+def _server(sid, state="ready"):
+    return {"Meta": {"Name": sid, "Rev": 1}, "Spec": {
+        "Service": "plain", "Addr": "10.0.0.9:80", "Zone": "a",
+        "Slots": 6, "State": state}}
+
+
+class _Store:
+    """Answers calls with what a test lays ready, by kind."""
+
+    def __init__(self):
+        self.calls = []
+        self.waiting = {}
+
+    async def list(self, kind):
+        return await self._call("list", kind)
+
+    async def watch(self, kind, revision, span_s):
+        return await self._call("watch", kind, revision)
+
+    async def put(self, kind, name, spec):
+        self.calls.append(("put", kind))
+
+    def _call(self, *call):
+        self.calls.append(call)
+        self.waiting[call[1]] = defer.Deferred()
+        return self.waiting[call[1]]
+
+    def answer(self, kind, result):
+        waiting = self.waiting.pop(kind)
+        if isinstance(result, Exception):
+            waiting.errback(result)
+        else:
+            waiting.callback(result)
+
+
+class _Gateway:
+    def __init__(self):
+        self.host = entry.new_host(entry.Settings(), random.Random(1))
+        self.now = 0.0
+        self.lines = []
+        self.feed(events.Started(support.peer("me")))
+
+    def feed(self, event):
+        entry.reduce(self.host, event, self.now)
+
+    def log(self, event, fields):
+        self.lines.append(event)
+
+
+class FollowerTest(unittest.TestCase):
+    """What a host believes after each answer of the store."""
+
+    def setUp(self):
+        self.clock = task.Clock()
+        self.store = _Store()
+        self.gateway = _Gateway()
+        self.host = self.gateway.host
+        self.follower = following.new_follower(
+            self.clock, self.gateway, self.store)
+        self.follower.start()
+        self.store.answer("config", stores.Listing((_config(3),), 4))
+        self.store.answer("servers", stores.Listing(
+            (_server("s1"), _server("s2")), 4))
+
+    def test_watches_from_the_lists_revision(self):
+        self.assertIn(("watch", "config", 4), self.store.calls)
+        self.assertEqual(3, self.host.catalog.revision)
+        self.assertEqual(["s1", "s2"], list(self.host.servers))
+
+    def test_changes_are_taken_at_once(self):
+        self.store.answer("servers", stores.Changes(
+            ((_server("s1", "draining"), False), (_server("s2"), True)),
+            6))
+        self.assertTrue(self.host.servers["s1"].server.draining)
+        self.assertNotIn("s2", self.host.servers)
+        self.assertIn(("watch", "servers", 6), self.store.calls)
+
+    def test_a_history_that_is_gone_is_read_anew(self):
+        # A server left in the gap that no watch shows.
+        self.store.answer("servers", exceptions.StoreError(410, "gone"))
+        self.clock.advance(0.5)
+        self.store.answer("servers", stores.Listing((_server("s1"),), 9))
+        self.assertEqual(["s1"], list(self.host.servers))
+
+    def test_what_is_known_holds_through_an_outage(self):
+        for _ in range(5):
+            self.store.answer("servers", exceptions.StoreError(0, "down"))
+            self.clock.advance(2.0)
+        self.assertIsNotNone(self.host.store_lost_at)
+        self.assertEqual(2, len(self.host.servers))
+        self.store.answer("servers", stores.Changes((), 9))
+        self.assertIsNone(self.host.store_lost_at)
+
+    def test_a_watch_that_is_back_renews_the_other(self):
+        # A host is cut off and heals. One watch is renewed; the other
+        # hangs on a connection that is dead, and the configuration of
+        # four seconds ago stays in force.
+        self.store.answer("servers", exceptions.StoreError(0, "down"))
+        self.clock.advance(0.5)
+        watches = self.store.calls.count(("watch", "config", 4))
+        self.store.answer("servers", stores.Changes((), 9))
+        self.clock.advance(0.5)
+        self.assertEqual(watches + 1, self.store.calls.count(
+            ("watch", "config", 4)))
+
+    def test_calls_in_an_outage_are_few(self):
+        # Each is billed, also those that get no answer.
+        before = len(self.store.calls)
+        for _ in range(100):
+            if "servers" in self.store.waiting:
+                self.store.answer("servers",
+                                  exceptions.StoreError(503, "busy"))
+            self.clock.advance(0.1)
+        self.assertLess(len(self.store.calls) - before, 16)
+
+    def test_bad_objects_are_left_out_with_a_line(self):
+        self.store.answer("servers", stores.Changes(
+            (({"Meta": {"Name": "s9"}, "Spec": {"Addr": "x"}}, False),),
+            6))
+        self.store.answer("config", stores.Changes(
+            ((_config(7, Routes=[{"Name": "r"}]), False),), 7))
+        self.assertEqual(["bad_object", "bad_object"],
+                         self.gateway.lines[-2:])
+        self.assertEqual(3, self.host.catalog.revision)
+
+    def test_a_snapshot_of_a_peer_brings_what_is_newer_only(self):
+        snapshot = self.follower.snapshot(3)
+        self.assertIsNone(snapshot["config"])
+        self.follower.take_snapshot({
+            "config": _config(2), "servers": [_server("old")],
+            "revision": 2})
+        self.assertEqual(3, self.host.catalog.revision)
+        self.assertNotIn("old", self.host.servers)
+        self.follower.take_snapshot({
+            "config": _config(8), "servers": [_server("s1")],
+            "revision": 8})
+        self.assertEqual(8, self.host.catalog.revision)
+        self.assertEqual(["s1"], list(self.host.servers))
+
+
+class ObjectsTest(unittest.TestCase):
+    """Decoding of objects."""
+
+    def test_a_configuration(self):
+        row = {"Name": "r", "Host": "Desk.Example", "Prefix": "/a/",
+               "Kind": "stream", "TimeoutMs": 8000, "GoalMs": 2000,
+               "Priority": 2, "Service": "engines", "Attempts": 2,
+               "Resumable": True, "GapAimMs": 250}
+        found = objects.catalog(_config(
+            5, Routes=[row, {**row, "Prefix": "/a/b/"}],
+            Tenants=[{"Name": "w", "ApiKeys": ["k"], "Priority": 1}],
+            Services=[{"Name": "engines", "MaxConns": 360,
+                       "Engine": {"Slots": 64, "KvTokens": 500}}]))
+        longest, _ = found.routes["desk.example"]
+        self.assertEqual("/a/b/", longest.prefix)
+        self.assertEqual((8.0, 0.25, True), (
+            longest.timeout_s, longest.gap_s, longest.repeatable))
+        self.assertEqual(("w", 1), (found.api_keys["k"].name,
+                                    found.api_keys["k"].priority))
+        self.assertEqual(500, found.services["engines"].engine.memory)
+
+    def test_a_host_comes_back_as_registered(self):
+        me = support.peer("me")
+        obj = {"Meta": {"Name": "me"}, "Spec": objects.peer_spec(me)}
+        self.assertEqual(me, objects.peer(obj))
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,112 @@
+"""Headers on both sides of a host."""
+
+import unittest
+
+from crocuskeel.core.entry import effects
+from crocuskeel.core.entry import model
+from crocuskeel.gateway import dialect
+from crocuskeel.platform import headers
+from tests.entry import support
+
+FORGED = (
+    (b"Authorization", b"Bearer secret"),
+    (b"X-Crocuskeel-Tenant", b"forged"),
+    (b"x-crocuskeel-hold", b"forged"),
+    (b"X-Crocuskeel-Req-Priority", b"forged"),
+    (b"X-Crocuskeel-Expect-Instance", b"forged"),
+    (b"X-Crocuskeel-Expect-Version", b"forged"),
+    (b"X-Crocuskeel-Pin-Ms", b"forged"),
+    (b"X-Crocuskeel-Kv-Backup", b"forged"),
+    (b"Kv-From", b"forged"), (b"Kv-Fetch", b"forged"),
+    (b"Connection", b"close, X-Mine"), (b"X-Mine", b"forged"),
+    (b"Transfer-Encoding", b"chunked"), (b"Content-Length", b"9"),
+)
+SENT = (
+    (b"Host", b"Desk.example:80"),
+    (b"X-Crocuskeel-Request-Id", b"9c41"),
+    (b"X-Crocuskeel-Deadline-Ms", b"8000"),
+    (b"X-Crocuskeel-Token-Count", b"1460,80"),
+    (b"X-Crocuskeel-Prefix-Hash", b"5c1e:800,91bd:660"),
+    (b"Last-Event-Id", b"4"),
+)
+
+
+def _server_headers(last_event=None, resume=False):
+    send = effects.Send(1, 0, support.server("i-1"), 1.5, 12, "hire",
+                        True, resume)
+    head = dialect.Head(SENT + FORGED, b"POST", b"/a/1")
+    return dict(headers.new_dialect().server_headers(
+        head, send, last_event))
+
+
+class HeadersTest(unittest.TestCase):
+    """What goes in and what comes back."""
+
+    def setUp(self):
+        self.dialect = headers.new_dialect()
+
+    def _judge(self, *rows, status=200):
+        request = model.Request("9c41", "POST", "h", "/")
+        return self.dialect.judge(
+            request, dialect.Head(rows, status=status)).value
+
+    def test_a_callers_request(self):
+        head = dialect.Head(SENT + FORGED, b"POST", b"/a/1?x=1")
+        found = self.dialect.read_request(head, b"body")
+        self.assertEqual(("9c41", "desk.example", "/a/1?x=1", "secret"),
+                         (found.rid, found.host, found.path,
+                          found.api_key))
+        self.assertEqual((8.0, True), (found.deadline_s, found.resumed))
+        self.assertEqual((("5c1e", 800), ("91bd", 660)),
+                         found.prompt.parts)
+
+    def test_nothing_of_ours_comes_from_a_caller(self):
+        # A caller that sets its own priority or another's memory would
+        # be served before others, or out of their prompts.
+        found = _server_headers()
+        self.assertNotIn(b"forged", found.values())
+        self.assertNotIn(b"Authorization", found)
+        self.assertNotIn(b"Content-Length", found)
+        self.assertEqual(b"hire", found[b"X-Crocuskeel-Tenant"])
+        self.assertEqual(b"i-1", found[b"X-Crocuskeel-Expect-Instance"])
+        self.assertEqual(b"1500", found[b"X-Crocuskeel-Deadline-Ms"])
+        self.assertEqual(b"9", found[b"X-Crocuskeel-Req-Priority"])
+
+    def test_a_resume_names_the_last_event_that_the_caller_has(self):
+        self.assertEqual(b"4", _server_headers()[b"Last-Event-Id"])
+        found = _server_headers(last_event=7, resume=True)
+        self.assertEqual(b"7", found[b"Last-Event-Id"])
+
+    def test_verdicts(self):
+        rid = (b"X-Crocuskeel-Request-Id", b"9c41")
+        other = (b"X-Crocuskeel-Request-Id", b"ffff")
+        stamp = (b"X-Crocuskeel-Server-Stamp", b"3e1b")
+        not_run = (b"X-Crocuskeel-Not-Run", b"1")
+        packed = (b"Content-Encoding", b"gzip")
+        for rows, status, expected in (
+                ((rid, stamp), 200, "answer"),
+                ((rid,), 200, "garbled"), ((stamp,), 200, "garbled"),
+                ((other, stamp), 200, "foreign"),
+                ((rid, stamp, packed), 200, "garbled"),
+                ((rid, stamp), 500, "answer"), ((rid,), 503, "answer"),
+                ((not_run,), 503, "not_run"),
+                ((not_run,), 400, "not_run"), ((), 421, "misdirected")):
+            with self.subTest(rows=rows, status=status):
+                self.assertEqual(expected,
+                                 self._judge(*rows, status=status))
+
+    def test_a_bad_time_limit_is_a_bad_request(self):
+        head = dialect.Head(((b"X-Crocuskeel-Deadline-Ms", b"soon"),),
+                            b"GET", b"/")
+        with self.assertRaises(ValueError):
+            self.dialect.read_request(head, b"")
+
+    def test_the_same_request_again_is_known_by_its_digest(self):
+        head = dialect.Head(SENT + FORGED, b"POST", b"/a/1")
+        again = dialect.Head(
+            ((b"X-Crocuskeel-Request-Id", b"other"), *SENT, *FORGED),
+            b"POST", b"/a/1")
+        read = self.dialect.read_request
+        self.assertEqual(read(head, b"x").digest, read(again, b"x").digest)
+        self.assertNotEqual(read(head, b"x").digest,
+                            read(head, b"y").digest)
