Move a waiting stream when its engine falls silent

Ruled out: the timer (it fired each 0.9 s), the budget (repeats were left). Change: an engine that has work and was heard by no host for 0.5 s besides the time to read its prompts is silent: it gets nothing new, and resumable streams leave it.

--- a/crocuskeel/core/entry/choosing.py
+++ b/crocuskeel/core/entry/choosing.py
@@ -10,8 +10,8 @@
 
 from crocuskeel.core.entry import routing
 
-__all__ = ["ahead_tokens", "choose", "fresh_tokens", "note_load",
-           "place", "reading", "remember", "running",
+__all__ = ["ahead_tokens", "choose", "fresh_tokens", "is_silent",
+           "note_load", "place", "reading", "remember", "running",
            "spilled_tokens"]
 
 # Reading speed of an engine, tokens a second: between the 36,700 and
@@ -26,6 +26,11 @@
 # Reading a shared part once more takes an engine's time from every other
 # request and is billed besides: it counts this many times its own time.
 REREAD = 4.0
+# A server with work that was not heard for this long on top of the time
+# to read its prompts, s, is silent. Events come each 30 to 200 ms.
+SILENT_S = 0.5
+# Reading takes up to this many times as long while streams run, too.
+READ_SLACK = 1.5
 # All slots taken: waiting for one takes the better part of an answer.
 FULL_S = 1.0
 # A plain service's call takes some tens of milliseconds.
@@ -62,7 +67,9 @@
 def _fits(state, strict, exclude, now):
     if state.server.sid in exclude:
         return strict == 0 and len(exclude) == 0
-    return strict < 2 or state.suspect_until <= now
+    if strict < 2:
+        return True
+    return state.suspect_until <= now and not is_silent(state, now)
 
 
 def _least(host, states, request, now):
@@ -158,6 +165,19 @@
     return fresh - min(_shared_fresh(other, prompt) for other in others)
 
 
+def is_silent(state, now):
+    """Say whether a server that has work says nothing to any host.
+
+    One that went dark keeps its connections open. One that works makes
+    events for somebody, or reads what it was sent.
+    """
+    if not state.mine:
+        return False
+    limit = SILENT_S + READ_SLACK * (
+        ahead_tokens(state, now) / PREFILL_TOKENS_S)
+    return now - max(state.heard_at, state.asked_at) > limit
+
+
 def ahead_tokens(state, now):
     """Return the tokens that all hosts wait for an engine to read."""
     said = sum(tokens for _, tokens, _, at in state.others.values()
--- a/crocuskeel/core/entry/requests.py
+++ b/crocuskeel/core/entry/requests.py
@@ -37,15 +37,15 @@
 # A repeatable call is sent to a second server, too, when this share of
 # its goal is gone, and so early enough to be answered on time.
 HEDGE_SHARE = 0.5
-# A resumable stream without its first event is moved when its engine
-# has said nothing at all for this share of the goal.
+# A resumable stream without its first event may be moved when this share
+# of its goal is gone, if its engine is silent.
 MOVE_SHARE = 0.45
 # A resumable stream is moved when it pauses for longer than this many
 # of the longest pauses that are on time; s at the least.
 STALL_GAPS = 1.0
 STALL_LEAST_S = 0.4
 # A request that may not be moved yet is looked at again after this, s.
-RECHECK_S = 0.05
+RECHECK_S = 0.1
 
 
 def arrived(host, event, now):
@@ -146,6 +146,8 @@
     pending.tries.append(attempt)
     pending.sent += 1
     pending.reached_out += 1
+    if not target.mine:
+        target.asked_at = now
     target.mine[pending.key, attempt.turn] = fresh
     _changed(host, pending, target)
     if pending.sent > 1:
@@ -160,10 +162,11 @@
     if pending.passing is not None:
         due = max(now + RECHECK_S, pending.progress_at + _stall_s(pending))
         return min(pending.ends_at, due)
-    share = MOVE_SHARE
-    if pending.route.kind is not model.Kind.STREAM:
-        share = HEDGE_SHARE
-    return min(pending.ends_at, now + share * pending.route.goal_s)
+    share = HEDGE_SHARE
+    if pending.route.kind is model.Kind.STREAM:
+        share = MOVE_SHARE
+    due = pending.tries[-1].at + share * pending.route.goal_s
+    return min(pending.ends_at, max(due, now + RECHECK_S))
 
 
 def _stall_s(pending):
@@ -206,7 +209,7 @@
     if pending.passing is not None:
         silent = now - pending.progress_at >= _stall_s(pending) - 0.001
     else:
-        silent = target is None or target.heard_at < attempt.at
+        silent = target is None or choosing.is_silent(target, now)
     if not silent or not _may_go_on(host, pending, now):
         return [effects.Timer(pending.key, _next_check(pending, now))]
     out = [effects.Cancel(pending.key, attempt.turn),
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -84,6 +84,8 @@
     samples: int = 0
     slowness: float = 1.0
     heard_at: float = 0.0
+    # Since when this host has had a request there without a break.
+    asked_at: float = 0.0
     suspect_until: float = 0.0
     strikes: int = 0
     unreached: bool = False
--- a/tests/entry/test_requests.py
+++ b/tests/entry/test_requests.py
@@ -160,15 +160,44 @@
             out = driver.feed(events.TimerFired(1), 0.01)
             self.assertEqual([], support.only(out, effects.Cancel))
 
+    def _wait(self, heard_until):
+        """Wait 5 s for a first event; return when the stream is moved.
+
+        Other hosts hear its engine for ``heard_until`` seconds.
+        """
+        driver = support.Driver(STREAM, servers=ENGINES)
+        driver.arrive(path="/advice/1", prompt=support.prompt(),
+                      deadline_s=8.0)
+        sid = driver.host.pending[1].tries[0].sid
+        timer = driver.host.pending[1].at + 0.5
+        while timer < support.NOW + 5:
+            heard = min(timer, support.NOW + heard_until)
+            driver.host.servers[sid].heard_at = heard
+            driver.now = timer
+            out = driver.feed(events.TimerFired(1))
+            if support.only(out, effects.Cancel):
+                return timer - support.NOW
+            timer = support.only(out, effects.Timer)[0].at
+        return None
+
     def test_a_waiting_stream_stays_while_its_engine_is_heard(self):
         # Under load first tokens come late. Moving a request whose engine
         # works on others would only put it at the end of another queue.
+        self.assertIsNone(self._wait(heard_until=5))
+
+    def test_a_waiting_stream_is_moved_when_its_engine_falls_silent(self):
+        # An engine is heard once more after a request went there, then it
+        # goes dark with the connection open. The caller waited until its
+        # time was up, eight seconds.
+        self.assertLess(self._wait(heard_until=0.4), 2.2)
+
+    def test_a_silent_engine_gets_no_more_requests(self):
         driver = support.Driver(STREAM, servers=ENGINES)
         driver.arrive(path="/advice/1", prompt=support.prompt())
-        sid = driver.host.pending[1].tries[0].sid
-        driver.host.servers[sid].heard_at = driver.now + 0.2
-        out = driver.feed(events.TimerFired(1), 0.6)
-        self.assertEqual([], support.only(out, effects.Cancel))
+        silent = driver.host.pending[1].tries[0].sid
+        driver.now += 2.0
+        driver.arrive(2, path="/advice/1", prompt=support.prompt())
+        self.assertNotEqual(silent, driver.host.pending[2].tries[0].sid)
 
 
 class QuarantineTest(unittest.TestCase):
