Send to another engine with room before refusing

Ruled out: a shorter hold, which would read parts again for nothing. Change: after the hold the best engine that lets it in gets it. Its test failed first.

--- a/crocuskeel/core/entry/attempts.py
+++ b/crocuskeel/core/entry/attempts.py
@@ -69,7 +69,8 @@
         health.succeeded(target, now)
     sending.finish(host, pending)
     return [sending.note("served", pending.request, turn=attempt.turn,
-                         server=attempt.sid, took_s=round(now - pending.at, 3))]
+                         server=attempt.sid,
+                         took_s=round(now - pending.at, 3))]
 
 
 def answered(host, event, now):
@@ -118,7 +119,8 @@
     _judge(host, pending, attempt, event, now)
     line = sending.note("broken", pending.request, turn=attempt.turn,
                         server=attempt.sid, outcome=event.outcome.value,
-                        detail=event.detail, passing=pending.passing is not None)
+                        detail=event.detail,
+                        passing=pending.passing is not None)
     if sending.live(pending):
         return [line]
     if _may_try_again(host, pending, event.outcome, now):
--- a/crocuskeel/core/entry/requests.py
+++ b/crocuskeel/core/entry/requests.py
@@ -97,7 +97,8 @@
         return [effects.Timer(pending.key, sending.next_check(pending, now))]
     out = [effects.Cancel(pending.key, attempt.turn),
            sending.note("moved", pending.request, turn=attempt.turn,
-                        server=attempt.sid, started=pending.passing is not None)]
+                        server=attempt.sid,
+                        started=pending.passing is not None)]
     if target is not None:
         health.unreached(target, now)
     sending.release(host, pending, attempt)
--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -50,7 +50,12 @@
         return give_up(host, pending, "no server", now)
     if not pending.tries and not admission.admits(
             host, pending, target, now):
-        return _hold(host, pending, target, now)
+        if now < admission.hold_until(pending):
+            return [effects.Timer(
+                pending.key, now + admission.RECHECK_S)]
+        full, target = target, _with_room(host, pending, now)
+        if target is None:
+            return _shed(host, pending, full, now)
     attempt = _begin(host, pending, target, now)
     order = effects.Send(
         pending.key, attempt.turn, target.server, left, pending.priority,
@@ -70,10 +75,20 @@
             effects.Timer(pending.key, next_check(pending, now))]
 
 
-def _hold(host, pending, target, now):
-    """Wait a moment for room, then refuse."""
-    if now < admission.hold_until(pending):
-        return [effects.Timer(pending.key, now + admission.RECHECK_S)]
+def _with_room(host, pending, now):
+    """Return the best server that lets a request in, or None.
+
+    Reading shared parts once more costs less than a refusal.
+    """
+    full = {state.server.sid
+            for state in host.by_service.get(pending.service, ())
+            if not admission.admits(host, pending, state, now)}
+    return choosing.choose(
+        host, pending.service, pending.request, full, now)
+
+
+def _shed(host, pending, target, now):
+    """Refuse a request that no server has room for."""
     line = note("shed", pending.request, server=target.server.sid,
                 priority=pending.priority,
                 running=choosing.running(target, now),
--- a/tests/entry/test_choosing.py
+++ b/tests/entry/test_choosing.py
@@ -113,6 +113,20 @@
         out = driver.feed(events.TimerFired(1), 0.1)
         self.assertEqual(1, len(support.only(out, effects.Send)))
 
+    def test_another_engine_with_room_goes_before_a_refusal(self):
+        # The engine that holds a prompt's part reads a giant one for a
+        # second. Callers of that part were refused beside idle engines.
+        driver = _driver()
+        holder = driver.host.servers["e2"]
+        choosing.remember(holder, "shared", 13_000, 5e5)
+        holder.others["host-1"] = (1, 28_000, 1, driver.now)
+        self.assertEqual(0, len(self._sends(driver, "low")[0]))
+        driver.now += 1.01
+        holder.others["host-1"] = (1, 28_000, 1, driver.now)
+        out = driver.feed(events.TimerFired(1))
+        (sent,) = support.only(out, effects.Send)
+        self.assertNotEqual("e2", sent.server.sid)
+
     def test_one_that_came_back_goes_before_others(self):
         driver = _driver()
         self._load(driver, 1, 12_000)
