--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -189,12 +189,12 @@
     def _spoil(self):
         name = self.rng.choice(("lost", "torn", "full", "error"))
         for engine in self.engines.values():
-            engine.faults = {name: 0.3}
+            engine.faults = {**engines.USUAL, name: 0.3}
         reactor.callLater(1.5, self._mend)
 
     def _mend(self):
         for engine in self.engines.values():
-            engine.faults = {}
+            engine.faults = dict(engines.USUAL)
 
 
 def _pass(span):
--- a/tools/soak/engine.py
+++ b/tools/soak/engine.py
@@ -3,11 +3,14 @@
 from crocuskeel.gateway import callers
 from crocuskeel.gateway import loop
 
-__all__ = ["Engine", "EVENTS"]
+__all__ = ["EVENTS", "Engine", "USUAL"]
 
 EVENTS = 12
 EVENT_S = 0.03
 CALL_S = 0.02
+# Faults that servers always have, as shares of requests: a run of ten
+# seconds must see each, or it proves nothing of what keeps them harmless.
+USUAL = {"lost": 0.03, "torn": 0.03, "full": 0.03, "error": 0.02}
 RID = b"x-crocuskeel-request-id"
 
 
@@ -25,7 +28,7 @@
         self.sid = sid
         self.service = service
         self.runs = runs
-        self.faults = {}
+        self.faults = dict(USUAL)
         self.port = None
         self.seen = []
         self.listener = callers.new_listener(reactor, self)
