One client connection for attempts and calls

Cause: gateway/servers.py and gateway/calls.py each had a dialer and read h11 events in the same way, so a fault mended in one stayed in the other.

Ruled out: a base class for both; what varies is what is asked and what is made of an answer, so a handler says it.

Change: gateway/connections.py holds the connection; an attempt and a call are its handlers. Fields that nothing decided by are gone (Request.resumed, ServerState.samples, Prompt.model).

One assertion on the removed field Request.resumed went with it; that Last-Event-Id is passed on is asserted on what the server gets.

--- a/crocuskeel/core/entry/health.py
+++ b/crocuskeel/core/entry/health.py
@@ -56,5 +56,4 @@
 
 
 def _outcome(state, bad):
-    state.samples += 1
     state.failing += OUTCOME_WEIGHT * (bad - state.failing)
--- a/crocuskeel/core/entry/model.py
+++ b/crocuskeel/core/entry/model.py
@@ -36,7 +36,6 @@
 class Prompt:
     """Parts as (id, tokens), in order; ``output`` is the most tokens."""
 
-    model: str
     parts: tuple
     tokens: int
     output: int
@@ -47,7 +46,6 @@
     """One attempt of a caller; ``digest`` names method, path and body.
 
     ``deadline_s`` is how long the caller waits from arrival, or None.
-    ``resumed`` is true if the caller asks for the rest of a stream.
     """
 
     rid: str
@@ -58,7 +56,6 @@
     deadline_s: float | None = None
     prompt: Prompt | None = None
     digest: str = ""
-    resumed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,7 +98,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
-    """``connections`` is the most a server accepts from all hosts."""
+    """``connections`` is the most that a server takes; 0 is no bound."""
 
     name: str
     connections: int
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -84,7 +84,6 @@
     load: int = 0
     load_at: float = 0.0
     failing: float = 0.0
-    samples: int = 0
     slowness: float = 1.0
     heard_at: float = 0.0
     # Since when this host has had a request there without a break.
--- a/crocuskeel/gateway/calls.py
+++ b/crocuskeel/gateway/calls.py
@@ -2,12 +2,9 @@
 
 import dataclasses
 
+from crocuskeel.gateway import connections
 from crocuskeel.gateway import exceptions
-from crocuskeel.gateway import sockets
-import h11
 from twisted.internet import defer
-from twisted.internet import error
-from twisted.internet import protocol
 
 __all__ = ["Reply", "call"]
 
@@ -23,87 +20,45 @@
     body: bytes
 
 
-class _Caller(protocol.Protocol):
-    """One call on its own connection."""
+class _Call:
+    """One call; ``asked`` is (method, target, headers, body)."""
 
-    def __init__(self, data, done):
-        self.data = data
+    def __init__(self, asked, done):
+        self.asked = asked
         self.done = done
-        self.h11 = h11.Connection(h11.CLIENT)
+        self.connection = None
         self.status = 0
         self.body = []
         self.size = 0
 
-    def connectionMade(self):
-        sockets.tune(self.transport)
-        method, target, headers, body = self.data
-        out = self.h11.send(h11.Request(
-            method=method, target=target, headers=headers))
-        if body:
-            out += self.h11.send(h11.Data(data=body))
-        out += self.h11.send(h11.EndOfMessage())
-        self.transport.write(out)
-
-    def dataReceived(self, data):
-        self.h11.receive_data(data)
-        self._pump()
-
-    def connectionLost(self, reason):
-        if reason.check(error.ConnectionDone) and self.status:
-            self.h11.receive_data(b"")
-            self._pump()
-        self._fail(reason.type.__name__)
-
-    def _pump(self):
-        while not self.done.called:
-            try:
-                event = self.h11.next_event()
-            except h11.RemoteProtocolError as exc:
-                self._fail(str(exc))
-                return
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
-            self._take(event)
-
-    def _take(self, event):
-        match event:
-            case h11.Response():
-                self.status = event.status_code
-            case h11.Data():
-                self._collect(bytes(event.data))
-            case h11.EndOfMessage():
-                self.transport.abortConnection()
-                self.done.callback(
-                    Reply(self.status, b"".join(self.body)))
-            case h11.ConnectionClosed():
-                self._fail("closed")
-
-    def _collect(self, data):
+    def request(self):
+        """Return what to send."""
+        return self.asked
+
+    def took_head(self, status, headers):
+        """Note the status."""
+        self.status = status
+
+    def took_data(self, data):
+        """Collect a piece of the answer."""
         self.size += len(data)
         if self.size > BODY_MOST:
-            self._fail("answer too large")
+            self.give_up("answer too large")
             return
         self.body.append(data)
 
-    def _fail(self, why):
-        if not self.done.called:
-            self.transport.abortConnection()
-            self.done.errback(exceptions.CallFailed(why))
-
-
-class _Dialer(protocol.ClientFactory):
-    noisy = False
+    def took_end(self):
+        """Hand over the whole answer."""
+        self.connection.close()
+        self.done.callback(Reply(self.status, b"".join(self.body)))
 
-    def __init__(self, caller):
-        self.caller = caller
+    def failed(self, failure, detail):
+        """No whole answer comes."""
+        self.done.errback(exceptions.CallFailed(detail))
 
-    def buildProtocol(self, addr):
-        return self.caller
-
-    def clientConnectionFailed(self, connector, reason):
-        if not self.caller.done.called:
-            self.caller.done.errback(
-                exceptions.CallFailed(reason.type.__name__))
+    def give_up(self, why):
+        """End the call as failed, unless it is over."""
+        self.connection.fail(connections.Failure.BROKEN, why)
 
 
 def call(reactor, address, method, target, timeout_s, body=b"",
@@ -121,21 +76,15 @@
     if body:
         headers += [(b"Content-Type", b"application/json"),
                     (b"Content-Length", b"%d" % len(body))]
-    done = defer.Deferred(lambda _: connector.disconnect())
-    caller = _Caller((method, target, headers, body), done)
-    connector = reactor.connectTCP(
-        *address, _Dialer(caller), timeout=CONNECT_S)
-    timer = reactor.callLater(timeout_s, _time_out, done, connector)
+    done = defer.Deferred(lambda _: making.connection.close())
+    making = _Call((method, target, headers, body), done)
+    making.connection = connections.connect(
+        reactor, address, making, CONNECT_S)
+    timer = reactor.callLater(timeout_s, making.give_up, "timeout")
     done.addBoth(_settle, timer)
     return done
 
 
-def _time_out(done, connector):
-    if not done.called:
-        done.errback(exceptions.CallFailed("timeout"))
-    connector.disconnect()
-
-
 def _settle(result, timer):
     if timer.active():
         timer.cancel()
--- a/crocuskeel/gateway/servers.py
+++ b/crocuskeel/gateway/servers.py
@@ -2,12 +2,9 @@
 
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import model
+from crocuskeel.gateway import connections
 from crocuskeel.gateway import dialect
 from crocuskeel.gateway import events_split
-from crocuskeel.gateway import sockets
-import h11
-from twisted.internet import error
-from twisted.internet import protocol
 
 __all__ = ["Attempt", "begin"]
 
@@ -17,9 +14,14 @@
 # A plain answer is held until it is whole, up to this size, bytes: only
 # then is it known to be complete.
 ANSWER_MOST = 4 << 20
+OUTCOMES = {
+    connections.Failure.UNREACHED: model.Outcome.UNREACHED,
+    connections.Failure.BROKEN: model.Outcome.BROKEN,
+    connections.Failure.GARBLED: model.Outcome.GARBLED,
+}
 
 
-class Attempt(protocol.Protocol):
+class Attempt:
     """One attempt at a server. ``gateway`` takes events of the core."""
 
     def __init__(self, gateway, exchange, send):
@@ -27,8 +29,7 @@
         self.exchange = exchange
         self.turn = send.turn
         self.send = send
-        self.connector = None
-        self.h11 = h11.Connection(h11.CLIENT)
+        self.connection = None
         self.head = None
         self.splitter = None
         self.events = []
@@ -36,75 +37,32 @@
         self.size = 0
         self.passing = False
         self.opened = False
-        self.over = False
         self.last_event = exchange.last_event
 
-    def connectionMade(self):
-        sockets.tune(self.transport)
-        if self.over:
-            self.transport.abortConnection()
-            return
+    @property
+    def over(self):
+        """Whether nothing more comes of it."""
+        return self.connection.over
+
+    def request(self):
+        """Return what to send."""
         exchange = self.exchange
+        head = exchange.head
         headers = self.gateway.dialect.server_headers(
-            exchange.head, self.send, exchange.last_event)
-        if exchange.body or exchange.head.method != b"GET":
+            head, self.send, exchange.last_event)
+        if exchange.body or head.method != b"GET":
             headers.append((b"Content-Length",
                             b"%d" % len(exchange.body)))
-        data = self.h11.send(h11.Request(
-            method=exchange.head.method, target=exchange.head.target,
-            headers=headers))
-        if exchange.body:
-            data += self.h11.send(h11.Data(data=exchange.body))
-        data += self.h11.send(h11.EndOfMessage())
-        self.transport.write(data)
-
-    def dataReceived(self, data):
-        if not self.over:
-            self.h11.receive_data(data)
-            self._pump()
-
-    def connectionLost(self, reason):
-        if self.over:
-            return
-        # A clean close ends an answer without a length; a reset means
-        # that its rest was lost.
-        if reason.check(error.ConnectionDone) and self.head is not None:
-            self.h11.receive_data(b"")
-            self._pump()
-        if not self.over:
-            self._fail(model.Outcome.BROKEN,
-                       reason.type.__name__, torn=True)
-
-    def not_connected(self, reason):
-        """No connection could be had."""
-        if not self.over:
-            self._fail(model.Outcome.UNREACHED, reason.type.__name__)
-
-    def _pump(self):
-        while not self.over:
-            try:
-                event = self.h11.next_event()
-            except h11.RemoteProtocolError as exc:
-                self._fail(model.Outcome.GARBLED, str(exc))
-                return
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
-            self._take(event)
-
-    def _take(self, event):
-        match event:
-            case h11.Response():
-                self._take_head(event)
-            case h11.Data():
-                self._take_data(bytes(event.data))
-            case h11.EndOfMessage():
-                self._take_end()
-            case h11.ConnectionClosed():
-                self._fail(model.Outcome.BROKEN, "closed", torn=True)
-
-    def _take_head(self, event):
-        head = dialect.Head(tuple(event.headers.raw_items()),
-                            status=event.status_code)
+        return head.method, head.target, headers, exchange.body
+
+    def failed(self, failure, detail):
+        """The connection failed."""
+        self._report(OUTCOMES[failure], detail,
+                     torn=failure is connections.Failure.BROKEN)
+
+    def took_head(self, status, headers):
+        """Judge an answer by its head."""
+        head = dialect.Head(headers, status=status)
         verdict = self.gateway.dialect.judge(self.exchange.request, head)
         match verdict:
             case dialect.Verdict.NOT_RUN:
@@ -118,7 +76,8 @@
                 if self.send.stream and head.status == 200:
                     self.splitter = events_split.Splitter()
 
-    def _take_data(self, data):
+    def took_data(self, data):
+        """Take a piece of the answer."""
         if self.splitter is None:
             self._collect(data)
             return
@@ -167,9 +126,10 @@
             self.exchange.last_event = self.last_event
             self.exchange.pass_on(data)
 
-    def _take_end(self):
+    def took_end(self):
+        """Take the end of the answer."""
         if self.splitter is None:
-            self._close()
+            self.connection.close()
             self.gateway.feed(events.Answered(
                 self.exchange.key, self.turn, self.head.status,
                 self.gateway.dialect.load(self.head),
@@ -178,7 +138,7 @@
         if self.splitter.rest or not self.opened:
             self._fail(model.Outcome.GARBLED, "ends within an event")
             return
-        self._close()
+        self.connection.close()
         self.gateway.feed(events.Ended(self.exchange.key, self.turn))
         self.exchange.end()
         self.gateway.forget(self.exchange)
@@ -196,43 +156,20 @@
 
     def cancel(self):
         """End the attempt; its server notices the close."""
-        self.over = True
-        self._drop()
+        self.connection.close()
+
+    def _fail(self, outcome, detail):
+        self.connection.close()
+        self._report(outcome, detail)
 
-    def _fail(self, outcome, detail, torn=False):
-        self._close()
+    def _report(self, outcome, detail, torn=False):
         self.gateway.feed(events.Broken(
             self.exchange.key, self.turn, outcome, detail, torn))
 
-    def _close(self):
-        self.over = True
-        self._drop()
-
-    def _drop(self):
-        if self.transport is not None:
-            self.transport.abortConnection()
-        elif self.connector is not None:
-            # Nothing happens if the connection has failed already.
-            self.connector.disconnect()
-
-
-class _Dialer(protocol.ClientFactory):
-    noisy = False
-
-    def __init__(self, attempt):
-        self.attempt = attempt
-
-    def buildProtocol(self, addr):
-        return self.attempt
-
-    def clientConnectionFailed(self, connector, reason):
-        self.attempt.not_connected(reason)
-
 
 def begin(gateway, exchange, send):
     """Connect to the server of a Send effect; return the Attempt."""
     attempt = Attempt(gateway, exchange, send)
-    host, port = send.server.address
-    attempt.connector = gateway.reactor.connectTCP(
-        host, port, _Dialer(attempt), timeout=CONNECT_S)
+    attempt.connection = connections.connect(
+        gateway.reactor, send.server.address, attempt, CONNECT_S)
     return attempt
--- a/crocuskeel/platform/headers.py
+++ b/crocuskeel/platform/headers.py
@@ -19,7 +19,6 @@
 _STAMP = STAMP.lower()
 _NOT_RUN = b"x-crocuskeel-not-run"
 _LOAD = b"x-crocuskeel-server-load"
-_MODEL = b"x-crocuskeel-model"
 _TOKENS = b"x-crocuskeel-token-count"
 # Parts of the prompt with their tokens; the name says hash.
 _PARTS = b"x-crocuskeel-prefix-hash"
@@ -58,8 +57,7 @@
         host=host.partition(":")[0].lower(),
         path=head.target.decode("latin-1"),
         api_key=_api_key(head), deadline_s=_deadline_s(head),
-        prompt=_prompt(head), digest=_digest(head, body),
-        resumed=head.get(LAST_EVENT.lower()) is not None)
+        prompt=_prompt(head), digest=_digest(head, body))
 
 
 def _api_key(head):
@@ -86,7 +84,6 @@
         return None
     parts = (head.get(_PARTS) or b"").decode("latin-1")
     return model.Prompt(
-        (head.get(_MODEL) or b"").decode("latin-1"),
         tuple(_parts(parts)), int(counts[0]), int(counts[1]))
 
 
--- a/tests/entry/support.py
+++ b/tests/entry/support.py
@@ -64,7 +64,7 @@
 
 def prompt(part="shared", shared=13_000, own=3_000):
     """Return a prompt of one shared part and its own."""
-    return model.Prompt("m", ((part, shared), ("own", own)),
+    return model.Prompt(((part, shared), ("own", own)),
                         shared + own, 200)
 
 
--- a/tests/gateway/test_servers.py
+++ b/tests/gateway/test_servers.py
@@ -6,6 +6,7 @@
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import model
 from crocuskeel.gateway import callers
+from crocuskeel.gateway import connections
 from crocuskeel.gateway import dialect
 from crocuskeel.gateway import servers
 from tests.entry import support as entry_support
@@ -53,8 +54,9 @@
         send = effects.Send(1, 0, entry_support.server("s1"), 1.0, 0, "",
                             stream)
         attempt = servers.Attempt(self.gateway, self.exchange, send)
+        attempt.connection = connections.Connection(attempt)
         self.transport = support.Transport()
-        attempt.makeConnection(self.transport)
+        attempt.connection.makeConnection(self.transport)
         self.gateway.on_event = lambda event: (
             attempt.pass_on() if type(event) in (
                 events.Opened, events.Answered) else None)
@@ -64,9 +66,9 @@
         attempt = self._begin(**kwargs)
         # Twisted delivers no empty data; h11 would take it for the end.
         if data:
-            attempt.dataReceived(data)
+            attempt.connection.dataReceived(data)
         if end is not None:
-            attempt.connectionLost(failure.Failure(end))
+            attempt.connection.connectionLost(failure.Failure(end))
         last = self.gateway.events[-1]
         return getattr(last, "outcome", type(last))
 
@@ -138,8 +140,8 @@
         attempt = self._begin()
         attempt.cancel()
         self.assertTrue(self.transport.aborted)
-        attempt.dataReceived(OK + b"Content-Length: 2\r\n\r\nok")
-        attempt.connectionLost(failure.Failure(DONE))
+        attempt.connection.dataReceived(OK + b"Content-Length: 2\r\n\r\nok")
+        attempt.connection.connectionLost(failure.Failure(DONE))
         self.assertEqual([], self.gateway.events)
 
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -56,7 +56,7 @@
         self.assertEqual(("9c41", "desk.example", "/a/1?x=1", "secret"),
                          (found.rid, found.host, found.path,
                           found.api_key))
-        self.assertEqual((8.0, True), (found.deadline_s, found.resumed))
+        self.assertEqual(8.0, found.deadline_s)
         self.assertEqual((("5c1e", 800), ("91bd", 660)),
                          found.prompt.parts)
 
