Keep requests to a server below the connections it takes

Cause: MaxConns was decoded and nothing decided by it; calls to a slow service could pile up at all hosts together beyond what its servers take.

Ruled out: a bound for each host alone, which divides what a few busy hosts could use.

Change: a server with nine tenths of its connections in use, by what all hosts say, gets no new request; if all are, the request is refused as not run with a time to come back.

Before and after: the new test failed (sent in place of refused), now passes; 53 tests of the entry host pass.

--- a/crocuskeel/core/entry/choosing.py
+++ b/crocuskeel/core/entry/choosing.py
@@ -8,6 +8,8 @@
 elsewhere only when waiting there costs more than reading it again.
 """
 
+import math
+
 from crocuskeel.core.entry import routing
 
 __all__ = ["ahead_tokens", "choose", "fresh_tokens", "is_silent",
@@ -45,6 +47,10 @@
 # Parts that a server is thought to hold, as a share of its memory: the
 # rest is taken by running requests.
 PARTS_SHARE = 0.7
+# Of the connections that a server accepts, hosts use this share together:
+# each hears of the others' with a delay of some ms, in which they could
+# take the rest twice.
+CONNECTIONS_SHARE = 0.9
 
 
 def choose(host, service, request, exclude, now):
@@ -54,8 +60,9 @@
     is left: a suspect server may serve, and an excluded one has failed
     this very request.
     """
+    most = _connections(host, service)
     usable = [state for state in host.by_service.get(service, ())
-              if not state.server.draining]
+              if not state.server.draining and running(state, now) < most]
     for strict in (2, 1, 0):
         found = [state for state in usable
                  if _fits(state, strict, exclude, now)]
@@ -64,6 +71,14 @@
     return None
 
 
+def _connections(host, service):
+    """Return how many requests a server may have under way at a time."""
+    known = host.catalog.services.get(service)
+    if known is None or not known.connections:
+        return math.inf
+    return known.connections * CONNECTIONS_SHARE
+
+
 def _fits(state, strict, exclude, now):
     if state.server.sid in exclude:
         return strict == 0 and len(exclude) == 0
--- a/tests/entry/test_choosing.py
+++ b/tests/entry/test_choosing.py
@@ -61,6 +61,25 @@
             (support.server("e3", "engines", draining=True),), (), 6))
         self.assertNotEqual("e3", _choose(driver, support.prompt("tide")))
 
+    def test_no_server_gets_more_connections_than_it_accepts(self):
+        # A slow booking desk: calls pile up at all hosts together, until
+        # its servers turn connections away that were not run but wait
+        # there for their time limit.
+        plain = (support.server("p1"), support.server("p2"))
+        driver = support.Driver(support.route(), servers=plain)
+        first = driver.host.servers["p1"]
+        first.others["host-1"] = (48, 0, 0, driver.now)
+        first.others["host-2"] = (40, 0, 0, driver.now)
+        driver.host.servers["p2"].others["host-1"] = (
+            80, 0, 0, driver.now)
+        (sent,) = support.only(driver.arrive(), effects.Send)
+        self.assertEqual("p2", sent.server.sid)
+        driver.host.servers["p2"].others["host-1"] = (
+            90, 0, 0, driver.now)
+        (answer,) = support.only(driver.arrive(key=2), effects.Answer)
+        self.assertEqual(503, answer.status)
+        self.assertIsNotNone(answer.retry_s)
+
     def test_parts_are_forgotten_beyond_an_engines_memory(self):
         state = _driver().host.servers["e1"]
         for number in range(10):
