Sum other hosts' loads once and not at each look

Cause: each request looks at each engine, and each look added up the rows of all other hosts. With 70 engines and 36 carriers that was 1.04 million additions for 200 requests, and a request that is held for room looks again each 40 ms.

Ruled out: looking less often at held requests, which lengthens their wait.

Change: core/entry/loads.py keeps the sums with the rows.

Before and after: placing one request among 70 engines with 36 hosts' rows took 1,299 us, now 374 us (one process, 300 requests, one run each).

--- a/crocuskeel/core/entry/choosing.py
+++ b/crocuskeel/core/entry/choosing.py
@@ -41,9 +41,6 @@
 ACROSS_S = 0.004
 # A server with this share of failures looks as slow as a full one.
 FAILING_S = 1.0
-# What another host said of its load counts for this long, s: three of
-# its datagrams.
-SAID_S = 1.0
 # Parts that a server is thought to hold, as a share of its memory: the
 # rest is taken by running requests.
 PARTS_SHARE = 0.7
@@ -195,23 +192,21 @@
 
 def ahead_tokens(state, now):
     """Return the tokens that all hosts wait for an engine to read."""
-    said = sum(tokens for _, tokens, _, at in state.others.values()
-               if at > now - SAID_S)
-    return said + sum(state.mine.values())
+    state.others.expire(now)
+    return state.others.tokens + sum(state.mine.values())
 
 
 def reading(state, now):
     """Return the requests whose prompts an engine has yet to read."""
-    said = sum(count for _, _, count, at in state.others.values()
-               if at > now - SAID_S)
-    return said + sum(tokens > 0 for tokens in state.mine.values())
+    state.others.expire(now)
+    return state.others.reading + sum(
+        tokens > 0 for tokens in state.mine.values())
 
 
 def running(state, now):
     """Return the requests at a server, of all hosts."""
-    said = sum(count for count, _, _, at in state.others.values()
-               if at > now - SAID_S)
-    return len(state.mine) + said
+    state.others.expire(now)
+    return len(state.mine) + state.others.running
 
 
 def note_load(state, load, now):
--- /dev/null
+++ b/crocuskeel/core/entry/loads.py
@@ -0,0 +1,51 @@
+"""What other hosts have under way at a backend server, summed."""
+
+import collections
+
+__all__ = ["SAID_S", "Loads"]
+
+# What another host said of its load counts for this long, s: three of
+# its datagrams.
+SAID_S = 1.0
+
+
+class Loads:
+    """Rows of other hosts, with their sums at hand.
+
+    ``running`` requests are at the server, ``reading`` of them with
+    prompts that it has yet to read, of ``tokens``. Each request looks at
+    each server: with 36 hosts' rows added up, placing one among 70
+    engines took 1.3 ms of a processor, with the sums 0.4 ms.
+    """
+
+    __slots__ = ("reading", "rows", "running", "tokens")
+
+    def __init__(self):
+        self.rows = collections.OrderedDict()
+        self.running = 0
+        self.tokens = 0
+        self.reading = 0
+
+    def put(self, name, running, tokens, reading, now):
+        """Take what a host says; ``now`` never goes back."""
+        self.expire(now)
+        if name in self.rows:
+            self._count(self.rows.pop(name), -1)
+        row = (running, tokens, reading, now)
+        if running:
+            self.rows[name] = row
+            self._count(row, 1)
+
+    def expire(self, now):
+        """Forget what was said too long ago."""
+        while self.rows:
+            name, row = next(iter(self.rows.items()))
+            if row[3] > now - SAID_S:
+                return
+            del self.rows[name]
+            self._count(row, -1)
+
+    def _count(self, row, sign):
+        self.running += sign * row[0]
+        self.tokens += sign * row[1]
+        self.reading += sign * row[2]
--- a/crocuskeel/core/entry/peers.py
+++ b/crocuskeel/core/entry/peers.py
@@ -113,7 +113,7 @@
         state = host.servers.get(sid)
         if state is None:
             continue
-        state.others[name] = (count, tokens, reading, now)
+        state.others.put(name, count, tokens, reading, now)
         state.heard_at = max(state.heard_at, now - silent_ms / 1000)
 
 
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 
+from crocuskeel.core.entry import loads
 from crocuskeel.core.entry import model
 
 __all__ = ["Host", "Pending", "PeerState", "ServerState", "Settings", "Try",
@@ -70,16 +71,15 @@
 class ServerState:
     """A backend server and what this host has seen of it.
 
-    ``mine`` maps (key, turn) to tokens still to be read; ``others`` maps
-    another host to (requests, tokens to be read, requests with any, when
-    it said so).
+    ``mine`` maps (key, turn) to tokens still to be read; ``others``
+    holds what other hosts say of theirs.
     ``parts`` holds the prompt parts sent there by any host, least
     recently used first.
     """
 
     server: model.Server
     mine: dict = dataclasses.field(default_factory=dict)
-    others: dict = dataclasses.field(default_factory=dict)
+    others: loads.Loads = dataclasses.field(default_factory=loads.Loads)
     # Requests there when it last said so itself.
     load: int = 0
     load_at: float = 0.0
--- a/tests/entry/test_choosing.py
+++ b/tests/entry/test_choosing.py
@@ -41,15 +41,15 @@
         driver = _driver()
         holder = driver.host.servers["e2"]
         choosing.remember(holder, "tide", 13_000, 5e5)
-        holder.others["host-1"] = (4, 40_000, 4, driver.now)
+        holder.others.put("host-1", 4, 40_000, 4, driver.now)
         self.assertEqual("e2", _choose(driver, support.prompt("tide")))
-        holder.others["host-1"] = (9, 90_000, 9, driver.now)
+        holder.others.put("host-1", 9, 90_000, 9, driver.now)
         self.assertNotEqual("e2", _choose(driver, support.prompt("tide")))
 
     def test_what_a_host_said_long_ago_does_not_count(self):
         driver = _driver()
         holder = driver.host.servers["e2"]
-        holder.others["host-1"] = (9, 90_000, 9, driver.now - 2)
+        holder.others.put("host-1", 9, 90_000, 9, driver.now - 2)
         self.assertEqual(0, choosing.ahead_tokens(holder, driver.now))
 
     def test_draining_never_and_suspect_last(self):
@@ -68,14 +68,12 @@
         plain = (support.server("p1"), support.server("p2"))
         driver = support.Driver(support.route(), servers=plain)
         first = driver.host.servers["p1"]
-        first.others["host-1"] = (48, 0, 0, driver.now)
-        first.others["host-2"] = (40, 0, 0, driver.now)
-        driver.host.servers["p2"].others["host-1"] = (
-            80, 0, 0, driver.now)
+        first.others.put("host-1", 48, 0, 0, driver.now)
+        first.others.put("host-2", 40, 0, 0, driver.now)
+        driver.host.servers["p2"].others.put("host-1", 80, 0, 0, driver.now)
         (sent,) = support.only(driver.arrive(), effects.Send)
         self.assertEqual("p2", sent.server.sid)
-        driver.host.servers["p2"].others["host-1"] = (
-            90, 0, 0, driver.now)
+        driver.host.servers["p2"].others.put("host-1", 90, 0, 0, driver.now)
         (answer,) = support.only(driver.arrive(key=2), effects.Answer)
         self.assertEqual(503, answer.status)
         self.assertIsNotNone(answer.retry_s)
@@ -93,7 +91,7 @@
 
     def _load(self, driver, reading, tokens):
         for state in driver.host.servers.values():
-            state.others["host-1"] = (reading, tokens, reading, driver.now)
+            state.others.put("host-1", reading, tokens, reading, driver.now)
 
     def _sends(self, driver, name, key=1, **kwargs):
         out = driver.feed(events.Arrived(key, support.request(
@@ -138,10 +136,10 @@
         driver = _driver()
         holder = driver.host.servers["e2"]
         choosing.remember(holder, "shared", 13_000, 5e5)
-        holder.others["host-1"] = (1, 28_000, 1, driver.now)
+        holder.others.put("host-1", 1, 28_000, 1, driver.now)
         self.assertEqual(0, len(self._sends(driver, "low")[0]))
         driver.now += 1.01
-        holder.others["host-1"] = (1, 28_000, 1, driver.now)
+        holder.others.put("host-1", 1, 28_000, 1, driver.now)
         out = driver.feed(events.TimerFired(1))
         (sent,) = support.only(out, effects.Send)
         self.assertNotEqual("e2", sent.server.sid)
