Tell the caller of a quarantined request when it may come back

Cause: a request that crashes servers was refused as not run without a Retry-After.

Ruled out: a third of the time that is left, as for other refusals: the quarantine lasts 60 s, and an earlier return is only refused again.

Change: the refusal carries the rest of the quarantine.

Before and after: the test failed (no time), now passes.

--- a/crocuskeel/core/entry/quarantine.py
+++ b/crocuskeel/core/entry/quarantine.py
@@ -7,7 +7,8 @@
 stood beside it would have to stand beside two crashes.
 """
 
-__all__ = ["condemned", "learn", "note_torn", "note_unreached", "pairs"]
+__all__ = ["condemned", "ends_in", "learn", "note_torn",
+           "note_unreached", "pairs"]
 
 # A crash tears all connections of a server at nearly the same time, s.
 TOGETHER_S = 0.3
@@ -49,8 +50,15 @@
 
 def condemned(host, digest, now):
     """Say whether a request must not reach one more server."""
-    sids = host.crashed.get(digest, {})
-    return sum(at > now - KEPT_S for at in sids.values()) >= CRASHES
+    return ends_in(host, digest, now) > 0
+
+
+def ends_in(host, digest, now):
+    """Return for how long a request is still refused, s."""
+    times = sorted(host.crashed.get(digest, {}).values(), reverse=True)
+    if len(times) < CRASHES:
+        return 0.0
+    return max(0.0, times[CRASHES - 1] + KEPT_S - now)
 
 
 def pairs(host, now, span_s):
--- a/crocuskeel/core/entry/requests.py
+++ b/crocuskeel/core/entry/requests.py
@@ -33,13 +33,24 @@
                 sending.note("refused", request, status=refusal.status,
                              why=refusal.reason, version=host.catalog.version)]
     if quarantine.condemned(host, request.digest, now):
-        return [sending.refuse(event.key, request.deadline_s, "quarantined",
-                               None),
-                sending.note("quarantined", request)]
+        return _quarantined(host, event, now)
     pending = _admit(host, event, placed.unwrap(), now)
     return sending.send(host, pending, now)
 
 
+def _quarantined(host, event, now):
+    """Refuse a request that crashes servers until its quarantine ends.
+
+    That may be later than its caller's time limit: an earlier return
+    would only be refused again.
+    """
+    retry_s = quarantine.ends_in(host, event.request.digest, now)
+    return [effects.Answer(event.key, sending.UNAVAILABLE, "quarantined",
+                           retry_s),
+            sending.note("quarantined", event.request,
+                         ends_in_s=round(retry_s, 1))]
+
+
 def _admit(host, event, placed, now):
     request = event.request
     left = DEFAULT_DEADLINE_S
--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -9,9 +9,9 @@
 from crocuskeel.core.entry import state as states
 
 __all__ = [
-    "cancel_all", "cancel_others", "changed", "find", "finish", "give_up",
-    "live", "may_go_on", "next_check", "note", "refuse", "release", "send",
-    "stall_s",
+    "UNAVAILABLE", "cancel_all", "cancel_others", "changed", "find",
+    "finish", "give_up", "live", "may_go_on", "next_check", "note",
+    "refuse", "release", "send", "stall_s",
 ]
 
 UNAVAILABLE = 503
@@ -204,7 +204,7 @@
 
 def refuse(key, left_s, reason, retry_s):
     """Say that a request has not run, and when to come back."""
-    if retry_s is not None and left_s is not None:
+    if left_s is not None:
         retry_s = max(0.0, min(retry_s, left_s * RETRY_SHARE))
     return effects.Answer(key, UNAVAILABLE, reason, retry_s)
 
--- a/tests/entry/test_requests.py
+++ b/tests/entry/test_requests.py
@@ -236,6 +236,9 @@
         self.assertEqual([], support.only(out, effects.Send))
         (answer,) = support.only(out, effects.Answer)
         self.assertEqual(503, answer.status)
+        # It has not run, so its caller is told when it may come back:
+        # not before the quarantine ends.
+        self.assertTrue(55.0 < answer.retry_s <= 60.0)
 
     def test_a_torn_answer_alone_condemns_nothing(self):
         # A server loses an answer and stays up: no crash.
