Grow the fault soak: a proxy, kept connections, and more checks

Cause: the soak killed and paused processes and spoilt servers, but nothing harmed connections; callers opened a connection a request; leaving servers, configuration, planned stops, callers that leave, tiers, starvation and recovery were not checked.

Change: a loopback proxy before the store (a link a host), the hosts and the servers delays, resets, cuts one way, silences open connections or all. The store also loses answers, is slow, or lets entries lapse. Requests that crash servers, bursts, kills of all hosts. Callers keep connections and some leave early.

Ten tests break each promise on purpose.

--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -2,37 +2,139 @@
 
 import unittest
 
+from tools.soak import asking
 from tools.soak import checks
+from tools.soak import record as records
 
 WHOLE = b"".join(b"id: %d\ndata: r1\n\n" % n for n in range(1, 13))
+IP = "127.1.1.1"
+
+
+def _seen(kind, reply, rid="r1", at=100.0, version=1, settled=1):
+    asked = asking.Asked(rid, kind, f"/{kind}/1", (), b"body")
+    return records.Seen(asked, IP, 1, at, version, settled, at + 1, reply)
+
+
+def _judge(seen, runs=(), change=lambda record: None):
+    record = records.new_record()
+    record.runs["r1"] = list(runs)
+    change(record)
+    return checks.judge(seen, record)
 
 
 class JudgeTest(unittest.TestCase):
-    """Each promise, broken on purpose."""
+    """Each promise of one request, broken on purpose."""
 
     def test_broken_promises(self):
         rows = (
             ("another's answer", "safe", 200, b"answer to r2", ["s"]),
-            ("half a stream", "stream", 200, WHOLE[:60], ["s"]),
-            ("an event twice", "stream", 200,
+            ("half a stream", "top", 200, WHOLE[:60], ["s"]),
+            ("an event twice", "low", 200,
              b"id: 1\ndata: r1\n\n" + WHOLE, ["s"]),
             ("not run, and ran", "unsafe", 503, b"", ["s"]),
+            ("no time to come back", "unsafe", 503, b"", []),
             ("ran twice", "unsafe", 502, b"", ["s", "t"]),
             ("ran too often", "safe", 200, b"answer to r1",
              ["s", "t", "u"]),
+            ("cut off at a calm host", "safe", 0, b"", ["s"]),
+            ("read and left without an answer", "safe", 0, b"", []),
+            ("a route in force is not there", "v1", 404, b"", []),
         )
         for name, kind, status, body, runs in rows:
             with self.subTest(name):
-                self.assertNotEqual([], checks.judge(
-                    kind, "r1", status, body, runs))
+                reply = asking.Reply(status, body)
+                self.assertNotEqual([], _judge(_seen(kind, reply), runs))
+
+    def test_a_dropped_route_that_serves(self):
+        reply = asking.Reply(200, b"answer to r1")
+        seen = _seen("v1", reply, version=4, settled=4)
+        self.assertNotEqual([], _judge(seen, ["s"]))
+        seen = _seen("v1", reply, version=4, settled=2)
+        self.assertEqual([], _judge(seen, ["s"]))
+
+    def test_work_for_a_caller_that_left(self):
+        seen = _seen("safe", asking.Reply(left=True))
+
+        def works(record):
+            record.working.add(("r1", "s"))
+
+        self.assertNotEqual([], _judge(seen, ["s"], works))
+        self.assertEqual([], _judge(seen, ["s"]))
 
     def test_kept_promises(self):
         rows = (
-            ("stream", 200, WHOLE, ["s", "t"]),
+            ("top", 200, WHOLE, ["s", "t"]),
             ("safe", 200, b"answer to r1", ["s", "t"]),
             ("unsafe", 200, b"answer to r1", ["s"]),
             ("unsafe", 502, b"", ["s"]), ("unsafe", 503, b"", []),
-            ("stream", 0, b"", ["s"]))
+            ("v3", 404, b"", []))
         for kind, status, body, runs in rows:
-            self.assertEqual([], checks.judge(
-                kind, "r1", status, body, runs))
+            reply = asking.Reply(status, body, retry_s=0.5)
+            self.assertEqual([], _judge(_seen(kind, reply), runs))
+
+    def test_a_cut_is_excused_by_a_fault_where_it_happened(self):
+        seen = _seen("safe", asking.Reply())
+
+        def kills(record):
+            record.fault(IP, "kill", 99.0, 1.0)
+
+        def elsewhere(record):
+            record.fault("127.1.1.2", "kill", 99.0, 1.0)
+
+        def stops(record):
+            record.fault("plan", "planned stop", 99.0, 8.0)
+
+        def breaks(record):
+            record.spoiled.add("r1")
+
+        self.assertEqual([], _judge(seen, ["s"], kills))
+        self.assertEqual([], _judge(seen, ["s"], breaks))
+        self.assertNotEqual([], _judge(seen, ["s"], elsewhere))
+        self.assertNotEqual([], _judge(seen, ["s"], stops))
+
+
+class RunTest(unittest.TestCase):
+    """Promises that take many requests to see."""
+
+    def _many(self, shares):
+        record = records.new_record()
+        for kind, share in shares.items():
+            for number in range(100):
+                rid = f"{kind}-{number}"
+                status = 200 if number < share * 100 else 503
+                record.seen[rid] = _seen(kind, asking.Reply(status), rid)
+        return checks.judge_run(record)
+
+    def test_starvation_and_tiers(self):
+        self.assertEqual([], self._many(
+            {"top": 0.95, "low": 0.9, "safe": 1.0, "unsafe": 1.0}))
+        self.assertNotEqual([], self._many(
+            {"top": 0.95, "low": 0.1, "safe": 1.0, "unsafe": 1.0}))
+        self.assertNotEqual([], self._many(
+            {"top": 0.7, "low": 0.9, "safe": 1.0, "unsafe": 1.0}))
+
+    def test_a_server_that_left_gets_a_request(self):
+        record = records.new_record()
+        record.left["s"] = 90.0
+        record.seen["r1"] = _seen("safe", asking.Reply(200))
+        record.arrivals.append(("r1", "s", 92.0))
+        self.assertEqual([], checks.judge_run(record))
+        record.arrivals.append(("r1", "s", 94.0))
+        self.assertNotEqual([], checks.judge_run(record))
+
+    def test_a_host_goes_back_behind_a_version(self):
+        record = records.new_record()
+        record.seen["r1"] = _seen("v3", asking.Reply(200), "r1", 100.0, 3)
+        record.seen["r2"] = _seen("v3", asking.Reply(404), "r2", 102.0, 4)
+        self.assertNotEqual([], checks.judge_run(record))
+
+    def test_one_request_crashes_server_after_server(self):
+        record = records.new_record()
+        record.seen["r1"] = _seen("safe", asking.Reply(200))
+        record.crashes = [(b"poison", f"s{n}") for n in range(5)]
+        self.assertNotEqual([], checks.judge_run(record))
+
+    def test_no_recovery(self):
+        good, bad = asking.Reply(200), asking.Reply(503)
+        self.assertEqual([], checks.judge_end([good] * 9 + [bad]))
+        self.assertNotEqual([], checks.judge_end([good] * 5 + [bad] * 5))
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -1,34 +1,198 @@
-"""What must hold of each answer, from what callers and servers see."""
+"""What must hold, from what callers and servers saw."""
+
+import collections
 
 from tools.soak import engine
 
-__all__ = ["judge"]
+__all__ = ["DRAIN_S", "KINDS", "judge", "judge_end", "judge_run"]
 
+KINDS = ("top", "low", "safe", "unsafe")
+STREAMS = ("top", "low")
 NOT_RUN = (408, 421, 429, 503)
+NOT_FOUND = 404
+# A leaving server gets nothing, and a configuration is in force, s.
+DRAIN_S = 3.0
+APPLY_S = 3.0
+# What a host showed of a configuration must not be taken back after, s.
+BACK_S = 0.25
+# Later than this after its sending a request counts as read, s.
+READ_S = 0.2
+# A server stops working for a caller that left within, s.
+GONE_S = 1.0
+# Of a kind of request this share of what all get must be served.
+STARVED_SHARE = 0.25
+# A higher tier may be served this much less often than a lower one.
+TIER_SLACK = 0.1
+COUNTED_LEAST = 30
+# Servers that one request may crash: two show what it is, and one more
+# may run it before all hosts have heard.
+CRASHES_MOST = 4
 
 
-def judge(kind, rid, status, body, runs):
-    """Return what is wrong with an answer, in words; empty if nothing.
+def judge(seen, record):
+    """Return what is wrong with a request, in words; empty if nothing.
 
-    ``status`` 0 says that no whole answer came. ``runs`` holds the
-    servers that ran the request.
+    It is judged some time after its end, when what its servers still did
+    is known.
     """
+    runs = record.runs.get(seen.asked.rid, [])
+    return (_whole(seen, runs) + _at_most_once(seen, runs)
+            + _configured(seen, record) + _cut(seen, runs, record)
+            + _gone(seen, record))
+
+
+def _whole(seen, runs):
     wrong = []
-    if status == 200 and not _is_whole(kind, rid, body):
+    kind, reply = seen.asked.kind, seen.reply
+    if reply.status == 200 and not _is_whole(kind, seen.asked.rid,
+                                             reply.body):
         wrong.append("an answer is not the whole of its own request")
-    if status in NOT_RUN and runs:
+    if reply.status in NOT_RUN and runs:
         wrong.append("said not to have run, and ran")
-    if kind == "unsafe" and len(runs) > 1:
-        wrong.append("ran more than once")
-    if kind != "unsafe" and len(runs) > 2:
-        wrong.append("ran on more servers than its route allows")
+    if reply.status == 503 and reply.retry_s is None:
+        wrong.append("refused without the time to come back")
     return wrong
 
 
+def _at_most_once(seen, runs):
+    if seen.asked.kind == "unsafe" and len(runs) > 1:
+        return ["ran more than once"]
+    if seen.asked.kind != "unsafe" and len(runs) > 2:
+        return ["ran on more servers than its route allows"]
+    return []
+
+
 def _is_whole(kind, rid, body):
-    if kind != "stream":
+    if kind not in STREAMS:
         return body == b"answer to " + rid.encode()
     wanted = b"".join(
         b"id: %d\ndata: %s\n\n" % (number, rid.encode())
         for number in range(1, engine.EVENTS + 1))
     return body == wanted
+
+
+def _configured(seen, record):
+    """The routes in force are the last two versions' own."""
+    if not seen.asked.kind.startswith("v"):
+        return []
+    if not record.is_calm(seen.at - APPLY_S, seen.ended_at, seen.ip,
+                          "store", "store " + seen.ip):
+        return []
+    asked = int(seen.asked.kind[1:])
+    status = seen.reply.status
+    if status == NOT_FOUND and asked in (seen.settled, seen.settled - 1) and (
+            asked >= seen.version - 1):
+        return [f"route of version {asked} is in force and not there"]
+    if status == 200 and asked < seen.settled - 1:
+        return [f"route of version {asked} was dropped and serves"]
+    return []
+
+
+def _cut(seen, runs, record):
+    """A read request is answered, also where its host stops as planned."""
+    if seen.reply.status or seen.reply.left or not seen.reply.connected:
+        return []
+    rid = seen.asked.rid
+    if rid in record.spoiled:
+        return []
+    if not runs and seen.ended_at - seen.at < READ_S:
+        return []
+    if not record.is_calm(seen.at, seen.ended_at, seen.ip, "engines", *runs):
+        return []
+    return ["ended without an answer at a host that nothing disturbed"]
+
+
+def _gone(seen, record):
+    if not seen.reply.left:
+        return []
+    if not record.is_calm(seen.at, seen.ended_at + GONE_S, seen.ip,
+                          "engines"):
+        return []
+    still = [sid for rid, sid in record.working if rid == seen.asked.rid]
+    return [f"{sid} still works for a caller that left" for sid in still]
+
+
+def judge_run(record):
+    """Return what is wrong with a whole run."""
+    return (_left(record) + _back(record) + _starved(record)
+            + _tiers(record) + _crashed(record))
+
+
+def _left(record):
+    """Servers that left got nothing new."""
+    wrong = []
+    for rid, sid, at in record.arrivals:
+        left_at = record.left.get(sid)
+        if left_at is None or at <= left_at + DRAIN_S:
+            continue
+        ip = record.seen[rid].ip
+        if record.is_calm(left_at, at, ip, "store", "store " + ip, sid):
+            wrong.append(f"{rid}: reached {sid} {at - left_at:.1f} s after "
+                         "it left")
+    return wrong
+
+
+def _back(record):
+    """A host that served by a version never goes behind it."""
+    wrong = []
+    shown = {}
+    rows = sorted(record.seen.values(), key=lambda seen: seen.at)
+    for seen in rows:
+        if not seen.asked.kind.startswith("v"):
+            continue
+        version, where = int(seen.asked.kind[1:]), (seen.ip, seen.boot)
+        best, since = shown.get(where, (0, 0.0))
+        if seen.reply.status == 200 and version > best:
+            shown[where] = (version, seen.ended_at)
+        behind = (seen.reply.status == NOT_FOUND and version <= best
+                  and seen.at > since + BACK_S
+                  and version >= seen.version - 1)
+        if behind and record.is_calm(seen.at, seen.ended_at, seen.ip):
+            wrong.append(f"{seen.asked.rid}: {seen.ip} went back behind "
+                         f"version {best}")
+    return wrong
+
+
+def _crashed(record):
+    """A request that crashes servers is stopped after a few."""
+    counts = collections.Counter(body for body, _ in record.crashes)
+    return [f"{body.decode()} crashed {count} servers"
+            for body, count in counts.items() if count > CRASHES_MOST]
+
+
+def _shares(record):
+    served = collections.Counter()
+    total = collections.Counter()
+    for seen in record.seen.values():
+        if seen.asked.kind in KINDS and not seen.reply.left:
+            total[seen.asked.kind] += 1
+            served[seen.asked.kind] += seen.reply.status == 200
+    return {kind: (served[kind] / total[kind], total[kind])
+            for kind in total}
+
+
+def _starved(record):
+    shares = _shares(record)
+    total = sum(count for _, count in shares.values())
+    if not total:
+        return ["no request was sent"]
+    overall = sum(share * count for share, count in shares.values()) / total
+    return [f"{kind} starves: {share:.2f} served, of all {overall:.2f}"
+            for kind, (share, count) in shares.items()
+            if count >= COUNTED_LEAST and share < STARVED_SHARE * overall]
+
+
+def _tiers(record):
+    shares = _shares(record)
+    top, low = (shares.get(kind, (0.0, 0)) for kind in STREAMS)
+    if min(top[1], low[1]) < COUNTED_LEAST or top[0] >= low[0] - TIER_SLACK:
+        return []
+    return [f"the top tier is served {top[0]:.2f}, the low one {low[0]:.2f}"]
+
+
+def judge_end(replies):
+    """Return what is wrong after the last fault was mended."""
+    served = sum(reply.status == 200 for reply in replies)
+    if served >= 0.75 * len(replies):
+        return []
+    return [f"not recovered: {served} of {len(replies)} served"]
--- a/tools/soak/engine.py
+++ b/tools/soak/engine.py
@@ -3,34 +3,41 @@
 from crocuskeel.gateway import callers
 from crocuskeel.gateway import loop
 
-__all__ = ["EVENTS", "Engine", "USUAL"]
+__all__ = ["EVENTS", "Engine", "POISON", "USUAL"]
 
 EVENTS = 12
 EVENT_S = 0.03
 CALL_S = 0.02
+# Prompts are read one after the other, at so many tokens a second.
+READ_TOKENS_S = 40_000.0
 # Faults that servers always have, as shares of requests: a run of ten
 # seconds must see each, or it proves nothing of what keeps them harmless.
 USUAL = {"lost": 0.03, "torn": 0.03, "full": 0.03, "error": 0.02}
+# A body that begins so crashes the server that runs it.
+POISON = b"poison"
 RID = b"x-crocuskeel-request-id"
 
 
 class Engine:
-    """Runs requests; ``runs`` of all engines by request id.
+    """Runs requests and notes them in the record of the run.
 
     ``faults`` maps a fault's name to its share of requests: ``lost``
     runs and resets, ``torn`` breaks a stream half way, ``full`` refuses,
-    ``error`` answers 500.
+    ``error`` answers 500, ``mute`` runs and says nothing.
     """
 
-    def __init__(self, reactor, rng, sid, service, runs):
+    def __init__(self, reactor, rng, sid, service, record, on_poison):
         self.reactor = reactor
         self.rng = rng
         self.sid = sid
         self.service = service
-        self.runs = runs
+        self.record = record
+        self.on_poison = on_poison
         self.faults = dict(USUAL)
         self.port = None
-        self.seen = []
+        # When the prompts so far are read.
+        self.read_at = 0.0
+        self.parts = set()
         self.listener = callers.new_listener(reactor, self)
 
     def listen(self, ip):
@@ -50,13 +57,13 @@
 
     def left(self, exchange):
         """A host closed the connection: its request is dropped."""
+        self._rest(exchange)
 
     def refused(self, status, why):
         """A request could not be read."""
 
     def arrived(self, exchange):
         """Run a request."""
-        self.seen.append(exchange.head)
         rid = exchange.head.get(RID).decode()
         wanted = exchange.head.get(b"x-crocuskeel-expect-instance")
         if wanted != self.sid.encode():
@@ -65,17 +72,31 @@
         if self._has("full"):
             exchange.answer(503, [(b"X-Crocuskeel-Not-Run", b"1")], b"")
             return
-        self.runs.setdefault(rid, []).append(self.sid)
+        self.record.runs.setdefault(rid, []).append(self.sid)
+        self.record.arrivals.append((rid, self.sid, self.reactor.seconds()))
+        self._run(exchange, rid)
+
+    def _run(self, exchange, rid):
+        if exchange.body.startswith(POISON):
+            self.record.spoiled.add(rid)
+            self.record.crashes.append((exchange.body, self.sid))
+            self.on_poison()
+            return
         if self._has("lost"):
+            self.record.spoiled.add(rid)
             exchange.cut()
-        elif self._has("error"):
+            return
+        if self._has("error"):
+            self.record.spoiled.add(rid)
             exchange.answer(500, self._headers(rid), b"failed")
+            return
+        self.record.working.add((rid, self.sid))
+        if self._has("mute"):
+            self.record.spoiled.add(rid)
         elif self.service == "engines":
             self._stream(exchange, rid)
         else:
-            self.reactor.callLater(CALL_S, exchange.answer, 200,
-                                   self._headers(rid),
-                                   b"answer to " + rid.encode())
+            self.reactor.callLater(CALL_S, self._answer, exchange, rid)
 
     def _has(self, fault):
         return self.rng.random() < self.faults.get(fault, 0.0)
@@ -84,7 +105,36 @@
         return [(b"X-Crocuskeel-Request-Id", rid.encode()),
                 (b"X-Crocuskeel-Server-Stamp", b"stamp")]
 
+    def _rest(self, exchange):
+        rid = exchange.head.get(RID).decode()
+        self.record.working.discard((rid, self.sid))
+
+    def _answer(self, exchange, rid):
+        self._rest(exchange)
+        exchange.answer(200, self._headers(rid), b"answer to "
+                        + rid.encode())
+
     def _stream(self, exchange, rid):
+        now = self.reactor.seconds()
+        tokens = self._fresh(exchange.head)
+        self.read_at = max(now, self.read_at) + tokens / READ_TOKENS_S
+        self.reactor.callLater(
+            self.read_at - now, self._begin, exchange, rid)
+
+    def _fresh(self, head):
+        """Return how many tokens of a prompt have to be read."""
+        fresh = 0
+        text = head.get(b"x-crocuskeel-prefix-hash") or b""
+        for row in text.split(b","):
+            part, _, tokens = row.partition(b":")
+            if part not in self.parts:
+                fresh += int(tokens or 0)
+            self.parts.add(part)
+        return fresh
+
+    def _begin(self, exchange, rid):
+        if exchange.over:
+            return
         last = int(exchange.head.get(b"last-event-id") or 0)
         exchange.begin(200, self._headers(rid))
         torn = EVENTS // 2 if self._has("torn") else None
@@ -94,11 +144,14 @@
         if exchange.over:
             return
         if number == torn:
+            self.record.spoiled.add(rid)
+            self._rest(exchange)
             exchange.pass_on(b"id: %d\nda" % number)
             exchange.cut()
             return
         exchange.pass_on(b"id: %d\ndata: %s\n\n" % (number, rid.encode()))
         if number == EVENTS:
+            self._rest(exchange)
             exchange.end()
             return
         self.reactor.callLater(EVENT_S, self._event, exchange, rid,
--- /dev/null
+++ b/tools/soak/faults.py
@@ -0,0 +1,202 @@
+"""Faults caused from outside, drawn from the seed; each ends by itself.
+
+They come in series and overlap: a new one begins each second, and most
+last longer.
+"""
+
+from tools.soak import engine as engines
+
+__all__ = ["FAULTS", "draw"]
+
+GRACE_S = 8.0
+
+
+def draw(soak):
+    """Cause one fault drawn at random."""
+    soak.rng.choice(FAULTS)(soak)
+
+
+def _host(soak):
+    return soak.rng.randrange(len(soak.fleet.ips))
+
+
+def _kill(soak):
+    number = _host(soak)
+    soak.note_fault(soak.fleet.ips[number], "kill", 1.0)
+    soak.fleet.signal(number, "SIGKILL")
+    soak.fleet.restart(number)
+
+
+def _kill_all(soak):
+    for number, ip in enumerate(soak.fleet.ips):
+        soak.note_fault(ip, "kill all", 1.0)
+        soak.fleet.signal(number, "SIGKILL")
+    for number in range(len(soak.fleet.ips)):
+        soak.fleet.restart(number)
+
+
+def _pause(soak):
+    number = _host(soak)
+    soak.note_fault(soak.fleet.ips[number], "pause", 0.8)
+    soak.fleet.signal(number, "SIGSTOP")
+    soak.later(0.8, soak.fleet.signal, number, "SIGCONT")
+
+
+def _stop(soak):
+    # A planned stop is no disturbance: requests must not notice it. The
+    # host starts again after its grace.
+    number = _host(soak)
+    if number in soak.stopping:
+        return
+    soak.stopping.add(number)
+    soak.note_fault("plan", "planned stop", GRACE_S)
+    soak.fleet.signal(number, "SIGTERM")
+    soak.later(GRACE_S, _restart, soak, number)
+
+
+def _restart(soak, number):
+    soak.stopping.discard(number)
+    soak.note_fault(soak.fleet.ips[number], "start", 1.0)
+    soak.fleet.signal(number, "SIGKILL")
+    soak.fleet.restart(number)
+
+
+def _crash(soak):
+    soak.crash(soak.any_engine())
+
+
+def _poison(soak):
+    # Its caller sends it again and again, to any host.
+    body = engines.POISON + b"%d" % soak.numbered
+    kind = soak.rng.choice(("safe", "unsafe"))
+    soak.note_fault("plan", "a request that crashes servers", 4.0)
+    for number in range(8):
+        soak.later(0.5 * number, soak.poison, kind, body)
+
+
+def _leave(soak):
+    # Planned: its place is taken before it goes, and it serves on.
+    sid = soak.any_engine()
+    soak.note_fault("plan", "server leaves", 6.0)
+    soak.add_engine(soak.engines[sid].service)
+    soak.leave(sid)
+    soak.later(6.0, soak.end_engine, sid)
+
+
+def _outage(soak):
+    soak.note_fault("store", "store away", 2.5)
+    soak.store.set_down(True)
+    soak.later(2.5, soak.store.set_down, False)
+
+
+def _lapse(soak):
+    # Entries run out in an outage; servers register again after it.
+    soak.note_fault("store", "entries lapse", 4.5)
+    soak.store.set_down(True)
+    lapsed = soak.store.lapse("servers")
+    soak.later(2.5, soak.store.set_down, False)
+    soak.later(3.5, soak.register_again, lapsed)
+
+
+def _slow_store(soak):
+    soak.note_fault("store", "store slow", 2.0)
+    soak.store.delay_s = 0.3
+    soak.later(2.0, soak.store.mend)
+
+
+def _lost_writes(soak):
+    soak.note_fault("store", "store's answers lost", 2.0)
+    soak.store.loses = True
+    soak.later(2.0, soak.store.mend)
+
+
+def _spoil(soak):
+    name = soak.rng.choice(("lost", "torn", "full", "error", "mute"))
+    soak.note_fault("engines", "servers " + name, 1.5)
+    for engine in soak.engines.values():
+        engine.faults = {**engines.USUAL, name: 0.3}
+    soak.later(1.5, _heal, soak)
+
+
+def _heal(soak):
+    for engine in soak.engines.values():
+        engine.faults = dict(engines.USUAL)
+
+
+def _link(soak):
+    """Return a link drawn at random, and what it is a fault of."""
+    kind = soak.rng.choice(("store", "front", "engine"))
+    if kind == "engine":
+        sid = soak.any_engine()
+        return soak.links[sid], sid
+    ip = soak.rng.choice(soak.fleet.ips)
+    if kind == "store":
+        return soak.store_links[ip], "store " + ip
+    return soak.fronts[ip], ip
+
+
+def _delay(soak):
+    link, where = _link(soak)
+    soak.note_fault(where, "delay", 1.5)
+    link.delay_s = 0.1
+    soak.later(1.5, link.mend)
+
+
+def _reset(soak):
+    link, where = _link(soak)
+    soak.note_fault(where, "reset")
+    link.reset()
+
+
+def _forget(soak):
+    link, where = _link(soak)
+    soak.note_fault(where, "connections go silent", 4.0)
+    link.forget()
+    soak.later(4.0, link.mend)
+
+
+def _one_way(soak):
+    link, where = _link(soak)
+    soak.note_fault(where, "cut one way", 2.0)
+    link.set_silent(*soak.rng.choice(((True, False), (False, True))))
+    soak.later(2.0, link.mend)
+
+
+def _cut(soak):
+    link, where = _link(soak)
+    soak.note_fault(where, "cut", 2.0)
+    link.set_silent(True, True)
+    soak.later(2.0, link.mend)
+
+
+def _burst(soak):
+    soak.note_fault("plan", "burst", 2.0)
+    soak.burst(4.0)
+    soak.later(2.0, soak.burst, 1.0)
+
+
+def _configure(soak):
+    soak.note_fault("plan", "configuration")
+    soak.configure()
+
+
+FAULTS = (
+    _kill,
+    _kill_all,
+    _pause,
+    _stop,
+    _crash,
+    _poison,
+    _leave,
+    _outage,
+    _lapse,
+    _slow_store,
+    _lost_writes,
+    _spoil,
+    _delay,
+    _reset,
+    _forget,
+    _one_way,
+    _cut,
+    _burst,
+    _configure)
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -29,20 +29,24 @@
     ``net`` is the first two numbers of their addresses.
     """
 
-    def __init__(self, folder, net, count, store):
+    def __init__(self, folder, net, count):
         self.folder = pathlib.Path(folder)
         self.net = net
         self.ips = [f"{net}.1.{number + 1}" for number in range(count)]
-        self.store = store
         self.processes = {}
+        # Where each host finds the store, and how often it was started.
+        self.stores = {}
+        self.boots = [0] * count
 
-    def start(self, number):
-        """Start a host."""
+    def start(self, number, store=None):
+        """Start a host; ``store`` is needed the first time."""
         ip = self.ips[number]
+        self.stores.setdefault(number, store)
+        self.boots[number] += 1
         path = self.folder / f"host-{number}.conf"
         path.write_text(BOOT.format(
             name=f"host-{number}", zone=number % 3, ip=ip,
-            net=self.net, store=self.store))
+            net=self.net, store=self.stores[number]))
         with open(self.folder / f"host-{number}.log", "ab") as log:
             self.processes[number] = subprocess.Popen(
                 [sys.executable, "-m", "crocuskeel.programs.entry",
--- /dev/null
+++ b/tools/soak/record.py
@@ -0,0 +1,61 @@
+"""What happened in a run: requests, runs at servers, faults, changes."""
+
+import dataclasses
+
+__all__ = ["Record", "Seen", "new_record"]
+
+# After a fault ends its traces may last: hosts are out of a list after
+# 1.3 s, and a connection that was silent shows it after some seconds.
+SETTLES_S = 4.0
+
+
+@dataclasses.dataclass
+class Seen:
+    """A request and what came of it."""
+
+    asked: object
+    ip: str
+    boot: int
+    at: float
+    # Versions of the configuration written and settled when it was sent.
+    version: int
+    settled: int
+    ended_at: float = 0.0
+    reply: object = None
+
+
+@dataclasses.dataclass
+class Record:
+    """All that the checks go by. Times are the run's, s.
+
+    ``runs`` maps a request id to the servers that ran it; ``arrivals``
+    holds (request id, server, time). ``spoiled`` holds ids of requests
+    that a server broke, ``crashes`` (body, server), ``working`` (request
+    id, server). ``faults`` holds (start, end, where, name), ``left`` maps
+    a server to when it left, ``seen`` a request id to its Seen.
+    """
+
+    runs: dict = dataclasses.field(default_factory=dict)
+    arrivals: list = dataclasses.field(default_factory=list)
+    spoiled: set = dataclasses.field(default_factory=set)
+    crashes: list = dataclasses.field(default_factory=list)
+    working: set = dataclasses.field(default_factory=set)
+    faults: list = dataclasses.field(default_factory=list)
+    left: dict = dataclasses.field(default_factory=dict)
+    seen: dict = dataclasses.field(default_factory=dict)
+
+    def fault(self, where, name, now, span_s=0.0):
+        """Note a fault."""
+        self.faults.append((now, now + span_s, where, name))
+
+    def is_calm(self, since, until, *where):
+        """Say whether nothing disturbed the places between two times."""
+        return not any(
+            start <= until and end + SETTLES_S >= since
+            for start, end, place, _ in self.faults
+            if place in where or place == "all")
+
+
+def new_record():
+    """Return the record of a run that has not begun."""
+    return Record()
--- /dev/null
+++ b/tools/soak/report.py
@@ -0,0 +1,62 @@
+"""A plot of a run: served, refused and failed over time, and faults."""
+
+import collections
+
+__all__ = ["write"]
+
+# What came of a request, in the order of the plot, with its colour.
+ENDS = (("served", "tab:green"), ("refused, not run", "tab:orange"),
+        ("failed", "tab:red"))
+FAULT_ROWS = 8
+
+
+def write(soak, path):
+    """Write the plot of a run to a PNG file."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    fig, (above, below) = pyplot.subplots(
+        2, 1, sharex=True, figsize=(10, 6), height_ratios=(3, 2))
+    _requests(above, soak)
+    _faults(below, soak)
+    fig.tight_layout()
+    fig.savefig(path, dpi=90)
+
+
+def _end_of(reply):
+    if reply.status == 200:
+        return "served"
+    if reply.status in (404, 503) or not reply.connected:
+        return "refused, not run"
+    return "failed"
+
+
+def _requests(axis, soak):
+    counts = collections.defaultdict(collections.Counter)
+    for seen in soak.record.seen.values():
+        if not seen.reply.left:
+            second = int(seen.at - soak.began_at)
+            counts[_end_of(seen.reply)][second] += 1
+    seconds = range(1 + max((max(rows) for rows in counts.values() if rows),
+                            default=0))
+    axis.stackplot(
+        seconds, *([counts[name][second] for second in seconds]
+                   for name, _ in ENDS),
+        labels=[name for name, _ in ENDS],
+        colors=[color for _, color in ENDS])
+    axis.set(ylabel="requests a second",
+             title=f"{len(soak.record.seen)} requests, "
+                   f"{len(soak.violations)} violations")
+    axis.legend(loc="upper right")
+
+
+def _faults(axis, soak):
+    for place, (start, end, where, name) in enumerate(soak.record.faults):
+        row = place % FAULT_ROWS
+        since = start - soak.began_at
+        axis.barh(row, max(0.2, end - start), left=since, color="0.75")
+        axis.text(since, row, f"{name} {where.rpartition('.')[2]}",
+                  fontsize=6, va="center")
+    axis.set(xlabel="s", ylabel="faults", yticks=[])
--- a/tools/soak/store.py
+++ b/tools/soak/store.py
@@ -13,7 +13,11 @@
 
 
 class Store:
-    """Answers hosts' calls; ``down`` makes it answer 503 to all."""
+    """Answers hosts' calls; ``down`` makes it answer 503 to all.
+
+    ``delay_s`` is added to each answer; ``loses`` has writes done and
+    not answered.
+    """
 
     def __init__(self, reactor):
         self.reactor = reactor
@@ -21,6 +25,8 @@
         self.objects = {}
         self.watches = []
         self.down = False
+        self.delay_s = 0.0
+        self.loses = False
         self.listener = callers.new_listener(reactor, self)
 
     def limits(self):
@@ -41,6 +47,18 @@
         self.objects[kind, name] = obj
         self._tell(kind, obj, False)
 
+    def lapse(self, kind):
+        """Remove all objects of a kind, as if their leases ran out."""
+        names = [name for where, name in self.objects if where == kind]
+        for name in names:
+            self.remove(kind, name)
+        return names
+
+    def mend(self):
+        """Answer at once and always again."""
+        self.delay_s = 0.0
+        self.loses = False
+
     def remove(self, kind, name):
         """Remove an object."""
         obj = self.objects.pop((kind, name), None)
@@ -85,6 +103,9 @@
             exchange.answer(409, [], b"{}")
             return
         self.put(kind, name, body["Spec"])
+        if self.loses:
+            exchange.cut()
+            return
         self._answer(exchange, self.objects[kind, name])
 
     def _read(self, exchange, kind, query):
@@ -102,4 +123,6 @@
         self.watches.append((exchange, kind))
 
     def _answer(self, exchange, page):
-        exchange.answer(200, JSON, json.dumps(page).encode())
+        body = json.dumps(page).encode()
+        self.reactor.callLater(self.delay_s, exchange.answer, 200, JSON,
+                               body)
