Drop servers that other hosts saw leave, also after a cut of one's own

Cause: in a large fleet a host that lost the store, while others took over reading it, stayed "without the store" for good. It took every removal for a lapse to be kept until its own store came back, which it no longer asked.

Ruled out: slow news.

Change: a host that stops reading counts no store as lost.

--- a/crocuskeel/core/entry/events.py
+++ b/crocuskeel/core/entry/events.py
@@ -9,7 +9,7 @@
     "Answered", "Arrived", "Broken", "CallerLeft", "CatalogSeen", "Ended",
     "Heard", "LoadHeard", "Opened", "PeersSeen", "Progressed",
     "ServersChanged", "ServersListed", "Started", "StopAsked", "StoreBack",
-    "StoreLost", "Ticked", "TimerFired",
+    "StoreLeft", "StoreLost", "Ticked", "TimerFired",
 ]
 
 
@@ -114,10 +114,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServersListed:
-    """All registered backend servers as of a revision of the store."""
+    """All registered backend servers as of a revision of the store.
+
+    ``lapsing`` is None if this host read the store. Else another host
+    did, and names as (server id, seconds) what it keeps for so long
+    although the entry lapsed.
+    """
 
     servers: tuple
     revision: int
+    lapsing: tuple | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -141,6 +147,11 @@
     """The store answers again."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreLeft:
+    """This host no longer reads the store: other hosts do."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeersSeen:
     """Hosts that registered in the store."""
--- a/crocuskeel/core/entry/reducer.py
+++ b/crocuskeel/core/entry/reducer.py
@@ -38,6 +38,7 @@
     events.ServersChanged: registry.servers_changed,
     events.StoreLost: registry.store_lost,
     events.StoreBack: registry.store_back,
+    events.StoreLeft: registry.store_left,
     events.PeersSeen: peers.seen,
     events.Heard: peers.heard,
     events.LoadHeard: peers.load_heard,
--- a/crocuskeel/core/entry/registry.py
+++ b/crocuskeel/core/entry/registry.py
@@ -6,12 +6,14 @@
 which they register again, and are gone after that.
 """
 
+import math
+
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import peers
 from crocuskeel.core.entry import state as states
 
-__all__ = ["catalog_seen", "expire", "servers_changed", "servers_listed",
-           "store_back", "store_lost"]
+__all__ = ["catalog_seen", "expire", "lapsing", "servers_changed",
+           "servers_listed", "store_back", "store_left", "store_lost"]
 
 # Lapsed servers register again within some 2 s of the store's return. One
 # that left instead must get nothing 2 s after its entry went, so what is
@@ -40,31 +42,38 @@
     host.servers_known = True
     listed = {server.sid for server in event.servers}
     missing = tuple(sid for sid in host.servers if sid not in listed)
-    return _apply(host, event.servers, missing, event.revision, now)
+    if event.lapsing is None:
+        kept = _lapses(host, missing, now)
+    else:
+        # That host read the store, this one did not: what it saw leave
+        # has left, also if this host was cut off meanwhile.
+        kept = {sid: now + left_s for sid, left_s in event.lapsing}
+    return _apply(host, event.servers, missing, kept, event.revision, now)
 
 
 def servers_changed(host, event, now):
     """Take changes of the list."""
-    return _apply(host, event.changed, event.removed, event.revision, now)
+    kept = _lapses(host, event.removed, now)
+    return _apply(host, event.changed, event.removed, kept,
+                  event.revision, now)
 
 
-def _apply(host, changed, removed, revision, now):
+def _apply(host, changed, removed, kept, revision, now):
+    """Take changes; ``kept`` maps lapsed servers to when they go."""
     host.servers_revision = max(host.servers_revision, revision)
     host.behind_at = None
     out = []
     for server in changed:
         out += _put(host, server, now)
-    lapsing = _lapsing(host, removed, now)
     for sid in removed:
         if sid not in host.servers:
             continue
-        if sid in lapsing:
-            _lapse(host, sid, now)
-        else:
+        if sid not in kept:
             _drop(host, sid)
+        elif host.servers[sid].lapses_at is None:
+            host.servers[sid].lapses_at = kept[sid]
         out.append(effects.Note("server_removed", {
-            "server": sid, "revision": revision,
-            "lapse": sid in lapsing}))
+            "server": sid, "revision": revision, "lapse": sid in kept}))
     _index(host)
     return out + peers.tell_news(host, now)
 
@@ -85,11 +94,21 @@
         "server": server.sid, "draining": server.draining})]
 
 
-def _lapsing(host, removed, now):
-    """Return the removed servers that may only have lapsed."""
+def _lapses(host, removed, now):
+    """Return until when removed servers are kept that may have lapsed."""
+    if host.store_lost_at is not None:
+        ends = math.inf
+    elif _was_away(host, now):
+        ends = host.store_back_at + BACK_S
+    else:
+        ends = now + BACK_S
+    return dict.fromkeys(_lapsed(host, removed, now), ends)
+
+
+def _lapsed(host, removed, now):
     gone = [host.servers[sid] for sid in removed if sid in host.servers
             and not host.servers[sid].server.draining]
-    if _store_was_away(host, now):
+    if host.store_lost_at is not None or _was_away(host, now):
         return {state.server.sid for state in gone}
     lapsed = set()
     for service in {state.server.service for state in gone}:
@@ -101,20 +120,17 @@
     return lapsed
 
 
-def _store_was_away(host, now):
-    if host.store_lost_at is not None:
-        return True
+def _was_away(host, now):
     back = host.store_back_at
     return back is not None and now < back + BACK_S
 
 
-def _lapse(host, sid, now):
-    back = host.store_back_at
-    if back is None or now >= back + BACK_S:
-        back = now
-    state = host.servers[sid]
-    if state.lapses_at is None:
-        state.lapses_at = back + BACK_S
+def lapsing(host, now):
+    """Return (server id, seconds) of entries that lapsed and are kept."""
+    return tuple(
+        (sid, max(0.0, min(BACK_S, state.lapses_at - now)))
+        for sid, state in host.servers.items()
+        if state.lapses_at is not None)
 
 
 def _drop(host, sid):
@@ -130,8 +146,6 @@
 
 def expire(host, now):
     """Drop servers that did not register again in time."""
-    if host.store_lost_at is not None:
-        return []
     late = [sid for sid, state in host.servers.items()
             if state.lapses_at is not None and state.lapses_at <= now]
     for sid in late:
@@ -146,6 +160,10 @@
     if host.store_lost_at is not None:
         return []
     host.store_lost_at = now
+    for state in host.servers.values():
+        if state.lapses_at is not None:
+            # What has not registered again can't do so now.
+            state.lapses_at = math.inf
     return [effects.Note("store_lost", {"why": event.reason})]
 
 
@@ -154,9 +172,25 @@
     if host.store_lost_at is None:
         return []
     away = now - host.store_lost_at
-    host.store_lost_at = None
     host.store_back_at = now
+    _wait_no_more(host, now)
+    return [effects.Note("store_back", {"away_s": round(away, 2)})]
+
+
+def store_left(host, event, now):
+    """Go by what other hosts say: they read the store, this one not.
+
+    A host that waited on for a store that it no longer asks would keep
+    servers that have left for good.
+    """
+    if host.store_lost_at is None:
+        return []
+    _wait_no_more(host, now)
+    return [effects.Note("store_left", {})]
+
+
+def _wait_no_more(host, now):
+    host.store_lost_at = None
     for state in host.servers.values():
         if state.lapses_at is not None:
-            state.lapses_at = now + BACK_S
-    return [effects.Note("store_back", {"away_s": round(away, 2)})]
+            state.lapses_at = min(state.lapses_at, now + BACK_S)
--- a/crocuskeel/platform/following.py
+++ b/crocuskeel/platform/following.py
@@ -2,6 +2,7 @@
 
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import peers
+from crocuskeel.core.entry import registry
 from crocuskeel.platform import exceptions
 from crocuskeel.platform import objects
 from crocuskeel.platform import store as stores
@@ -62,6 +63,7 @@
         while True:
             if not self._reads():
                 revision = None
+                self.gateway.feed(events.StoreLeft())
                 await task.deferLater(self.reactor, ROLE_S)
                 continue
             try:
@@ -140,11 +142,12 @@
             self.raw_config = obj
         self.gateway.feed(events.CatalogSeen(catalog))
 
-    def _servers_listed(self, listing):
+    def _servers_listed(self, listing, lapsing=None):
         self.raw_servers = {}
         servers = self._decode_servers(listing.items)
         self.revision = listing.revision
-        self.gateway.feed(events.ServersListed(servers, listing.revision))
+        self.gateway.feed(events.ServersListed(
+            servers, listing.revision, lapsing))
 
     def _servers_changed(self, news):
         removed = tuple(objects.name(obj) for obj, gone in news.rows
@@ -201,6 +204,8 @@
             config = None
         return {"config": config,
                 "servers": list(self.raw_servers.values()),
+                "lapsing": registry.lapsing(
+                    self.gateway.host, self.reactor.seconds()),
                 "revision": self.revision}
 
     def take_snapshot(self, snapshot):
@@ -209,7 +214,8 @@
             self.take_config(snapshot["config"])
         if snapshot["revision"] > self.revision:
             self._servers_listed(stores.Listing(
-                tuple(snapshot["servers"]), snapshot["revision"]))
+                tuple(snapshot["servers"]), snapshot["revision"]),
+                tuple(map(tuple, snapshot.get("lapsing", ()))))
 
 
 def new_follower(reactor, gateway, store):
--- a/tests/entry/test_registry.py
+++ b/tests/entry/test_registry.py
@@ -3,6 +3,7 @@
 import unittest
 
 from crocuskeel.core.entry import events
+from crocuskeel.core.entry import registry
 from tests.entry import support
 
 PAIR = (support.server("s1"), support.server("s2"),
@@ -60,6 +61,37 @@
         self.driver.feed(events.Ticked(), 60.0)
         self.assertIn("s1", self.host.servers)
 
+    def test_a_host_that_was_cut_off_drops_what_others_saw_leave(self):
+        # A host loses the store for eight seconds; others read it on and
+        # take over. A server leaves as planned. The host took that for a
+        # lapse, to be kept until its own store came back, which it no
+        # longer read: the server got requests for as long as it lived.
+        self.driver.feed(events.StoreLost("refused"))
+        self.driver.feed(events.ServersListed(PAIR[1:], 9, ()), 8.0)
+        self.assertNotIn("s1", self.host.servers)
+
+    def test_what_lapsed_elsewhere_is_kept_as_long_as_there(self):
+        # A host that doesn't read the store can't know that it was away;
+        # it would drop servers that are well.
+        self.driver.feed(events.ServersListed(
+            PAIR[1:], 9, (("s1", 0.9),)))
+        self.driver.feed(events.Ticked(), 0.8)
+        self.assertIn("s1", self.host.servers)
+        self.assertEqual((), registry.lapsing(
+            support.Driver(servers=PAIR).host, self.driver.now))
+        ((sid, left_s),) = registry.lapsing(self.host, self.driver.now)
+        self.assertEqual(("s1", 0.1), (sid, round(left_s, 3)))
+        self.driver.feed(events.Ticked(), 0.2)
+        self.assertNotIn("s1", self.host.servers)
+
+    def test_a_host_that_stops_reading_waits_no_more_for_the_store(self):
+        self.driver.feed(events.StoreLost("refused"))
+        self._remove("s1")
+        self.driver.feed(events.StoreLeft(), 1.0)
+        self.assertIsNone(self.host.store_lost_at)
+        self.driver.feed(events.Ticked(), 1.7)
+        self.assertNotIn("s1", self.host.servers)
+
     def test_a_configuration_never_goes_back(self):
         # A stale read, or a slow peer, brings an older one.
         older = support.catalog(support.route("old"), revision=9)
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -159,6 +159,28 @@
         self.assertEqual(["s1"], list(self.host.servers))
 
 
+    def test_a_snapshot_tells_what_lapsed_and_is_kept(self):
+        self.gateway.feed(events.StoreBack())
+        self.host.store_back_at = self.gateway.now
+        self.store.answer("servers", stores.Changes(
+            ((_server("s2"), True),), 6))
+        snapshot = self.follower.snapshot(3)
+        self.assertEqual(["s1"], [objects.name(obj) for obj
+                                  in snapshot["servers"]])
+        ((sid, left_s),) = snapshot["lapsing"]
+        self.assertEqual("s2", sid)
+        self.assertTrue(0 < left_s < 2)
+
+    def test_a_host_that_stops_reading_counts_no_store_as_lost(self):
+        # Others read for all, and this one lost the store before: it
+        # would wait for ever for the store that it no longer asks.
+        self.store.answer("servers", exceptions.StoreError(0, "down"))
+        self.assertIsNotNone(self.host.store_lost_at)
+        self.follower._reads = lambda: False
+        self.clock.advance(1.0)
+        self.assertIsNone(self.host.store_lost_at)
+
+
 class ObjectsTest(unittest.TestCase):
     """Decoding of objects."""
 
