Explain a request out of the logs of entry hosts

Cause: crocuskeelctl read only the time line of the product's own daemon; an engineer on call had to grep the logs of the entry hosts.

Ruled out: writing the entry hosts' lines in the time line's form: they have no logical clock, and are told apart by the time of day.

--- a/crocuskeel/ctl/tracing.py
+++ b/crocuskeel/ctl/tracing.py
@@ -4,6 +4,7 @@
 import datetime
 import re
 
+from crocuskeel.ctl import entry_logs
 from crocuskeel.ctl import files
 from crocuskeel.ctl import fleet
 from crocuskeel.ctl.results import Code
@@ -24,6 +25,9 @@
 
 async def explain(session, args):
     """``explain``: the story of one request."""
+    told = _from_entry_logs(session, args)
+    if told is not None:
+        return told
     if args.file:
         read, notes = _read_files(session, args.file), ()
     else:
@@ -39,6 +43,20 @@
     return Ok(Report(_story(body), body, notes))
 
 
+def _from_entry_logs(session, args):
+    """Return the story if the files are logs of entry hosts, or None."""
+    texts = [files.read(session, name) for name in args.file]
+    rows, bad = entry_logs.read(
+        [text.unwrap() for text in texts if text.is_ok()])
+    found = entry_logs.find(rows, args.request)
+    if not found:
+        return None
+    notes = (f"{bad} lines could not be read",) if bad else ()
+    notes += tuple(str(text.unwrap_err()) for text in texts
+                   if text.is_err())
+    return Ok(Report(entry_logs.tell(found, args.request), found, notes))
+
+
 def _no_story(args, notes):
     host = stories.host_of(args.request)
     taken = f"it was taken by {host}" if host else "is the id whole?"
--- /dev/null
+++ b/tests/ctl/test_entry_logs.py
@@ -0,0 +1,68 @@
+"""Requests explained out of the logs of entry hosts."""
+
+import json
+import unittest
+
+from tests.ctl import fleet as fleets
+
+
+def _line(wall, host, event, **fields):
+    return json.dumps({"t": wall - 1000, "wall": wall, "host": host,
+                       "event": event, **fields})
+
+
+ONE = "\n".join((
+    _line(2000.0, "h1", "server_removed", server="s9", revision=7),
+    _line(2001.0, "h1", "store_lost", why="timeout"),
+    _line(2002.0, "h1", "sent", rid="r1", turn=0, server="s1", ahead=9000),
+    _line(2002.1, "h1", "sent", rid="r2", turn=0, server="s2"),
+    "half a li",
+    _line(2002.5, "h1", "broken", rid="r1", turn=0, server="s1",
+          outcome="broken"),
+    _line(2002.6, "h1", "gave_up", rid="r1", why="broken", ran=True)))
+TWO = "\n".join((
+    _line(2002.4, "h2", "server_removed", server="s1", revision=9),
+    _line(2002.4, "h2", "store_lost", why="timeout"),
+    _line(2003.0, "h2", "refused", rid="r1", status=404, version=3)))
+
+
+class ExplainTest(unittest.TestCase):
+    """Any number of hosts' files."""
+
+    def setUp(self):
+        self.fleet = fleets.Fleet()
+        self.fleet.files = {"one.log": ONE, "two.log": TWO}
+
+    def _explain(self, rid, *names):
+        argv = ["explain", rid]
+        for name in names:
+            argv += ["--file", name]
+        return self.fleet.run(*argv)
+
+    def test_the_story_over_two_hosts(self):
+        code, out, err = self._explain("r1", "two.log", "one.log")
+        self.assertEqual(0, code)
+        rows = [line.split()[:3] for line in out.splitlines()[2:]]
+        self.assertEqual([
+            ["-1.000", "h1", "meanwhile:"],
+            ["+0.000", "h1", "sent"],
+            ["+0.400", "h2", "meanwhile:"],
+            ["+0.400", "h2", "meanwhile:"],
+            ["+0.500", "h1", "broken"],
+            ["+0.600", "h1", "gave_up"],
+            ["+1.000", "h2", "refused"]], rows)
+        self.assertIn("ahead=9000", out)
+        self.assertIn("doesn't allow it", out.splitlines()[0])
+        self.assertNotIn("r2", out)
+        self.assertIn("1 lines could not be read", err)
+
+    def test_a_missing_file_is_named(self):
+        code, out, err = self._explain("r2", "one.log", "three.log")
+        self.assertEqual(0, code)
+        self.assertIn("no end in these logs", out)
+        self.assertIn("three.log", err)
+
+    def test_an_unknown_request(self):
+        code, _, err = self._explain("r9", "one.log")
+        self.assertEqual(7, code)
+        self.assertIn("no event of request r9", err)
