Take a settings file that changed, with a signal or without

Cause: SIGHUP wrote a line and changed nothing, and a file that changed without a signal was never seen: a new bound on repeats, or another address of the store, needed a restart.

Change: the file is read on SIGHUP and each 5 s. Bounds and the store's address are in force at once, the rest is named as for the next start. A file that can't be used changes nothing and is told once.

--- a/crocuskeel/core/entry/events.py
+++ b/crocuskeel/core/entry/events.py
@@ -8,7 +8,8 @@
 __all__ = [
     "Answered", "Arrived", "Broken", "CallerLeft", "CatalogSeen", "Ended",
     "Heard", "LoadHeard", "Opened", "PeersSeen", "Progressed",
-    "ServersChanged", "ServersListed", "Started", "StopAsked", "StoreBack",
+    "ServersChanged", "ServersListed", "SettingsSeen",
+    "Started", "StopAsked", "StoreBack",
     "StoreLeft", "StoreLost", "Ticked", "TimerFired",
 ]
 
@@ -135,6 +136,13 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsSeen:
+    """The bounds of the deployment, as a Settings, were read anew."""
+
+    settings: object
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreLost:
     """Calls to the store fail."""
--- a/crocuskeel/core/entry/reducer.py
+++ b/crocuskeel/core/entry/reducer.py
@@ -16,6 +16,11 @@
     return []
 
 
+def _settings_seen(host, event, now):
+    host.cfg = event.settings
+    return []
+
+
 def _ticked(host, event, now):
     return (registry.expire(host, now) + peers.tell(host, now)
             + lifecycle.go_on(host, now))
@@ -36,6 +41,7 @@
     events.CatalogSeen: registry.catalog_seen,
     events.ServersListed: registry.servers_listed,
     events.ServersChanged: registry.servers_changed,
+    events.SettingsSeen: _settings_seen,
     events.StoreLost: registry.store_lost,
     events.StoreBack: registry.store_back,
     events.StoreLeft: registry.store_left,
--- a/crocuskeel/platform/assembly.py
+++ b/crocuskeel/platform/assembly.py
@@ -15,6 +15,7 @@
 from crocuskeel.platform import faces
 from crocuskeel.platform import following
 from crocuskeel.platform import headers
+from crocuskeel.platform import reloading
 from crocuskeel.platform import store as stores
 from twisted.internet import defer
 
@@ -28,8 +29,11 @@
 METRICS_PORT = 9464
 
 
-def start(reactor, boot, log, on_exit):
-    """Listen and follow the store; return the Gateway."""
+def start(reactor, boot, path, log, on_exit):
+    """Listen and follow the store; return (gateway, reloader).
+
+    ``path`` is that of the settings file, which may change.
+    """
     # The generator only breaks ties and spreads retries; hosts must not
     # do so alike.
     seed = f"{boot.host}:{random.SystemRandom().getrandbits(32)}"
@@ -42,15 +46,17 @@
         log(event, fields)
 
     gateway = loop.new_gateway(reactor, host, headers.new_dialect(), note)
-    follower = following.new_follower(
-        reactor, gateway, stores.new_store(reactor, boot.store))
+    store = stores.new_store(reactor, boot.store)
+    follower = following.new_follower(reactor, gateway, store)
     _listen(reactor, boot, gateway, follower, counts)
     gateway.fetch = _fetcher(reactor, gateway, follower)
     gateway.on_exit = on_exit
     gateway.start(_me(boot, rng))
     follower.start()
     _ask_seeds(boot, gateway)
-    return gateway
+    reloader = reloading.new_reloader(reactor, path, boot, gateway, store)
+    reloader.start()
+    return gateway, reloader
 
 
 def _me(boot, rng):
--- a/crocuskeel/programs/entry.py
+++ b/crocuskeel/programs/entry.py
@@ -47,10 +47,10 @@
     if args.check:
         print(f"{args.settings}: good")
         return 0
-    return _run(boot)
+    return _run(boot, args.settings)
 
 
-def _run(boot):
+def _run(boot, path):
     from twisted.internet import asyncioreactor
 
     asyncioreactor.install()
@@ -64,21 +64,16 @@
     reactor.seconds = time.monotonic
     log, flush = logs.new_log(reactor, sys.stdout.fileno(), boot.host)
     log("started", {"pid": os.getpid(), "domain": boot.domain})
-    gateway = assembly.start(reactor, boot, log, reactor.stop)
+    gateway, reloader = assembly.start(
+        reactor, boot, path, log, reactor.stop)
     reactor._asyncioEventloop.add_signal_handler(
         signal.SIGTERM, gateway.feed, events.StopAsked())
     reactor._asyncioEventloop.add_signal_handler(
-        signal.SIGHUP, _reload, log)
+        signal.SIGHUP, reloader.reload)
     reactor.run(installSignalHandlers=False)
     flush()
     return 0
 
 
-def _reload(log):
-    # A process's addresses and bounds hold for its life; what changes
-    # while it runs is in the store.
-    log("reload", {"changed": []})
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -158,7 +158,6 @@
         self.assertEqual(8, self.host.catalog.revision)
         self.assertEqual(["s1"], list(self.host.servers))
 
-
     def test_a_snapshot_tells_what_lapsed_and_is_kept(self):
         self.gateway.feed(events.StoreBack())
         self.host.store_back_at = self.gateway.now
