--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -19,7 +19,7 @@
 Seeds={net}.1.1:18082,{net}.1.2:18082
 Platform.Addr={store}
 Bounds.GraceS=8
-Bounds.BudgetSlack=50
+Bounds.BudgetSlack={slack}
 """
 
 
@@ -40,18 +40,22 @@
 
     def start(self, number, store=None):
         """Start a host; ``store`` is needed the first time."""
-        ip = self.ips[number]
         self.stores.setdefault(number, store)
         self.boots[number] += 1
-        path = self.folder / f"host-{number}.conf"
-        path.write_text(BOOT.format(
-            name=f"host-{number}", zone=number % 3, ip=ip,
-            net=self.net, store=self.stores[number]))
+        path = self.write_settings(number)
         with open(self.folder / f"host-{number}.log", "ab") as log:
             self.processes[number] = subprocess.Popen(
                 [sys.executable, "-m", "crocuskeel.programs.entry",
                  "--settings", str(path)], stdout=log, stderr=log)
 
+    def write_settings(self, number, slack=50):
+        """Write a host's settings file; return its path."""
+        path = self.folder / f"host-{number}.conf"
+        path.write_text(BOOT.format(
+            name=f"host-{number}", zone=number % 3, ip=self.ips[number],
+            net=self.net, store=self.stores[number], slack=slack))
+        return path
+
     def signal(self, number, name):
         """Send a signal to a host, if it lives."""
         process = self.processes[number]
