--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -180,23 +180,15 @@
     soak.configure()
 
 
+def _reload(soak):
+    number = _host(soak)
+    soak.note_fault("plan", "settings file changes")
+    soak.fleet.write_settings(number, soak.rng.randrange(20, 80))
+    soak.fleet.signal(number, "SIGHUP")
+
+
 FAULTS = (
-    _kill,
-    _kill_all,
-    _pause,
-    _stop,
-    _crash,
-    _poison,
-    _leave,
-    _outage,
-    _lapse,
-    _slow_store,
-    _lost_writes,
-    _spoil,
-    _delay,
-    _reset,
-    _forget,
-    _one_way,
-    _cut,
-    _burst,
-    _configure)
+    _kill, _kill_all, _pause, _stop, _crash, _poison, _leave, _outage,
+    _lapse, _slow_store, _lost_writes, _spoil, _delay, _reset, _forget,
+    _one_way, _cut, _burst, _configure, _reload,
+)
