Learn of a crash from other hosts and from the list of servers, too

Cause: a request that crashes servers was suspected only if its own host met the dead server once more within 2 s. It seldom does: the server is left alone after a crash, and its entry lapses.

Ruled out: condemning after one crash, which would refuse requests that only stood beside it.

Change: a refused connection that another host tells of, and an entry that goes without having drained, explain a torn connection, for 4 s.

Before and after: the new test failed, now passes; one that drains away condemns nothing (passed before and after).

--- a/crocuskeel/core/entry/attempts.py
+++ b/crocuskeel/core/entry/attempts.py
@@ -148,7 +148,7 @@
         case model.Outcome.UNREACHED | model.Outcome.REFUSED:
             pending.sent -= 1
             attempt.fresh_tokens = -1
-            quarantine.note_unreached(host, attempt.sid, now)
+            quarantine.note_gone(host, attempt.sid, now)
             if event.outcome is model.Outcome.REFUSED:
                 host.refusing.add(attempt.sid)
             if target is not None:
--- a/crocuskeel/core/entry/quarantine.py
+++ b/crocuskeel/core/entry/quarantine.py
@@ -7,13 +7,14 @@
 stood beside it would have to stand beside two crashes.
 """
 
-__all__ = ["condemned", "ends_in", "learn", "note_torn",
-           "note_unreached", "pairs"]
+__all__ = ["condemned", "ends_in", "learn", "note_gone",
+           "note_torn", "pairs"]
 
 # A crash tears all connections of a server at nearly the same time, s.
 TOGETHER_S = 0.3
-# How long a torn connection waits for its explanation, s.
-EXPLAINED_S = 2.0
+# How long a torn connection waits for its explanation, s: the entry of a
+# server that went lapses within three of its heartbeats of 1.2 s.
+EXPLAINED_S = 4.0
 # Servers lost under one request before it is refused.
 CRASHES = 2
 KEPT_S = 60.0
@@ -27,15 +28,15 @@
     together = {row[2] for row in host.torn
                 if row[1] == sid and row[0] > now - TOGETHER_S}
     if len(together) > 1:
-        _confirm(host, sid, now)
+        note_gone(host, sid, now)
 
 
-def note_unreached(host, sid, now):
-    """A server can't be reached: what was torn there was a crash."""
-    _confirm(host, sid, now)
+def note_gone(host, sid, now):
+    """Learn that a server is gone: what was torn there was a crash.
 
-
-def _confirm(host, sid, now):
+    It can't be reached, another host found it refusing, or its entry
+    went without notice.
+    """
     for at, torn_sid, digest in host.torn:
         if torn_sid == sid and at > now - EXPLAINED_S:
             learn(host, digest, sid, now)
--- a/tests/entry/test_requests.py
+++ b/tests/entry/test_requests.py
@@ -290,6 +290,42 @@
         # not before the quarantine ends.
         self.assertTrue(55.0 < answer.retry_s <= 60.0)
 
+    def test_what_else_shows_that_a_server_went(self):
+        # The host under whose request it went sends nothing there again
+        # before its entry lapses: another host finds it refusing, or the
+        # store takes it off the list. Five servers went under one
+        # request.
+        rows = (
+            lambda sid: events.LoadHeard("host-1", (), (sid,)),
+            lambda sid: events.ServersChanged((), (sid,), 9))
+        for shown in rows:
+            servers = [support.server(f"s{n}") for n in range(4)]
+            driver = support.Driver(UNSAFE, servers=servers)
+            for key in (1, 2):
+                driver.feed(events.Arrived(
+                    key, support.request(digest="poison")))
+                sid = driver.host.pending[key].tries[0].sid
+                driver.feed(events.Broken(
+                    key, 0, model.Outcome.BROKEN, "reset", True))
+                driver.feed(shown(sid), 1.2)
+            out = driver.feed(events.Arrived(
+                3, support.request(digest="poison")))
+            self.assertEqual([], support.only(out, effects.Send))
+
+    def test_a_server_that_drains_away_crashed_under_nothing(self):
+        servers = [support.server(f"s{n}") for n in range(4)]
+        driver = support.Driver(UNSAFE, servers=servers)
+        for key in (1, 2):
+            driver.feed(events.Arrived(key, support.request(digest="d")))
+            sid = driver.host.pending[key].tries[0].sid
+            driver.feed(events.Broken(
+                key, 0, model.Outcome.BROKEN, "reset", True))
+            entry = support.server(sid, draining=True)
+            driver.feed(events.ServersChanged((entry,), (), 8 + key))
+            driver.feed(events.ServersChanged((), (sid,), 9 + key), 1.0)
+        out = driver.feed(events.Arrived(3, support.request(digest="d")))
+        self.assertEqual(1, len(support.only(out, effects.Send)))
+
     def test_a_torn_answer_alone_condemns_nothing(self):
         # A server loses an answer and stays up: no crash.
         driver = support.Driver(UNSAFE, servers=PAIR)
