Spend fewer calls of the store on the start of a large fleet

Ruled out: fewer readers, which makes news depend on fewer hosts.

Change: a host registers and lists the hosts first. In a large fleet one that is no reader waits 1.5 s for the readers. Its entry has no boot any more (datagrams tell it), and is not written again if it is the same.

--- a/crocuskeel/core/entry/peers.py
+++ b/crocuskeel/core/entry/peers.py
@@ -57,7 +57,8 @@
 
 
 def seen(host, event, now):
-    """Learn of hosts from the store; they count once they are heard."""
+    """Learn of hosts from the store; they count as heard for a moment."""
+    host.seen_at = now
     for peer in event.peers:
         if peer.name != host.me.name:
             host.peers.setdefault(peer.name, states.PeerState(peer, now))
@@ -231,6 +232,7 @@
     """Take another carrier's changes at engines."""
     _take_rows(host, event.name, event.loads, now)
     for sid in event.refused:
+        quarantine.note_gone(host, sid, now)
         state = host.servers.get(sid)
         # A host that is cut off from a server finds it refusing, too. One
         # with requests there notices a crash by itself.
@@ -261,7 +263,7 @@
 
 def reads_store(host, now):
     """Say whether this host should follow the store itself."""
-    if not is_large(host) or not is_ready(host):
+    if not is_large(host):
         return True
     readers = 0
     for peer in carriers(host, now):
@@ -272,7 +274,7 @@
         if readers >= READERS:
             return False
     told = max((known.heard_at for known in host.peers.values()
-                if known.reads_store), default=0.0)
+                if known.reads_store), default=host.seen_at)
     return now - told > UNTOLD_S
 
 
--- a/crocuskeel/platform/following.py
+++ b/crocuskeel/platform/following.py
@@ -42,15 +42,27 @@
         self.raw_config = None
         self.raw_servers = {}
         self.revision = 0
+        self.begun = False
 
     def start(self):
         """Begin to follow; never ends."""
-        for run in (self._follow(CONFIG, self._config_listed,
-                                 self._config_changed),
-                    self._follow(SERVERS, self._servers_listed,
-                                 self._servers_changed),
-                    self._register()):
-            defer.Deferred.fromCoroutine(run).addErrback(self._died)
+        self._run(self._register())
+
+    def _run(self, coroutine):
+        defer.Deferred.fromCoroutine(coroutine).addErrback(self._died)
+
+    def _begin(self):
+        """Follow the store, once it is known for how many hosts.
+
+        In a large fleet most hosts need not read it at all.
+        """
+        if self.begun:
+            return
+        self.begun = True
+        self._run(self._follow(
+            CONFIG, self._config_listed, self._config_changed))
+        self._run(self._follow(
+            SERVERS, self._servers_listed, self._servers_changed))
 
     def _died(self, failure):
         self.gateway.log("follower_died", {
@@ -184,9 +196,12 @@
             except exceptions.StoreError as exc:
                 failures += 1
                 self.gateway.log("not_registered", {"why": str(exc)})
+                # The store may turn away writes only.
+                self._begin()
                 await self._pause(failures)
         self.gateway.feed(events.PeersSeen(tuple(
             peer for peer in map(self._peer, listing.items) if peer)))
+        self._begin()
 
     def _peer(self, obj):
         try:
--- a/crocuskeel/platform/objects.py
+++ b/crocuskeel/platform/objects.py
@@ -6,6 +6,9 @@
 __all__ = ["catalog", "name", "peer", "peer_spec", "server"]
 
 DRAINING = "draining"
+# A host that started again is at the same address: its entry is written
+# once, and its datagrams tell which boot it is.
+UNKNOWN_BOOT = 0
 
 
 def name(obj):
@@ -107,7 +110,7 @@
 
 def peer_spec(me):
     """Return what a host registers of itself in the store."""
-    return {"Boot": me.boot, "Zone": me.domain, "Front": me.front,
+    return {"Zone": me.domain, "Front": me.front,
             "Control": list(me.control), "Gossip": list(me.gossip),
             "Cores": me.capacity}
 
@@ -117,7 +120,7 @@
     try:
         spec = obj["Spec"]
         return model.Peer(
-            name(obj), spec["Boot"], spec["Zone"], spec["Front"],
+            name(obj), UNKNOWN_BOOT, spec["Zone"], spec["Front"],
             tuple(spec["Control"]), tuple(spec["Gossip"]), spec["Cores"])
     except (KeyError, TypeError, ValueError) as exc:
         raise exceptions.BadObject(f"host: {exc!r}") from exc
--- a/crocuskeel/platform/store.py
+++ b/crocuskeel/platform/store.py
@@ -73,12 +73,18 @@
         return Changes(rows, page["AsOf"])
 
     async def put(self, kind, name, spec):
-        """Create an object or replace its content; raises StoreError."""
+        """Create an object or replace its content; raises StoreError.
+
+        One that has this content already is left as it is: each call is
+        billed.
+        """
         body = {"Meta": {"Name": name}, "Spec": spec}
         reply = await self._call("create", b"POST", kind, body)
-        if reply.status == CONFLICT:
+        if reply.status == CONFLICT and not _holds(reply.body, spec):
             reply = await self._call(
                 "put", b"PUT", f"{kind}/{_quote(name)}", body)
+        elif reply.status == CONFLICT:
+            return
         if reply.status not in (OK, CREATED):
             raise exceptions.StoreError(reply.status, "not written")
 
@@ -106,6 +112,14 @@
             raise exceptions.StoreError(0, f"{what}: {exc}") from exc
 
 
+def _holds(body, spec):
+    """Say whether the object in an answer has this content."""
+    try:
+        return json.loads(body)["Spec"] == spec
+    except (ValueError, KeyError, TypeError):
+        return False
+
+
 def _quote(text):
     return urllib.parse.quote(text, safe="")
 
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -106,6 +106,27 @@
         self.driver.now += 1.6
         self.assertTrue(peers.reads_store(host, self.driver.now))
 
+    def test_a_small_host_of_many_waits_for_the_readers_at_its_start(self):
+        # All of 73 hosts start together; each read all lists by itself
+        # and began watches that it ended a moment later.
+        driver = support.Driver()
+        driver.feed(events.Started(support.peer("me", capacity=0.1)))
+        driver.feed(events.PeersSeen(tuple(
+            support.peer(f"h{number}", capacity=9.0)
+            for number in range(20))))
+        self.assertFalse(peers.reads_store(driver.host, driver.now))
+        # None of them came up.
+        driver.now += 1.6
+        self.assertTrue(peers.reads_store(driver.host, driver.now))
+
+    def test_a_large_host_of_many_reads_at_its_start(self):
+        driver = support.Driver()
+        driver.feed(events.Started(support.peer("me", capacity=9.0)))
+        driver.feed(events.PeersSeen(tuple(
+            support.peer(f"h{number}", capacity=0.1)
+            for number in range(20))))
+        self.assertTrue(peers.reads_store(driver.host, driver.now))
+
     def test_readers_that_lost_the_store_are_replaced(self):
         self._fleet(20, capacity=9.0, reads_store=False)
         self.assertTrue(peers.reads_store(
--- a/tools/soak/store.py
+++ b/tools/soak/store.py
@@ -100,7 +100,8 @@
         name = name or body["Meta"]["Name"]
         if exchange.head.method == b"POST" and (
                 kind, name) in self.objects:
-            exchange.answer(409, [], b"{}")
+            exchange.answer(409, JSON, json.dumps(
+                self.objects[kind, name]).encode())
             return
         self.put(kind, name, body["Spec"])
         if self.loses:
