--- a/crocuskeel/gateway/metrics.py
+++ b/crocuskeel/gateway/metrics.py
@@ -1,18 +1,23 @@
-"""Counters and histograms of a host, as text for a metrics collector."""
+"""Counters and histograms of a host: as text, and to statsd if asked."""
 
 import prometheus_client
 
 __all__ = ["new_metrics"]
 
+PREFIX = "crocuskeel.entry"
 # Upper bounds, s: around the goals of calls (0.1 to 0.4) and of first
 # tokens (1.2 to 2.5).
 BOUNDS_S = (0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.6, 2.0, 2.5, 4.0, 8.0)
 
 
 class _Metrics:
-    """Counts what the log tells, also lines that it leaves out."""
+    """Counts what the log tells, also lines that it leaves out.
 
-    def __init__(self, host):
+    ``statsd`` is a client with ``incr`` and ``timing``, or None.
+    """
+
+    def __init__(self, host, statsd):
+        self.statsd = statsd
         self.registry = prometheus_client.CollectorRegistry()
         self.lines = prometheus_client.Counter(
             "crocuskeel_decisions", "Decisions and changes, by kind.",
@@ -51,12 +56,30 @@
             self.first.observe(fields["after_s"])
         elif event == "gave_up":
             self.refused.labels(fields["why"]).inc()
+        if self.statsd is not None:
+            self._send(event, fields)
+
+    def _send(self, event, fields):
+        """Send the same to statsd, by UDP: nothing waits for it."""
+        self.statsd.incr(f"decision.{event}")
+        if event == "served":
+            self.statsd.timing("served", fields["took_s"] * 1000)
+        elif event == "opened":
+            self.statsd.timing("first_event", fields["after_s"] * 1000)
 
     def text(self):
         """Return all metrics in the text format."""
         return prometheus_client.generate_latest(self.registry)
 
 
-def new_metrics(host):
-    """Return metrics of an entry host's state."""
-    return _Metrics(host)
+def new_metrics(host, statsd_address=None):
+    """Return metrics of an entry host's state.
+
+    ``statsd_address`` is an (ip, port) to send to, or None.
+    """
+    client = None
+    if statsd_address is not None:
+        # Only who sends to it needs the library.
+        import statsd
+        client = statsd.StatsClient(*statsd_address, PREFIX)
+    return _Metrics(host, client)
--- a/crocuskeel/programs/entry.py
+++ b/crocuskeel/programs/entry.py
@@ -25,12 +25,22 @@
         "--settings", metavar="FILE",
         default=os.environ.get(SETTINGS_VARIABLE, SETTINGS_PATH),
         help="the platform's settings file")
+    parser.add_argument(
+        "--statsd", metavar="IP:PORT", type=_address,
+        help="send metrics there, too (by UDP)")
     parser.add_argument(
         "--check", action="store_true",
         help="check the settings file and exit")
     return parser
 
 
+def _address(text):
+    ip, _, port = text.rpartition(":")
+    if not ip or not port.isdigit():
+        raise argparse.ArgumentTypeError(f"{text!r} is not IP:PORT")
+    return (ip, int(port))
+
+
 def main(argv=None):
     """Run until stopped; return the exit code."""
     args = new_parser().parse_args(argv)
@@ -47,10 +57,10 @@
     if args.check:
         print(f"{args.settings}: good")
         return 0
-    return _run(boot, args.settings)
+    return _run(boot, args.settings, args.statsd)
 
 
-def _run(boot, path):
+def _run(boot, path, statsd_address):
     from twisted.internet import asyncioreactor
 
     asyncioreactor.install()
@@ -65,7 +75,7 @@
     log, flush = logs.new_log(reactor, sys.stdout.fileno(), boot.host)
     log("started", {"pid": os.getpid(), "domain": boot.domain})
     gateway, reloader = assembly.start(
-        reactor, boot, path, log, reactor.stop)
+        reactor, boot, path, log, reactor.stop, statsd_address)
     reactor._asyncioEventloop.add_signal_handler(
         signal.SIGTERM, gateway.feed, events.StopAsked())
     reactor._asyncioEventloop.add_signal_handler(
--- /dev/null
+++ b/tests/gateway/test_metrics.py
@@ -0,0 +1,44 @@
+"""What a host counts, and what of it goes to statsd."""
+
+import unittest
+
+from crocuskeel.gateway import metrics
+from tests.entry import support
+
+
+class _Client:
+    def __init__(self):
+        self.sent = []
+
+    def incr(self, name):
+        self.sent.append(name)
+
+    def timing(self, name, ms):
+        self.sent.append((name, ms))
+
+
+LINES = (("opened", {"after_s": 0.25}), ("served", {"took_s": 1.5}),
+         ("gave_up", {"why": "time is up"}), ("shed", {}))
+
+
+class MetricsTest(unittest.TestCase):
+    """Counters and histograms."""
+
+    def test_the_text_counts_every_line(self):
+        counts = metrics.new_metrics(support.Driver().host)
+        for line in LINES:
+            counts.note(*line)
+        text = counts.text().decode()
+        self.assertIn('crocuskeel_decisions_total{kind="shed"} 1.0', text)
+        self.assertIn('given_up_total{reason="time is up"} 1.0', text)
+        self.assertIn("crocuskeel_served_seconds_sum 1.5", text)
+
+    def test_statsd_gets_the_same(self):
+        client = _Client()
+        counts = metrics._Metrics(support.Driver().host, client)
+        for line in LINES:
+            counts.note(*line)
+        self.assertEqual([
+            "decision.opened", ("first_event", 250.0), "decision.served",
+            ("served", 1500.0), "decision.gave_up", "decision.shed"],
+            client.sent)
