Read h11 events in one place

Cause: callers, connections and the soak's callers each told "needs more" from an event. Change: connections.next_event. The gateway's tests pass.

--- a/crocuskeel/gateway/callers.py
+++ b/crocuskeel/gateway/callers.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+from crocuskeel.gateway import connections
 from crocuskeel.gateway import dialect
 from crocuskeel.gateway import sockets
 import h11
@@ -129,11 +130,11 @@
     def _pump(self):
         while self.exchange is None and not self.lingering:
             try:
-                event = self.h11.next_event()
+                event = connections.next_event(self.h11)
             except h11.RemoteProtocolError as exc:
                 self._refuse(exc.error_status_hint, str(exc))
                 return
-            if event is h11.NEED_DATA or event is h11.PAUSED:
+            if event is None:
                 return
             self._take(event)
 
--- a/crocuskeel/gateway/connections.py
+++ b/crocuskeel/gateway/connections.py
@@ -15,7 +15,7 @@
 from twisted.internet import error
 from twisted.internet import protocol
 
-__all__ = ["Connection", "Failure", "connect"]
+__all__ = ["Connection", "Failure", "connect", "next_event"]
 
 
 class Failure(enum.Enum):
@@ -31,6 +31,17 @@
     GARBLED = "garbled"
 
 
+def next_event(conn):
+    """Return the next event of an h11 connection, None until more comes.
+
+    Raises h11.RemoteProtocolError for bytes that are no HTTP.
+    """
+    event = conn.next_event()
+    if event is h11.NEED_DATA or event is h11.PAUSED:
+        return None
+    return event
+
+
 class Connection(protocol.Protocol):
     """One request and its answer; nothing comes after ``close``."""
 
@@ -74,11 +85,11 @@
     def _pump(self):
         while not self.over:
             try:
-                event = self.h11.next_event()
+                event = next_event(self.h11)
             except h11.RemoteProtocolError as exc:
                 self.fail(Failure.GARBLED, str(exc))
                 return
-            if event is h11.NEED_DATA or event is h11.PAUSED:
+            if event is None:
                 return
             self._take(event)
 
--- a/tools/soak/asking.py
+++ b/tools/soak/asking.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from crocuskeel.gateway import connections
 import h11
 from twisted.internet import defer
 from twisted.internet import error
@@ -81,11 +82,11 @@
         self.h11.receive_data(data)
         while self.done is not None:
             try:
-                event = self.h11.next_event()
+                event = connections.next_event(self.h11)
             except h11.RemoteProtocolError:
                 self._finish(Reply())
                 return
-            if event is h11.NEED_DATA or event is h11.PAUSED:
+            if event is None:
                 return
             self._take(event)
 
