Soak: refuse to start where another run's hosts listen

The logs show hosts that had started 204 s before: a run with the same seed had been killed and had left its hosts behind; the new ones could not listen.

Ruled out: a fault of the daemon: none of its new processes was asked.

Change: a run looks whether its addresses are free.

--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,9 +1,11 @@
 """The soak's checks catch what they are for."""
 
+import socket
 import unittest
 
 from tools.soak import asking
 from tools.soak import checks
+from tools.soak import fleet as fleets
 from tools.soak import record as records
 
 WHOLE = b"".join(b"id: %d\ndata: r1\n\n" % n for n in range(1, 13))
@@ -156,3 +158,17 @@
         good, bad = asking.Reply(200), asking.Reply(503)
         self.assertEqual([], checks.judge_end([good] * 9 + [bad]))
         self.assertNotEqual([], checks.judge_end([good] * 5 + [bad] * 5))
+
+
+class FleetTest(unittest.TestCase):
+    """Hosts' addresses."""
+
+    def test_hosts_of_another_run_are_noticed(self):
+        # A run was killed and left its hosts; the next one with its seed
+        # asked those, and two thirds of its requests failed.
+        fleet = fleets.Fleet("/tmp", "127.9", 2)
+        self.assertEqual([], fleet.taken())
+        with socket.socket() as sock:
+            sock.bind(("127.9.1.2", fleets.PORTS["Front"]))
+            sock.listen()
+            self.assertEqual(["127.9.1.2:18080"], fleet.taken())
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -51,6 +51,11 @@
 
     reactor.seconds = time.monotonic
     soak = run.Soak(reactor, args.seed, folder, args.hosts)
+    taken = soak.fleet.taken()
+    if taken:
+        print(f"addresses in use: {', '.join(taken)}; another run with this "
+              "seed, or hosts that one left behind: end these first")
+        return 2
     playing = defer.Deferred.fromCoroutine(run.play(soak, args.seconds))
     playing.addErrback(
         lambda failure: soak.violations.append(failure.getTraceback()))
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 
@@ -38,6 +39,15 @@
         self.stores = {}
         self.boots = [0] * count
 
+    def taken(self):
+        """Return the addresses of hosts where somebody listens already.
+
+        A run that was killed leaves its hosts behind; the next one with
+        its seed would ask those.
+        """
+        return [f"{ip}:{PORTS['Front']}" for ip in self.ips
+                if _is_taken(ip, PORTS["Front"])]
+
     def start(self, number, store=None):
         """Start a host; ``store`` is needed the first time."""
         self.stores.setdefault(number, store)
@@ -73,3 +83,13 @@
             self.signal(number, "SIGCONT")
             self.signal(number, "SIGKILL")
             process.wait(timeout=10)
+
+
+def _is_taken(ip, port):
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((ip, port))
+        except OSError:
+            return True
+    return False
