Soak: one restart of a host at a time

Ruled out: a run that was killed: none was.

Change: a host that waits to be started is not asked to start again.

Before and after: the new test failed (started by both), now passes.

--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -2,6 +2,7 @@
 
 import socket
 import unittest
+import unittest.mock
 
 from tools.soak import asking
 from tools.soak import checks
@@ -163,6 +164,21 @@
 class FleetTest(unittest.TestCase):
     """Hosts' addresses."""
 
+    def test_two_restarts_at_once_start_one_process(self):
+        # A host was killed while its planned restart waited. Both started
+        # it, and the run's end knew of one process only.
+        fleet = fleets.Fleet("/tmp", "127.9", 1)
+        waiting, started = [], []
+        fleet.start = started.append
+        fleet.processes[0] = unittest.mock.Mock(
+            **{"poll.side_effect": [None, None, 0, 0]})
+        for _ in range(2):
+            fleet.restart(0, lambda span, *call: waiting.append(call))
+        while waiting:
+            function, *args = waiting.pop(0)
+            function(*args)
+        self.assertEqual([0], started)
+
     def test_hosts_of_another_run_are_noticed(self):
         # A run was killed and left its hosts; the next one with its seed
         # asked those, and two thirds of its requests failed.
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -40,6 +40,7 @@
         # Where each host finds the store, and how often it was started.
         self.stores = {}
         self.boots = [0] * count
+        self.restarting = set()
 
     def taken(self):
         """Return the addresses of hosts where somebody listens already.
@@ -79,12 +80,19 @@
 
         ``later(span, function, ...)`` calls it then: on a busy machine a
         killed process takes seconds to go, and waiting for it held up the
-        whole run.
+        whole run. One restart at a time: two would both start it, and one
+        of the processes would outlive the run.
         """
+        if number not in self.restarting:
+            self.restarting.add(number)
+            self._start_when_ended(number, later)
+
+    def _start_when_ended(self, number, later):
         if self.processes[number].poll() is None:
-            later(ENDED_S, self.restart, number, later)
-        else:
-            self.start(number)
+            later(ENDED_S, self._start_when_ended, number, later)
+            return
+        self.restarting.discard(number)
+        self.start(number)
 
     def stop(self):
         """End all processes that this fleet started."""
