--- a/tests/entry/test_requests.py
+++ b/tests/entry/test_requests.py
@@ -152,6 +152,22 @@
         self.assertLess(kinds.index(effects.Cancel),
                         kinds.index(effects.Send))
 
+    def test_a_moved_stream_gets_time_to_begin_again(self):
+        # A host stands still for two seconds in mid-stream. It takes the
+        # engine for silent and moves the stream; 0.1 s later it moves it
+        # again, before the new engine could read the prompt, and so the
+        # request runs on more servers than its route allows.
+        driver = support.Driver(support.stream(tries=3), servers=(
+            *ENGINES, support.server("e3", "engines")))
+        driver.arrive(path="/advice/1", prompt=support.prompt(),
+                      deadline_s=8.0)
+        driver.feed(events.Opened(1, 0, None), 0.1)
+        out = driver.feed(events.TimerFired(1), 2.0)
+        self.assertEqual(1, len(support.only(out, effects.Send)))
+        driver.now = support.only(out, effects.Timer)[0].at
+        out = driver.feed(events.TimerFired(1))
+        self.assertEqual([], support.only(out, effects.Cancel))
+
     def test_a_moved_stream_may_have_run(self):
         # An engine takes a request and goes dark; the request is moved
         # and the next engine is full. "Not run" would be false: the
