Give a moved stream the time to begin before its pauses count

Ruled out: setting the clock anew at the move alone; its first look would come before the prompt is read all the same. Change: an attempt notes its first event. Until then the rule for streams that have not begun holds: time in proportion to what the engine reads.

--- a/crocuskeel/core/entry/attempts.py
+++ b/crocuskeel/core/entry/attempts.py
@@ -32,6 +32,7 @@
         sending.changed(host, pending, target)
         choosing.note_load(target, event.load, now)
     pending.may_have_run = True
+    attempt.opened = True
     pending.passing = attempt.turn
     pending.progress_at = now
     out = sending.cancel_others(host, pending, attempt)
--- a/crocuskeel/core/entry/requests.py
+++ b/crocuskeel/core/entry/requests.py
@@ -95,10 +95,16 @@
 
 
 def _move(host, pending, now):
-    """Move a resumable stream away from an engine that fell silent."""
+    """Move a resumable stream away from an engine that fell silent.
+
+    One that was moved has the time to read its prompt again before its
+    pauses count: by the former engine's last event it would be moved on
+    at each look, 0.1 s apart, and run on more servers than its route
+    allows.
+    """
     attempt = sending.live(pending)[-1]
     target = host.servers.get(attempt.sid)
-    if pending.passing is not None:
+    if attempt.opened:
         silent = now - pending.progress_at >= sending.stall_s(pending) - 0.001
     else:
         silent = target is None or choosing.is_silent(target, now)
--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -135,7 +135,7 @@
     """Return when to look at the request again."""
     if not pending.route.repeatable:
         return pending.ends_at
-    if pending.passing is not None:
+    if pending.tries[-1].opened:
         due = max(now + RECHECK_S, pending.progress_at + stall_s(pending))
         return min(pending.ends_at, due)
     share = HEDGE_SHARE
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -40,6 +40,8 @@
     fresh_tokens: int = 0
     # Shared tokens that are read again, though another server holds them.
     spilled_tokens: int = 0
+    # Its first event is here: from now on its pauses count.
+    opened: bool = False
     over: bool = False
 
 
