Keep long prompts and streams with short pauses on different engines

Cause: an engine reads prompts between the steps of its running streams. Change: hosts tell each other how many streams they have at each engine by the pause that these allow. A prompt counts the streams that it makes late, by what the engine then has to read against each pause, and its own risk: of a late first event, and of a pause where long prompts were read in the last seconds. Streams in danger fill the engines in one order at all hosts.

--- a/crocuskeel/core/entry/choosing.py
+++ b/crocuskeel/core/entry/choosing.py
@@ -10,9 +10,10 @@
 
 import math
 
+from crocuskeel.core.entry import pauses
 from crocuskeel.core.entry import routing
 
-__all__ = ["ahead_tokens", "choose", "choose_with_room",
+__all__ = ["ahead_s", "ahead_tokens", "choose", "choose_with_room",
            "fresh_tokens", "is_silent",
            "note_load", "place", "reading", "remember", "running",
            "sample", "spilled_tokens"]
@@ -20,9 +21,13 @@
 # Reading speed of an engine, tokens a second: between the 36,700 and
 # 48,200 that the two deployments' engines are rated at.
 PREFILL_TOKENS_S = 40_000.0
-# While an engine reads a prompt, each of its running streams waits: this
-# share of their wait counts against sending the prompt there.
-OTHERS_SHARE = 0.1
+# A stream that is late is worth a fraction of one on time: to spare one,
+# another request may be expected to wait for so long, s.
+LATE_S = 2.0
+# Streams that long prompts would make late take the engines in the same
+# order at all hosts: an engine later in it counts so much for each place,
+# s, about the time to read one short prompt.
+ORDER_S = 0.02
 # One more running request slows each step of an engine by 0.12 ms of
 # 2.6 ms; over the some 100 steps of an answer that is 12 ms.
 RUNNING_S = 0.012
@@ -54,35 +59,35 @@
 CONNECTIONS_SHARE = 0.9
 
 
-def choose(host, service, request, exclude, now):
+def choose(host, pending, exclude, now):
     """Return the ServerState to send to, or None if there is none.
 
     Servers in ``exclude`` and suspect ones are taken only when no other
     is left: a suspect server may serve, and an excluded one has failed
     this very request.
     """
-    most = _connections(host, service)
-    usable = [state for state in host.by_service.get(service, ())
+    most = _connections(host, pending.service)
+    usable = [state for state in host.by_service.get(pending.service, ())
               if not (state.server.draining or state.misdirects)
               and running(state, now) < most]
     for strict in (2, 1, 0):
         found = [state for state in usable
                  if _fits(state, strict, exclude, now)]
         if found:
-            return _least(host, found, request, now)
+            return _least(host, found, pending, now)
     return None
 
 
-def choose_with_room(host, service, request, has_room, now):
+def choose_with_room(host, pending, has_room, now):
     """Return the best of the servers with room, or None.
 
     ``has_room(state)`` says which have any. One that is suspect has none:
     a dead engine has nothing before it and would look the best.
     """
-    found = [state for state in host.by_service.get(service, ())
+    found = [state for state in host.by_service.get(pending.service, ())
              if not (state.server.draining or state.misdirects)
              and _fits(state, 2, (), now) and has_room(state)]
-    return _least(host, found, request, now) if found else None
+    return _least(host, found, pending, now) if found else None
 
 
 def _connections(host, service):
@@ -101,13 +106,31 @@
     return state.suspect_until <= now and not is_silent(state, now)
 
 
-def _least(host, states, request, now):
-    home = _home(states, request)
+def _least(host, states, pending, now):
+    home = _home(states, pending.request)
+    order = _order(host, states, pending, now)
     return min(states, key=lambda state: (
-        _wait(host, state, request, state is home, now),
+        _wait(host, state, pending, state is home, bool(order), now)
+        + order.get(state.server.sid, 0.0),
         state.server.sid))
 
 
+def _order(host, states, pending, now):
+    """Return what taking an engine out of order counts, s.
+
+    Streams that long prompts would make late fill the same engines at
+    all hosts, one after the other, and leave the rest to long prompts.
+    """
+    if pending.request.prompt is None:
+        return {}
+    if not pauses.sensitive(states, pending.route, now):
+        return {}
+    ranked = sorted(states, key=lambda state: routing.name_hash(
+        state.server.sid, "calm"))
+    return {state.server.sid: place * ORDER_S
+            for place, state in enumerate(ranked)}
+
+
 def _home(states, request):
     """Return the engine where a prompt's shared parts go first.
 
@@ -123,11 +146,11 @@
         shared, state.server.sid))
 
 
-def _wait(host, state, request, at_home, now):
-    if request.prompt is None:
+def _wait(host, state, pending, at_home, ordered, now):
+    if pending.request.prompt is None:
         wait = _call_wait(state, now)
     else:
-        wait = _engine_wait(state, request, at_home, now)
+        wait = _engine_wait(state, pending, at_home, ordered, now)
     wait *= state.slowness
     if state.server.domain != host.me.domain:
         wait += ACROSS_S
@@ -146,21 +169,31 @@
     return wait
 
 
-def _engine_wait(state, request, at_home, now):
-    prompt = request.prompt
+def _engine_wait(state, pending, at_home, ordered, now):
+    prompt = pending.request.prompt
     shared = _shared_fresh(state, prompt)
     own = prompt.tokens - sum(tokens for _, tokens in prompt.parts[:-1])
     tokens = ahead_tokens(state, now) + own
     if not at_home:
         tokens += REREAD * shared
     busy = running(state, now)
-    wait = tokens / PREFILL_TOKENS_S + RUNNING_S * busy
-    wait += OTHERS_SHARE * busy * (own + shared) / PREFILL_TOKENS_S
+    wait = tokens / PREFILL_TOKENS_S
+    if not ordered:
+        wait += RUNNING_S * busy
+    wait += LATE_S * _late(state, pending.route, own + shared, now)
     if busy >= state.server.slots:
         wait += FULL_S
     return wait
 
 
+def _late(state, route, fresh, now):
+    """Return how many streams a prompt is expected to make late."""
+    ahead = ahead_s(state, now)
+    more = fresh / PREFILL_TOKENS_S * state.slowness
+    return (pauses.harm(state, ahead, more)
+            + pauses.own_loss(state, route, ahead + more, now))
+
+
 def _shared_fresh(state, prompt):
     """Return how many tokens of the shared parts are not held."""
     held = 0
@@ -213,6 +246,11 @@
     return state.others.tokens + sum(state.mine.values())
 
 
+def ahead_s(state, now):
+    """Return how long an engine takes to read what waits there."""
+    return ahead_tokens(state, now) / PREFILL_TOKENS_S * state.slowness
+
+
 def reading(state, now):
     """Return the requests whose prompts an engine has yet to read."""
     state.others.expire(now)
--- a/crocuskeel/core/entry/loads.py
+++ b/crocuskeel/core/entry/loads.py
@@ -18,20 +18,24 @@
     engines took 1.3 ms of a processor, with the sums 0.4 ms.
     """
 
-    __slots__ = ("reading", "rows", "running", "tokens")
+    __slots__ = ("gaps", "reading", "rows", "running", "tokens")
 
     def __init__(self):
         self.rows = collections.OrderedDict()
         self.running = 0
         self.tokens = 0
         self.reading = 0
+        self.gaps = {}
 
-    def put(self, name, running, tokens, reading, now):
-        """Take what a host says; ``now`` never goes back."""
+    def put(self, name, running, tokens, reading, now, gaps=()):
+        """Take what a host says; ``now`` never goes back.
+
+        ``gaps`` holds (pause in ms, streams that allow no longer one).
+        """
         self.expire(now)
         if name in self.rows:
             self._count(self.rows.pop(name), -1)
-        row = (running, tokens, reading, now)
+        row = (running, tokens, reading, now, gaps)
         if running:
             self.rows[name] = row
             self._count(row, 1)
@@ -49,3 +53,9 @@
         self.running += sign * row[0]
         self.tokens += sign * row[1]
         self.reading += sign * row[2]
+        for gap_ms, count in row[4]:
+            left = self.gaps.get(gap_ms, 0) + sign * count
+            if left:
+                self.gaps[gap_ms] = left
+            else:
+                self.gaps.pop(gap_ms, None)
--- a/crocuskeel/core/entry/peers.py
+++ b/crocuskeel/core/entry/peers.py
@@ -4,6 +4,7 @@
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import fleet
 from crocuskeel.core.entry import health
+from crocuskeel.core.entry import pauses
 from crocuskeel.core.entry import quarantine
 from crocuskeel.core.entry import state as states
 from crocuskeel.core.entry import telling
@@ -79,11 +80,12 @@
 
 
 def _take_rows(host, name, rows, now):
-    for sid, count, tokens, reading, silent_ms in rows:
+    for sid, count, tokens, reading, silent_ms, gaps in rows:
         state = host.servers.get(sid)
         if state is None:
             continue
-        state.others.put(name, count, tokens, reading, now)
+        state.others.put(name, count, tokens, reading, now, gaps)
+        pauses.heard(state, choosing.ahead_s(state, now), now)
         state.heard_at = max(state.heard_at, now - silent_ms / 1000)
 
 
--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -5,6 +5,7 @@
 from crocuskeel.core.entry import choosing
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import model
+from crocuskeel.core.entry import pauses
 from crocuskeel.core.entry import quarantine
 from crocuskeel.core.entry import state as states
 
@@ -44,8 +45,7 @@
     if left < WORTH_SENDING_S:
         return give_up(host, pending, "time is up", now)
     tried = {attempt.sid for attempt in pending.tries}
-    target = choosing.choose(
-        host, pending.service, pending.request, tried, now)
+    target = choosing.choose(host, pending, tried, now)
     if target is None:
         return give_up(host, pending, "no server", now)
     if not admission.admits(host, pending, target, now):
@@ -89,8 +89,7 @@
         return (admission.may_spill(state)
                 and admission.admits(host, pending, state, now))
 
-    return choosing.choose_with_room(
-        host, pending.service, pending.request, has_room, now)
+    return choosing.choose_with_room(host, pending, has_room, now)
 
 
 def _shed(host, pending, target, now):
@@ -125,6 +124,9 @@
     if not target.mine:
         target.asked_at = now
     target.mine[pending.key, attempt.turn] = fresh
+    if pending.route.kind is model.Kind.STREAM:
+        pauses.note_sent(target, pending.route)
+        pauses.heard(target, choosing.ahead_s(target, now), now)
     changed(host, pending, target)
     if pending.sent > 1:
         budget.repeated(host, pending.service, now)
@@ -253,9 +255,12 @@
     """Note that an attempt is over."""
     attempt.over = True
     target = host.servers.get(attempt.sid)
-    if target is not None:
-        target.mine.pop((pending.key, attempt.turn), None)
-        changed(host, pending, target)
+    if target is None:
+        return
+    if (target.mine.pop((pending.key, attempt.turn), None) is not None
+            and pending.route.kind is model.Kind.STREAM):
+        pauses.note_over(target, pending.route)
+    changed(host, pending, target)
 
 
 def changed(host, pending, target):
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -90,6 +90,11 @@
     heard_at: float = 0.0
     # Share of the last seconds in which it had prompts to read.
     busy: float = 0.0
+    # This host's streams there, counted by the pause that they allow, ms.
+    gaps: dict = dataclasses.field(default_factory=dict)
+    # The longest pause by reading there, s, as of ``loud_at``.
+    loud: float = 0.0
+    loud_at: float = 0.0
     # Since when this host has had a request there without a break.
     asked_at: float = 0.0
     suspect_until: float = 0.0
--- a/tests/entry/support.py
+++ b/tests/entry/support.py
@@ -5,6 +5,7 @@
 from crocuskeel.core import entry
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import model
+from crocuskeel.core.entry import state as states
 
 NOW = 100.0
 HOST = "desk.example"
@@ -69,6 +70,15 @@
                         shared + own, 200)
 
 
+def pending(route, now=NOW, **kwargs):
+    """Return a request of the route as a host keeps it."""
+    asked = request(f"/{route.name}/1", **kwargs)
+    return states.Pending(
+        key=1, request=asked, route=route, service=route.split[0][0],
+        workspace="hire", priority=route.priority, at=now,
+        ends_at=now + route.timeout_s)
+
+
 class Driver:
     """Feeds a host and keeps what it did."""
 
--- /dev/null
+++ b/tests/entry/test_pauses.py
@@ -0,0 +1,110 @@
+"""Streams that allow short pauses, and prompts that take long to read."""
+
+import unittest
+
+from crocuskeel.core.entry import choosing
+from crocuskeel.core.entry import effects
+from crocuskeel.core.entry import events
+from crocuskeel.core.entry import pauses
+from tests.entry import support
+
+ENGINES = tuple(support.server(f"e{n}", "engines") for n in range(4))
+CHAT = support.stream("chat", priority=0, goal_s=0.3, gap_s=0.2)
+DRAFT = support.stream("draft", priority=2, goal_s=2.0, gap_s=0.8)
+
+
+def _driver(servers=ENGINES):
+    return support.Driver(CHAT, DRAFT, servers=servers)
+
+
+def _arrive(driver, name, key, tokens, after=0.0):
+    """Return the id of the engine that gets the prompt, None if held."""
+    out = driver.feed(events.Arrived(key, support.request(
+        f"/{name}/1", prompt=support.prompt(f"s{key}", 0, tokens),
+        deadline_s=8.0, rid=f"r{key}")), after)
+    sent = support.only(out, effects.Send)
+    return sent[0].server.sid if sent else None
+
+
+class PlaceTest(unittest.TestCase):
+    """Which engines get streams and which get long prompts."""
+
+    def test_chats_and_long_prompts_keep_apart(self):
+        # Half of the chats were late on a quiet day: a prompt of 8,000
+        # tokens holds up the streams of its engine for 200 ms, as long as
+        # a chat may pause, and prompts went to whichever engine was idle.
+        driver = _driver()
+        chats, drafts = set(), set()
+        for key in range(0, 40, 2):
+            drafts.add(_arrive(driver, "draft", key, 8_000, 0.2))
+            driver.feed(events.Opened(key, 0, None), 0.05)
+            chats.add(_arrive(driver, "chat", key + 1, 600, 0.05))
+            driver.feed(events.Opened(key + 1, 0, None), 0.03)
+            for old in (key - 12, key - 11):
+                if old in driver.host.pending:
+                    driver.feed(events.Ended(old, 0))
+        # The first prompt may have come before any chat was there.
+        self.assertLessEqual(len(chats & drafts), 1)
+        self.assertLessEqual(len(chats), 2)
+
+    def test_all_hosts_fill_the_same_engines_with_chats(self):
+        # Two hosts that each chose calm engines of their own would leave
+        # none to long prompts.
+        found = set()
+        for _ in range(3):
+            driver = _driver()
+            for state in driver.host.servers.values():
+                state.loud, state.loud_at = 0.15, driver.now
+            found.add(_arrive(driver, "chat", 1, 600))
+        self.assertEqual(1, len(found))
+
+    def test_one_engine_that_is_left_serves_both(self):
+        driver = _driver(ENGINES[:1])
+        self.assertEqual("e0", _arrive(driver, "chat", 1, 600))
+        driver.feed(events.Opened(1, 0, None), 0.1)
+        self.assertEqual("e0", _arrive(driver, "draft", 2, 8_000))
+        driver.feed(events.Opened(2, 0, None), 0.4)
+        self.assertEqual("e0", _arrive(driver, "chat", 3, 600))
+
+    def test_a_chat_comes_back_to_an_engine_that_reads_no_more(self):
+        driver = _driver()
+        state = driver.host.servers["e1"]
+        pauses.heard(state, 0.4, driver.now)
+        self.assertTrue(pauses.sensitive([state], CHAT, driver.now))
+        self.assertFalse(pauses.sensitive([state], CHAT, driver.now + 4))
+
+
+class CountTest(unittest.TestCase):
+    """How many streams a prompt makes late."""
+
+    def test_harm_counts_streams_of_all_hosts_by_their_pause(self):
+        driver = _driver()
+        state = driver.host.servers["e0"]
+        state.others.put("host-1", 5, 0, 0, driver.now,
+                         ((200, 3), (800, 2)))
+        self.assertEqual(0.0, pauses.harm(state, 0.0, 0.1))
+        self.assertEqual(3.0, pauses.harm(state, 0.0, 0.2))
+        self.assertEqual(5.0, pauses.harm(state, 0.0, 0.9))
+        # What is late already can't be made late again.
+        self.assertEqual(2.0, pauses.harm(state, 0.25, 0.6))
+
+    def test_a_stream_counts_until_it_ends(self):
+        driver = _driver()
+        sid = _arrive(driver, "chat", 1, 600)
+        state = driver.host.servers[sid]
+        self.assertEqual({200: 1}, state.gaps)
+        driver.feed(events.Opened(1, 0, None), 0.1)
+        self.assertEqual({200: 1}, state.gaps)
+        driver.feed(events.Ended(1, 0), 0.1)
+        self.assertEqual({}, state.gaps)
+
+    def test_what_other_hosts_say_lapses(self):
+        driver = _driver()
+        state = driver.host.servers["e0"]
+        state.others.put("host-1", 5, 0, 0, driver.now, ((200, 3),))
+        choosing.ahead_tokens(state, driver.now + 2)
+        self.assertEqual({}, state.others.gaps)
+
+
+if __name__ == "__main__":
+    unittest.main()
