Learn the longest pause by reading; long prompts wait for streams

Ruled out: that first events were late (5 of 826 chats, 120 by pauses). Change: a prompt is not let in where it makes more than one stream late that is as urgent or more, unless it came back and every engine is like that. Each host learns the 95th percentile of pauses while its engine has more to read than that; streams that allow longer pauses are in no danger.

--- a/crocuskeel/core/entry/admission.py
+++ b/crocuskeel/core/entry/admission.py
@@ -37,6 +37,9 @@
 # One that comes back finds this many more places: chosen, not measured
 # apart.
 BACK_PLACES = 1
+# Streams, as urgent or more, that a prompt may make late: letting it in
+# would lose more than it gains.
+LATE_MOST = 1.0
 # A workspace of the first priority may wait this many times as long.
 FIRST_SHARE = 1.3
 # A request that comes back after a refusal may wait this many times as
@@ -72,11 +75,29 @@
     most, share = _bounds(pending, rank)
     if choosing.reading(target, now) >= most:
         return False
+    if not _spares(host, pending, target, now):
+        return False
     ahead = choosing.ahead_tokens(target, now)
     wait = ahead / choosing.PREFILL_TOKENS_S * target.slowness
     return wait <= share * pending.route.goal_s
 
 
+def _spares(host, pending, target, now):
+    """Say whether an engine's streams can bear one more prompt.
+
+    One that was refused before is let in also where it makes others
+    late, if it does so at every engine: with one engine left, long
+    prompts would otherwise get nothing while streams run.
+    """
+    if choosing.later_streams(host, target, pending, now) <= LATE_MOST:
+        return True
+    if not came_back(pending):
+        return False
+    return not any(
+        choosing.later_streams(host, state, pending, now) <= LATE_MOST
+        for state in host.by_service.get(pending.service, ()))
+
+
 def _bounds(pending, rank):
     """Return (prompts ahead, share of the goal to wait) at the most."""
     most, share = READING_MOST[rank], WAIT_SHARES[rank]
--- a/crocuskeel/core/entry/attempts.py
+++ b/crocuskeel/core/entry/attempts.py
@@ -5,6 +5,7 @@
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import health
 from crocuskeel.core.entry import model
+from crocuskeel.core.entry import pace
 from crocuskeel.core.entry import quarantine
 from crocuskeel.core.entry import sending
 
@@ -56,13 +57,22 @@
     pending, attempt = sending.find(host, event)
     if attempt is None:
         return []
+    gap_s = now - pending.progress_at
+    pending.pause_s = max(pending.pause_s, gap_s)
     pending.progress_at = now
     target = host.servers.get(attempt.sid)
     if target is not None:
         health.heard(target, now)
+        _note_gap(host, pending, target, gap_s, now)
     return []
 
 
+def _note_gap(host, pending, target, gap_s, now):
+    seen = pace.of_service(host, pending.service)
+    pace.note_gap(seen, pending.ahead_s, gap_s)
+    pending.ahead_s = choosing.ahead_s(target, now)
+
+
 def ended(host, event, now):
     """A stream is complete."""
     pending, attempt = sending.find(host, event)
@@ -73,7 +83,9 @@
     sending.finish(host, pending)
     return [sending.note("served", pending.request, turn=attempt.turn,
                          server=attempt.sid,
-                         took_s=round(now - pending.at, 3))]
+                         took_s=round(now - pending.at, 3),
+                         pause_s=round(pending.pause_s, 3),
+                         gap_s=pending.route.gap_s)]
 
 
 def _note_success(host, target, attempt, now):
--- a/crocuskeel/core/entry/choosing.py
+++ b/crocuskeel/core/entry/choosing.py
@@ -10,12 +10,13 @@
 
 import math
 
+from crocuskeel.core.entry import pace
 from crocuskeel.core.entry import pauses
 from crocuskeel.core.entry import routing
 
 __all__ = ["ahead_s", "ahead_tokens", "choose", "choose_with_room",
-           "fresh_tokens", "is_silent",
-           "note_load", "place", "reading", "remember", "running",
+           "fresh_tokens", "is_silent", "later_streams",
+           "note_load", "place", "read_s", "reading", "remember", "running",
            "sample", "spilled_tokens"]
 
 # Reading speed of an engine, tokens a second: between the 36,700 and
@@ -123,7 +124,8 @@
     """
     if pending.request.prompt is None:
         return {}
-    if not pauses.sensitive(states, pending.route, now):
+    seen = pace.of_service(host, pending.service)
+    if not pauses.sensitive(states, seen, pending.route, now):
         return {}
     ranked = sorted(states, key=lambda state: routing.name_hash(
         state.server.sid, "calm"))
@@ -150,7 +152,8 @@
     if pending.request.prompt is None:
         wait = _call_wait(state, now)
     else:
-        wait = _engine_wait(state, pending, at_home, ordered, now)
+        seen = pace.of_service(host, pending.service)
+        wait = _engine_wait(state, seen, pending, at_home, ordered, now)
     wait *= state.slowness
     if state.server.domain != host.me.domain:
         wait += ACROSS_S
@@ -169,7 +172,7 @@
     return wait
 
 
-def _engine_wait(state, pending, at_home, ordered, now):
+def _engine_wait(state, seen, pending, at_home, ordered, now):
     prompt = pending.request.prompt
     shared = _shared_fresh(state, prompt)
     own = prompt.tokens - sum(tokens for _, tokens in prompt.parts[:-1])
@@ -180,18 +183,18 @@
     wait = tokens / PREFILL_TOKENS_S
     if not ordered:
         wait += RUNNING_S * busy
-    wait += LATE_S * _late(state, pending.route, own + shared, now)
+    wait += LATE_S * _late(state, seen, pending.route, own + shared, now)
     if busy >= state.server.slots:
         wait += FULL_S
     return wait
 
 
-def _late(state, route, fresh, now):
+def _late(state, seen, route, fresh, now):
     """Return how many streams a prompt is expected to make late."""
     ahead = ahead_s(state, now)
-    more = fresh / PREFILL_TOKENS_S * state.slowness
-    return (pauses.harm(state, ahead, more)
-            + pauses.own_loss(state, route, ahead + more, now))
+    more = read_s(state, fresh)
+    return (pauses.harm(state, seen, ahead, more)
+            + pauses.own_loss(state, seen, route, ahead + more, now))
 
 
 def _shared_fresh(state, prompt):
@@ -246,9 +249,22 @@
     return state.others.tokens + sum(state.mine.values())
 
 
+def later_streams(host, state, pending, now):
+    """Return how many streams, as urgent or more, a prompt makes late."""
+    fresh = fresh_tokens(state, pending.request.prompt)
+    seen = pace.of_service(host, pending.service)
+    return pauses.harm(state, seen, ahead_s(state, now),
+                       read_s(state, fresh), pending.route.priority)
+
+
 def ahead_s(state, now):
     """Return how long an engine takes to read what waits there."""
-    return ahead_tokens(state, now) / PREFILL_TOKENS_S * state.slowness
+    return read_s(state, ahead_tokens(state, now))
+
+
+def read_s(state, tokens):
+    """Return how long an engine takes to read so many tokens."""
+    return tokens / PREFILL_TOKENS_S * state.slowness
 
 
 def reading(state, now):
--- a/crocuskeel/core/entry/events.py
+++ b/crocuskeel/core/entry/events.py
@@ -201,8 +201,8 @@
     """What changed at engines, as host ``name`` says.
 
     ``loads`` holds (server id, requests, tokens to be read, requests with
-    any, milliseconds since the server was heard, streams by the pause
-    that they allow as (milliseconds, count)), as in Heard.
+    any, milliseconds since the server was heard, streams as (priority,
+    milliseconds that they may pause, count)), as in Heard.
     ``refused`` names servers whose hosts just took no connection.
     """
 
--- a/crocuskeel/core/entry/loads.py
+++ b/crocuskeel/core/entry/loads.py
@@ -2,6 +2,8 @@
 
 import collections
 
+from crocuskeel.core.entry import pauses
+
 __all__ = ["SAID_S", "Loads"]
 
 # What another host said of its load counts for this long, s: three of
@@ -30,7 +32,8 @@
     def put(self, name, running, tokens, reading, now, gaps=()):
         """Take what a host says; ``now`` never goes back.
 
-        ``gaps`` holds (pause in ms, streams that allow no longer one).
+        ``gaps`` holds (priority, pause in ms, streams of that priority
+        that allow no longer one).
         """
         self.expire(now)
         if name in self.rows:
@@ -53,9 +56,5 @@
         self.running += sign * row[0]
         self.tokens += sign * row[1]
         self.reading += sign * row[2]
-        for gap_ms, count in row[4]:
-            left = self.gaps.get(gap_ms, 0) + sign * count
-            if left:
-                self.gaps[gap_ms] = left
-            else:
-                self.gaps.pop(gap_ms, None)
+        for priority, gap_ms, streams in row[4]:
+            pauses.count(self.gaps, (priority, gap_ms), sign * streams)
--- a/crocuskeel/core/entry/pauses.py
+++ b/crocuskeel/core/entry/pauses.py
@@ -12,7 +12,9 @@
 
 import math
 
-__all__ = ["harm", "heard", "late", "loud_s", "note_over",
+from crocuskeel.core.entry import pace
+
+__all__ = ["count", "harm", "heard", "late", "loud_s", "note_over",
            "note_sent", "own_loss", "sensitive"]
 
 # A pause is certain to be late at the longest that is allowed, and safe
@@ -30,18 +32,25 @@
 
 def note_sent(state, route):
     """Count a stream that was sent to an engine."""
-    gap_ms = round(route.gap_s * 1000)
-    state.gaps[gap_ms] = state.gaps.get(gap_ms, 0) + 1
+    count(state.gaps, _kind(route), 1)
 
 
 def note_over(state, route):
     """Count it no more."""
-    gap_ms = round(route.gap_s * 1000)
-    left = state.gaps.get(gap_ms, 0) - 1
+    count(state.gaps, _kind(route), -1)
+
+
+def _kind(route):
+    return route.priority, round(route.gap_s * 1000)
+
+
+def count(counts, kind, more):
+    """Add to the counts of streams by (priority, pause in ms)."""
+    left = counts.get(kind, 0) + more
     if left > 0:
-        state.gaps[gap_ms] = left
+        counts[kind] = left
     else:
-        state.gaps.pop(gap_ms, None)
+        counts.pop(kind, None)
 
 
 def heard(state, ahead_s, now):
@@ -57,31 +66,38 @@
     return state.loud * math.exp((state.loud_at - now) / LOUD_S)
 
 
-def harm(state, ahead_s, more_s):
+def harm(state, seen, ahead_s, more_s, least=math.inf):
     """Return how many streams become late by one more prompt.
 
     ``ahead_s`` is the time to read what waits at the engine, ``more_s``
-    that of the prompt.
+    that of the prompt; ``seen`` is the Pace of the service. Counted are
+    streams whose priority is ``least`` or more urgent.
     """
     found = 0.0
     for gaps in (state.gaps, state.others.gaps):
-        for gap_ms, count in gaps.items():
+        for (priority, gap_ms), streams in gaps.items():
             gap_s = gap_ms / 1000
-            found += count * (late((ahead_s + more_s) / gap_s)
-                              - late(ahead_s / gap_s))
+            if priority > least or not pace.pauses_longer(seen, gap_s):
+                continue
+            found += streams * (late((ahead_s + more_s) / gap_s)
+                                - late(ahead_s / gap_s))
     return found
 
 
-def own_loss(state, route, first_s, now):
+def own_loss(state, seen, route, first_s, now):
     """Return how likely a stream is late at an engine, 0 to 2.
 
     ``first_s`` is the time until its first event.
     """
-    return (late(first_s / route.goal_s)
-            + late(loud_s(state, now) / route.gap_s))
+    loss = late(first_s / route.goal_s)
+    if pace.pauses_longer(seen, route.gap_s):
+        loss += late(loud_s(state, now) / route.gap_s)
+    return loss
 
 
-def sensitive(states, route, now):
+def sensitive(states, seen, route, now):
     """Say whether long prompts are read that make such streams late."""
+    if not pace.pauses_longer(seen, route.gap_s):
+        return False
     loudest = max((loud_s(state, now) for state in states), default=0.0)
     return late(loudest / route.gap_s) > 0.0
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -65,6 +65,10 @@
     # The turn whose answer the caller gets; its stream's last sign.
     passing: int | None = None
     progress_at: float = 0.0
+    # The longest pause between two events so far, s.
+    pause_s: float = 0.0
+    # Time to read what waited at its engine at its last event, s.
+    ahead_s: float = 0.0
     # A failure that a server answered, kept while another server is tried.
     fallback: int | None = None
 
@@ -90,7 +94,7 @@
     heard_at: float = 0.0
     # Share of the last seconds in which it had prompts to read.
     busy: float = 0.0
-    # This host's streams there, counted by the pause that they allow, ms.
+    # This host's streams there, by (priority, pause that they allow in ms).
     gaps: dict = dataclasses.field(default_factory=dict)
     # The longest pause by reading there, s, as of ``loud_at``.
     loud: float = 0.0
@@ -139,6 +143,8 @@
     servers_known: bool = False
     servers_revision: int = 0
     pending: dict = dataclasses.field(default_factory=dict)
+    # What the engines of each service are seen to do.
+    paces: dict = dataclasses.field(default_factory=dict)
     peers: dict = dataclasses.field(default_factory=dict)
     # Hosts that callers are sent to, and until when that holds.
     carriers: list = dataclasses.field(default_factory=list)
--- a/crocuskeel/core/entry/telling.py
+++ b/crocuskeel/core/entry/telling.py
@@ -162,7 +162,8 @@
     return (state.server.sid, len(state.mine), sum(tokens),
             sum(count > 0 for count in tokens),
             int(min(LOADS_S, now - state.heard_at) * 1000),
-            tuple(state.gaps.items()))
+            tuple((*kind, streams)
+                  for kind, streams in state.gaps.items()))
 
 
 def _parts(host, now):
--- a/tests/entry/test_choosing.py
+++ b/tests/entry/test_choosing.py
@@ -221,7 +221,7 @@
         self.assertEqual([events.LoadHeard], [type(e) for e in told])
         ((sid, count, tokens, reading, _, gaps),) = told[0].loads
         self.assertEqual((1, 13_500, 1), (count, tokens, reading))
-        self.assertEqual(((400, 1),), gaps)
+        self.assertEqual(((0, 400, 1),), gaps)
 
     def test_changes_that_follow_closely_are_told_together(self):
         # A busy host changes the load of engines a hundred times a
--- a/tests/entry/test_pauses.py
+++ b/tests/entry/test_pauses.py
@@ -5,6 +5,7 @@
 from crocuskeel.core.entry import choosing
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import events
+from crocuskeel.core.entry import pace
 from crocuskeel.core.entry import pauses
 from tests.entry import support
 
@@ -70,8 +71,55 @@
         driver = _driver()
         state = driver.host.servers["e1"]
         pauses.heard(state, 0.4, driver.now)
-        self.assertTrue(pauses.sensitive([state], CHAT, driver.now))
-        self.assertFalse(pauses.sensitive([state], CHAT, driver.now + 4))
+        for after_s, expected in ((0, True), (4, False)):
+            self.assertEqual(expected, pauses.sensitive(
+                [state], pace.Pace(), CHAT, driver.now + after_s))
+
+
+class AdmitTest(unittest.TestCase):
+    """Long prompts wait where streams would be late."""
+
+    def _chats(self, driver, sids):
+        for sid in sids:
+            driver.host.servers[sid].others.put(
+                "host-1", 5, 0, 0, driver.now, ((0, 200, 5),))
+
+    def _busy(self, driver, sid):
+        driver.host.servers[sid].others.put(
+            "host-2", 3, 30_000, 3, driver.now, ((2, 800, 3),))
+
+    def test_a_long_prompt_waits_rather_than_stall_chats(self):
+        # All engines with room had chats on them: a burst of long prompts
+        # went there, and 270 of 890 chats were late by their pauses.
+        driver = _driver()
+        self._chats(driver, ("e0", "e1"))
+        self._busy(driver, "e2")
+        self._busy(driver, "e3")
+        self.assertIsNone(_arrive(driver, "draft", 1, 8_000))
+        driver.now += 1.01
+        self._chats(driver, ("e0", "e1"))
+        self._busy(driver, "e2")
+        self._busy(driver, "e3")
+        out = driver.feed(events.TimerFired(1))
+        self.assertEqual([], support.only(out, effects.Send))
+        self.assertEqual(1, len(support.only(out, effects.Answer)))
+
+    def test_one_that_came_back_is_let_in_if_chats_are_everywhere(self):
+        # Chats run at all engines without an end. Long prompts would get
+        # nothing at all, all day.
+        driver = _driver()
+        self._chats(driver, [f"e{n}" for n in range(4)])
+        self.assertIsNone(_arrive(driver, "draft", 1, 8_000))
+        out = driver.feed(events.Arrived(2, support.request(
+            "/draft/1", prompt=support.prompt("s2", 0, 8_000),
+            deadline_s=5.0, rid="r2")))
+        self.assertEqual(1, len(support.only(out, effects.Send)))
+
+    def test_less_urgent_streams_hold_nothing_back(self):
+        driver = _driver()
+        for state in driver.host.servers.values():
+            state.others.put("host-1", 5, 0, 0, driver.now, ((3, 200, 5),))
+        self.assertIsNotNone(_arrive(driver, "draft", 1, 8_000))
 
 
 class CountTest(unittest.TestCase):
@@ -81,27 +129,27 @@
         driver = _driver()
         state = driver.host.servers["e0"]
         state.others.put("host-1", 5, 0, 0, driver.now,
-                         ((200, 3), (800, 2)))
-        self.assertEqual(0.0, pauses.harm(state, 0.0, 0.1))
-        self.assertEqual(3.0, pauses.harm(state, 0.0, 0.2))
-        self.assertEqual(5.0, pauses.harm(state, 0.0, 0.9))
+                         ((0, 200, 3), (2, 800, 2)))
+        self.assertEqual(0.0, pauses.harm(state, pace.Pace(), 0.0, 0.1))
+        self.assertEqual(3.0, pauses.harm(state, pace.Pace(), 0.0, 0.2))
+        self.assertEqual(5.0, pauses.harm(state, pace.Pace(), 0.0, 0.9))
         # What is late already can't be made late again.
-        self.assertEqual(2.0, pauses.harm(state, 0.25, 0.6))
+        self.assertEqual(2.0, pauses.harm(state, pace.Pace(), 0.25, 0.6))
 
     def test_a_stream_counts_until_it_ends(self):
         driver = _driver()
         sid = _arrive(driver, "chat", 1, 600)
         state = driver.host.servers[sid]
-        self.assertEqual({200: 1}, state.gaps)
+        self.assertEqual({(0, 200): 1}, state.gaps)
         driver.feed(events.Opened(1, 0, None), 0.1)
-        self.assertEqual({200: 1}, state.gaps)
+        self.assertEqual({(0, 200): 1}, state.gaps)
         driver.feed(events.Ended(1, 0), 0.1)
         self.assertEqual({}, state.gaps)
 
     def test_what_other_hosts_say_lapses(self):
         driver = _driver()
         state = driver.host.servers["e0"]
-        state.others.put("host-1", 5, 0, 0, driver.now, ((200, 3),))
+        state.others.put("host-1", 5, 0, 0, driver.now, ((0, 200, 3),))
         choosing.ahead_tokens(state, driver.now + 2)
         self.assertEqual({}, state.others.gaps)
 
