Servers that start again under their id; entries from other writers

A server may start again under the id that it had, which its entry's field born shows; hosts went by the id and kept what they believed of its parts, load, pace and crashes. An entry may come from another writer: one without a name ended a host's following of the list for good, one with an unknown state counted as ready, one with another server's address marked that one as gone. Change: another born begins the server's state anew on each host that reads or fetches the entry. Runs without a sign for 2.5 s before it are over: repeatable ones go on elsewhere, others end as possibly run. Crashes count by life and not by id. Entries are checked field by field; one that can't be read names no server, also during an outage, and the others hold, in lists, changes, pages and what hosts fetch from each other.

--- a/crocuskeel/core/entry/attempts.py
+++ b/crocuskeel/core/entry/attempts.py
@@ -89,7 +89,7 @@
 
 
 def _note_success(host, target, attempt, now):
-    quarantine.note_alive(host, attempt.sid, attempt.at)
+    quarantine.note_alive(host, attempt.boot, attempt.at)
     if target is not None:
         health.succeeded(target, now)
 
@@ -183,7 +183,7 @@
         case _:
             pending.may_have_run = True
             if event.torn:
-                quarantine.note_torn(host, digest, attempt.sid, now)
+                quarantine.note_torn(host, digest, attempt, now)
             if target is not None:
                 health.unreached(target, now)
 
--- a/crocuskeel/core/entry/events.py
+++ b/crocuskeel/core/entry/events.py
@@ -119,21 +119,24 @@
 
     ``lapsing`` is None if this host read the store. Else another host
     did, and names as (server id, seconds) what it keeps for so long
-    although the entry lapsed.
+    although the entry lapsed. ``unreadable`` are ids whose entries name
+    no server to use.
     """
 
     servers: tuple
     revision: int
     lapsing: tuple | None = None
+    unreadable: tuple = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServersChanged:
-    """Entries that changed, and ids that were removed."""
+    """Entries that changed, and ids that were removed or unreadable."""
 
     changed: tuple
     removed: tuple
     revision: int
+    unreadable: tuple = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -174,8 +177,8 @@
     ``reads_store``: it follows the store itself, with success.
     ``carriers`` names hosts that it knows to be ready for callers.
 
-    ``crashed`` holds (digest, server id) of requests under which a
-    server ended; ``loads`` is that of LoadHeard, ``parts`` holds (server
+    ``crashed`` holds (digest, boot) of requests under which a server
+    ended; ``loads`` is that of LoadHeard, ``parts`` holds (server
     id, part, tokens) that it sent there lately.
     """
 
--- a/crocuskeel/core/entry/model.py
+++ b/crocuskeel/core/entry/model.py
@@ -143,7 +143,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Server:
-    """A backend server as registered; ``cold_s`` is left of its warm-up."""
+    """A backend server as registered; ``cold_s`` is left of its warm-up.
+
+    ``born`` is the Unix millisecond of its start, None if it doesn't say:
+    it tells the lives of one server apart.
+    """
 
     sid: str
     service: str
@@ -152,6 +156,12 @@
     slots: int
     draining: bool
     cold_s: float = 0.0
+    born: int | None = None
+
+    @property
+    def boot(self):
+        """A name of this life of the server."""
+        return f"{self.sid}/{self.born}"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/crocuskeel/core/entry/quarantine.py
+++ b/crocuskeel/core/entry/quarantine.py
@@ -3,8 +3,11 @@
 Such a request comes back at any host and would take one server after the
 other. A request is suspected when its connection was torn and the server
 proves gone: it can't be reached, or several connections to it were torn
-together. It is refused once two servers went under it; one that merely
-stood beside it would have to stand beside two crashes.
+together. It is refused once two servers went under it, or one twice; one
+that merely stood beside it would have to stand beside two crashes.
+
+A server that starts again keeps its id, so crashes are counted by its
+lives (``boot``).
 """
 
 __all__ = ["condemned", "ends_in", "learn", "note_alive",
@@ -21,45 +24,45 @@
 KEPT_MOST = 256
 
 
-def note_torn(host, digest, sid, now):
+def note_torn(host, digest, attempt, now):
     """Note a connection that a server ended under a request."""
     host.torn = [row for row in host.torn if row[0] > now - EXPLAINED_S]
-    host.torn.append((now, sid, digest))
-    together = {row[2] for row in host.torn
-                if row[1] == sid and row[0] > now - TOGETHER_S}
+    host.torn.append((now, attempt.sid, attempt.boot, digest))
+    together = {row[3] for row in host.torn
+                if row[2] == attempt.boot and row[0] > now - TOGETHER_S}
     if len(together) > 1:
-        note_gone(host, sid, now)
+        note_gone(host, attempt.sid, now)
 
 
 def note_gone(host, sid, now):
     """Learn that a server is gone: what was torn there was a crash.
 
-    It can't be reached, another host found it refusing, or its entry
-    went without notice.
+    It can't be reached, another host found it refusing, its entry went
+    without notice, or it says that it started again.
     """
-    for at, torn_sid, digest in host.torn:
+    for at, torn_sid, boot, digest in host.torn:
         if torn_sid == sid and at > now - EXPLAINED_S:
-            learn(host, digest, sid, now)
+            learn(host, digest, boot, now)
 
 
-def note_alive(host, sid, since):
+def note_alive(host, boot, since):
     """Learn that a server finished what it began at ``since``.
 
     What was torn there later was an answer that it lost, and no crash:
     a crash ends all that a server does.
     """
     host.torn = [row for row in host.torn
-                 if row[1] != sid or row[0] < since]
-    for sids in host.crashed.values():
-        if sid in sids and sids[sid] >= since:
-            del sids[sid]
+                 if row[2] != boot or row[0] < since]
+    for boots in host.crashed.values():
+        if boot in boots and boots[boot] >= since:
+            del boots[boot]
 
 
-def learn(host, digest, sid, now):
+def learn(host, digest, boot, now):
     """Note that a server went under a request, here or elsewhere."""
     if digest not in host.crashed and len(host.crashed) >= KEPT_MOST:
         host.crashed.pop(next(iter(host.crashed)))
-    host.crashed.setdefault(digest, {})[sid] = now
+    host.crashed.setdefault(digest, {})[boot] = now
 
 
 def condemned(host, digest, now):
@@ -76,11 +79,11 @@
 
 
 def pairs(host, now, span_s):
-    """Return (digest, server id) learned in the last ``span_s``.
+    """Return (digest, boot) learned in the last ``span_s``.
 
     Not what was learned just now: the server may prove to be alive.
     """
-    return tuple((digest, sid)
-                 for digest, sids in host.crashed.items()
-                 for sid, at in sids.items()
+    return tuple((digest, boot)
+                 for digest, boots in host.crashed.items()
+                 for boot, at in boots.items()
                  if now - span_s < at <= now - TOGETHER_S)
--- a/crocuskeel/core/entry/registry.py
+++ b/crocuskeel/core/entry/registry.py
@@ -10,6 +10,7 @@
 
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import quarantine
+from crocuskeel.core.entry import restarting
 from crocuskeel.core.entry import state as states
 from crocuskeel.core.entry import telling
 
@@ -42,6 +43,7 @@
     """Take the whole list; entries that are missing left or lapsed."""
     host.servers_known = True
     listed = {server.sid for server in event.servers}
+    listed.update(event.unreadable)
     missing = tuple(sid for sid in host.servers if sid not in listed)
     if event.lapsing is None:
         kept = _lapses(host, missing, now)
@@ -49,47 +51,58 @@
         # That host read the store, this one did not: what it saw leave
         # has left, also if this host was cut off meanwhile.
         kept = {sid: now + left_s for sid, left_s in event.lapsing}
-    return _apply(host, event.servers, missing, kept, event.revision, now)
+    return _apply(host, event, event.servers, missing, kept, now)
 
 
 def servers_changed(host, event, now):
     """Take changes of the list."""
     kept = _lapses(host, event.removed, now)
-    return _apply(host, event.changed, event.removed, kept,
-                  event.revision, now)
+    return _apply(host, event, event.changed, event.removed, kept, now)
 
 
-def _apply(host, changed, removed, kept, revision, now):
+def _apply(host, event, changed, removed, kept, now):
     """Take changes; ``kept`` maps lapsed servers to when they go."""
-    host.servers_revision = max(host.servers_revision, revision)
+    host.servers_revision = max(host.servers_revision, event.revision)
     host.behind_at = None
     out = []
     for server in changed:
         out += _put(host, server, now)
     for sid in removed:
-        if sid not in host.servers:
-            continue
-        if not host.servers[sid].server.draining:
-            quarantine.note_gone(host, sid, now)
-        if sid not in kept:
+        out += _remove(host, sid, kept, event.revision, now)
+    for sid in event.unreadable:
+        # Its entry names no server. That says nothing of a crash.
+        if sid in host.servers:
             _drop(host, sid)
-        elif host.servers[sid].lapses_at is None:
-            host.servers[sid].lapses_at = kept[sid]
-        out.append(effects.Note("server_removed", {
-            "server": sid, "revision": revision, "lapse": sid in kept}))
+            out.append(effects.Note("server_unreadable", {"server": sid}))
     _index(host)
+    out += restarting.end_former_runs(host, changed, now)
     return out + telling.tell_news(host, now)
 
 
+def _remove(host, sid, kept, revision, now):
+    if sid not in host.servers:
+        return []
+    if not host.servers[sid].server.draining:
+        quarantine.note_gone(host, sid, now)
+    if sid not in kept:
+        _drop(host, sid)
+    elif host.servers[sid].lapses_at is None:
+        host.servers[sid].lapses_at = kept[sid]
+    return [effects.Note("server_removed", {
+        "server": sid, "revision": revision, "lapse": sid in kept})]
+
+
 def _put(host, server, now):
     known = host.servers.get(server.sid)
     if known is None:
-        _end_former(host, server.address)
+        _end_former(host, server)
         host.servers[server.sid] = states.new_server(server, now)
         return [effects.Note("server_added", {
             "server": server.sid, "service": server.service,
             "draining": server.draining})]
     was = known.server
+    if restarting.is_new_life(was, server):
+        return restarting.begin_anew(host, server, now)
     known.server = server
     known.lapses_at = None
     if was != server:
@@ -100,10 +113,16 @@
         "server": server.sid, "draining": server.draining})]
 
 
-def _end_former(host, address):
-    """Note that a new server has an address that was another's."""
+def _end_former(host, server):
+    """Note that a new server has an address that was another's.
+
+    Not by the word of an entry whose service is not configured: that is
+    no server of this system, and may name any address.
+    """
+    if host.catalog and server.service not in host.catalog.services:
+        return
     for state in host.servers.values():
-        if state.server.address == address:
+        if state.server.address == server.address:
             state.misdirects = True
 
 
--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -115,8 +115,8 @@
         spilled = choosing.spilled_tokens(host, target, prompt)
         if engine is not None:
             choosing.place(host, target, prompt, engine.memory, now)
-    attempt = states.Try(len(pending.tries), target.server.sid, now, fresh,
-                         spilled)
+    attempt = states.Try(len(pending.tries), target.server.sid,
+                         target.server.boot, now, fresh, spilled)
     host.held.discard(pending.key)
     pending.tries.append(attempt)
     pending.sent += 1
--- a/crocuskeel/platform/following.py
+++ b/crocuskeel/platform/following.py
@@ -142,7 +142,7 @@
 
     def take_config(self, obj):
         """Put a configuration in force, from the store or a peer."""
-        if objects.name(obj) != CONFIG_NAME:
+        if self._name(obj) != CONFIG_NAME:
             return
         try:
             catalog = objects.catalog(obj)
@@ -156,32 +156,43 @@
 
     def _servers_listed(self, listing, lapsing=None):
         self.raw_servers = {}
-        servers = self._decode_servers(listing.items)
+        servers, unreadable = self._decode_servers(listing.items)
         self.revision = listing.revision
         self.gateway.feed(events.ServersListed(
-            servers, listing.revision, lapsing))
+            servers, listing.revision, lapsing, unreadable))
 
     def _servers_changed(self, news):
-        removed = tuple(objects.name(obj) for obj, gone in news.rows
-                        if gone)
+        removed = tuple(filter(None, (
+            self._name(obj) for obj, gone in news.rows if gone)))
         for sid in removed:
             self.raw_servers.pop(sid, None)
-        changed = self._decode_servers(
+        changed, unreadable = self._decode_servers(
             [obj for obj, gone in news.rows if not gone])
         self.revision = news.revision
         self.gateway.feed(events.ServersChanged(
-            changed, removed, news.revision))
+            changed, removed, news.revision, unreadable))
+
+    def _name(self, obj):
+        try:
+            return objects.name(obj)
+        except exceptions.BadObject as exc:
+            self.gateway.log("bad_object", {"why": str(exc)})
+            return None
 
     def _decode_servers(self, items):
+        """Return the servers, and the ids whose entries name none."""
         servers = []
+        unreadable = []
         for obj in items:
             try:
                 servers.append(objects.server(obj))
+                self.raw_servers[objects.name(obj)] = obj
             except exceptions.BadObject as exc:
                 self.gateway.log("bad_object", {"why": str(exc)})
-                continue
-            self.raw_servers[objects.name(obj)] = obj
-        return tuple(servers)
+                sid = self._name(obj)
+                self.raw_servers.pop(sid, None)
+                unreadable += [sid] if sid else []
+        return tuple(servers), tuple(unreadable)
 
     async def _register(self):
         """Register this host, then learn of the others, once."""
--- a/crocuskeel/platform/objects.py
+++ b/crocuskeel/platform/objects.py
@@ -1,19 +1,32 @@
 """Objects of the platform's store, decoded into the core's types."""
 
+import ipaddress
+
 from crocuskeel.core.entry import model
 from crocuskeel.platform import exceptions
 
 __all__ = ["catalog", "name", "peer", "peer_spec", "server"]
 
+READY = "ready"
 DRAINING = "draining"
+# Counts fit the store's 64 bits; ports fit 16.
+COUNT_MOST = 2 ** 63 - 1
+PORT_MOST = 65535
+PORT_DIGITS = 5
 # A host that started again is at the same address: its entry is written
 # once, and its datagrams tell which boot it is.
 UNKNOWN_BOOT = 0
 
 
 def name(obj):
-    """Return an object's name."""
-    return obj["Meta"]["Name"]
+    """Return an object's name; raises BadObject if it has none."""
+    try:
+        found = obj["Meta"]["Name"]
+    except (KeyError, TypeError) as exc:
+        raise exceptions.BadObject(f"no name: {exc!r}") from exc
+    if not _is_text(found):
+        raise exceptions.BadObject("no name")
+    return found
 
 
 def catalog(obj):
@@ -90,22 +103,69 @@
 def server(obj):
     """Return the Server of a registered backend server's entry.
 
-    Raises BadObject if it is not of the expected form.
+    Raises BadObject if a field is missing or of another type: another
+    writer's entry names no server to use.
     """
+    sid = name(obj)
+    # A server writes its entry itself; which of the two halves of an
+    # object holds it is not said.
+    spec = obj.get("Spec") or obj.get("Status")
+    if not isinstance(spec, dict):
+        raise exceptions.BadObject(f"server {sid}: no fields")
+    for field, is_good in SERVER_FIELDS.items():
+        if not is_good(spec.get(field)):
+            raise exceptions.BadObject(f"server {sid}: {field}")
+    if "born" in spec and not _is_count(spec["born"]):
+        raise exceptions.BadObject(f"server {sid}: born")
+    ip, _, port = spec["Addr"].rpartition(":")
+    return model.Server(
+        sid=sid, service=spec["Service"], address=(ip, int(port)),
+        domain=spec["Zone"], slots=spec["Slots"],
+        draining=(spec["State"] == DRAINING
+                  or bool(obj["Meta"].get("Deleting"))),
+        cold_s=spec["ColdLeftMs"] / 1000, born=spec.get("born"))
+
+
+def _is_text(value):
+    return isinstance(value, str) and bool(value)
+
+
+def _is_count(value):
+    return (isinstance(value, int) and not isinstance(value, bool)
+            and 0 <= value <= COUNT_MOST)
+
+
+def _is_slots(value):
+    return _is_count(value) and value > 0
+
+
+def _is_span(value):
+    return _is_count(value) or (
+        isinstance(value, float) and 0 <= value <= COUNT_MOST)
+
+
+def _is_state(value):
+    return value in (READY, DRAINING)
+
+
+def _is_address(value):
+    if not isinstance(value, str):
+        return False
+    ip, _, port = value.rpartition(":")
     try:
-        # A server writes its entry itself; which of the two halves of
-        # an object holds it is not said.
-        spec = obj.get("Spec") or obj["Status"]
-        ip, _, port = spec["Addr"].rpartition(":")
-        return model.Server(
-            sid=name(obj), service=spec["Service"],
-            address=(ip, int(port)), domain=spec.get("Zone", ""),
-            slots=spec.get("Slots", 1),
-            draining=(spec.get("State") == DRAINING
-                      or bool(obj["Meta"].get("Deleting"))),
-            cold_s=spec.get("ColdLeftMs", 0) / 1000)
-    except (KeyError, TypeError, ValueError) as exc:
-        raise exceptions.BadObject(f"server: {exc!r}") from exc
+        ipaddress.IPv4Address(ip)
+    except ValueError:
+        return False
+    return (port.isascii() and port.isdigit() and len(port) <= PORT_DIGITS
+            and 0 < int(port) <= PORT_MOST)
+
+
+# Fields that each entry has.
+SERVER_FIELDS = {
+    "Service": _is_text, "Addr": _is_address, "Zone": _is_text,
+    "Version": _is_text, "Slots": _is_slots, "State": _is_state,
+    "ColdLeftMs": _is_span, "Seq": _is_count,
+}
 
 
 def peer_spec(me):
@@ -119,8 +179,19 @@
     """Return the Peer that a host registered; raises BadObject."""
     try:
         spec = obj["Spec"]
+        _check_peer(spec)
         return model.Peer(
             name(obj), UNKNOWN_BOOT, spec["Zone"], spec["Front"],
             tuple(spec["Control"]), tuple(spec["Gossip"]), spec["Cores"])
     except (KeyError, TypeError, ValueError) as exc:
         raise exceptions.BadObject(f"host: {exc!r}") from exc
+
+
+def _check_peer(spec):
+    """Raise ValueError unless a host's entry is one that a host wrote."""
+    if not (_is_text(spec["Zone"]) and _is_text(spec["Front"])
+            and _is_span(spec["Cores"])):
+        raise ValueError("zone, front or cores")
+    for ip, port in (spec["Control"], spec["Gossip"]):
+        if not (_is_text(ip) and _is_count(port) and port <= PORT_MOST):
+            raise ValueError("address")
--- a/crocuskeel/platform/store.py
+++ b/crocuskeel/platform/store.py
@@ -54,10 +54,10 @@
         after = ""
         for _ in range(PAGES_MOST):
             page = await self._get("list", kind, after)
-            items += page["Items"]
+            items += _rows(page, "Items")
             if not page.get("More"):
                 break
-            after = f"?AfterRev={_quote(items[-1]['Meta']['Name'])}"
+            after = f"?AfterRev={_quote(_last_name(items))}"
         return Listing(tuple(items), page["AsOf"])
 
     async def watch(self, kind, revision, span_s=WATCH_S):
@@ -68,8 +68,9 @@
         """
         query = f"?Watch={revision}&WaitMs={int(span_s * 1000)}"
         page = await self._get("watch", kind, query, span_s + LATE_S)
-        rows = tuple((row["Object"], bool(row["Removed"]))
-                     for row in page.get("events") or ())
+        rows = tuple((row["Object"], bool(row.get("Removed")))
+                     for row in _rows(page, "events")
+                     if isinstance(row, dict) and "Object" in row)
         return Changes(rows, page["AsOf"])
 
     async def put(self, kind, name, spec):
@@ -94,9 +95,10 @@
         if reply.status != OK:
             raise exceptions.StoreError(reply.status, f"{what} {kind}")
         try:
-            page = json.loads(reply.body)
-            page["AsOf"]
-        except (ValueError, KeyError, TypeError) as exc:
+            # One object's bytes that are no text must not hide the others.
+            page = json.loads(reply.body.decode("utf-8", "replace"))
+            page["AsOf"] + 0
+        except (ValueError, KeyError, TypeError, RecursionError) as exc:
             raise exceptions.StoreError(
                 0, f"{what} {kind}: {exc!r}") from exc
         return page
@@ -112,6 +114,25 @@
             raise exceptions.StoreError(0, f"{what}: {exc}") from exc
 
 
+def _rows(page, field):
+    rows = page.get(field)
+    return rows if isinstance(rows, list) else []
+
+
+def _last_name(items):
+    """Return the name to go on after; raises StoreError without any.
+
+    The store continues after a name, also after one that its entry
+    doesn't show rightly: the last that can be read is taken.
+    """
+    for obj in reversed(items):
+        try:
+            return obj["Meta"]["Name"] + ""
+        except (KeyError, TypeError):
+            continue
+    raise exceptions.StoreError(0, "list: a page without a name")
+
+
 def _holds(body, spec):
     """Say whether the object in an answer has this content."""
     try:
--- /dev/null
+++ b/tests/entry/test_restart.py
@@ -0,0 +1,135 @@
+"""Backend servers that start again under the id that they had."""
+
+import unittest
+
+from crocuskeel.core.entry import choosing
+from crocuskeel.core.entry import effects
+from crocuskeel.core.entry import events
+from crocuskeel.core.entry import model
+from crocuskeel.core.entry import pauses
+from crocuskeel.core.entry import quarantine
+from tests.entry import support
+
+CHAT = support.stream("chat", resumable=False, tries=1)
+ADVICE = support.stream()
+
+
+def _engine(sid="e0", born=1_000, **kwargs):
+    return support.server(sid, "engines", born=born, **kwargs)
+
+
+class RestartTest(unittest.TestCase):
+    """Nothing holds that was known of the former process."""
+
+    def setUp(self):
+        self.driver = support.Driver(
+            CHAT, ADVICE, servers=(_engine(), _engine("e1")))
+
+    def _state(self):
+        return self.driver.host.servers["e0"]
+
+    def _restart(self, after=0.0, born=9_000):
+        return self.driver.feed(events.ServersChanged(
+            (_engine(born=born),), (), 6), after)
+
+    def test_what_was_known_of_it_is_forgotten(self):
+        # An engine starts again and holds no prompt, but hosts send it
+        # what they placed there before, as its parts need no reading;
+        # each waits for 13,000 tokens to be read. It is also left alone
+        # as slow and failing, which its former process was.
+        state = self._state()
+        choosing.remember(state, "shared", 13_000, 5e5)
+        state.slowness, state.failing, state.strikes = 5.0, 0.9, 3
+        state.suspect_until = self.driver.now + 4
+        state.others.put("host-1", 9, 90_000, 9, self.driver.now)
+        pauses.heard(state, 0.5, self.driver.now)
+        out = self._restart()
+        state = self._state()
+        self.assertEqual({}, dict(state.parts))
+        self.assertEqual((1.0, 0.0, 0), (
+            state.slowness, state.failing, state.strikes))
+        self.assertEqual(0.0, state.suspect_until)
+        self.assertEqual(0, choosing.ahead_tokens(state, self.driver.now))
+        self.assertEqual(0.0, pauses.loud_s(state, self.driver.now))
+        self.assertIn("server_restarted", [
+            effect.event for effect in support.only(out, effects.Note)])
+
+    def test_an_entry_that_only_changes_restarts_nothing(self):
+        choosing.remember(self._state(), "shared", 13_000, 5e5)
+        self.driver.feed(events.ServersChanged(
+            (_engine(cold_s=1.0),), (), 6))
+        self.assertIn("shared", self._state().parts)
+
+    def test_the_list_shows_a_restart_as_well(self):
+        choosing.remember(self._state(), "shared", 13_000, 5e5)
+        self.driver.feed(events.ServersListed(
+            (_engine(born=9_000), _engine("e1")), 7))
+        self.assertEqual({}, dict(self._state().parts))
+
+    def test_what_the_former_process_ran_is_over(self):
+        # An engine loses power in mid-stream and is back in seconds. Its
+        # connections are dead without showing it: callers waited for
+        # their whole time limit.
+        self.driver.feed(events.ServersChanged((), ("e1",), 6))
+        self.driver.arrive(path="/chat/1", prompt=support.prompt(),
+                           deadline_s=8.0)
+        self.driver.feed(events.Opened(1, 0, None), 0.1)
+        out = self._restart(after=5.0)
+        self.assertEqual(1, len(support.only(out, effects.Cancel)))
+        self.assertEqual(1, len(support.only(out, effects.Cut)))
+        self.assertEqual({}, self.driver.host.pending)
+        self.assertEqual({}, self._state().mine)
+
+    def test_what_it_ran_without_a_first_event_may_have_run(self):
+        self.driver.feed(events.ServersChanged((), ("e1",), 6))
+        self.driver.arrive(path="/chat/1", prompt=support.prompt(),
+                           deadline_s=8.0)
+        out = self._restart(after=5.0)
+        (answer,) = support.only(out, effects.Answer)
+        self.assertEqual(502, answer.status)
+
+    def test_a_repeatable_stream_goes_on_elsewhere(self):
+        for state in self.driver.host.servers.values():
+            state.suspect_until = 0.0
+        self.driver.arrive(path="/advice/1", prompt=support.prompt(),
+                           deadline_s=8.0)
+        (attempt,) = self.driver.host.pending[1].tries
+        former = self.driver.host.servers[attempt.sid].server
+        other = "e1" if former.sid == "e0" else "e0"
+        out = self.driver.feed(events.ServersChanged(
+            (_engine(former.sid, born=9_000),), (), 6), 5.0)
+        (sent,) = support.only(out, effects.Send)
+        self.assertEqual(other, sent.server.sid)
+
+    def test_what_was_sent_to_the_new_process_goes_on(self):
+        # The entry of a process that started again comes some seconds
+        # after it: what it has begun by then is its own.
+        self.driver.feed(events.ServersChanged((), ("e1",), 6))
+        self.driver.arrive(path="/chat/1", prompt=support.prompt(),
+                           deadline_s=8.0)
+        self.driver.feed(events.Opened(1, 0, None), 0.1)
+        out = self._restart(after=0.2)
+        self.assertEqual([], support.only(out, effects.Cancel))
+        self.driver.feed(events.Ended(1, 0), 0.1)
+        self.assertEqual({}, self._state().mine)
+        self.assertEqual({}, self._state().gaps)
+
+    def test_one_server_that_went_twice_under_a_request_counts_twice(self):
+        # A request crashes the engine that runs it, which is back under
+        # its id and crashes again. With ids alone that was one server,
+        # and the request went on to the next ones.
+        for turn, born in ((1, 9_000), (2, 17_000)):
+            self.driver.arrive(turn, path="/chat/1", rid=f"r{turn}",
+                               prompt=support.prompt())
+            (attempt,) = self.driver.host.pending[turn].tries
+            self.driver.feed(events.Broken(
+                turn, 0, model.Outcome.BROKEN, torn=True), 0.1)
+            self.driver.feed(events.ServersChanged(
+                (_engine(attempt.sid, born=born),), (), 5 + turn), 1.0)
+            self.driver.host.servers["e1"].suspect_until = 1e9
+        self.assertTrue(quarantine.condemned(
+            self.driver.host, "d1", self.driver.now))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -23,7 +23,8 @@
 def _server(sid, state="ready"):
     return {"Meta": {"Name": sid, "Rev": 1}, "Spec": {
         "Service": "plain", "Addr": "10.0.0.9:80", "Zone": "a",
-        "Slots": 6, "State": state}}
+        "Version": "v1", "Slots": 6, "State": state, "ColdLeftMs": 0,
+        "Seq": 1}}
 
 
 class _Store:
@@ -146,6 +147,43 @@
                          self.gateway.lines[-2:])
         self.assertEqual(3, self.host.catalog.revision)
 
+    def test_bad_entries_harm_no_other(self):
+        # Another program writes to the list of servers. A host that read
+        # one entry without a name stopped to follow the list for good.
+        bad = [None, 7, {"Meta": {}}, {"Meta": {"Name": "s7"}, "Spec": "?"},
+               {"Meta": {"Name": "s8"}, "Spec": {"Service": ["x"]}},
+               _server("s9", "resting")]
+        rows = tuple((obj, False) for obj in bad)
+        self.store.answer("servers", stores.Changes(
+            (*rows, (_server("s3"), False), (None, True)), 6))
+        self.assertEqual(["s1", "s2", "s3"], sorted(self.host.servers))
+        self.store.answer("servers", exceptions.StoreError(410, "gone"))
+        self.clock.advance(0.5)
+        self.store.answer("servers", stores.Listing(
+            (*bad, *map(_server, ("s1", "s2", "s4"))), 9))
+        self.assertEqual(["s1", "s2", "s4"], sorted(self.host.servers))
+        told = self.follower.snapshot(3)["servers"]
+        self.assertEqual(["s1", "s2", "s4"], list(map(objects.name, told)))
+
+    def test_an_entry_that_can_not_be_read_names_no_server(self):
+        # Not even while the store is away, when entries that are missing
+        # are kept for a while.
+        for obj in (_server("s1", "resting"),
+                    {"Meta": {"Name": "s1"}, "Spec": None}):
+            self.setUp()
+            self.gateway.feed(events.StoreLost("down"))
+            self.store.answer("servers", stores.Changes(
+                ((obj, False),), 6))
+            self.assertEqual(["s2"], list(self.host.servers))
+
+    def test_an_entry_of_no_service_ends_no_other(self):
+        # It has the address of a server that lives, which was taken for
+        # gone and got nothing more.
+        other = _server("s9")
+        other["Spec"]["Service"] = "elsewhere"
+        self.store.answer("servers", stores.Changes(((other, False),), 6))
+        self.assertFalse(self.host.servers["s1"].misdirects)
+
     def test_a_snapshot_of_a_peer_brings_what_is_newer_only(self):
         snapshot = self.follower.snapshot(3)
         self.assertIsNone(snapshot["config"])
--- /dev/null
+++ b/tests/platform/test_objects.py
@@ -0,0 +1,90 @@
+"""Entries of backend servers, also from other writers."""
+
+import json
+import random
+import unittest
+
+from crocuskeel.platform import exceptions
+from crocuskeel.platform import objects
+
+SPEC = {"Service": "plain", "Addr": "10.0.0.9:80", "Zone": "a",
+        "Version": "v1", "Slots": 6, "State": "ready", "ColdLeftMs": 250,
+        "Seq": 3, "born": 1_790_000_000_000}
+
+
+def _entry(**changes):
+    spec = {**SPEC, **changes}
+    return {"Meta": {"Name": "i-1", "Rev": 4},
+            "Spec": {key: value for key, value in spec.items()
+                     if value is not ...}}
+
+
+class ServerTest(unittest.TestCase):
+    """What names a server to use, and what names none."""
+
+    def test_a_whole_entry(self):
+        server = objects.server(_entry())
+        self.assertEqual(
+            ("i-1", "plain", ("10.0.0.9", 80), 0.25, SPEC["born"]),
+            (server.sid, server.service, server.address, server.cold_s,
+             server.born))
+
+    def test_a_server_need_not_say_when_it_started(self):
+        self.assertIsNone(objects.server(_entry(born=...)).born)
+
+    def test_fields_that_are_missing_or_of_another_type(self):
+        # Another writer's entry took a host's whole list with it: from
+        # then on it learned of no server that came or left.
+        bad = [{key: ...} for key in SPEC if key != "born"]
+        bad += [
+            {"Service": 7}, {"Service": ""}, {"Service": None},
+            {"Addr": "10.0.0.9"}, {"Addr": ":80"}, {"Addr": "10.0.0.9:0"},
+            {"Addr": "10.0.0.9:99999"}, {"Addr": "here:80"},
+            {"Addr": ["10.0.0.9", 80]}, {"Addr": "10.0.0.9:8e1"},
+            {"Slots": "6"}, {"Slots": 0}, {"Slots": -1}, {"Slots": 2.5},
+            {"Slots": True}, {"State": "paused"}, {"State": ["ready"]},
+            {"State": None}, {"Zone": 4}, {"ColdLeftMs": "soon"},
+            {"ColdLeftMs": -1}, {"ColdLeftMs": float("nan")},
+            {"Seq": "3"}, {"Seq": None}, {"Version": 1},
+            {"born": "1790000000000"}, {"born": 1.5}, {"born": None},
+            {"born": True}]
+        for changes in bad:
+            with self.subTest(changes=changes):
+                with self.assertRaises(exceptions.BadObject):
+                    objects.server(_entry(**changes))
+
+    def test_objects_that_are_no_entries(self):
+        meta = {"Name": "i-1", "Rev": 4}
+        for obj in (None, 7, "x", [], {}, {"Meta": None, "Spec": SPEC},
+                    {"Meta": meta}, {"Meta": meta, "Spec": None},
+                    {"Meta": meta, "Spec": "\ufffd\x00"},
+                    {"Meta": meta, "Spec": [SPEC]},
+                    {"Meta": {"Name": ""}, "Spec": SPEC},
+                    {"Meta": {"Name": 4}, "Spec": SPEC},
+                    {"Meta": {}, "Spec": SPEC}):
+            with self.subTest(obj=obj):
+                with self.assertRaises(exceptions.BadObject):
+                    objects.server(obj)
+
+    def test_no_entry_raises_anything_else(self):
+        rng = random.Random(7)
+        values = [None, 0, -1, 1.5, "", "ready", "\x00", [], {}, True,
+                  {"a": [1]}, "9" * 400, 10 ** 30, float("inf")]
+        for _ in range(3000):
+            obj = json.loads(json.dumps(_entry(born=...)))
+            for _ in range(rng.randint(1, 3)):
+                holder = rng.choice(
+                    [part for part in (obj, obj.get("Meta"),
+                                       obj.get("Spec"))
+                     if isinstance(part, dict)])
+                if holder:
+                    key = rng.choice(sorted(holder))
+                    holder[key] = rng.choice(values)
+            try:
+                objects.server(obj)
+            except exceptions.BadObject:
+                continue
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -109,7 +109,8 @@
         self.store.put("servers", sid, {
             "Service": self.engines[sid].service,
             "Addr": self._address(self.links[sid]),
-            "Zone": "zone-0", "Slots": 32, "State": "ready"})
+            "Zone": "zone-0", "Version": "v1", "Slots": 32,
+            "State": "ready", "ColdLeftMs": 0, "Seq": 1})
 
     def register_again(self, sids):
         """Have servers that lapsed and live register once more."""
