--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -68,6 +68,7 @@
                  said=target.load,
                  said_age_s=round(min(99, now - target.load_at), 1),
                  fresh=attempt.fresh_tokens, spill=attempt.spilled_tokens,
+                 loud_s=round(pauses.loud_s(target, now), 3),
                  left_s=round(left, 2),
                  version=host.catalog.version),
             effects.Timer(pending.key, next_check(pending, now))]
--- a/crocuskeel/gateway/metrics.py
+++ b/crocuskeel/gateway/metrics.py
@@ -1,6 +1,7 @@
 """Counters and histograms of a host: as text, and to statsd if asked."""
 
 import prometheus_client
+from prometheus_client import core
 
 __all__ = ["new_metrics"]
 
@@ -10,6 +11,28 @@
 BOUNDS_S = (0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.6, 2.0, 2.5, 4.0, 8.0)
 
 
+class _Paces:
+    """What the host has learned of each service's engines, when read."""
+
+    def __init__(self, host):
+        self.host = host
+
+    def collect(self):
+        """Yield the families of metrics."""
+        pause = core.GaugeMetricFamily(
+            "crocuskeel_reading_pause_seconds",
+            "Longest usual pause of a stream while its engine reads.",
+            labels=["service"])
+        samples = core.CounterMetricFamily(
+            "crocuskeel_reading_pauses",
+            "Pauses from which it is estimated.", labels=["service"])
+        for service, seen in self.host.paces.items():
+            pause.add_metric([service], seen.gap_s)
+            samples.add_metric([service], seen.samples)
+        yield pause
+        yield samples
+
+
 class _Metrics:
     """Counts what the log tells, also lines that it leaves out.
 
@@ -38,6 +61,8 @@
                     "Revision of the configuration in force.",
                     lambda: host.catalog.revision if host.catalog else 0)
 
+        self.registry.register(_Paces(host))
+
     def _histogram(self, name, text):
         return prometheus_client.Histogram(
             name, text, buckets=BOUNDS_S, registry=self.registry)
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from crocuskeel.core.entry import pace
 from crocuskeel.gateway import metrics
 from tests.entry import support
 
@@ -33,6 +34,14 @@
         self.assertIn('given_up_total{reason="time is up"} 1.0', text)
         self.assertIn("crocuskeel_served_seconds_sum 1.5", text)
 
+    def test_the_text_tells_what_was_learned_of_engines(self):
+        # Which streams long prompts may hold up follows from it.
+        host = support.Driver().host
+        pace.note_gap(pace.of_service(host, "engines"), 1.0, 0.2)
+        text = metrics.new_metrics(host).text().decode()
+        self.assertIn(
+            'crocuskeel_reading_pause_seconds{service="engines"} 0.2', text)
+
     def test_statsd_gets_the_same(self):
         client = _Client()
         counts = metrics._Metrics(support.Driver().host, client)
