--- a/crocuskeel/core/entry/choosing.py
+++ b/crocuskeel/core/entry/choosing.py
@@ -209,10 +209,9 @@
 
 def _late(state, seen, route, fresh, now):
     """Return how many streams a prompt is expected to make late."""
-    ahead = ahead_s(state, now)
-    more = read_s(state, fresh)
-    return (pauses.harm(state, seen, ahead, more)
-            + pauses.own_loss(state, seen, route, ahead + more, now))
+    harm = pauses.harm(
+        state, seen, ahead_s(state, now), read_s(state, fresh))
+    return harm + pauses.own_loss(state, seen, route, now)
 
 
 def _shared_fresh(state, prompt):
--- a/crocuskeel/core/entry/pauses.py
+++ b/crocuskeel/core/entry/pauses.py
@@ -84,15 +84,11 @@
     return found
 
 
-def own_loss(state, seen, route, first_s, now):
-    """Return how likely a stream is late at an engine, 0 to 2.
-
-    ``first_s`` is the time until its first event.
-    """
-    loss = late(first_s / route.goal_s)
-    if pace.pauses_longer(seen, route.gap_s):
-        loss += late(loud_s(state, now) / route.gap_s)
-    return loss
+def own_loss(state, seen, route, now):
+    """Return how likely a stream is late by its pauses at an engine."""
+    if not pace.pauses_longer(seen, route.gap_s):
+        return 0.0
+    return late(loud_s(state, now) / route.gap_s)
 
 
 def sensitive(states, seen, route, now):
