--- /dev/null
+++ b/bench/placing.py
@@ -0,0 +1,89 @@
+"""Processor time to place one prompt, by the number of engines.
+
+An entry host's reducer without any I/O: other hosts' loads are known at
+each engine, with streams whose pauses are short, and some engines read
+long prompts. Prints one JSON object a line: name, value in microseconds,
+n.
+
+Run as ``python -m bench.placing``.
+"""
+
+import json
+import random
+import time
+
+from crocuskeel.core import entry
+from crocuskeel.core.entry import events
+from crocuskeel.core.entry import model
+
+ENGINES = (9, 70, 1700)
+PEERS = 36
+PLACED = 300
+NOW = 100.0
+SERVICE = "engines"
+GAP_MS = 200
+
+
+def _host(engines):
+    host = entry.new_host(entry.Settings(), random.Random(1))
+    route = model.Route(
+        "chat", "desk", "/chat/", model.Kind.STREAM, ((SERVICE, 1),),
+        15.0, 0.3, 1, 0, True, False, GAP_MS / 1000)
+    catalog = model.Catalog(
+        1, 1, {"desk": [route]},
+        {SERVICE: model.Service(SERVICE, 0, model.Engine(64, 232_000))},
+        None, model.Limits(16384, 1 << 20, 3.0, 15.0))
+    servers = tuple(
+        model.Server(f"e{number}", SERVICE, (f"10.0.0.{number}", 80), "a",
+                     64, False)
+        for number in range(engines))
+    me = model.Peer("me", 1, "a", "me:80", ("me", 81), ("me", 82), 1.0)
+    for event in (events.Started(me), events.CatalogSeen(catalog),
+                  events.ServersListed(servers, 1)):
+        entry.reduce(host, event, NOW)
+    return host
+
+
+def _load(host, now):
+    """Have other hosts tell of streams, and of prompts at some engines."""
+    for number, state in enumerate(host.servers.values()):
+        for peer in range(PEERS):
+            tokens = 6_000 if (number + peer) % 7 == 0 else 0
+            state.others.put(f"h{peer}", 1, tokens, int(tokens > 0), now,
+                             ((0, GAP_MS, 1),))
+        state.loud, state.loud_at = 0.2 * (number % 3), now
+
+
+def _request(key):
+    part = f"session-{key % 40}"
+    return model.Request(
+        f"r{key}", "POST", "desk", "/chat/1", "", 15.0,
+        model.Prompt((("app", 100), (part, 70), (f"own-{key}", 400)),
+                     570, 280))
+
+
+def measure(engines):
+    """Return the mean time of one placement, microseconds."""
+    host = _host(engines)
+    spent = 0.0
+    for key in range(PLACED):
+        now = NOW + key * 0.001
+        if key % 100 == 0:
+            _load(host, now)
+        event = events.Arrived(key, _request(key))
+        began = time.process_time()
+        entry.reduce(host, event, now)
+        spent += time.process_time() - began
+    return spent / PLACED * 1e6
+
+
+def main():
+    """Print the figures."""
+    for engines in ENGINES:
+        print(json.dumps({
+            "name": f"place_{engines}_engines",
+            "value": round(measure(engines)), "n": PLACED}), flush=True)
+
+
+if __name__ == "__main__":
+    main()
