Bound what requests may come to hold at an engine

Long prompts are kept on some of the engines, which run out of memory; spread over all engines they did not. Change: hosts tell each other what their requests may come to hold, and a prompt is let in below 0.9 of an engine's memory, or where nothing runs.

--- a/bench/placing.py
+++ b/bench/placing.py
@@ -50,7 +50,7 @@
         for peer in range(PEERS):
             tokens = 6_000 if (number + peer) % 7 == 0 else 0
             state.others.put(f"h{peer}", 1, tokens, int(tokens > 0), now,
-                             ((0, GAP_MS, 1),))
+                             ((0, GAP_MS, 1),), 600)
         state.loud, state.loud_at = 0.2 * (number % 3), now
 
 
--- a/crocuskeel/core/entry/admission.py
+++ b/crocuskeel/core/entry/admission.py
@@ -42,6 +42,9 @@
 # most urgent streams were late without this bound, and 0.51 of what
 # requests were worth came in; with it 0.58.
 LATE_MOST = 1.0
+# Of its memory an engine's requests may come to hold this share: each
+# host hears of others' with a delay, in which they may take the rest.
+MEMORY_SHARE = 0.9
 # A workspace of the first priority may wait this many times as long.
 FIRST_SHARE = 1.3
 # A request that comes back after a refusal may wait this many times as
@@ -77,6 +80,8 @@
     most, share = _bounds(pending, rank)
     if choosing.reading(target, now) >= most:
         return False
+    if not _fits(host, pending, target, now):
+        return False
     if not _spares(host, pending, target, now):
         return False
     ahead = choosing.ahead_tokens(target, now)
@@ -84,6 +89,22 @@
     return wait <= share * pending.route.goal_s
 
 
+def _fits(host, pending, target, now):
+    """Say whether an engine has memory for one more prompt.
+
+    One that runs out puts back what it has begun, and reads it again: it
+    put back 11 requests on a day of high load whose long prompts were
+    kept on some of the engines. An idle engine takes any prompt.
+    """
+    engine = host.catalog.services[pending.service].engine
+    used = choosing.memory(target, now)
+    if engine is None or not used:
+        return True
+    prompt = pending.request.prompt
+    return used + prompt.tokens + prompt.output <= (
+        engine.memory * MEMORY_SHARE)
+
+
 def _spares(host, pending, target, now):
     """Say whether an engine's streams can bear one more prompt.
 
--- a/crocuskeel/core/entry/choosing.py
+++ b/crocuskeel/core/entry/choosing.py
@@ -17,9 +17,9 @@
 from crocuskeel.core.entry import routing
 
 __all__ = ["ahead_s", "ahead_tokens", "choose", "choose_with_room",
-           "fresh_tokens", "is_silent", "later_streams",
-           "note_load", "place", "read_s", "reading", "remember", "running",
-           "sample", "sound", "spilled_tokens"]
+           "fresh_tokens", "is_silent", "later_streams", "memory",
+           "note_load", "place", "read_s", "reading", "remember",
+           "running", "sample", "sound", "spilled_tokens"]
 
 # Reading speed of an engine, tokens a second: between the 36,700 and
 # 48,200 that the two deployments' engines are rated at.
@@ -304,6 +304,12 @@
     return len(state.mine) + state.others.running
 
 
+def memory(state, now):
+    """Return the tokens that requests at an engine may come to hold."""
+    state.others.expire(now)
+    return state.memory + state.others.memory
+
+
 def note_load(state, load, now):
     """Note what a server says of its own load."""
     if load is not None:
--- a/crocuskeel/core/entry/events.py
+++ b/crocuskeel/core/entry/events.py
@@ -205,7 +205,8 @@
 
     ``loads`` holds (server id, requests, tokens to be read, requests with
     any, milliseconds since the server was heard, streams as (priority,
-    milliseconds that they may pause, count)), as in Heard.
+    milliseconds that they may pause, count), tokens that the requests may
+    come to hold), as in Heard.
     ``refused`` names servers whose hosts just took no connection.
     """
 
--- a/crocuskeel/core/entry/loads.py
+++ b/crocuskeel/core/entry/loads.py
@@ -20,7 +20,7 @@
     engines took 1.3 ms of a processor, with the sums 0.4 ms.
     """
 
-    __slots__ = ("gaps", "reading", "rows", "running", "tokens")
+    __slots__ = ("gaps", "memory", "reading", "rows", "running", "tokens")
 
     def __init__(self):
         self.rows = collections.OrderedDict()
@@ -28,17 +28,19 @@
         self.tokens = 0
         self.reading = 0
         self.gaps = {}
+        self.memory = 0
 
-    def put(self, name, running, tokens, reading, now, gaps=()):
+    def put(self, name, running, tokens, reading, now, gaps=(), memory=0):
         """Take what a host says; ``now`` never goes back.
 
         ``gaps`` holds (priority, pause in ms, streams of that priority
-        that allow no longer one).
+        that allow no longer one), ``memory`` is what its requests may come
+        to hold, tokens.
         """
         self.expire(now)
         if name in self.rows:
             self._count(self.rows.pop(name), -1)
-        row = (running, tokens, reading, now, gaps)
+        row = (running, tokens, reading, now, gaps, memory)
         if running:
             self.rows[name] = row
             self._count(row, 1)
@@ -56,5 +58,6 @@
         self.running += sign * row[0]
         self.tokens += sign * row[1]
         self.reading += sign * row[2]
+        self.memory += sign * row[5]
         for priority, gap_ms, streams in row[4]:
             pauses.count(self.gaps, (priority, gap_ms), sign * streams)
--- a/crocuskeel/core/entry/peers.py
+++ b/crocuskeel/core/entry/peers.py
@@ -80,11 +80,11 @@
 
 
 def _take_rows(host, name, rows, now):
-    for sid, count, tokens, reading, silent_ms, gaps in rows:
+    for sid, count, tokens, reading, silent_ms, gaps, memory in rows:
         state = host.servers.get(sid)
         if state is None:
             continue
-        state.others.put(name, count, tokens, reading, now, gaps)
+        state.others.put(name, count, tokens, reading, now, gaps, memory)
         pauses.heard(state, choosing.ahead_s(state, now), now)
         state.heard_at = max(state.heard_at, now - silent_ms / 1000)
 
--- a/crocuskeel/core/entry/restarting.py
+++ b/crocuskeel/core/entry/restarting.py
@@ -43,6 +43,7 @@
     # Requests in progress are counted until they end.
     state.mine = former.mine
     state.gaps = former.gaps
+    state.memory = former.memory
     state.asked_at = now if former.mine else 0.0
     host.servers[server.sid] = state
     return [effects.Note("server_restarted", {
--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -118,6 +118,9 @@
             choosing.place(host, target, prompt, engine.memory, now)
     attempt = states.Try(len(pending.tries), target.server.sid,
                          target.server.incarnation, now, fresh, spilled)
+    if prompt is not None:
+        attempt.memory = prompt.tokens + prompt.output
+        target.memory += attempt.memory
     host.held.discard(pending.key)
     pending.tries.append(attempt)
     pending.sent += 1
@@ -258,9 +261,10 @@
     target = host.servers.get(attempt.sid)
     if target is None:
         return
-    if (target.mine.pop((pending.key, attempt.turn), None) is not None
-            and pending.route.kind is model.Kind.STREAM):
-        pauses.note_over(target, pending.route)
+    if target.mine.pop((pending.key, attempt.turn), None) is not None:
+        target.memory -= attempt.memory
+        if pending.route.kind is model.Kind.STREAM:
+            pauses.note_over(target, pending.route)
     changed(host, pending, target)
 
 
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -42,6 +42,8 @@
     fresh_tokens: int = 0
     # Shared tokens that are read again, though another server holds them.
     spilled_tokens: int = 0
+    # Tokens that it may come to hold at its engine.
+    memory: int = 0
     # Its first event is here: from now on its pauses count.
     opened: bool = False
     over: bool = False
@@ -97,6 +99,8 @@
     heard_at: float = 0.0
     # Share of the last seconds in which it had prompts to read.
     busy: float = 0.0
+    # Tokens of this host's requests there, read or to be made.
+    memory: int = 0
     # This host's streams there, by (priority, pause that they allow in ms).
     gaps: dict = dataclasses.field(default_factory=dict)
     # The longest pause by reading there, s, as of ``loud_at``.
--- a/crocuskeel/core/entry/telling.py
+++ b/crocuskeel/core/entry/telling.py
@@ -163,7 +163,8 @@
             sum(count > 0 for count in tokens),
             int(min(LOADS_S, now - state.heard_at) * 1000),
             tuple((*kind, streams)
-                  for kind, streams in state.gaps.items()))
+                  for kind, streams in state.gaps.items()),
+            state.memory)
 
 
 def _parts(host, now):
--- a/tests/entry/test_choosing.py
+++ b/tests/entry/test_choosing.py
@@ -200,6 +200,31 @@
             driver.feed(events.Ticked(), 0.3)
         self.assertLess(state.busy, 0.1)
 
+    def test_no_prompt_goes_where_memory_would_run_out(self):
+        # Long prompts are kept on some of the engines. These ran out of
+        # memory and put back eleven requests that they had begun, while
+        # less urgent ones ran on.
+        driver = _driver()
+        for state in driver.host.servers.values():
+            state.others.put("host-1", 20, 0, 0, driver.now,
+                             memory=440_000)
+        self.assertEqual(0, len(self._sends(driver, "low", 1)[0]))
+        driver.host.servers["e3"].others.put(
+            "host-1", 20, 0, 0, driver.now, memory=400_000)
+        out = driver.feed(events.TimerFired(1), 0.1)
+        self.assertEqual(
+            ["e3"], [sent.server.sid for sent
+                     in support.only(out, effects.Send)])
+
+    def test_what_requests_may_hold_is_given_back_at_their_end(self):
+        driver = _driver()
+        (sent,), _ = self._sends(driver, "top")
+        state = driver.host.servers[sent.server.sid]
+        self.assertEqual(13_700, state.memory)
+        driver.feed(events.Opened(1, 0, None), 0.1)
+        driver.feed(events.Ended(1, 0), 0.1)
+        self.assertEqual(0, state.memory)
+
     def test_one_that_came_back_goes_before_others(self):
         driver = _driver()
         self._load(driver, 1, 12_000)
@@ -214,9 +239,10 @@
         _, out = self._sends(driver, "top")
         told = [effect.event for effect in support.only(out, effects.Tell)]
         self.assertEqual([events.LoadHeard], [type(e) for e in told])
-        ((sid, count, tokens, reading, _, gaps),) = told[0].loads
+        ((sid, count, tokens, reading, _, gaps, memory),) = told[0].loads
         self.assertEqual((1, 13_500, 1), (count, tokens, reading))
         self.assertEqual(((0, 400, 1),), gaps)
+        self.assertEqual(13_700, memory)
 
     def test_changes_that_follow_closely_are_told_together(self):
         # A busy host changes the load of engines a hundred times a
