Ask for the time to read what waits where it is worked out

Ruled out: a change of behaviour; both divide the same tokens by the same speed and multiply by the same slowness. Change: admission calls choosing.ahead_s.

--- a/crocuskeel/core/entry/admission.py
+++ b/crocuskeel/core/entry/admission.py
@@ -84,9 +84,7 @@
         return False
     if not _spares(host, pending, target, now):
         return False
-    ahead = choosing.ahead_tokens(target, now)
-    wait = ahead / choosing.PREFILL_TOKENS_S * target.slowness
-    return wait <= share * pending.route.goal_s
+    return choosing.ahead_s(target, now) <= share * pending.route.goal_s
 
 
 def _fits(host, pending, target, now):
