One loop of turns, one parser and one request encoder for all programs

Cause: logic that stood twice. The two programs of the product's own path fed events one at a time with the same ten lines, and read their settings file with the same parser and error; the soak's callers wrote HTTP requests as the gateway's client does.

Change: runtime/turns.py, programs/arguments.py and connections.encode, each called from both places.

Ruled out: one _pump for callers and servers; what they do on bad bytes and at an exchange's end differs, only next_event is common, and it is shared.

--- a/crocuskeel/control/program.py
+++ b/crocuskeel/control/program.py
@@ -9,6 +9,7 @@
 from crocuskeel.core import control
 from crocuskeel.core.control import effects
 from crocuskeel.core.control import events
+from crocuskeel.runtime import turns
 
 __all__ = ["TICK_S", "feed", "start", "stop"]
 
@@ -41,15 +42,7 @@
 
 def feed(ctx, event):
     """Reduce an event, and run its effects before the next event."""
-    ctx.queue.append(event)
-    if ctx.reducing:
-        return
-    ctx.reducing = True
-    try:
-        while ctx.queue:
-            _one(ctx, ctx.queue.popleft())
-    finally:
-        ctx.reducing = False
+    turns.feed(ctx, event, _one)
 
 
 def _one(ctx, event):
--- a/crocuskeel/gateway/connections.py
+++ b/crocuskeel/gateway/connections.py
@@ -15,7 +15,8 @@
 from twisted.internet import error
 from twisted.internet import protocol
 
-__all__ = ["Connection", "Failure", "connect", "next_event"]
+__all__ = ["Connection", "Failure", "connect", "encode",
+           "next_event"]
 
 
 class Failure(enum.Enum):
@@ -42,6 +43,15 @@
     return event
 
 
+def encode(conn, method, target, headers, body):
+    """Return the bytes of a request on an h11 connection."""
+    data = conn.send(h11.Request(
+        method=method, target=target, headers=headers))
+    if body:
+        data += conn.send(h11.Data(data=body))
+    return data + conn.send(h11.EndOfMessage())
+
+
 class Connection(protocol.Protocol):
     """One request and its answer; nothing comes after ``close``."""
 
@@ -58,14 +68,7 @@
             self.transport.abortConnection()
             return
         sockets.write(self.transport,
-                      self._encode(*self.handler.request()))
-
-    def _encode(self, method, target, headers, body):
-        data = self.h11.send(h11.Request(
-            method=method, target=target, headers=headers))
-        if body:
-            data += self.h11.send(h11.Data(data=body))
-        return data + self.h11.send(h11.EndOfMessage())
+                      encode(self.h11, *self.handler.request()))
 
     def dataReceived(self, data):
         if not self.over:
--- a/crocuskeel/programs/control.py
+++ b/crocuskeel/programs/control.py
@@ -1,39 +1,32 @@
 """crocuskeel-control: gives engines their orders, under a lease."""
 
-import argparse
 import signal
 import sys
 import time
 
 from crocuskeel.control import exceptions
 from crocuskeel.control import settings
+from crocuskeel.programs import arguments
 from crocuskeel.programs import reactors
 
 __all__ = ["main", "new_parser"]
 
-_EXIT_SETTINGS = 2
-
 
 def new_parser():
     """Return the parser of the command line."""
-    parser = argparse.ArgumentParser(
-        prog="crocuskeel-control",
-        description="Brings engines to what the settings want. May run "
-                    "on several entry hosts; one of them is active.")
-    parser.add_argument(
-        "--settings", required=True, metavar="FILE",
-        help="program settings, JSON with comments")
-    return parser
+    return arguments.new_parser(
+        "crocuskeel-control",
+        "Brings engines to what the settings want. May run on several "
+        "entry hosts; one of them is active.")
 
 
 def main(argv=None):
     """Run until a planned stop is complete; return the exit code."""
     args = new_parser().parse_args(argv)
-    try:
-        cfg = settings.read(args.settings)
-    except exceptions.BadSettingsFile as exc:
-        print(f"{args.settings}: {exc}", file=sys.stderr)
-        return _EXIT_SETTINGS
+    cfg = arguments.read_settings(
+        args.settings, settings.read, exceptions.BadSettingsFile)
+    if cfg is None:
+        return arguments.EXIT_SETTINGS
     _run(*reactors.install(), cfg)
     return 0
 
--- a/crocuskeel/programs/daemon.py
+++ b/crocuskeel/programs/daemon.py
@@ -1,11 +1,11 @@
 """crocuskeeld: the daemon of an entry host."""
 
-import argparse
 import gc
 import signal
 import sys
 import time
 
+from crocuskeel.programs import arguments
 from crocuskeel.programs import reactors
 from crocuskeel.runtime import exceptions
 from crocuskeel.runtime import settings
@@ -14,27 +14,20 @@
 
 _GC_THRESHOLDS = (10_000, 20, 20)
 _EXIT_START = 1
-_EXIT_SETTINGS = 2
 
 
 def new_parser():
     """Return the parser of the command line."""
-    parser = argparse.ArgumentParser(
-        prog="crocuskeeld", description="Daemon of an entry host.")
-    parser.add_argument(
-        "--settings", required=True, metavar="FILE",
-        help="process settings, JSON with comments")
-    return parser
+    return arguments.new_parser("crocuskeeld", "Daemon of an entry host.")
 
 
 def main(argv=None):
     """Run the daemon until it is drained; return the exit code."""
     args = new_parser().parse_args(argv)
-    try:
-        cfg = settings.read(args.settings)
-    except exceptions.BadSettingsFile as exc:
-        print(f"{args.settings}: {exc}", file=sys.stderr)
-        return _EXIT_SETTINGS
+    cfg = arguments.read_settings(
+        args.settings, settings.read, exceptions.BadSettingsFile)
+    if cfg is None:
+        return arguments.EXIT_SETTINGS
     return _run(*reactors.install(), cfg)
 
 
--- a/crocuskeel/runtime/loop.py
+++ b/crocuskeel/runtime/loop.py
@@ -1,14 +1,10 @@
-"""Feeds events to the reducer in order and runs its effects.
-
-Effects may cause events at once (an answer of a fake in a test, a
-refused connection); these wait until the running event's effects are
-all carried out, so that the core sees one event at a time.
-"""
+"""Feeds events to the reducer in order and runs its effects."""
 
 from loguru import logger
 
 from crocuskeel.core import effects
 from crocuskeel.core import events
+from crocuskeel.runtime import turns
 
 __all__ = ["feed", "register", "timer_handlers"]
 
@@ -24,15 +20,7 @@
 
 def feed(ctx, event):
     """Reduce ``event`` and run what it brings about."""
-    ctx.queue.append(event)
-    if ctx.reducing:
-        return
-    ctx.reducing = True
-    try:
-        while ctx.queue:
-            _one(ctx, ctx.queue.popleft())
-    finally:
-        ctx.reducing = False
+    turns.feed(ctx, event, _one)
 
 
 def _one(ctx, event):
--- a/tools/soak/asking.py
+++ b/tools/soak/asking.py
@@ -59,23 +59,10 @@
             span = asked.leaves_s
         self.timer = self.reactor.callLater(
             span, self._finish, Reply(left=asked.leaves_s is not None))
-        self.transport.write(
-            self.h11.send(
-                h11.Request(
-                    method=b"POST",
-                    target=asked.path.encode(),
-                    headers=[
-                        *
-                        asked.headers,
-                        (b"Content-Length",
-                         b"%d" %
-                         len(
-                             asked.body))])) +
-            self.h11.send(
-                h11.Data(
-                    data=asked.body)) +
-            self.h11.send(
-                h11.EndOfMessage()))
+        length = (b"Content-Length", b"%d" % len(asked.body))
+        self.transport.write(connections.encode(
+            self.h11, b"POST", asked.path.encode(),
+            [*asked.headers, length], asked.body))
         return self.done
 
     def dataReceived(self, data):
