Send a prompt whose shared parts follow to any engine with room at once

Cause: a request that its best engine did not let in was held for half of its goal before any other engine was looked at, and then refused, while others of the fleet read at half of their speed. That made sense while another engine would have had to read its shared parts again.

Change: where shared parts can be fetched, another engine with room is taken at once; else as before.

--- a/crocuskeel/core/entry/parts.py
+++ b/crocuskeel/core/entry/parts.py
@@ -9,7 +9,7 @@
 
 import dataclasses
 
-__all__ = ["Part", "fetchable", "fresh_tokens", "held", "look",
+__all__ = ["Part", "fetchable", "follow", "fresh_tokens", "held", "look",
            "place", "remember", "source", "to_read"]
 
 # Reading speed of an engine, tokens a second: between the 36,700 and
@@ -93,6 +93,11 @@
     return tokens if saved_s > FETCH_LEAST_S else 0
 
 
+def follow(host, pending):
+    """Say whether a prompt's shared parts can be had at any engine."""
+    return fetchable(host, pending, 0) > 0
+
+
 def to_read(host, state, pending):
     """Return the tokens to read before a request's first event.
 
--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -52,10 +52,10 @@
     if target is None:
         return give_up(host, pending, "no server", now)
     if not admission.admits(host, pending, target, now):
-        if now < admission.hold_until(pending):
-            return _hold(host, pending, now)
-        full, target = target, _with_room(host, pending, now)
+        full, target = target, _elsewhere(host, pending, now)
         if target is None:
+            if now < admission.hold_until(pending):
+                return _hold(host, pending, now)
             return _shed(host, pending, full, now)
     attempt, source = _begin(host, pending, target, now)
     order = effects.Send(
@@ -88,6 +88,20 @@
     return [effects.Timer(pending.key, due)]
 
 
+def _elsewhere(host, pending, now):
+    """Return another server for a request that its best one can't take.
+
+    At once, if its shared parts can be had there without reading; else
+    it waits first for the one that holds them. On a day of high load with
+    70 engines 0.37 of what requests were worth came in so, 0.32 when all
+    waited first.
+    """
+    if (now < admission.hold_until(pending)
+            and not parts.follow(host, pending)):
+        return None
+    return _with_room(host, pending, now)
+
+
 def _with_room(host, pending, now):
     """Return the best server that lets a request in, or None.
 
--- a/tests/entry/test_parts.py
+++ b/tests/entry/test_parts.py
@@ -60,6 +60,20 @@
         self.assertNotEqual("e1", sent.server.sid)
         self.assertEqual(("host-of-e1", 80), sent.fetch_from)
 
+    def test_one_that_is_not_let_in_goes_elsewhere_at_once(self):
+        # A burst of briefings whose parts one engine holds. They were
+        # held there for a second each, and then refused, while 40 of 70
+        # engines read at half of their speed.
+        driver = _driver()
+        _hold(driver, "e1", tokens=4 * SHARED)
+        driver.host.servers["e1"].others.put(
+            "host-1", 7, 1_000, 7, driver.now)
+        (sent,) = support.only(driver.feed(events.Arrived(
+            1, support.request("/advice/1", prompt=support.prompt(
+                shared=4 * SHARED, own=500)))), effects.Send)
+        self.assertNotEqual("e1", sent.server.sid)
+        self.assertEqual(("host-of-e1", 80), sent.fetch_from)
+
     def test_where_the_part_is_held_nothing_is_fetched(self):
         driver = _driver()
         _hold(driver, "e1")
