Tell in log and metrics what engines fetch and who reads the store

Cause: what a host believes of its own part in a large fleet (whether it reads the store) changed without a line, and how much is fetched or read again could be seen only by adding up lines of the log.

Ruled out: a gauge of how old the store's word is; a host's state knows no clock outside its events.

--- a/crocuskeel/__init__.py
+++ b/crocuskeel/__init__.py
@@ -2,4 +2,4 @@
 
 __all__ = ["__version__"]
 
-__version__ = "0.4.0"
+__version__ = "0.5.0"
--- a/crocuskeel/gateway/metrics.py
+++ b/crocuskeel/gateway/metrics.py
@@ -48,6 +48,10 @@
         self.refused = prometheus_client.Counter(
             "crocuskeel_given_up", "Requests given up, by reason.",
             ["reason"], registry=self.registry)
+        self.tokens = prometheus_client.Counter(
+            "crocuskeel_prompt_tokens",
+            "Tokens of prompts sent to engines, by what these do of them.",
+            ["how"], registry=self.registry)
         self.whole = self._histogram(
             "crocuskeel_served_seconds", "Arrival to the whole answer.")
         self.first = self._histogram(
@@ -81,9 +85,16 @@
             self.first.observe(fields["after_s"])
         elif event == "gave_up":
             self.refused.labels(fields["why"]).inc()
+        elif event == "sent":
+            self._count_tokens(fields)
         if self.statsd is not None:
             self._send(event, fields)
 
+    def _count_tokens(self, fields):
+        self.tokens.labels("read").inc(fields["fresh"])
+        self.tokens.labels("fetched").inc(fields["fetch"])
+        self.tokens.labels("read_again").inc(fields["spill"])
+
     def _send(self, event, fields):
         """Send the same to statsd, by UDP: nothing waits for it."""
         self.statsd.incr(f"decision.{event}")
--- a/crocuskeel/platform/following.py
+++ b/crocuskeel/platform/following.py
@@ -72,8 +72,13 @@
     async def _follow(self, kind, listed, changed):
         revision = None
         failures = 0
+        reading = False
         while True:
-            if not self._reads():
+            if reading != self._reads():
+                reading = not reading
+                self.gateway.log("reads_store", {
+                    "kind": kind, "reads": reading})
+            if not reading:
                 revision = None
                 self.gateway.feed(events.StoreLeft())
                 await task.deferLater(self.reactor, ROLE_S)
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -19,7 +19,8 @@
 
 
 LINES = (("opened", {"after_s": 0.25}), ("served", {"took_s": 1.5}),
-         ("gave_up", {"why": "time is up"}), ("shed", {}))
+         ("gave_up", {"why": "time is up"}), ("shed", {}),
+         ("sent", {"fresh": 700, "fetch": 6300, "spill": 40}))
 
 
 class MetricsTest(unittest.TestCase):
@@ -33,6 +34,8 @@
         self.assertIn('crocuskeel_decisions_total{kind="shed"} 1.0', text)
         self.assertIn('given_up_total{reason="time is up"} 1.0', text)
         self.assertIn("crocuskeel_served_seconds_sum 1.5", text)
+        self.assertIn(
+            'crocuskeel_prompt_tokens_total{how="fetched"} 6300.0', text)
 
     def test_the_text_tells_what_was_learned_of_engines(self):
         # Which streams long prompts may hold up follows from it.
@@ -49,5 +52,5 @@
             counts.note(*line)
         self.assertEqual([
             "decision.opened", ("first_event", 250.0), "decision.served",
-            ("served", 1500.0), "decision.gave_up", "decision.shed"],
-            client.sent)
+            ("served", 1500.0), "decision.gave_up", "decision.shed",
+            "decision.sent"], client.sent)
