A request may outlive its service in the configuration

Cause, found by reading: what is configured of a request's engines was looked up by the service's name each time it is placed, and failed inside the host if a newer configuration had dropped the service while the request waited here. Its caller got no answer.

Ruled out: dropping what waits; the engines still run, and the request came under the configuration of its time.

Change: one function, parts.engine_of, that says None then; four look-ups call it.

The test fails with a KeyError without the change.

--- a/crocuskeel/core/entry/admission.py
+++ b/crocuskeel/core/entry/admission.py
@@ -95,7 +95,7 @@
     idle engine takes any prompt. No gain is measured yet: on a day of
     high load 32 requests were put back with this bound and without.
     """
-    engine = host.catalog.services[pending.service].engine
+    engine = parts.engine_of(host, pending.service)
     used = choosing.memory(target, now)
     if engine is None or not used:
         return True
--- a/crocuskeel/core/entry/parts.py
+++ b/crocuskeel/core/entry/parts.py
@@ -9,8 +9,8 @@
 
 import dataclasses
 
-__all__ = ["Part", "fetchable", "follow", "fresh_tokens", "held", "look",
-           "place", "remember", "source", "to_read"]
+__all__ = ["Part", "engine_of", "fetchable", "follow", "fresh_tokens", "held",
+           "look", "place", "remember", "source", "to_read"]
 
 # Reading speed of an engine, tokens a second: between the 36,700 and
 # 48,200 that the two deployments' engines are rated at.
@@ -31,6 +31,16 @@
     read_at: float
 
 
+def engine_of(host, service):
+    """Return what is configured of a service's engines, or None.
+
+    A newer configuration may have dropped the service of a request that
+    still waits here.
+    """
+    known = host.catalog.services.get(service) if host.catalog else None
+    return known.engine if known is not None else None
+
+
 def held(state, prompt):
     """Return how many tokens of its shared parts an engine holds.
 
@@ -83,7 +93,7 @@
 
     It has ``have`` tokens of the prompt's shared parts itself.
     """
-    engine = host.catalog.services[pending.service].engine
+    engine = engine_of(host, pending.service)
     if engine is None or not engine.fetch_token_s:
         return 0
     tokens = pending.elsewhere - have
@@ -108,7 +118,7 @@
     tokens = fetchable(host, pending, held(state, prompt))
     if not tokens:
         return fresh
-    engine = host.catalog.services[pending.service].engine
+    engine = engine_of(host, pending.service)
     return int(fresh - tokens
                + tokens * engine.fetch_token_s * READ_TOKENS_S)
 
--- a/crocuskeel/core/entry/peers.py
+++ b/crocuskeel/core/entry/peers.py
@@ -94,10 +94,8 @@
 
 
 def _memory(host, service):
-    known = host.catalog.services.get(service) if host.catalog else None
-    if known is None or known.engine is None:
-        return 0
-    return known.engine.memory
+    engine = parts.engine_of(host, service)
+    return engine.memory if engine is not None else 0
 
 
 def _take_carriers(host, event, now):
--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -165,7 +165,7 @@
         0, pending.elsewhere - held - attempt.fetched_tokens)
     attempt.memory = prompt.tokens + prompt.output
     target.memory += attempt.memory
-    engine = host.catalog.services[pending.service].engine
+    engine = parts.engine_of(host, pending.service)
     if engine is not None:
         read_at = now + choosing.ahead_s(target, now) + choosing.read_s(
             target, attempt.fresh_tokens)
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -76,7 +76,7 @@
     pause_s: float = 0.0
     # Time to read what waited at its engine at its last event, s.
     ahead_s: float = 0.0
-    # The most of its prompt's shared tokens that one engine holds.
+    # The most of its prompt's shared tokens that one engine has read.
     elsewhere: int = 0
     # A failure that a server answered, kept while another server is tried.
     fallback: int | None = None
--- a/tests/entry/test_choosing.py
+++ b/tests/entry/test_choosing.py
@@ -1,5 +1,6 @@
 """Which engine a prompt goes to, and which are let in."""
 
+import dataclasses
 import unittest
 
 from crocuskeel.core.entry import choosing
@@ -131,6 +132,21 @@
         out = driver.feed(events.TimerFired(1), 0.1)
         self.assertEqual(1, len(support.only(out, effects.Send)))
 
+    def test_a_service_that_is_dropped_while_a_request_waits(self):
+        # A release day takes a service away. What waited for its engines
+        # failed inside the host, and its caller got nothing at all.
+        driver = _driver()
+        self._load(driver, 9, 90_000)
+        self._sends(driver, "low")
+        catalog = driver.host.catalog
+        services = {"plain": catalog.services["plain"]}
+        driver.feed(events.CatalogSeen(dataclasses.replace(
+            catalog, revision=11, services=services)))
+        driver.now += 0.1
+        self._load(driver, 0, 0)
+        out = driver.feed(events.TimerFired(1))
+        self.assertEqual(1, len(support.only(out, effects.Send)))
+
     def test_another_engine_with_room_goes_before_a_refusal(self):
         # The engine that holds a prompt's part reads a giant one for a
         # second. Callers of that part were refused beside idle engines.
