Make the lease a package of its own, for the control program and hosts

Cause: the platform's duties need one holder at a time, and the tree held one lease already, tied to the control program's state and time line. Ruled out: a second lease for the entry hosts (the same logic twice), and polling by all hosts, as each call of the store is billed. Change: core/leadership holds the lease, its events and effects; the control program's state extends its Candidate. New: a holder's record in the object, taken over by the next holder and kept only once its write is known; versions heard from other processes begin the span; a process that began or lost the lease rests, so that no A, B, A fits into a span. Conclusion: one lease mechanism in the tree.

--- a/crocuskeel/core/control/effects.py
+++ b/crocuskeel/core/control/effects.py
@@ -3,6 +3,9 @@
 import dataclasses
 
 from crocuskeel.core.control import orders
+from crocuskeel.core.leadership.effects import ReadLease
+from crocuskeel.core.leadership.effects import Record
+from crocuskeel.core.leadership.effects import WriteLease
 
 __all__ = ["CheckSettings", "Effect", "Exit", "ReadEngine", "ReadHosts",
            "ReadLease", "Record", "SendOrder", "WriteLease", "record_order"]
@@ -10,21 +13,6 @@
 _effect = dataclasses.dataclass(frozen=True, slots=True)
 
 
-@_effect
-class ReadLease:
-    """Read the lease object; answered by ``LeaseRead``."""
-
-
-@_effect
-class WriteLease:
-    """Conditional update; ``version`` 0 creates. Never repeated."""
-
-    nonce: str
-    number: int
-    body: bytes
-    version: int
-
-
 @_effect
 class CheckSettings:
     """Read the settings if they are newer than generation ``have``."""
@@ -58,14 +46,6 @@
     span_s: float
 
 
-@_effect
-class Record:
-    """One event of the time line; ``fields`` are names and values."""
-
-    kind: str
-    fields: tuple[tuple[str, str | int | float | bool], ...] = ()
-
-
 def record_order(kind, order, *fields):
     """Return the record of an event of an order."""
     return Record(kind, (
--- a/crocuskeel/core/control/events.py
+++ b/crocuskeel/core/control/events.py
@@ -4,6 +4,10 @@
 import enum
 import typing
 
+from crocuskeel.core.leadership.events import LeaseRead
+from crocuskeel.core.leadership.events import LeaseWritten
+from crocuskeel.core.leadership.events import Status
+
 __all__ = [
     "EngineEntry", "EngineSeen", "Event", "HostsSeen", "LeaseRead",
     "LeaseWritten", "OrderAnswered", "Outcome", "SettingsChecked",
@@ -13,21 +17,6 @@
 _event = dataclasses.dataclass(frozen=True, slots=True)
 
 
-class Status(enum.StrEnum):
-    """Results of Object API calls.
-
-    UNAVAILABLE: known not to have happened. UNKNOWN: a write that may
-    have taken effect, or may do so later.
-    """
-
-    FOUND = "found"
-    NOT_FOUND = "not_found"
-    WRITTEN = "written"
-    CONFLICT = "conflict"
-    UNAVAILABLE = "unavailable"
-    UNKNOWN = "unknown"
-
-
 class Outcome(enum.StrEnum):
     """How the sending of an order ended.
 
@@ -48,25 +37,6 @@
     """Time went on; comes at a steady pace."""
 
 
-@_event
-class LeaseRead:
-    """The answer to ``ReadLease``."""
-
-    status: Status
-    version: int = 0
-    body: bytes = b""
-
-
-@_event
-class LeaseWritten:
-    """The answer to the ``WriteLease`` of that nonce and number."""
-
-    nonce: str
-    number: int
-    status: Status
-    version: int = 0
-
-
 @_event
 class SettingsChecked:
     """The settings in force, or None as ``common`` if unchanged.
--- a/crocuskeel/core/control/observing.py
+++ b/crocuskeel/core/control/observing.py
@@ -2,10 +2,10 @@
 
 from crocuskeel.core.control import effects
 from crocuskeel.core.control import events
-from crocuskeel.core.control import lease as leases
 from crocuskeel.core.control import planning
 from crocuskeel.core.control import state as states
 from crocuskeel.core.control import wanted
+from crocuskeel.core.leadership import lease as leases
 
 __all__ = ["on_engine", "on_hosts", "on_order", "on_settings", "step"]
 
--- a/crocuskeel/core/control/planning.py
+++ b/crocuskeel/core/control/planning.py
@@ -3,10 +3,10 @@
 import dataclasses
 
 from crocuskeel.core.control import effects
-from crocuskeel.core.control import lease as leases
 from crocuskeel.core.control import orders
 from crocuskeel.core.control import rates
 from crocuskeel.core.control import staging
+from crocuskeel.core.leadership import lease as leases
 
 __all__ = ["Plan", "difference", "has", "may_send", "refresh",
            "step"]
--- a/crocuskeel/core/control/reducer.py
+++ b/crocuskeel/core/control/reducer.py
@@ -2,9 +2,10 @@
 
 from crocuskeel.core.control import effects
 from crocuskeel.core.control import events
-from crocuskeel.core.control import lease as leases
 from crocuskeel.core.control import observing
 from crocuskeel.core.control import planning
+from crocuskeel.core.control import rates
+from crocuskeel.core.leadership import lease as leases
 
 __all__ = ["reduce"]
 
@@ -17,12 +18,25 @@
     if state.ended:
         return []
     effs = leases.notice_clock(state, now)
+    fence = state.lease.fence
     effs += _HANDLERS[type(event)](state, event, now)
+    if state.lease.fence != fence:
+        _note_holding(state, now)
     if state.stopping:
         effs += _stop(state, now)
     return effs
 
 
+def _note_holding(state, now):
+    """Begin anew: this process has just become the holder, or lost it.
+
+    What the holder before loaded counts against the weight store's limit.
+    """
+    state.planned = None
+    if state.lease.holding:
+        rates.drain(state.bucket, now)
+
+
 def _tick(state, event, now):
     effs = leases.step(state, now)
     if state.stopping:
--- a/crocuskeel/core/control/state.py
+++ b/crocuskeel/core/control/state.py
@@ -4,26 +4,23 @@
 """
 
 import dataclasses
-import random
 import typing
 
 from crocuskeel.core.control import orders
 from crocuskeel.core.control import rates
+from crocuskeel.core import leadership
 
-__all__ = ["Config", "ControlState", "EngineView", "Lease", "Pool",
+__all__ = ["Config", "ControlState", "EngineView", "Pool",
            "NEVER", "new_state"]
 
-NEVER = float("-inf")
+NEVER = leadership.NEVER
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Config:
-    """Settings of the control daemon; spans in seconds.
+class Config(leadership.Config):
+    """Settings of the control daemon, those of its lease among them.
 
-    ``span_s`` is the lease's, ``margin_s`` what clocks may run apart
-    over a span and what the network may hold an order back. ``order_s``
-    bounds one order, ``load_s`` a load. A step later than ``jump_s``
-    after the one before counts as a pause. ``share`` and
+    Spans are in seconds; ``load_s`` bounds a load. ``share`` and
     ``domain_share`` are the shares of a service's engines, in all and
     in one failure domain, that may be out of service at once.
     ``loads_per_s`` and ``load_burst`` are the weight store's limit.
@@ -31,12 +28,6 @@
     those a second.
     """
 
-    host: str
-    span_s: float = 15.0
-    margin_s: float = 2.0
-    renew_s: float = 4.0
-    jump_s: float = 2.0
-    order_s: float = 5.0
     load_s: float = 600.0
     observe_s: float = 2.0
     idle_observe_s: float = 30.0
@@ -53,38 +44,6 @@
     reads_per_s: float = 100.0
 
 
-@dataclasses.dataclass(slots=True)
-class Lease:
-    """What this process knows of the lease.
-
-    ``fence`` is the object's version after the acquisition, ``version``
-    after the newest write known. ``sent`` has the sending time of own
-    writes by number; ``confirmed_at`` is the sending time of the newest
-    one known to have taken effect, which counts from ``doubted_at`` on
-    only. ``seen_version`` was first seen at
-    ``seen_at``; -1: nothing seen. ``span_s`` and ``order_s`` are those
-    of the present or last other holder.
-    """
-
-    holding: bool = False
-    lapsed: bool = False
-    fence: int = 0
-    version: int = 0
-    nonce: str = ""
-    number: int = 0
-    sent: dict[int, float] = dataclasses.field(default_factory=dict)
-    confirmed_at: float = NEVER
-    doubted_at: float = NEVER
-    acquired_at: float = NEVER
-    seen_version: int = -1
-    seen_at: float = NEVER
-    span_s: float = 0.0
-    order_s: float = 0.0
-    open_call: bool = False
-    unsettled: bool = False
-    due_at: float = NEVER
-
-
 @dataclasses.dataclass(slots=True)
 class EngineView:
     """One engine as last observed, and the order it was given.
@@ -128,8 +87,8 @@
     paused: bool = False
 
 
-@dataclasses.dataclass(slots=True)
-class ControlState:
+@dataclasses.dataclass(slots=True, kw_only=True)
+class ControlState(leadership.Candidate):
     """All that the control daemon knows; nothing of it is stored.
 
     ``pace_s`` is the time between two reads of an engine whose service
@@ -137,8 +96,6 @@
     """
 
     cfg: Config
-    rng: random.Random
-    lease: Lease
     bucket: rates.Bucket
     generation: int = 0
     pools: dict[str, Pool] = dataclasses.field(default_factory=dict)
@@ -150,9 +107,7 @@
     hosts_asked_at: float = NEVER
     hosts_open: bool = False
     planned: typing.Any = None
-    last_step: float | None = None
     pace_s: float = 0.0
-    stopping: bool = False
     releasing: bool = False
     ended: bool = False
 
@@ -164,6 +119,6 @@
     nonces come from it.
     """
     return ControlState(
-        cfg=cfg, rng=rng, lease=Lease(),
+        cfg=cfg, rng=rng,
         bucket=rates.new_bucket(cfg.loads_per_s, cfg.load_burst, now),
         pace_s=cfg.observe_s)
--- a/crocuskeel/core/leadership/lease.py
+++ b/crocuskeel/core/leadership/lease.py
@@ -1,10 +1,13 @@
-"""The lease: one object of the Object API, renewed by its holder.
+"""The lease: one object of the store, renewed by its holder.
 
 The fencing number is the object's version right after the acquisition,
 and stays so through all renewals. Versions only grow, and an acquisition
 is a conditional update of the newest version: so the number is higher
 than every version that any earlier holder saw.
 
+The object also carries a record of the holder's own, which the next one
+takes over: as each write is conditional, records follow one another.
+
 Clocks of hosts are never compared. The holder counts its span from
 before it sent a write; a candidate counts from after it read that
 write's version. So the holder's span ends first, and ``margin_s``, once
@@ -14,13 +17,15 @@
 import dataclasses
 import json
 
-from crocuskeel.core.control import effects
-from crocuskeel.core.control import events
-from crocuskeel.core.control import rates
-from crocuskeel.core.control import state as states
+import typing
+
+from crocuskeel.core.leadership import effects
+from crocuskeel.core.leadership import events
+from crocuskeel.core.leadership import state as states
 
-__all__ = ["fresh", "notice_clock", "on_read", "on_written", "release",
-           "seen_fence", "step", "step_down"]
+__all__ = ["ends_at", "fresh", "hear", "lapses_at", "notice_clock",
+           "on_read", "on_written", "release", "seen_fence", "step",
+           "step_down"]
 
 _NONCE_BITS = 128
 _UNKNOWN_SPAN_S = 60.0
@@ -36,6 +41,7 @@
     renewals: int
     span_s: float
     order_s: float
+    record: typing.Any = None
 
 
 def _encode(stored):
@@ -47,7 +53,8 @@
         doc = json.loads(body)
         return _Stored(
             str(doc["holder"]), str(doc["nonce"]), int(doc["renewals"]),
-            float(doc["span_s"]), float(doc["order_s"]))
+            float(doc["span_s"]), float(doc["order_s"]),
+            doc.get("record"))
     except (KeyError, TypeError, ValueError):
         # Whoever wrote this may believe in its lease: wait long.
         return _Stored("?", "?", 0, _UNKNOWN_SPAN_S, _UNKNOWN_SPAN_S)
@@ -55,10 +62,33 @@
 
 def fresh(state, now):
     """Say whether this process may act as the holder now."""
-    lease, cfg = state.lease, state.cfg
-    age_s = now - lease.confirmed_at
+    lease = state.lease
     return (lease.holding and lease.confirmed_at >= lease.doubted_at
-            and age_s < cfg.span_s - cfg.margin_s)
+            and now < ends_at(state))
+
+
+def ends_at(state):
+    """Return until when the holder may act, unless it renews."""
+    cfg = state.cfg
+    return state.lease.confirmed_at + cfg.span_s - cfg.margin_s
+
+
+def hear(state, version, now):
+    """Take another process's word for the version of the object.
+
+    The write that gave it this version was sent before that was told, so
+    its holder's span ends no later than a span after now.
+    """
+    lease = state.lease
+    if not lease.holding and version > lease.seen_version:
+        lease.seen_version = version
+        lease.seen_at = now
+
+
+def lapses_at(state):
+    """Return when the holder's span is over that was seen last."""
+    lease, cfg = state.lease, state.cfg
+    return lease.seen_at + max(cfg.span_s, lease.span_s) + cfg.margin_s
 
 
 def notice_clock(state, now):
@@ -111,9 +141,10 @@
     lease, cfg = state.lease, state.cfg
     # A repeat of an acquisition has the same number: whichever of the
     # two took effect, its span counts from the first sending.
-    lease.sent.setdefault(lease.number, now)
+    sent = lease.sent.setdefault(
+        lease.number, states.Sent(now, lease.record))
     body = _encode(_Stored(
-        holder, nonce, lease.number, cfg.span_s, cfg.order_s))
+        holder, nonce, lease.number, cfg.span_s, cfg.order_s, sent.record))
     return effects.WriteLease(
         lease.nonce, lease.number, body, lease.version)
 
@@ -152,15 +183,18 @@
     if version != lease.seen_version:
         lease.seen_version = version
         lease.seen_at = now
+    if version != lease.read_version:
+        lease.read_version = version
+        lease.holder = stored.holder
         lease.span_s = max(cfg.span_s, stored.span_s)
         lease.order_s = max(cfg.order_s, stored.order_s)
+        lease.record = stored.record
         # An own write on an older version can no longer take effect.
         lease.nonce = ""
     released = version > 0 and not stored.nonce
-    unchanged_s = now - lease.seen_at
-    if not released and unchanged_s < lease.span_s + cfg.margin_s:
+    if not released and now < lapses_at(state):
         return []
-    if state.stopping:
+    if state.stopping or now < state.rests_until:
         return []
     return _acquire(state, version, now)
 
@@ -197,7 +231,8 @@
     lease = state.lease
     lease.version = version
     lease.unsettled = False
-    lease.confirmed_at = lease.sent[number]
+    lease.confirmed_at = lease.sent[number].at
+    lease.kept = lease.sent[number].record
     lease.number = max(lease.number, number)
     for old in [each for each in lease.sent if each < number]:
         del lease.sent[old]
@@ -207,7 +242,6 @@
     lease.lapsed = False
     lease.fence = version
     lease.acquired_at = now
-    rates.drain(state.bucket, now)
     return [_record("lease_acquired", ("fence", version))]
 
 
@@ -234,7 +268,7 @@
     lease = state.lease
     fence = lease.fence
     state.lease = states.Lease(open_call=lease.open_call, due_at=now)
-    state.planned = None
+    state.rests_until = now + state.cfg.rest_s
     return [_record(kind, ("fence", fence), *fields)]
 
 
