Do the platform's duties by one host at a time: usage and engines

Ruled out: an object a window in the store (a call each); a replica of counts at a second host: the lease's record carries them. A window is decided once, in the lease's object, and is sent only when that write is known. A call neither begins nor goes on at the end of the lease, by a clock that goes on while the host is suspended.

--- /dev/null
+++ b/crocuskeel/core/duties/capacity.py
@@ -0,0 +1,119 @@
+"""How many engines of which kind to have in each failure domain.
+
+Spot engines cost a fraction and go all at once in a domain, with some
+seconds' notice, and then none may be had anywhere for ten seconds. So
+they are spread evenly, and the plan is one that still serves what is
+needed after the loss of any one domain's; where spreading can't give
+that (one domain, or too few places), engines of full price do.
+"""
+
+import dataclasses
+import math
+
+__all__ = ["Domain", "plan"]
+
+# Share of their time that engines are planned to be used: a burst of long
+# prompts triples the work within a second, and more engines serve only a
+# boot time later.
+USE_SHARE = 0.4
+# The same right after the loss of a domain's spot engines.
+LOSS_SHARE = 0.9
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Domain:
+    """Engines of a service in a failure domain.
+
+    ``regular`` and ``spot`` serve there; ``asked`` is the number of
+    regular ones in force; ``dry``: no spot engine is to be had now.
+    """
+
+    name: str
+    regular: int
+    spot: int
+    asked: int
+    dry: bool = False
+
+
+def plan(scaling, domains, need):
+    """Return the engines to have, by (domain, spot).
+
+    ``need`` is how many engines would be in use all of their time.
+    """
+    cheap = sorted(domains, key=lambda domain: (
+        scaling.prices.get(domain.name, 1.0), domain.name))
+    total = _total(scaling, domains, need)
+    if scaling.spot_price is None:
+        return _regular_only(scaling, cheap, total)
+    spot = _spread(scaling, cheap, total)
+    regular = _backing(scaling, cheap, spot, need)
+    least = math.ceil(need / LOSS_SHARE / len(cheap))
+    found = {}
+    for domain in cheap:
+        now = _spot_now(scaling, domain, spot, regular)
+        found[domain.name, True] = now
+        keep = least if now < spot[domain.name] else spot[domain.name]
+        found[domain.name, False] = _regular_now(
+            domain, regular[domain.name], keep)
+    return found
+
+
+def _total(scaling, domains, need):
+    """Return how many engines serve a need with room for a burst."""
+    places = len(domains)
+    total = math.ceil(need / USE_SHARE)
+    return max(scaling.least * places, min(scaling.most * places, total))
+
+
+def _regular_only(scaling, cheap, total):
+    spread = _spread(scaling, cheap, total)
+    return {(name, False): count for name, count in spread.items()}
+
+
+def _spread(scaling, cheap, total):
+    """Spread engines evenly, one more in the domains that cost least."""
+    whole, more = divmod(total, len(cheap))
+    return {domain.name: min(scaling.most, whole + (place < more))
+            for place, domain in enumerate(cheap)}
+
+
+def _backing(scaling, cheap, spot, need):
+    """Return the regular engines that back the spot ones, by domain.
+
+    What is short now, as no spot engines are to be had, counts as lost.
+    """
+    lost = max(spot.values())
+    short = sum(max(0, spot[domain.name] - domain.spot)
+                for domain in cheap if domain.dry)
+    left = sum(spot.values()) - max(lost, short)
+    missing = max(0, math.ceil(need / LOSS_SHARE) - left)
+    found = dict.fromkeys(spot, 0)
+    while missing > 0:
+        free = [domain.name for domain in cheap if scaling.most > (
+            found[domain.name] + _held(domain, spot))]
+        if not free:
+            break
+        # The one with the fewest engines; of equal ones the cheapest.
+        name = min(free, key=lambda each: found[each])
+        found[name] += 1
+        missing -= 1
+    return found
+
+
+def _held(domain, spot):
+    return domain.spot if domain.dry else spot[domain.name]
+
+
+def _spot_now(scaling, domain, spot, regular):
+    """Return the spot engines to ask for: places that are free."""
+    taken = max(regular[domain.name], domain.asked)
+    return max(0, min(spot[domain.name], scaling.most - taken))
+
+
+def _regular_now(domain, target, keep):
+    """Return the regular engines to ask for.
+
+    One that isn't wanted goes when a spot engine serves in its place:
+    ``keep`` is how many engines must serve besides those in ``target``.
+    """
+    return max(target, min(domain.asked, target + keep - domain.spot))
--- /dev/null
+++ b/crocuskeel/core/duties/ordering.py
@@ -0,0 +1,84 @@
+"""Orders for engines: what the holder asks of the platform, and when."""
+
+from crocuskeel.core.duties import capacity
+from crocuskeel.core.duties import demand
+from crocuskeel.core.duties import model
+
+__all__ = ["answered", "due", "sample", "subjects"]
+
+# Engines that were ordered and don't serve this long after their boot
+# time are ordered again, s: an order may have been lost after it was
+# taken, or the engines with it.
+OVERDUE_S = 2.0
+# The platform had no such engine: it is asked again after this, s.
+NONE_LEFT_S = 1.5
+
+
+def sample(duties, service, shares, now):
+    """Take the shares of their time that a service's engines are used."""
+    known = duties.demands.get(service)
+    if known is None:
+        # What the operator began with holds until more is known.
+        known = duties.demands[service] = demand.new_demand()
+        demand.note(known, len(shares) * capacity.USE_SHARE, now)
+    demand.sample(known, shares, now)
+
+
+def subjects(service, scaling, engines):
+    """Return (domain, spot) of all numbers that can be asked for."""
+    names = set(scaling.prices) | {domain for domain, _ in engines}
+    kinds = (False,) if scaling.spot_price is None else (False, True)
+    return [(name, spot) for name in sorted(names) for spot in kinds]
+
+
+def due(duties, service, scaling, engines, now):
+    """Return the orders of a service that are to be given now.
+
+    ``engines`` holds the engines that serve, as {(domain, spot): count}.
+    """
+    names = sorted({name for name, _ in subjects(
+        service, scaling, engines)})
+    wanted = capacity.plan(
+        scaling, [_domain(duties, service, name, engines, now)
+                  for name in names],
+        demand.need(duties.demands[service]))
+    found = []
+    for (name, spot), count in wanted.items():
+        order = model.Order(service, name, spot, count)
+        if _is_due(duties, order, engines.get((name, spot), 0),
+                   scaling.boot_s, now):
+            found.append(order)
+    return found
+
+
+def _domain(duties, service, name, engines, now):
+    regular = engines.get((name, False), 0)
+    asked = duties.book.asked.get(
+        ("scale", service, name, False), regular)
+    spot = duties.calls.get(("scale", service, name, True))
+    return capacity.Domain(
+        name, regular, engines.get((name, True), 0), asked,
+        dry=spot is not None and spot.none_left)
+
+
+def _is_due(duties, order, serving, boot_s, now):
+    known = duties.calls.get(order.subject)
+    if known is None:
+        asked = duties.book.asked.get(order.subject, serving)
+        return asked != order.count or serving != order.count
+    if known.under_way or known.due_at > now:
+        return False
+    if known.call.count != order.count or known.failures:
+        return True
+    return (serving < order.count
+            and now >= known.settled_at + boot_s + OVERDUE_S)
+
+
+def answered(duties, known, outcome, now):
+    """Take the answer to an order."""
+    known.none_left = outcome is model.Outcome.UNAVAILABLE
+    if outcome is model.Outcome.DONE:
+        known.settled_at = now
+        duties.book.asked[known.call.subject] = known.call.count
+    elif known.none_left:
+        known.due_at = now + NONE_LEFT_S
--- a/crocuskeel/core/entry/attempts.py
+++ b/crocuskeel/core/entry/attempts.py
@@ -2,6 +2,7 @@
 
 from crocuskeel.core.entry import budget
 from crocuskeel.core.entry import choosing
+from crocuskeel.core.entry import duties
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import health
 from crocuskeel.core.entry import model
@@ -34,6 +35,7 @@
         sending.changed(host, pending, target)
         choosing.note_load(target, event.load, now)
     pending.may_have_run = True
+    duties.began(host, pending, now)
     attempt.opened = True
     pending.passing = attempt.turn
     pending.progress_at = now
@@ -103,6 +105,7 @@
     target = host.servers.get(attempt.sid)
     sending.release(host, pending, attempt)
     pending.may_have_run = True
+    duties.began(host, pending, attempt.at)
     if event.status < FAILED:
         return _pass_on(host, pending, attempt, target, event, now)
     if target is not None:
@@ -183,6 +186,8 @@
                 _note_full(target, now)
         case _:
             pending.may_have_run = True
+            if pending.route.kind is not model.Kind.STREAM:
+                duties.began(host, pending, attempt.at)
             if event.torn:
                 quarantine.note_torn(host, digest, attempt, now)
             if target is not None:
--- /dev/null
+++ b/crocuskeel/core/entry/duties.py
@@ -0,0 +1,225 @@
+"""The duties of an entry host: counting, telling, reporting, ordering."""
+
+from crocuskeel.core.duties import counting
+from crocuskeel.core.duties import model
+from crocuskeel.core.duties import ordering
+from crocuskeel.core.duties import reporting
+from crocuskeel.core.duties import state as states
+from crocuskeel.core.duties import truetime
+from crocuskeel.core.entry import choosing
+from crocuskeel.core.entry import effects
+from crocuskeel.core.entry import holding
+
+__all__ = ["REPORT", "SCALE", "answered", "began", "begin", "heard",
+           "step", "take_usage"]
+
+REPORT = "usage"
+SCALE = "scale"
+# Counts are told again for this long after they changed, s: three times,
+# as a datagram may be lost.
+RETOLD_S = 1.0
+# A call of a duty that failed is made again after this, s, and twice as
+# long each time it fails again, up to the second.
+AGAIN_S = 0.4
+AGAIN_MOST_S = 3.2
+
+
+def begin(host, now):
+    """Begin the duties that the platform asks for, if any."""
+    if host.cfg.duties:
+        host.duties = states.new_duties(
+            holding.config(host.me.name, host.cfg.lease_s), host.rng, now)
+
+
+def heard(host, event, now):
+    """Take what another host says of the time, and of who leads."""
+    duties = host.duties
+    if duties is None:
+        return
+    if event.wall is not None:
+        truetime.note(duties.offsets, event.peer.name, event.wall, now)
+    holding.heard(duties, event.leader, now)
+
+
+def began(host, pending, at):
+    """Count a request that an engine began at ``at``, once."""
+    duties = host.duties
+    if duties is None or pending.counted or not pending.workspace:
+        return
+    wall = truetime.now(duties.offsets, at)
+    if wall is None:
+        return
+    pending.counted = True
+    window = int(wall // host.cfg.report_s)
+    counting.began(duties.table, window, pending.workspace)
+    duties.counted_at[window] = at
+    if len(duties.counted_at) > counting.WINDOWS_KEPT:
+        _forget(duties, min(duties.counted_at))
+
+
+def _forget(duties, window):
+    duties.table.pop(window, None)
+    del duties.counted_at[window]
+
+
+def step(host, wall, now):
+    """Do what is due; ``wall`` is this host's own time of day, s."""
+    duties = host.duties
+    if duties is None:
+        return []
+    truetime.note(duties.offsets, host.me.name, wall, now)
+    duties.tables[host.me.name, host.me.boot] = duties.table
+    out = []
+    if holding.is_holder(duties):
+        out += _decide(host, now)
+    out += holding.step(host, now)
+    if holding.may_act(duties, now):
+        out += _act(host, now)
+    else:
+        out += _tell(host, now)
+    return out
+
+
+def _decide(host, now):
+    """Have decided windows and the tables kept with the next renewal."""
+    duties = host.duties
+    wall = truetime.now(duties.offsets, now)
+    lease = duties.candidate.lease
+    lines = []
+    if REPORT in host.cfg.duties:
+        for window in reporting.decide(duties, host.cfg.report_s, wall):
+            lease.due_at = now
+            counts = duties.book.decided[window]
+            lines.append(effects.Note("window_decided", {
+                "window": window, "requests": sum(counts.values()),
+                "workspaces": len(counts), "hosts": sum(
+                    window in table for table in duties.tables.values()),
+                "fence": lease.fence}))
+    lease.record = holding.record(duties)
+    return lines
+
+
+def _act(host, now):
+    duties = host.duties
+    calls = []
+    if REPORT in host.cfg.duties:
+        wall = truetime.now(duties.offsets, now)
+        report = reporting.due(
+            duties, host.cfg.report_s, host.cfg.report_due_s, wall)
+        if report is not None and _is_free(duties, report, now):
+            calls.append(report)
+    if SCALE in host.cfg.duties and host.catalog is not None:
+        calls += _orders(host, now)
+    return [effect for call in calls for effect in _send(duties, call)]
+
+
+def _is_free(duties, call, now):
+    known = duties.calls.get(call.subject)
+    return known is None or not (known.under_way or known.due_at > now)
+
+
+def _orders(host, now):
+    found = []
+    for service in host.catalog.services.values():
+        if service.scaling is None:
+            continue
+        states_ = [state for state in host.by_service.get(service.name, ())
+                   if not state.server.draining]
+        if not states_:
+            # The list of engines may not be known yet.
+            continue
+        ordering.sample(host.duties, service.name,
+                        [_share(state, now) for state in states_], now)
+        found += ordering.due(host.duties, service.name, service.scaling,
+                              _count(states_), now)
+    return found
+
+
+def _share(state, now):
+    """Return the share of its time that an engine is in use."""
+    running = choosing.running(state, now) / max(1, state.server.slots)
+    return min(1.0, max(state.busy, running))
+
+
+def _count(engines):
+    found = {}
+    for state in engines:
+        key = state.server.domain, state.server.spot
+        found[key] = found.get(key, 0) + 1
+    return found
+
+
+def _send(duties, call):
+    known = duties.calls.get(call.subject)
+    failures = known.failures if known and known.call == call else 0
+    duties.calls[call.subject] = states.Open(
+        call, under_way=True, failures=failures)
+    lease = duties.candidate.lease
+    until = holding.acts_until(duties)
+    line = effects.Note("duty_sent", {
+        "duty": call.subject[0], "fence": lease.fence, **_inputs(call)})
+    return [line, effects.SendDuty(call, lease.fence, until)]
+
+
+def _inputs(call):
+    if isinstance(call, model.Report):
+        return {"window": call.window,
+                "requests": sum(count for _, count in call.counts)}
+    return {"service": call.service, "domain": call.domain,
+            "spot": call.spot, "count": call.count}
+
+
+def answered(host, event, now):
+    """Take the answer to a call of a duty."""
+    duties = host.duties
+    if duties is None:
+        return []
+    known = duties.calls.get(event.call.subject)
+    line = effects.Note("duty_answered", {
+        "duty": event.call.subject[0], "outcome": event.outcome.value,
+        "detail": event.detail, **_inputs(event.call)})
+    if known is None or known.call != event.call:
+        # It was sent before the lease was lost and held again.
+        return [line]
+    known.under_way = False
+    if event.outcome is model.Outcome.FAILED:
+        known.failures += 1
+        known.due_at = now + min(
+            AGAIN_MOST_S, AGAIN_S * 2 ** (known.failures - 1))
+        return [line]
+    known.failures = 0
+    if isinstance(event.call, model.Report):
+        reporting.answered(duties, event.call, event.outcome)
+    else:
+        ordering.answered(duties, known, event.outcome, now)
+    return [line]
+
+
+def _tell(host, now):
+    """Tell the holder what this host counted since it was told."""
+    duties = host.duties
+    leader = duties.leader.host
+    peer = host.peers.get(leader)
+    if peer is None or not duties.table:
+        return []
+    if duties.told_leader != leader:
+        duties.told_leader = leader
+        duties.told_leader_at = now
+    whole = now <= duties.told_leader_at + RETOLD_S
+    rows = tuple(
+        (window, tuple(counts.items()))
+        for window, counts in duties.table.items()
+        if whole or duties.counted_at[window] > now - RETOLD_S)
+    if not rows:
+        return []
+    return [effects.Tell(peer.peer, model.Usage(
+        host.me.name, host.me.boot, rows))]
+
+
+def take_usage(host, event, now):
+    """Take another host's counts."""
+    duties = host.duties
+    if duties is not None:
+        counting.merge(duties.tables.setdefault(
+            (event.name, event.boot), {}), event.rows)
+    return []
--- a/crocuskeel/core/entry/effects.py
+++ b/crocuskeel/core/entry/effects.py
@@ -5,7 +5,8 @@
 from crocuskeel.core.entry import model
 
 __all__ = ["Answer", "Cancel", "Cut", "Exit", "FetchCatalog", "Note",
-           "PassOn", "Retire", "Send", "Tell", "TellLoads", "Timer"]
+           "PassOn", "Retire", "Send", "SendDuty", "Tell",
+           "TellLoads", "Timer"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -111,3 +112,16 @@
 
     event: str
     fields: dict
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendDuty:
+    """Make a call of a duty: a Report or an Order of the duties.
+
+    ``fence`` is the holder's number. The call must neither begin nor go
+    on at ``until``, when another host may hold the duty.
+    """
+
+    call: object
+    fence: int
+    until: float
--- a/crocuskeel/core/entry/events.py
+++ b/crocuskeel/core/entry/events.py
@@ -4,10 +4,13 @@
 import dataclasses
 import math
 
+from crocuskeel.core.duties import model as duties_model
+from crocuskeel.core.duties import state
 from crocuskeel.core.entry import model
 
 __all__ = [
-    "Answered", "Arrived", "Broken", "CallerLeft", "CatalogSeen", "Ended",
+    "Answered", "Arrived", "Broken", "CallerLeft", "CatalogSeen",
+    "DutyAnswered", "Ended",
     "Heard", "LoadHeard", "LoadsDue", "Opened", "PeersSeen", "Progressed",
     "ServersChanged", "ServersListed", "SettingsSeen",
     "Started", "StopAsked", "StoreBack",
@@ -24,7 +27,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ticked:
-    """A quarter of a second or so has passed."""
+    """A quarter of a second or so has passed.
+
+    ``wall`` is the host's time of day, s since 1970.
+    """
+
+    wall: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -178,6 +186,8 @@
     ``reads_store``: it follows the store itself, with success.
     ``informed_s``: how old what it knows of the store may be, s.
     ``carriers`` names hosts that it knows to be ready for callers.
+    ``wall`` is its time of day, s since 1970, None if it has no duties;
+    ``leader`` says who holds them.
 
     ``crashed`` holds (digest, incarnation) of requests under which a server
     ended; ``loads`` is that of LoadHeard, ``parts`` holds (server
@@ -195,6 +205,8 @@
     reads_store: bool = False
     carriers: tuple = ()
     informed_s: float = math.inf
+    wall: float | None = None
+    leader: state.Leader = state.Leader()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -216,3 +228,12 @@
     name: str
     loads: tuple
     refused: tuple = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DutyAnswered:
+    """A call of a duty ended; ``call`` is as in effects.SendDuty."""
+
+    call: object
+    outcome: duties_model.Outcome
+    detail: str = ""
--- a/crocuskeel/core/entry/lifecycle.py
+++ b/crocuskeel/core/entry/lifecycle.py
@@ -2,6 +2,7 @@
 
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import fleet
+from crocuskeel.core.entry import holding
 from crocuskeel.core.entry import telling
 
 __all__ = ["go_on", "stop_asked"]
@@ -19,8 +20,8 @@
         return []
     host.stop_at = now
     fleet.changed(host)
-    return [effects.Note("stopping", {"pending": len(host.pending)})
-            ] + telling.tell(host, now)
+    return ([effects.Note("stopping", {"pending": len(host.pending)})]
+            + telling.tell(host, now) + holding.stop(host, now))
 
 
 def go_on(host, now):
--- a/crocuskeel/core/entry/model.py
+++ b/crocuskeel/core/entry/model.py
@@ -5,7 +5,7 @@
 
 __all__ = [
     "Catalog", "Engine", "Kind", "Limits", "Outcome", "Peer", "Prompt",
-    "Request", "Route", "Server", "Service", "Workspace",
+    "Request", "Route", "Scaling", "Server", "Service", "Workspace",
 ]
 
 
@@ -103,13 +103,34 @@
     fetch_token_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scaling:
+    """Bounds of a service's engines, in each failure domain.
+
+    ``boot_s`` passes from an order until an engine serves. ``prices``
+    maps a failure domain to what an engine costs there; one that the
+    platform may take back costs the share ``spot_price`` of it, None if
+    there are none.
+    """
+
+    least: int
+    most: int
+    boot_s: float
+    prices: dict
+    spot_price: float | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
-    """``connections`` is the most that a server takes; 0 is no bound."""
+    """``connections`` is the most that a server takes; 0 is no bound.
+
+    ``scaling`` is None where no engines can be ordered.
+    """
 
     name: str
     connections: int
     engine: Engine | None
+    scaling: Scaling | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -151,7 +172,8 @@
     """A backend server as registered; ``cold_s`` is left of its warm-up.
 
     ``born`` is the Unix millisecond of its start, None if it doesn't say:
-    it tells the lives of one server apart.
+    it tells the lives of one server apart. ``spot``: it is cheaper, and
+    the platform may take it back at short notice.
     """
 
     sid: str
@@ -162,6 +184,7 @@
     draining: bool
     cold_s: float = 0.0
     born: int | None = None
+    spot: bool = False
 
     @property
     def incarnation(self):
--- a/crocuskeel/core/entry/peers.py
+++ b/crocuskeel/core/entry/peers.py
@@ -1,6 +1,7 @@
 """What other hosts say: that they live, what they know, what they do."""
 
 from crocuskeel.core.entry import choosing
+from crocuskeel.core.entry import duties
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import fleet
 from crocuskeel.core.entry import health
@@ -50,6 +51,7 @@
     known.servers_revision = event.servers_revision
     known.reads_store = event.reads_store
     known.informed_s = event.informed_s
+    duties.heard(host, event, now)
     for digest, incarnation in event.crashed:
         quarantine.learn(host, digest, incarnation, now)
     _take_loads(host, event, now)
--- a/crocuskeel/core/entry/reducer.py
+++ b/crocuskeel/core/entry/reducer.py
@@ -1,20 +1,25 @@
 """The one reducer of an entry host: an event in, effects out."""
 
+from crocuskeel.core.duties import model as duties_model
 from crocuskeel.core.entry import attempts
 from crocuskeel.core.entry import choosing
+from crocuskeel.core.entry import duties
 from crocuskeel.core.entry import events
+from crocuskeel.core.entry import holding
 from crocuskeel.core.entry import lifecycle
 from crocuskeel.core.entry import peers
 from crocuskeel.core.entry import registry
 from crocuskeel.core.entry import requests
 from crocuskeel.core.entry import telling
 from crocuskeel.core import exceptions
+from crocuskeel.core.leadership import events as lease_events
 
 __all__ = ["reduce"]
 
 
 def _started(host, event, now):
     host.me = event.me
+    duties.begin(host, now)
     return []
 
 
@@ -26,6 +31,7 @@
 def _ticked(host, event, now):
     choosing.sample(host, now)
     return (registry.expire(host, now) + telling.tell(host, now)
+            + duties.step(host, event.wall, now)
             + lifecycle.go_on(host, now))
 
 
@@ -52,6 +58,10 @@
     events.Heard: peers.heard,
     events.LoadsDue: telling.loads_due,
     events.LoadHeard: peers.load_heard,
+    events.DutyAnswered: duties.answered,
+    duties_model.Usage: duties.take_usage,
+    lease_events.LeaseRead: holding.lease_read,
+    lease_events.LeaseWritten: holding.lease_written,
 }
 
 
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -25,6 +25,13 @@
     repeat_window_s: float = 10.0
     repeat_slack: float = 50.0
     address_ttl_s: float = 1.0
+    # What the platform asks of one host at a time, by name.
+    duties: frozenset = frozenset()
+    # How long a holder of them may rely on its lease.
+    lease_s: float = 3.0
+    # Usage is reported for windows of this length, this long after each.
+    report_s: float = 5.0
+    report_due_s: float = 10.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -78,6 +85,8 @@
     ahead_s: float = 0.0
     # The most of its prompt's shared tokens that one engine has read.
     elsewhere: int = 0
+    # It is in the counts of what engines began.
+    counted: bool = False
     # A failure that a server answered, kept while another server is tried.
     fallback: int | None = None
 
@@ -188,6 +197,8 @@
     # (server id, part, tokens) sent lately, with when.
     placed: collections.deque = dataclasses.field(
         default_factory=collections.deque)
+    # What the platform asks of one host at a time; None if nothing.
+    duties: object | None = None
     stop_at: float | None = None
     retired: bool = False
     exited: bool = False
--- a/crocuskeel/core/entry/telling.py
+++ b/crocuskeel/core/entry/telling.py
@@ -5,13 +5,15 @@
 theirs in reply: what a host sends and reads doesn't grow with the fleet.
 """
 
+from crocuskeel.core.duties import truetime
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import fleet
 from crocuskeel.core.entry import quarantine
 from crocuskeel.core.entry import routing
 
-__all__ = ["loads_due", "note_changes", "reply", "tell", "tell_news"]
+__all__ = ["loads_due", "note_changes", "reply", "tell", "tell_lease",
+           "tell_news"]
 
 # Crashes are told again for this long, s: a datagram may be lost.
 RETOLD_S = 2.0
@@ -61,6 +63,16 @@
     return out
 
 
+def tell_lease(host, now):
+    """Tell all contacts at once what this host knows of the lease.
+
+    A holder that was killed before it told of its last renewal was
+    followed 7 s later, with this 4 s: others count from what they know.
+    """
+    state = _state(host, now, False)
+    return [effects.Tell(peer, state) for peer in _contacts(host, now)]
+
+
 def note_changes(host, now):
     """Tell other carriers what changed at engines, at once or soon.
 
@@ -141,7 +153,16 @@
         parts=_parts(host, now) if whole else (),
         reads_store=reads and host.servers_known,
         carriers=_known_carriers(host, now),
-        informed_s=fleet.informed_s(host, now))
+        informed_s=fleet.informed_s(host, now),
+        **_of_duties(host, now))
+
+
+def _of_duties(host, now):
+    duties = host.duties
+    if duties is None:
+        return {}
+    return {"wall": truetime.own(duties.offsets, host.me.name, now),
+            "leader": duties.leader}
 
 
 def _known_carriers(host, now):
--- a/crocuskeel/gateway/calls.py
+++ b/crocuskeel/gateway/calls.py
@@ -62,24 +62,30 @@
 
 
 def call(reactor, address, method, target, timeout_s, body=b"",
-         headers=None):
+         headers=None, until=None):
     """Make one call; return a Deferred of its Reply.
 
-    ``address`` is (ip, port); ``headers`` go in place of a Host header of
-    the address. Fails with CallFailed if no whole answer
-    came within ``timeout_s``; the call may have been carried out.
+    ``address`` is (ip, port); ``headers`` go after the Host header of
+    the address, in place of it if they have one. Nothing is sent from
+    ``until`` on, by the reactor's clock. Fails with CallFailed if no whole
+    answer came within ``timeout_s``; the call may have been carried out.
     """
-    if headers is None:
+    headers = list(headers or ())
+    if all(name != b"Host" for name, _ in headers):
         name = address[0].encode()
-        headers = [(b"Host", b"%s:%d" % (name, address[1]))]
-    headers = [*headers, (b"Connection", b"close")]
+        headers.insert(0, (b"Host", b"%s:%d" % (name, address[1])))
+    headers.append((b"Connection", b"close"))
     if body:
         headers += [(b"Content-Type", b"application/json"),
                     (b"Content-Length", b"%d" % len(body))]
     done = defer.Deferred(lambda _: making.connection.close())
     making = _Call((method, target, headers, body), done)
+
+    def is_late():
+        return until is not None and reactor.seconds() >= until
+
     making.connection = connections.connect(
-        reactor, address, making, CONNECT_S)
+        reactor, address, making, CONNECT_S, is_late)
     timer = reactor.callLater(timeout_s, making.give_up, "timeout")
     done.addBoth(_settle, timer)
     return done
--- a/crocuskeel/gateway/connections.py
+++ b/crocuskeel/gateway/connections.py
@@ -55,8 +55,9 @@
 class Connection(protocol.Protocol):
     """One request and its answer; nothing comes after ``close``."""
 
-    def __init__(self, handler):
+    def __init__(self, handler, is_late=None):
         self.handler = handler
+        self.is_late = is_late
         self.connector = None
         self.h11 = h11.Connection(h11.CLIENT)
         self.has_head = False
@@ -67,6 +68,10 @@
         if self.over:
             self.transport.abortConnection()
             return
+        if self.is_late is not None and self.is_late():
+            # The process stood still since the call was decided.
+            self.fail(Failure.UNREACHED, "too late to send")
+            return
         sockets.write(self.transport,
                       encode(self.h11, *self.handler.request()))
 
@@ -141,9 +146,12 @@
         self.connection.fail(failure, reason.type.__name__)
 
 
-def connect(reactor, address, handler, timeout_s):
-    """Connect to (ip, port) for one request; return the Connection."""
-    connection = Connection(handler)
+def connect(reactor, address, handler, timeout_s, is_late=None):
+    """Connect to (ip, port) for one request; return the Connection.
+
+    ``is_late()``, if given, says that it must not be sent any more.
+    """
+    connection = Connection(handler, is_late)
     connection.connector = reactor.connectTCP(
         *address, _Dialer(connection), timeout=timeout_s)
     return connection
--- a/crocuskeel/gateway/loop.py
+++ b/crocuskeel/gateway/loop.py
@@ -1,11 +1,13 @@
 """Events into the core, its effects out."""
 
 import json
+import time
 
 from crocuskeel.core import entry
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import fleet
+from crocuskeel.core.leadership import effects as lease_effects
 from crocuskeel.gateway import servers
 
 __all__ = ["Gateway", "new_gateway"]
@@ -19,18 +21,21 @@
 class Gateway:
     """An entry host at work. ``log(event, fields)`` writes a line.
 
-    ``fetch(peer)`` reads a peer's configuration; ``on_retire`` and
-    ``on_exit`` end listening and the process.
+    ``wall()`` is the time of day, s. ``fetch(peer)`` reads a peer's
+    configuration; ``duties(effect)`` carries out the effects of the duties;
+    ``on_retire`` and ``on_exit`` end listening and the process.
     """
 
-    def __init__(self, reactor, host, dialect, log):
+    def __init__(self, reactor, host, dialect, log, wall):
         self.reactor = reactor
+        self.wall = wall
         self.host = host
         self.dialect = dialect
         self.log = log
         self.exchanges = {}
         self.gossip = None
         self.fetch = None
+        self.duties = None
         self.on_retire = None
         self.on_exit = None
 
@@ -42,7 +47,7 @@
     def tick(self):
         """Tell the core that time passes."""
         self.reactor.callLater(TICK_S, self.tick)
-        self.feed(events.Ticked())
+        self.feed(events.Ticked(self.wall()))
 
     def feed(self, event):
         """Reduce one event and carry out its effects, in order."""
@@ -175,6 +180,10 @@
     gateway.on_exit()
 
 
+def _duty(gateway, effect):
+    gateway.duties(effect)
+
+
 def _note(gateway, effect):
     gateway.log(effect.event, effect.fields)
 
@@ -192,9 +201,12 @@
     effects.Retire: _retire,
     effects.Exit: _exit,
     effects.Note: _note,
+    effects.SendDuty: _duty,
+    lease_effects.ReadLease: _duty,
+    lease_effects.WriteLease: _duty,
 }
 
 
-def new_gateway(reactor, host, dialect, log):
+def new_gateway(reactor, host, dialect, log, wall=time.time):
     """Return a gateway that listens nowhere yet."""
-    return Gateway(reactor, host, dialect, log)
+    return Gateway(reactor, host, dialect, log, wall)
--- a/crocuskeel/platform/assembly.py
+++ b/crocuskeel/platform/assembly.py
@@ -12,6 +12,7 @@
 from crocuskeel.gateway import gossip
 from crocuskeel.gateway import loop
 from crocuskeel.gateway import metrics
+from crocuskeel.platform import duties
 from crocuskeel.platform import faces
 from crocuskeel.platform import following
 from crocuskeel.platform import headers
@@ -48,6 +49,7 @@
 
     gateway = loop.new_gateway(reactor, host, headers.new_dialect(), note)
     store = stores.new_store(reactor, boot.store)
+    gateway.duties = duties.new_duties(reactor, gateway, store, boot)
     follower = following.new_follower(reactor, gateway, store)
     _listen(reactor, boot, gateway, follower, counts)
     gateway.fetch = _fetcher(reactor, gateway, follower)
--- a/crocuskeel/platform/boot.py
+++ b/crocuskeel/platform/boot.py
@@ -21,6 +21,8 @@
     gossip: tuple
     ip: str
     store: tuple
+    # Where duties are reported and engines ordered; None without duties.
+    cloud: tuple | None
     seeds: tuple
     cores: float
     memory_mb: int
@@ -112,14 +114,21 @@
         control=reader.address("Listen.Control"),
         gossip=(fields["Ip"], ports[0]), ip=fields["Ip"],
         store=reader.address("Platform.Addr"),
+        cloud=(reader.address("Cloud.Addr") if _duties(fields) else None),
         seeds=tuple(reader.address("Seeds", seed) for seed in seeds),
         # The platform's Cores says how many times as fast one is.
         cores=share * cores,
         memory_mb=int(reader.number("Limits.MemoryMb", 256)),
-        settings=_settings(reader))
+        settings=_settings(reader, _duties(fields)))
 
 
-def _settings(reader):
+def _duties(fields):
+    """Return the duties that the platform asks of one host at a time."""
+    names = fields.get("Cloud.Duties", "").split(",")
+    return frozenset(name for name in names if name)
+
+
+def _settings(reader, duties):
     default = entry.Settings()
     return entry.Settings(
         grace_s=reader.number("Bounds.GraceS", default.grace_s),
@@ -130,4 +139,10 @@
         repeat_slack=reader.number(
             "Bounds.BudgetSlack", default.repeat_slack),
         address_ttl_s=min(default.address_ttl_s, reader.number(
-            "Bounds.ttl_max_s", default.address_ttl_s)))
+            "Bounds.ttl_max_s", default.address_ttl_s)),
+        duties=duties,
+        lease_s=reader.number(
+            "Bounds.LeaseMs", default.lease_s * 1000) / 1000,
+        report_s=reader.number("Bounds.ReportWindowS", default.report_s),
+        report_due_s=reader.number(
+            "Bounds.UsageLagS", default.report_due_s))
--- a/crocuskeel/platform/objects.py
+++ b/crocuskeel/platform/objects.py
@@ -85,7 +85,17 @@
         engine = model.Engine(engine["Slots"], engine["KvTokens"],
                               _fetch_token_s(engine))
     return model.Service(row["Name"], row.get("MaxConns", 0),
-                         engine or None)
+                         engine or None, _scaling(row.get("Autoscale")))
+
+
+def _scaling(row):
+    if not row:
+        return None
+    return model.Scaling(
+        least=row["Min"], most=row["Max"], boot_s=row["BootTimeoutS"],
+        prices=dict(row.get("ZonePrices") or {}),
+        # Not there, or 0: no engines that may be taken back.
+        spot_price=row.get("SpotPrice") or None)
 
 
 def _fetch_token_s(row):
@@ -136,7 +146,8 @@
         domain=spec["Zone"], slots=spec["Slots"],
         draining=(spec["State"] == DRAINING
                   or bool(obj["Meta"].get("Deleting"))),
-        cold_s=spec["ColdLeftMs"] / 1000, born=spec.get("born"))
+        cold_s=spec["ColdLeftMs"] / 1000, born=spec.get("born"),
+        spot=spec.get("Spot") is True)
 
 
 def _is_text(value):
--- a/crocuskeel/platform/reloading.py
+++ b/crocuskeel/platform/reloading.py
@@ -13,7 +13,7 @@
 LOOK_S = 5.0
 # What takes effect while the process runs; all else is for its next
 # start: it listens, and is known to other hosts, as it began.
-LIVE = ("settings", "store")
+LIVE = ("settings", "store", "cloud")
 
 
 class Reloader:
@@ -66,6 +66,8 @@
     def _take(self, found):
         self.boot = found
         self.store.address = found.store
+        if self.gateway.duties is not None:
+            self.gateway.duties.address = found.cloud
         self.gateway.feed(events.SettingsSeen(found.settings))
 
 
--- a/crocuskeel/platform/store.py
+++ b/crocuskeel/platform/store.py
@@ -22,6 +22,7 @@
 CREATED = 201
 CONFLICT = 409
 GONE = 410
+MISSING = 404
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,6 +74,36 @@
                      if isinstance(row, dict) and "Object" in row)
         return Changes(rows, page["AsOf"])
 
+    async def read(self, kind, name):
+        """Return one object, or None if there is none.
+
+        Raises StoreError.
+        """
+        reply = await self._call("read", b"GET", f"{kind}/{_quote(name)}",
+                                 None)
+        if reply.status == MISSING:
+            return None
+        return _object(reply, "read")
+
+    async def write(self, kind, name, spec, revision, timeout_s=CALL_S):
+        """Replace an object of this revision; 0: create it.
+
+        Returns the new revision, or None if the object has another one or
+        is there already. Raises StoreError; its status is 0 if the write
+        may have taken effect, or may do so later.
+        """
+        meta = {"Name": name}
+        if revision:
+            meta["Rev"] = revision
+            method, target = b"PUT", f"{kind}/{_quote(name)}"
+        else:
+            method, target = b"POST", kind
+        reply = await self._call("write", method, target,
+                                 {"Meta": meta, "Spec": spec}, timeout_s)
+        if reply.status in (CONFLICT, MISSING):
+            return None
+        return _object(reply, "write")["Meta"]["Rev"]
+
     async def put(self, kind, name, spec):
         """Create an object or replace its content; raises StoreError.
 
@@ -114,6 +145,18 @@
             raise exceptions.StoreError(0, f"{what}: {exc}") from exc
 
 
+def _object(reply, what):
+    """Return the object in an answer; raises StoreError."""
+    if reply.status not in (OK, CREATED):
+        raise exceptions.StoreError(reply.status, what)
+    try:
+        found = json.loads(reply.body)
+        found["Meta"]["Rev"] + 0
+    except (ValueError, KeyError, TypeError) as exc:
+        raise exceptions.StoreError(0, f"{what}: {exc!r}") from exc
+    return found
+
+
 def _rows(page, field):
     rows = page.get(field)
     return rows if isinstance(rows, list) else []
--- a/crocuskeel/programs/entry.py
+++ b/crocuskeel/programs/entry.py
@@ -1,6 +1,7 @@
 """crocuskeel-entry: the daemon of an entry host on the platform."""
 
 import argparse
+import functools
 import os
 import signal
 import sys
@@ -70,8 +71,10 @@
     from crocuskeel.gateway import logs
     from crocuskeel.platform import assembly
 
-    # Twisted's own clock is the time of day, which jumps.
-    reactor.seconds = time.monotonic
+    # Twisted's own clock is the time of day, which jumps. This one goes
+    # on while the host is suspended: a lease must not outlive that.
+    reactor.seconds = functools.partial(
+        time.clock_gettime, time.CLOCK_BOOTTIME)
     log, flush = logs.new_log(reactor, sys.stdout.fileno(), boot.host)
     log("started", {"pid": os.getpid(), "domain": boot.domain})
     gateway, reloader = assembly.start(
--- /dev/null
+++ b/tests/duties/test_holding.py
@@ -0,0 +1,217 @@
+"""Who does the duties: killed, paused, cut off and stopped holders."""
+
+import random
+import unittest
+
+from crocuskeel.core.duties import model as duties_model
+from tests.duties import world as worlds
+
+# A lease's span, what the network may hold back on either side, the turns
+# of the hosts before, and the last renewal.
+TAKEOVER_S = 6.5
+
+
+def led(busy=False, **kwargs):
+    """Return a world in which somebody holds the lease and reports.
+
+    ``busy``: its orders are turned down and made again every 1.5 s.
+    """
+    world = worlds.World(scaling=worlds.scaling(),
+                         engines=worlds.engines(), **kwargs)
+    world.refuses_scale = busy
+    world.run(15)
+    return world
+
+
+class HoldingTest(unittest.TestCase):
+    """Each story must leave one holder, and nothing wrong."""
+
+    def _check(self, world, first):
+        self.assertEqual([], worlds.faults_of_one(world))
+        later = {each.host for each in world.arrivals
+                 if each.fence > first.fence}
+        return later
+
+    def _last(self, world):
+        return world.arrivals[-1]
+
+    def test_in_calm_one_host_acts_and_only_it_calls_the_store(self):
+        world = led()
+        first = self._last(world)
+        before = world.version
+        world.run(30)
+        self.assertEqual(set(), self._check(world, first))
+        self.assertLessEqual(world.version - before, 40)
+        self.assertEqual(
+            {first.host}, {each.host for each in world.arrivals})
+
+    def test_a_killed_holder_is_followed_within_a_window(self):
+        # Reports stop coming: the holder's process is killed and comes
+        # back at once or later, knowing nothing. Cause: nobody takes over,
+        # or the new process goes on where it stood.
+        for down_s in (0.2, 20.0):
+            with self.subTest(down_s=down_s):
+                world = led()
+                first = self._last(world)
+                world.kill(first.host, down_s)
+                world.run(TAKEOVER_S)
+                fence = max(host.core.duties.leader.fence
+                            for host in world.hosts.values())
+                self.assertGreater(fence, first.fence)
+                world.run(10)
+                self.assertEqual(1, len(self._check(world, first)))
+
+    def test_a_planned_stop_hands_over_at_once(self):
+        world = led()
+        first = self._last(world)
+        world.stop(first.host)
+        world.run(2.0)
+        self.assertNotIn(world.holder(), (None, first.host))
+        world.run(10)
+        self.assertEqual(1, len(self._check(world, first)))
+
+    def test_hosts_are_stopped_in_turn(self):
+        # Two hosts act in the order A, B, A within a second: A stops and
+        # hands over, is back, B stops and hands over. Cause: a host that
+        # just acted takes the lease again because it is free.
+        world = led()
+        for _ in range(8):
+            name = world.holder()
+            if name is not None:
+                world.stop(name)
+                world.run(0.5)
+                world.kill(name, 0.1)
+            world.run(0.6)
+        world.run(10)
+        self.assertEqual([], worlds.faults_of_one(world))
+
+    def test_a_paused_holder_wakes_still_believing(self):
+        # An old number arrives after a newer one: the holder stands still
+        # for longer than its lease, with calls decided and not yet sent,
+        # and goes on where it stood. Cause: the lease is checked when a
+        # call is decided and not when it is written.
+        for pause_s in (0.4, 1.0, 2.7, 3.5, 6.0, 12.0):
+            for moment in (0.0, 0.1, 0.2, 0.3):
+                with self.subTest(pause_s=pause_s, moment=moment):
+                    world = led(busy=True)
+                    first = self._last(world)
+                    world.run(moment)
+                    world.pause(first.host, pause_s)
+                    world.run(20)
+                    self._check(world, first)
+
+    def test_a_pause_between_a_decision_and_its_sending(self):
+        for pause_s in (2.0, 4.0, 8.0):
+            with self.subTest(pause_s=pause_s):
+                world = led(busy=True)
+                first = self._last(world)
+                world.pause_at_send_s = pause_s
+                world.run(20)
+                self._check(world, first)
+
+    def test_a_holder_that_the_store_turns_away_is_followed(self):
+        # The store serves all hosts but the holder: orders and reports
+        # must come from another host, and not from both.
+        world = led(busy=True)
+        first = self._last(world)
+        world.hosts[first.host].store = "out"
+        world.run(15)
+        self.assertEqual(1, len(self._check(world, first)))
+
+    def test_writes_that_are_lost_or_done_late(self):
+        for fault in ("lost", "late"):
+            for seed in range(4):
+                with self.subTest(fault=fault, seed=seed):
+                    world = led(seed=seed)
+                    for host in world.hosts.values():
+                        host.store = fault
+                    world.run(6)
+                    for host in world.hosts.values():
+                        host.store = "well"
+                    world.run(12)
+                    self.assertEqual([], worlds.faults_of_one(world))
+                    self.assertIsNotNone(world.holder())
+
+    def test_slow_calls_end_with_the_lease(self):
+        # The platform is slow, and the holder is cut off from the store:
+        # what it sent last must not arrive after the next holder's.
+        world = led()
+        first = self._last(world)
+        for host in world.hosts.values():
+            host.cloud = "slow"
+        world.hosts[first.host].store = "out"
+        world.run(20)
+        self.assertEqual(1, len(self._check(world, first)))
+
+    def test_all_hosts_are_killed_at_once(self):
+        world = led()
+        for name in world.hosts:
+            world.kill(name, 1.0)
+        world.run(20)
+        self.assertEqual([], worlds.faults_of_one(world))
+        reported = world.reports()
+        self.assertEqual(list(range(min(reported), max(reported) + 1)),
+                         sorted(reported))
+
+    def test_any_mix_of_faults(self):
+        for seed in range(24):
+            with self.subTest(seed=seed):
+                world = led(busy=seed % 2 == 0, seed=seed)
+                self._trouble(world, random.Random(seed))
+                self.assertEqual([], worlds.faults_of_one(world))
+                for host in world.hosts.values():
+                    host.store = host.cloud = "well"
+                seen = len(world.arrivals)
+                world.run(16)
+                self.assertEqual([], worlds.faults_of_one(world))
+                self.assertGreater(len(world.arrivals), seen)
+
+    def _trouble(self, world, rng):
+        for _ in range(12):
+            name = rng.choice([world.holder() or "h0", *world.hosts])
+            host = world.hosts[name]
+            match rng.randrange(6):
+                case 0:
+                    world.kill(name, rng.choice([0.1, 1.0, 4.0]))
+                case 1:
+                    world.pause(name, rng.choice([0.5, 2.0, 5.0]))
+                case 2:
+                    host.store = rng.choice(
+                        ["well", "out", "lost", "late"])
+                case 3:
+                    host.cloud = rng.choice(
+                        ["well", "out", "lost", "slow"])
+                case 4:
+                    world.stop(name)
+                    world.run(0.4)
+                    world.kill(name, 0.3)
+                case 5:
+                    host.skew = rng.choice([-3.0, 0.0, 2.0])
+            world.run(rng.choice([0.2, 1.0, 3.0]))
+
+
+class OrderTest(unittest.TestCase):
+    """What the holder orders."""
+
+    def test_spot_engines_are_asked_for_in_each_domain(self):
+        world = led()
+        asked = {(each.call.domain, each.call.spot): each.call.count
+                 for each in world.arrivals
+                 if isinstance(each.call, duties_model.Order)}
+        self.assertEqual({("perth-a", True): 3, ("perth-b", True): 3,
+                          ("bunbury", True): 3}, asked)
+
+    def test_none_to_be_had_is_asked_again_and_nothing_is_given_up(self):
+        # No spot engine is to be had: the regular ones must stay.
+        world = worlds.World(scaling=worlds.scaling(),
+                             engines=worlds.engines())
+        world.refuses_scale = True
+        world.run(25)
+        orders = [each.call for each in world.arrivals
+                  if isinstance(each.call, duties_model.Order)]
+        self.assertTrue(all(order.spot for order in orders))
+        self.assertGreater(len(orders), 6)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/platform/test_reloading.py
+++ b/tests/platform/test_reloading.py
@@ -10,6 +10,8 @@
 
 
 class _Gateway:
+    duties = None
+
     def __init__(self):
         self.lines = []
         self.events = []
