Begin with room for full engines; order again at once what went

Change: the first holder of all takes the operator's engines to be there for work that fills them; a number that falls is ordered anew at once.

--- a/crocuskeel/core/duties/ordering.py
+++ b/crocuskeel/core/duties/ordering.py
@@ -18,13 +18,23 @@
     """Take the shares of their time that a service's engines are used."""
     known = duties.demands.get(service)
     if known is None:
-        # What the operator began with holds until more is known.
         known = duties.demands[service] = demand.new_demand()
         known.usual = len(shares) * capacity.USE_SHARE
-        demand.note(known, known.usual, now)
+        demand.note(known, _first_need(duties, service, shares), now)
     demand.sample(known, shares, now)
 
 
+def _first_need(duties, service, shares):
+    """Return the need that is assumed before any was seen.
+
+    A holder that follows another keeps what that one had. The first of
+    all takes the operator's engines to be there for work that fills them:
+    when a burst is the first thing that comes, more would be late.
+    """
+    followed = any(subject[1] == service for subject in duties.book.asked)
+    return len(shares) * (capacity.USE_SHARE if followed else 1.0)
+
+
 def subjects(service, scaling, engines):
     """Return (domain, spot) of all numbers that can be asked for."""
     names = set(scaling.prices) | {domain for domain, _ in engines}
@@ -67,10 +77,13 @@
     if known is None:
         asked = duties.book.asked.get(order.subject, serving)
         return asked != order.count or serving != order.count
+    went, known.served = serving < known.served, serving
     if known.under_way or known.due_at > now:
         return False
     if known.call.count != order.count or known.failures:
         return True
+    if known.none_left or went:
+        return serving < order.count
     return (serving < order.count
             and now >= known.settled_at + boot_s + OVERDUE_S)
 
--- a/crocuskeel/core/duties/state.py
+++ b/crocuskeel/core/duties/state.py
@@ -35,6 +35,8 @@
     due_at: float = 0.0
     settled_at: float = 0.0
     none_left: bool = False
+    # Engines that served when it was last looked at.
+    served: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/crocuskeel/gateway/gossip.py
+++ b/crocuskeel/gateway/gossip.py
@@ -42,13 +42,14 @@
             return events.LoadHeard(peer, loads, refused)
         (ready, leaving, catalog, servers, crashed, loads, parts,
          reads_store, carriers, informed_s, wall, leader) = state
+        leader = duties.Leader(*leader)
         name, boot, domain, front, control, gossip, capacity = peer
     except (TypeError, ValueError, msgpack.UnpackException) as exc:
         raise ValueError(f"no datagram of a host: {exc}") from exc
     return events.Heard(
         model.Peer(name, boot, domain, front, control, gossip, capacity),
         ready, leaving, catalog, servers, crashed, loads, parts,
-        reads_store, carriers, informed_s, wall, duties.Leader(*leader))
+        reads_store, carriers, informed_s, wall, leader)
 
 
 class Gossip(protocol.DatagramProtocol):
