--- a/crocuskeel/ctl/arguments.py
+++ b/crocuskeel/ctl/arguments.py
@@ -2,6 +2,7 @@
 
 import argparse
 
+from crocuskeel.ctl import duty_logs
 from crocuskeel.ctl import editing
 from crocuskeel.ctl import overview
 from crocuskeel.ctl import settings
@@ -133,6 +134,11 @@
     explain.add_argument("request")
     explain.add_argument("--file", action="append", default=[],
                          help="read a daemon's log instead of its ring")
+    duties = _add(commands, "duties", duty_logs.duties,
+                  "tell from logs who holds the platform's duties, and "
+                  "what became of a window of usage")
+    duties.add_argument("files", nargs="+", metavar="file")
+    duties.add_argument("--window", type=int, metavar="NUMBER")
     draw = _add(commands, "timeline", tracing.draw,
                 "merge events of log files, or of live hosts")
     draw.add_argument("files", nargs="*", metavar="file")
--- a/crocuskeel/gateway/connections.py
+++ b/crocuskeel/gateway/connections.py
@@ -68,10 +68,12 @@
         if self.over:
             self.transport.abortConnection()
             return
-        if self.is_late is not None and self.is_late():
-            # The process stood still since the call was decided.
-            self.fail(Failure.UNREACHED, "too late to send")
-            return
+        if self.is_late is not None:
+            sockets.drop_at_end(self.transport)
+            if self.is_late():
+                # The process stood still since the call was decided.
+                self.fail(Failure.UNREACHED, "too late to send")
+                return
         sockets.write(self.transport,
                       encode(self.h11, *self.handler.request()))
 
--- a/crocuskeel/gateway/metrics.py
+++ b/crocuskeel/gateway/metrics.py
@@ -1,5 +1,6 @@
 """Counters and histograms of a host: as text, and to statsd if asked."""
 
+from crocuskeel.core.duties import demand
 import prometheus_client
 from prometheus_client import core
 
@@ -33,6 +34,48 @@
         yield samples
 
 
+class _Duties:
+    """What the host knows of the platform's duties, when read."""
+
+    def __init__(self, host):
+        self.host = host
+
+    def collect(self):
+        """Yield the families of metrics; none without duties."""
+        duties = self.host.duties
+        if duties is None:
+            return
+        lease = duties.candidate.lease
+        yield core.GaugeMetricFamily(
+            "crocuskeel_holds_duties",
+            "1 if this host holds the lease of the duties.",
+            value=lease.holding)
+        yield core.GaugeMetricFamily(
+            "crocuskeel_duties_fence",
+            "Fence of the holder that this host knows of.",
+            value=duties.leader.fence)
+        yield core.GaugeMetricFamily(
+            "crocuskeel_windows_unreported",
+            "Windows that were decided and are not reported yet.",
+            value=len(duties.book.decided))
+        engines = core.GaugeMetricFamily(
+            "crocuskeel_engines_asked",
+            "Engines that this host asked for as the holder.",
+            labels=["service", "domain", "kind"])
+        for subject, count in duties.book.asked.items():
+            _, service, domain, spot = subject
+            engines.add_metric(
+                [service, domain, "spot" if spot else "regular"], count)
+        yield engines
+        needed = core.GaugeMetricFamily(
+            "crocuskeel_engines_needed",
+            "Engines' worth of work that the holder sees, at the most.",
+            labels=["service"])
+        for service, known in duties.demands.items():
+            needed.add_metric([service], demand.need(known))
+        yield needed
+
+
 class _Metrics:
     """Counts what the log tells, also lines that it leaves out.
 
@@ -66,6 +109,7 @@
                     lambda: host.catalog.revision if host.catalog else 0)
 
         self.registry.register(_Paces(host))
+        self.registry.register(_Duties(host))
 
     def _histogram(self, name, text):
         return prometheus_client.Histogram(
--- a/crocuskeel/gateway/sockets.py
+++ b/crocuskeel/gateway/sockets.py
@@ -1,8 +1,9 @@
 """Options of TCP connections, and writes without a detour."""
 
 import socket
+import struct
 
-__all__ = ["tune", "unsent", "write"]
+__all__ = ["drop_at_end", "tune", "unsent", "write"]
 
 # A connection can fall silent for good while new ones work: something
 # between its ends lost track of it. Nothing is heard then, and a reader
@@ -12,6 +13,8 @@
 KEEPALIVE_EVERY_S = 1
 KEEPALIVE_PROBES = 2
 USER_TIMEOUT_MS = 3000
+# Linger for 0 s: a close resets the connection.
+LINGER_NOT = struct.pack("ii", 1, 0)
 
 
 def tune(transport):
@@ -27,6 +30,17 @@
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
+def drop_at_end(transport):
+    """Have the system drop what is not delivered when the process ends.
+
+    A process that is killed leaves its last bytes to the system, which
+    sends them again when a cut link is whole: a call of a duty would
+    arrive after another host's.
+    """
+    transport.getHandle().setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOT)
+
+
 def unsent(transport):
     """Return how many bytes wait for the connection to take them."""
     return (len(transport.dataBuffer) - transport.offset
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -4,6 +4,7 @@
 
 from crocuskeel.core.entry import pace
 from crocuskeel.gateway import metrics
+from tests.duties import world as worlds
 from tests.entry import support
 
 
@@ -45,6 +46,17 @@
         self.assertIn(
             'crocuskeel_reading_pause_seconds{service="engines"} 0.2', text)
 
+    def test_the_text_tells_who_holds_the_duties(self):
+        world = worlds.World(scaling=worlds.scaling(),
+                             engines=worlds.engines())
+        world.run(12)
+        texts = {host.name: metrics.new_metrics(host.core).text().decode()
+                 for host in world.hosts.values()}
+        holds = [name for name, text in texts.items()
+                 if "crocuskeel_holds_duties 1.0" in text]
+        self.assertEqual([world.holder()], holds)
+        self.assertIn('kind="spot",service="engines"', texts[holds[0]])
+
     def test_statsd_gets_the_same(self):
         client = _Client()
         counts = metrics._Metrics(support.Driver().host, client)
