Split choosing and sending into files of one job

Cause: choosing.py (326 lines) held a cost model, silence, sums and slots, sending.py (323) held sending, ends of requests and when to repeat. Change: cost.py (what a server costs a request), serverload.py (what it has under way), choosing.py (which may be taken); ending.py, repeating.py, sending.py. Functions moved as they were; the log line of a sending is a function of its own. Ruled out: a class a server with these as methods (functions over state are the house's way). Conclusion: no behaviour changes.

--- a/crocuskeel/core/entry/admission.py
+++ b/crocuskeel/core/entry/admission.py
@@ -9,7 +9,9 @@
 """
 
 from crocuskeel.core.entry import choosing
+from crocuskeel.core.entry import cost
 from crocuskeel.core.entry import parts
+from crocuskeel.core.entry import serverload
 
 __all__ = ["HOLD_SHARE", "admits", "came_back", "hold_until", "look_at",
            "may_spill", "retry_s"]
@@ -73,19 +75,19 @@
     if pending.request.prompt is None:
         return True
     rank = _rank(pending)
-    most = choosing.slots(target, now) * SLOT_SHARES[rank]
-    if choosing.running(target, now) >= most:
+    most = serverload.slots(target, now) * SLOT_SHARES[rank]
+    if serverload.running(target, now) >= most:
         return False
     if target.busy > BUSY_SHARES[rank] and not came_back(pending):
         return False
     most, share = _bounds(pending, rank)
-    if choosing.reading(target, now) >= most:
+    if serverload.reading(target, now) >= most:
         return False
     if not _fits(host, pending, target, now):
         return False
     if not _spares(host, pending, target, now):
         return False
-    return choosing.ahead_s(target, now) <= share * pending.route.goal_s
+    return serverload.ahead_s(target, now) <= share * pending.route.goal_s
 
 
 def _fits(host, pending, target, now):
@@ -96,7 +98,7 @@
     high load 32 requests were put back with this bound and without.
     """
     engine = parts.engine_of(host, pending.service)
-    used = choosing.memory(target, now)
+    used = serverload.memory(target, now)
     if engine is None or not used:
         return True
     prompt = pending.request.prompt
@@ -111,12 +113,12 @@
     late, if it does so at every engine: with one engine left, long
     prompts would otherwise get nothing while streams run.
     """
-    if choosing.later_streams(host, target, pending, now) <= LATE_MOST:
+    if cost.later_streams(host, target, pending, now) <= LATE_MOST:
         return True
     if not came_back(pending):
         return False
     return not any(
-        choosing.later_streams(host, state, pending, now) <= LATE_MOST
+        cost.later_streams(host, state, pending, now) <= LATE_MOST
         for state in choosing.sound(host, pending.service, now))
 
 
--- a/crocuskeel/core/entry/attempts.py
+++ b/crocuskeel/core/entry/attempts.py
@@ -1,14 +1,16 @@
 """What attempts at servers bring: answers, events, failures."""
 
 from crocuskeel.core.entry import budget
-from crocuskeel.core.entry import choosing
 from crocuskeel.core.entry import effects
+from crocuskeel.core.entry import ending
 from crocuskeel.core.entry import health
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import pace
 from crocuskeel.core.entry import parts
 from crocuskeel.core.entry import quarantine
+from crocuskeel.core.entry import repeating
 from crocuskeel.core.entry import sending
+from crocuskeel.core.entry import serverload
 from crocuskeel.core.entry import usage
 
 __all__ = ["answered", "broken", "ended", "opened", "progressed"]
@@ -25,26 +27,26 @@
 
 def opened(host, event, now):
     """The first event of a stream: the caller gets this answer."""
-    pending, attempt = sending.find(host, event)
+    pending, attempt = ending.find(host, event)
     if attempt is None:
         return []
     target = host.servers.get(attempt.sid)
     if target is not None:
         _note_pace(target, attempt, now)
         target.mine[pending.key, attempt.turn] = 0
-        sending.changed(host, pending, target)
-        choosing.note_load(target, event.load, now)
+        ending.changed(host, pending, target)
+        serverload.note_load(target, event.load, now)
     pending.may_have_run = True
     usage.began(host, pending, now)
     attempt.opened = True
     pending.passing = attempt.turn
     pending.progress_at = now
-    out = sending.cancel_others(host, pending, attempt)
+    out = ending.cancel_others(host, pending, attempt)
     out.append(effects.PassOn(pending.key, attempt.turn))
-    out.append(effects.Timer(pending.key, sending.next_check(pending, now)))
-    out.append(sending.note("opened", pending.request, turn=attempt.turn,
-                            server=attempt.sid, load=event.load,
-                            after_s=round(now - attempt.at, 3)))
+    out.append(effects.Timer(pending.key, repeating.next_check(pending, now)))
+    out.append(ending.note("opened", pending.request, turn=attempt.turn,
+                           server=attempt.sid, load=event.load,
+                           after_s=round(now - attempt.at, 3)))
     return out
 
 
@@ -57,7 +59,7 @@
 
 def progressed(host, event, now):
     """More of a stream came."""
-    pending, attempt = sending.find(host, event)
+    pending, attempt = ending.find(host, event)
     if attempt is None:
         return []
     gap_s = now - pending.progress_at
@@ -73,22 +75,22 @@
 def _note_gap(host, pending, target, gap_s, now):
     seen = pace.of_service(host, pending.service)
     pace.note_gap(seen, pending.ahead_s, gap_s)
-    pending.ahead_s = choosing.ahead_s(target, now)
+    pending.ahead_s = serverload.ahead_s(target, now)
 
 
 def ended(host, event, now):
     """A stream is complete."""
-    pending, attempt = sending.find(host, event)
+    pending, attempt = ending.find(host, event)
     if attempt is None:
         return []
     target = host.servers.get(attempt.sid)
     _note_success(host, target, attempt, now)
-    sending.finish(host, pending)
-    return [sending.note("served", pending.request, turn=attempt.turn,
-                         server=attempt.sid,
-                         took_s=round(now - pending.at, 3),
-                         pause_s=round(pending.pause_s, 3),
-                         gap_s=pending.route.gap_s)]
+    ending.finish(host, pending)
+    return [ending.note("served", pending.request, turn=attempt.turn,
+                        server=attempt.sid,
+                        took_s=round(now - pending.at, 3),
+                        pause_s=round(pending.pause_s, 3),
+                        gap_s=pending.route.gap_s)]
 
 
 def _note_success(host, target, attempt, now):
@@ -99,11 +101,11 @@
 
 def answered(host, event, now):
     """A whole answer: pass it on, or try another server after a failure."""
-    pending, attempt = sending.find(host, event)
+    pending, attempt = ending.find(host, event)
     if attempt is None:
         return []
     target = host.servers.get(attempt.sid)
-    sending.release(host, pending, attempt)
+    ending.release(host, pending, attempt)
     pending.may_have_run = True
     usage.began(host, pending, attempt.at)
     if event.status < FAILED:
@@ -111,46 +113,46 @@
     if target is not None:
         health.failed(target, now)
     pending.fallback = attempt.turn
-    if sending.live(pending):
+    if ending.live(pending):
         return []
-    if pending.passing is None and sending.may_go_on(host, pending, now):
-        return [sending.note("failed", pending.request, turn=attempt.turn,
-                             server=attempt.sid, status=event.status)
+    if pending.passing is None and repeating.may_go_on(host, pending, now):
+        return [ending.note("failed", pending.request, turn=attempt.turn,
+                            server=attempt.sid, status=event.status)
                 ] + sending.send(host, pending, now)
-    return sending.give_up(host, pending, f"server failed {event.status}", now)
+    return ending.give_up(host, pending, f"server failed {event.status}", now)
 
 
 def _pass_on(host, pending, attempt, target, event, now):
     if pending.passing is not None:
-        return sending.give_up(host, pending, "resume was refused", now)
+        return ending.give_up(host, pending, "resume was refused", now)
     if target is not None:
-        choosing.note_load(target, event.load, now)
+        serverload.note_load(target, event.load, now)
     _note_success(host, target, attempt, now)
-    out = sending.cancel_others(host, pending, attempt)
+    out = ending.cancel_others(host, pending, attempt)
     out.append(effects.PassOn(pending.key, attempt.turn))
-    out.append(sending.note("served", pending.request, turn=attempt.turn,
-                            server=attempt.sid, status=event.status,
-                            took_s=round(now - pending.at, 3)))
-    sending.finish(host, pending)
+    out.append(ending.note("served", pending.request, turn=attempt.turn,
+                           server=attempt.sid, status=event.status,
+                           took_s=round(now - pending.at, 3)))
+    ending.finish(host, pending)
     return out
 
 
 def broken(host, event, now):
     """An attempt ended without an answer."""
-    pending, attempt = sending.find(host, event)
+    pending, attempt = ending.find(host, event)
     if attempt is None:
         return []
-    sending.release(host, pending, attempt)
+    ending.release(host, pending, attempt)
     _judge(host, pending, attempt, event, now)
-    line = sending.note("broken", pending.request, turn=attempt.turn,
-                        server=attempt.sid, outcome=event.outcome.value,
-                        detail=event.detail,
-                        passing=pending.passing is not None)
-    if sending.live(pending):
+    line = ending.note("broken", pending.request, turn=attempt.turn,
+                       server=attempt.sid, outcome=event.outcome.value,
+                       detail=event.detail,
+                       passing=pending.passing is not None)
+    if ending.live(pending):
         return [line]
     if _may_try_again(host, pending, event.outcome, now):
         return [line] + sending.send(host, pending, now)
-    return [line] + sending.give_up(host, pending, event.outcome.value, now)
+    return [line] + ending.give_up(host, pending, event.outcome.value, now)
 
 
 def _may_try_again(host, pending, outcome, now):
@@ -159,7 +161,7 @@
     if outcome is model.Outcome.NOT_RUN and not pending.may_have_run:
         return (pending.sent < pending.route.tries
                 and budget.may_repeat(host, pending.service, now))
-    return sending.may_go_on(host, pending, now)
+    return repeating.may_go_on(host, pending, now)
 
 
 def _judge(host, pending, attempt, event, now):
--- a/crocuskeel/core/entry/duties.py
+++ b/crocuskeel/core/entry/duties.py
@@ -5,9 +5,9 @@
 from crocuskeel.core.duties import reporting
 from crocuskeel.core.duties import state as states
 from crocuskeel.core.duties import truetime
-from crocuskeel.core.entry import choosing
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import holding
+from crocuskeel.core.entry import serverload
 from crocuskeel.core.entry import usage
 
 __all__ = ["REPORT", "SCALE", "answered", "begin", "heard", "step"]
@@ -109,7 +109,7 @@
 
 def _share(state, now):
     """Return the share of its time that an engine is in use."""
-    running = choosing.running(state, now) / max(1, state.server.slots)
+    running = serverload.running(state, now) / max(1, state.server.slots)
     return min(1.0, max(state.busy, running))
 
 
--- a/crocuskeel/core/entry/peers.py
+++ b/crocuskeel/core/entry/peers.py
@@ -1,6 +1,5 @@
 """What other hosts say: that they live, what they know, what they do."""
 
-from crocuskeel.core.entry import choosing
 from crocuskeel.core.entry import duties
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import fleet
@@ -8,6 +7,7 @@
 from crocuskeel.core.entry import parts
 from crocuskeel.core.entry import pauses
 from crocuskeel.core.entry import quarantine
+from crocuskeel.core.entry import serverload
 from crocuskeel.core.entry import state as states
 from crocuskeel.core.entry import telling
 
@@ -82,7 +82,7 @@
             # The host that sent it there tells what there is to read, too.
             parts.remember(state, part, tokens,
                            _memory(host, state.server.service),
-                           now + choosing.ahead_s(state, now))
+                           now + serverload.ahead_s(state, now))
 
 
 def _take_rows(host, name, rows, now):
@@ -91,7 +91,7 @@
         if state is None:
             continue
         state.others.put(name, count, tokens, reading, now, gaps, memory)
-        pauses.heard(state, choosing.ahead_s(state, now), now)
+        pauses.heard(state, serverload.ahead_s(state, now), now)
         state.heard_at = max(state.heard_at, now - silent_ms / 1000)
 
 
--- a/crocuskeel/core/entry/reducer.py
+++ b/crocuskeel/core/entry/reducer.py
@@ -2,7 +2,6 @@
 
 from crocuskeel.core.duties import model as duties_model
 from crocuskeel.core.entry import attempts
-from crocuskeel.core.entry import choosing
 from crocuskeel.core.entry import duties
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import holding
@@ -10,6 +9,7 @@
 from crocuskeel.core.entry import peers
 from crocuskeel.core.entry import registry
 from crocuskeel.core.entry import requests
+from crocuskeel.core.entry import serverload
 from crocuskeel.core.entry import telling
 from crocuskeel.core.entry import usage
 from crocuskeel.core import exceptions
@@ -30,7 +30,7 @@
 
 
 def _ticked(host, event, now):
-    choosing.sample(host, now)
+    serverload.sample(host, now)
     return (registry.expire(host, now) + telling.tell(host, now)
             + duties.step(host, event.wall, now)
             + lifecycle.go_on(host, now))
--- a/crocuskeel/core/entry/requests.py
+++ b/crocuskeel/core/entry/requests.py
@@ -1,13 +1,15 @@
 """A request from its arrival, while it waits for an answer."""
 
 from crocuskeel.core.entry import budget
-from crocuskeel.core.entry import choosing
 from crocuskeel.core.entry import effects
+from crocuskeel.core.entry import ending
 from crocuskeel.core.entry import health
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import quarantine
+from crocuskeel.core.entry import repeating
 from crocuskeel.core.entry import routing
 from crocuskeel.core.entry import sending
+from crocuskeel.core.entry import serverload
 from crocuskeel.core.entry import state as states
 
 __all__ = ["arrived", "caller_left", "timer_fired"]
@@ -24,14 +26,14 @@
     """Place a request and send it on, or refuse it."""
     request = event.request
     if host.catalog is None or not host.servers_known:
-        return [sending.refuse(event.key, request.deadline_s, "starting",
-                               STARTING_RETRY_S)]
+        return [ending.refuse(event.key, request.deadline_s, "starting",
+                              STARTING_RETRY_S)]
     placed = routing.place(host.catalog, request)
     if placed.is_err():
         refusal = placed.unwrap_err()
         return [effects.Answer(event.key, refusal.status, refusal.reason),
-                sending.note("refused", request, status=refusal.status,
-                             why=refusal.reason, version=host.catalog.version)]
+                ending.note("refused", request, status=refusal.status,
+                            why=refusal.reason, version=host.catalog.version)]
     if quarantine.condemned(host, request.digest, now):
         return _quarantined(host, event, now)
     pending = _admit(host, event, placed.unwrap(), now)
@@ -45,10 +47,10 @@
     would only be refused again.
     """
     retry_s = quarantine.ends_in(host, event.request.digest, now)
-    return [effects.Answer(event.key, sending.UNAVAILABLE, "quarantined",
+    return [effects.Answer(event.key, ending.UNAVAILABLE, "quarantined",
                            retry_s),
-            sending.note("quarantined", event.request,
-                         ends_in_s=round(retry_s, 1))]
+            ending.note("quarantined", event.request,
+                        ends_in_s=round(retry_s, 1))]
 
 
 def _admit(host, event, placed, now):
@@ -74,7 +76,7 @@
         return []
     if now >= pending.ends_at:
         return _out_of_time(host, pending, now)
-    if not sending.live(pending):
+    if not ending.live(pending):
         # It waits here for room.
         return sending.send(host, pending, now)
     if pending.route.kind is not model.Kind.STREAM:
@@ -83,13 +85,13 @@
 
 
 def _out_of_time(host, pending, now):
-    out = sending.cancel_all(host, pending)
-    return out + sending.give_up(host, pending, "time is up", now)
+    out = ending.cancel_all(host, pending)
+    return out + ending.give_up(host, pending, "time is up", now)
 
 
 def _hedge(host, pending, now):
     again = [effects.Timer(pending.key, pending.ends_at)]
-    if not sending.may_go_on(host, pending, now):
+    if not repeating.may_go_on(host, pending, now):
         return again
     return sending.send(host, pending, now)
 
@@ -102,18 +104,19 @@
     at each look, 0.1 s apart, and run on more servers than its route
     allows.
     """
-    attempt = sending.live(pending)[-1]
+    attempt = ending.live(pending)[-1]
     target = host.servers.get(attempt.sid)
     if attempt.opened:
-        silent = now - pending.progress_at >= sending.stall_s(pending) - 0.001
+        limit_s = repeating.stall_s(pending) - 0.001
+        silent = now - pending.progress_at >= limit_s
     else:
-        silent = target is None or choosing.is_silent(target, now)
-    if not silent or not sending.may_go_on(host, pending, now):
-        return [effects.Timer(pending.key, sending.next_check(pending, now))]
-    out = sending.cancel_all(host, pending)
-    out.append(sending.note("moved", pending.request, turn=attempt.turn,
-                            server=attempt.sid,
-                            started=pending.passing is not None))
+        silent = target is None or serverload.is_silent(target, now)
+    if not silent or not repeating.may_go_on(host, pending, now):
+        return [effects.Timer(pending.key, repeating.next_check(pending, now))]
+    out = ending.cancel_all(host, pending)
+    out.append(ending.note("moved", pending.request, turn=attempt.turn,
+                           server=attempt.sid,
+                           started=pending.passing is not None))
     if target is not None:
         health.unreached(target, now)
     return out + sending.send(host, pending, now)
@@ -124,9 +127,9 @@
     pending = host.pending.get(event.key)
     if pending is None:
         return []
-    out = sending.cancel_all(host, pending)
-    sending.finish(host, pending)
-    out.append(sending.note("caller_left", pending.request,
-                            after_s=round(now - pending.at, 3),
-                            passing=pending.passing is not None))
+    out = ending.cancel_all(host, pending)
+    ending.finish(host, pending)
+    out.append(ending.note("caller_left", pending.request,
+                           after_s=round(now - pending.at, 3),
+                           passing=pending.passing is not None))
     return out
--- a/tests/entry/test_choosing.py
+++ b/tests/entry/test_choosing.py
@@ -7,6 +7,7 @@
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import parts
+from crocuskeel.core.entry import serverload
 from tests.entry import support
 
 ENGINES = tuple(support.server(f"e{n}", "engines") for n in range(4))
@@ -52,7 +53,7 @@
         driver = _driver()
         holder = driver.host.servers["e2"]
         holder.others.put("host-1", 9, 90_000, 9, driver.now - 2)
-        self.assertEqual(0, choosing.ahead_tokens(holder, driver.now))
+        self.assertEqual(0, serverload.ahead_tokens(holder, driver.now))
 
     def test_draining_never_and_suspect_last(self):
         driver = _driver()
--- a/tests/entry/test_pauses.py
+++ b/tests/entry/test_pauses.py
@@ -2,11 +2,11 @@
 
 import unittest
 
-from crocuskeel.core.entry import choosing
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import pace
 from crocuskeel.core.entry import pauses
+from crocuskeel.core.entry import serverload
 from tests.entry import support
 
 ENGINES = tuple(support.server(f"e{n}", "engines") for n in range(4))
@@ -150,7 +150,7 @@
         driver = _driver()
         state = driver.host.servers["e0"]
         state.others.put("host-1", 5, 0, 0, driver.now, ((0, 200, 3),))
-        choosing.ahead_tokens(state, driver.now + 2)
+        serverload.ahead_tokens(state, driver.now + 2)
         self.assertEqual({}, state.others.gaps)
 
 
--- a/tests/entry/test_restart.py
+++ b/tests/entry/test_restart.py
@@ -2,13 +2,13 @@
 
 import unittest
 
-from crocuskeel.core.entry import choosing
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import parts
 from crocuskeel.core.entry import pauses
 from crocuskeel.core.entry import quarantine
+from crocuskeel.core.entry import serverload
 from tests.entry import support
 
 CHAT = support.stream("chat", resumable=False, tries=1)
@@ -50,7 +50,7 @@
         self.assertEqual((1.0, 0.0, 0), (
             state.slowness, state.failing, state.strikes))
         self.assertEqual(0.0, state.suspect_until)
-        self.assertEqual(0, choosing.ahead_tokens(state, self.driver.now))
+        self.assertEqual(0, serverload.ahead_tokens(state, self.driver.now))
         self.assertEqual(0.0, pauses.loud_s(state, self.driver.now))
         self.assertIn("server_restarted", [
             effect.event for effect in support.only(out, effects.Note)])
