--- a/bench/elastic.py
+++ b/bench/elastic.py
@@ -9,6 +9,7 @@
     python -m bench.elastic
 """
 
+import argparse
 import dataclasses
 import math
 import random
@@ -168,8 +169,11 @@
     return any(burst.at <= now < burst.at + BURST_S for burst in day.bursts)
 
 
-def play(day, way, begin_s=10.0):
-    """Play a day after some seconds without work; return its Result."""
+def play(day, way, begin_s=10.0, trace=None):
+    """Play a day after some seconds without work; return its Result.
+
+    ``trace``, if given, gets (time, work, engines, price) of each step.
+    """
     platform = Platform()
     duties = states.new_duties(
         leadership.Config("host"), random.Random(1), CLOCK_S)
@@ -199,6 +203,8 @@
             burst_asked += arrived
             burst_lost += gone
         cost += platform.price() * STEP_S
+        if trace is not None:
+            trace.append((now, _load(day, now), count, platform.price()))
         most = max(most, count)
     return Result(cost / day.length_s, lost / asked,
                   burst_lost / max(burst_asked, STEP_S), most)
@@ -213,8 +219,37 @@
         ordering.answered(duties, known, platform.order(call, now), now)
 
 
-def main():
+def draw_plot(path, seed=3, base=12.0):
+    """Draw engines and their price over one drawn day into a file."""
+    import matplotlib
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, (upper, lower) = pyplot.subplots(
+        2, 1, sharex=True, figsize=(8, 5))
+    for name, way in WAYS.items():
+        trace = []
+        play(draw(seed, base), way, trace=trace)
+        times, work, engines, price = zip(*trace)
+        upper.plot(times, engines, label=name)
+        lower.plot(times, price, label=name)
+    upper.plot(times, work, "k:", label="work")
+    upper.set_ylabel("engines that serve")
+    lower.set_ylabel("price, in regular engines")
+    lower.set_xlabel("s")
+    upper.legend(fontsize="small", ncols=3)
+    figure.tight_layout()
+    figure.savefig(path, dpi=80)
+
+
+def main(argv=None):
     """Print a line a way and size of work."""
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("--plot", metavar="FILE",
+                        help="draw one day into a PNG file, too")
+    args = parser.parse_args(argv)
+    if args.plot:
+        draw_plot(args.plot)
     print(f"planned use {capacity.USE_SHARE}, kept {demand.KEPT_S:.0f} s, "
           "20 days each")
     print("| Work, engines | Way | Cost | Lost | Lost in bursts | Most |")
