Settings of ours for ordering engines; forget counts that nobody asks for

Cause: headroom and the share of spot engines are an operator's to choose, and were constants. Found by reading: a host that is told the holder's counts decides no window and kept them for good. Ruled out: fields of the platform's settings file, whose names are not ours.

--- a/crocuskeel/core/duties/capacity.py
+++ b/crocuskeel/core/duties/capacity.py
@@ -10,7 +10,9 @@
 import dataclasses
 import math
 
-__all__ = ["Domain", "plan"]
+from crocuskeel.core.duties import demand
+
+__all__ = ["Domain", "Policy", "plan"]
 
 # Share of their time that engines are planned to be used: a burst of long
 # prompts triples the work within a second, and more engines serve only a
@@ -20,6 +22,21 @@
 LOSS_SHARE = 0.9
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Policy:
+    """What an operator may set of how engines are ordered.
+
+    ``use_share`` and ``loss_share`` as above; the most that was needed is
+    kept for ``kept_s``; at most ``spot_share`` of the engines are spot
+    ones.
+    """
+
+    use_share: float = USE_SHARE
+    loss_share: float = LOSS_SHARE
+    kept_s: float = demand.KEPT_S
+    spot_share: float = 1.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Domain:
     """Engines of a service in a failure domain.
@@ -35,7 +52,7 @@
     dry: bool = False
 
 
-def plan(scaling, domains, need, usual):
+def plan(scaling, domains, need, usual, policy=Policy()):
     """Return the engines to have, by (domain, spot).
 
     ``need`` is how many engines would be in use all of their time at the
@@ -44,12 +61,13 @@
     """
     cheap = sorted(domains, key=lambda domain: (
         scaling.prices.get(domain.name, 1.0), domain.name))
-    total = _total(scaling, domains, need)
+    total = _total(scaling, domains, need / policy.use_share)
     if scaling.spot_price is None:
         return _regular_only(scaling, cheap, total)
-    spot = _spread(scaling, cheap, total)
-    regular = _backing(scaling, cheap, spot, usual)
-    least = math.ceil(usual / LOSS_SHARE / len(cheap))
+    spot = _spread(scaling, cheap, math.floor(total * policy.spot_share))
+    regular = _spread(scaling, cheap, total - sum(spot.values()))
+    _back(scaling, cheap, spot, regular, usual / policy.loss_share)
+    least = math.ceil(usual / policy.loss_share / len(cheap))
     found = {}
     for domain in cheap:
         now = _spot_now(scaling, domain, spot, regular)
@@ -62,11 +80,11 @@
     return found
 
 
-def _total(scaling, domains, need):
-    """Return how many engines serve a need with room for a burst."""
+def _total(scaling, domains, wanted):
+    """Return how many engines there may be of those that are wanted."""
     places = len(domains)
-    total = math.ceil(need / USE_SHARE)
-    return max(scaling.least * places, min(scaling.most * places, total))
+    return max(scaling.least * places,
+               min(scaling.most * places, math.ceil(wanted)))
 
 
 def _regular_only(scaling, cheap, total):
@@ -81,27 +99,26 @@
             for place, domain in enumerate(cheap)}
 
 
-def _backing(scaling, cheap, spot, usual):
-    """Return the regular engines that back the spot ones, by domain.
+def _back(scaling, cheap, spot, regular, needed):
+    """Add regular engines that back the spot ones against a loss.
 
     What is short now, as no spot engines are to be had, counts as lost.
     """
     lost = max(spot.values())
     short = sum(max(0, spot[domain.name] - domain.spot)
                 for domain in cheap if domain.dry)
-    left = sum(spot.values()) - max(lost, short)
-    missing = max(0, math.ceil(usual / LOSS_SHARE) - left)
-    found = dict.fromkeys(spot, 0)
+    left = (sum(spot.values()) + sum(regular.values())
+            - max(lost, short))
+    missing = math.ceil(needed) - left
     while missing > 0:
         free = [domain.name for domain in cheap if scaling.most > (
-            found[domain.name] + _held(domain, spot))]
+            regular[domain.name] + _held(domain, spot))]
         if not free:
             break
         # The one with the fewest engines; of equal ones the cheapest.
-        name = min(free, key=lambda each: found[each])
-        found[name] += 1
+        name = min(free, key=lambda each: regular[each])
+        regular[name] += 1
         missing -= 1
-    return found
 
 
 def _held(domain, spot):
--- a/crocuskeel/core/duties/demand.py
+++ b/crocuskeel/core/duties/demand.py
@@ -27,26 +27,27 @@
 class Demand:
     """``peaks`` holds (at, engines), the engines falling.
 
-    ``usual`` is the mean need of about the last :data:`KEPT_S`, as of
-    ``usual_at``.
+    ``usual`` is the mean need of about the last ``kept_s``, as of
+    ``usual_at``; so long is the most that was needed kept, too.
     """
 
     peaks: collections.deque = dataclasses.field(
         default_factory=collections.deque)
+    kept_s: float = KEPT_S
     usual: float = 0.0
     usual_at: float | None = None
 
 
-def new_demand():
+def new_demand(kept_s=KEPT_S):
     """Return the demand of a service of which nothing was seen."""
-    return Demand()
+    return Demand(kept_s=kept_s)
 
 
 def sample(demand, shares, now):
     """Take the shares of their time that a service's engines are in use."""
     used = sum(shares)
     if demand.usual_at is not None:
-        weight = min(1.0, (now - demand.usual_at) / KEPT_S)
+        weight = min(1.0, (now - demand.usual_at) / demand.kept_s)
         demand.usual += weight * (used - demand.usual)
     demand.usual_at = now
     if shares and used > FULL_SHARE * len(shares):
@@ -57,7 +58,7 @@
 def note(demand, engines, now):
     """Take a need for so many engines, now."""
     peaks = demand.peaks
-    while peaks and peaks[0][0] < now - KEPT_S:
+    while peaks and peaks[0][0] < now - demand.kept_s:
         peaks.popleft()
     while peaks and peaks[-1][1] <= engines:
         peaks.pop()
--- a/crocuskeel/core/duties/ordering.py
+++ b/crocuskeel/core/duties/ordering.py
@@ -14,17 +14,19 @@
 NONE_LEFT_S = 1.5
 
 
-def sample(duties, service, shares, now):
+def sample(duties, service, shares, now, policy=capacity.Policy()):
     """Take the shares of their time that a service's engines are used."""
     known = duties.demands.get(service)
     if known is None:
-        known = duties.demands[service] = demand.new_demand()
-        known.usual = len(shares) * capacity.USE_SHARE
-        demand.note(known, _first_need(duties, service, shares), now)
+        known = duties.demands[service] = demand.new_demand(
+            policy.kept_s)
+        known.usual = len(shares) * policy.use_share
+        first = _first_need(duties, service, shares, policy)
+        demand.note(known, first, now)
     demand.sample(known, shares, now)
 
 
-def _first_need(duties, service, shares):
+def _first_need(duties, service, shares, policy):
     """Return the need that is assumed before any was seen.
 
     A holder that follows another keeps what that one had. The first of
@@ -32,7 +34,7 @@
     when a burst is the first thing that comes, more would be late.
     """
     followed = any(subject[1] == service for subject in duties.book.asked)
-    return len(shares) * (capacity.USE_SHARE if followed else 1.0)
+    return len(shares) * (policy.use_share if followed else 1.0)
 
 
 def subjects(service, scaling, engines):
@@ -42,7 +44,8 @@
     return [(name, spot) for name in sorted(names) for spot in kinds]
 
 
-def due(duties, service, scaling, engines, now):
+def due(duties, service, scaling, engines, now,
+        policy=capacity.Policy()):
     """Return the orders of a service that are to be given now.
 
     ``engines`` holds the engines that serve, as {(domain, spot): count}.
@@ -52,7 +55,8 @@
     known = duties.demands[service]
     wanted = capacity.plan(
         scaling, [_domain(duties, service, name, engines)
-                  for name in names], demand.need(known), known.usual)
+                  for name in names],
+        demand.need(known), known.usual, policy)
     found = []
     for (name, spot), count in wanted.items():
         order = model.Order(service, name, spot, count)
--- a/crocuskeel/core/entry/duties.py
+++ b/crocuskeel/core/entry/duties.py
@@ -100,10 +100,10 @@
         if not states_:
             # The list of engines may not be known yet.
             continue
-        ordering.sample(host.duties, service.name,
-                        [_share(state, now) for state in states_], now)
+        shares = [_share(state, now) for state in states_]
+        ordering.sample(host.duties, service.name, shares, now, host.policy)
         found += ordering.due(host.duties, service.name, service.scaling,
-                              _count(states_), now)
+                              _count(states_), now, host.policy)
     return found
 
 
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -5,6 +5,8 @@
 import math
 import random
 
+from crocuskeel.core.duties import capacity
+from crocuskeel.core.duties import state
 from crocuskeel.core.entry import loads
 from crocuskeel.core.entry import model
 
@@ -198,15 +200,17 @@
     placed: collections.deque = dataclasses.field(
         default_factory=collections.deque)
     # What the platform asks of one host at a time; None if nothing.
-    duties: object | None = None
+    duties: state.Duties | None = None
+    # How engines are ordered, as the operator set it.
+    policy: capacity.Policy = capacity.Policy()
     stop_at: float | None = None
     retired: bool = False
     exited: bool = False
 
 
-def new_host(cfg, rng):
+def new_host(cfg, rng, policy=capacity.Policy()):
     """Return the state of a host that knows nothing yet."""
-    return Host(cfg=cfg, rng=rng)
+    return Host(cfg=cfg, rng=rng, policy=policy)
 
 
 def new_server(server, now):
--- a/crocuskeel/core/entry/usage.py
+++ b/crocuskeel/core/entry/usage.py
@@ -75,7 +75,10 @@
 def take(host, event, now):
     """Take another host's counts."""
     duties = host.duties
-    if duties is not None:
-        counting.merge(duties.tables.setdefault(
-            (event.name, event.boot), {}), event.rows)
+    if duties is None or not event.rows:
+        return []
+    table = duties.tables.setdefault((event.name, event.boot), {})
+    counting.merge(table, event.rows)
+    # Whoever is not the holder decides no window, and would keep all.
+    counting.prune(duties.tables, max(table) - counting.WINDOWS_KEPT)
     return []
--- a/crocuskeel/platform/assembly.py
+++ b/crocuskeel/platform/assembly.py
@@ -30,17 +30,19 @@
 METRICS_PORT = 9464
 
 
-def start(reactor, boot, path, log, on_exit, statsd_address=None):
+def start(reactor, boot, path, log, on_exit, policy,
+          statsd_address=None):
     """Listen and follow the store; return (gateway, reloader).
 
-    ``path`` is that of the settings file, which may change;
-    ``statsd_address`` an (ip, port) that metrics go to as well.
+    ``path`` is that of the settings file, which may change; ``policy``
+    says how engines are ordered; ``statsd_address`` is an (ip, port) that
+    metrics go to as well.
     """
     # The generator only breaks ties and spreads retries; hosts must not
     # do so alike.
     seed = f"{boot.host}:{random.SystemRandom().getrandbits(32)}"
     rng = random.Random(seed)
-    host = entry.new_host(boot.settings, rng)
+    host = entry.new_host(boot.settings, rng, policy)
     counts = metrics.new_metrics(host, statsd_address)
 
     def note(event, fields):
--- a/crocuskeel/programs/entry.py
+++ b/crocuskeel/programs/entry.py
@@ -7,8 +7,10 @@
 import sys
 import time
 
+from crocuskeel.core.duties import capacity
 from crocuskeel.platform import boot as boots
 from crocuskeel.platform import exceptions
+from crocuskeel.programs import policy
 
 __all__ = ["main", "new_parser"]
 
@@ -29,9 +31,12 @@
     parser.add_argument(
         "--statsd", metavar="IP:PORT", type=_address,
         help="send metrics there, too (by UDP)")
+    parser.add_argument(
+        "--capacity", metavar="FILE",
+        help="how engines are ordered, JSON with comments")
     parser.add_argument(
         "--check", action="store_true",
-        help="check the settings file and exit")
+        help="check the settings files and exit")
     return parser
 
 
@@ -55,13 +60,29 @@
         for fault in exc.faults:
             print(f"{args.settings}: {fault}", file=sys.stderr)
         return EXIT_SETTINGS
+    try:
+        how = _read_policy(args.capacity)
+    except OSError as exc:
+        print(f"{args.capacity}: {exc.strerror}", file=sys.stderr)
+        return EXIT_SETTINGS
+    except policy.BadPolicy as exc:
+        for fault in exc.faults:
+            print(f"{args.capacity}: {fault}", file=sys.stderr)
+        return EXIT_SETTINGS
     if args.check:
         print(f"{args.settings}: good")
         return 0
-    return _run(boot, args.settings, args.statsd)
+    return _run(boot, args.settings, how, args.statsd)
+
+
+def _read_policy(path):
+    if path is None:
+        return capacity.Policy()
+    with open(path, encoding="utf-8") as lines:
+        return policy.read_policy(lines.read())
 
 
-def _run(boot, path, statsd_address):
+def _run(boot, path, how, statsd_address):
     from twisted.internet import asyncioreactor
 
     asyncioreactor.install()
@@ -78,7 +99,7 @@
     log, flush = logs.new_log(reactor, sys.stdout.fileno(), boot.host)
     log("started", {"pid": os.getpid(), "domain": boot.domain})
     gateway, reloader = assembly.start(
-        reactor, boot, path, log, reactor.stop, statsd_address)
+        reactor, boot, path, log, reactor.stop, how, statsd_address)
     reactor._asyncioEventloop.add_signal_handler(
         signal.SIGTERM, gateway.feed, events.StopAsked())
     reactor._asyncioEventloop.add_signal_handler(
--- a/tests/duties/test_capacity.py
+++ b/tests/duties/test_capacity.py
@@ -76,6 +76,13 @@
         self.assertGreaterEqual(
             total(found, False) + 3, 10)
 
+    def test_an_operator_may_bound_the_share_of_spot_engines(self):
+        found = capacity.plan(
+            SCALING, domains(), need=12, usual=8,
+            policy=capacity.Policy(spot_share=0.5))
+        self.assertEqual((15, 15), (total(found, True),
+                                    total(found, False)))
+
     def test_without_spot_engines(self):
         found = capacity.plan(worlds.scaling(spot_price=None),
                               domains(asked=10), need=12, usual=8)
