Name what the holder looks at, and say why only kept counts go out

Cause: read as a newcomer, a local named states_ and functions without a word stopped the eye. Ruled out: nothing else. Change: names and two docstrings in core/entry/duties.py and core/duties/reporting.py. Conclusion: no behaviour changes.

--- a/crocuskeel/core/duties/reporting.py
+++ b/crocuskeel/core/duties/reporting.py
@@ -43,7 +43,9 @@
 def due(duties, report_s, due_s, wall):
     """Return the Report that is to be sent next, or None.
 
-    Only counts that the object holds for certain go out.
+    Only counts that the object holds for certain go out: the next holder
+    would decide a window otherwise whose write never took effect, and the
+    platform would get two counts of it.
     """
     try:
         kept, _ = books.read(duties.candidate.lease.kept)
--- a/crocuskeel/core/entry/duties.py
+++ b/crocuskeel/core/entry/duties.py
@@ -72,6 +72,7 @@
 
 
 def _act(host, now):
+    """Report and order what is due: this host holds the lease."""
     duties = host.duties
     calls = []
     if REPORT in host.cfg.duties:
@@ -91,19 +92,20 @@
 
 
 def _orders(host, now):
+    """Return the orders that are due, of all services with any."""
     found = []
     for service in host.catalog.services.values():
         if service.scaling is None:
             continue
-        states_ = [state for state in host.by_service.get(service.name, ())
+        engines = [state for state in host.by_service.get(service.name, ())
                    if not state.server.draining]
-        if not states_:
+        if not engines:
             # The list of engines may not be known yet.
             continue
-        shares = [_share(state, now) for state in states_]
+        shares = [_share(state, now) for state in engines]
         ordering.sample(host.duties, service.name, shares, now, host.policy)
         found += ordering.due(host.duties, service.name, service.scaling,
-                              _count(states_), now, host.policy)
+                              _count(engines), now, host.policy)
     return found
 
 
@@ -114,6 +116,7 @@
 
 
 def _count(engines):
+    """Return the number of engines by (failure domain, spot)."""
     found = {}
     for state in engines:
         key = state.server.domain, state.server.spot
