--- a/crocuskeel/platform/duties.py
+++ b/crocuskeel/platform/duties.py
@@ -103,7 +103,8 @@
                 effect.until)
         except gateway_exceptions.CallFailed as exc:
             return model.Outcome.FAILED, str(exc)
-        if reply.status == CONFLICT:
+        if reply.status == CONFLICT and isinstance(
+                effect.call, duties.Order):
             return model.Outcome.UNAVAILABLE, "409"
         if reply.status != OK:
             return model.Outcome.FAILED, str(reply.status)
--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -115,6 +115,10 @@
             event = self._do(effects.SendDuty(ORDER, 12, 110.0),
                              (status, None))
             self.assertIs(outcome or model.Outcome.FAILED, event.outcome)
+        # Of a report it says nothing that is known: it is sent again, later
+        # each time, and not with each look.
+        event = self._do(effects.SendDuty(REPORT, 12, 110.0), (409, None))
+        self.assertIs(model.Outcome.FAILED, event.outcome)
         event = self._do(effects.SendDuty(ORDER, 12, 110.0),
                          gateway_exceptions.CallFailed("timeout"))
         self.assertIs(model.Outcome.FAILED, event.outcome)
