--- a/crocuskeel/core/duties/ordering.py
+++ b/crocuskeel/core/duties/ordering.py
@@ -4,7 +4,7 @@
 from crocuskeel.core.duties import demand
 from crocuskeel.core.duties import model
 
-__all__ = ["answered", "due", "sample", "subjects"]
+__all__ = ["answered", "due", "sample"]
 
 # Engines that were ordered and don't serve this long after their boot
 # time are ordered again, s: an order may have been lost after it was
@@ -37,25 +37,18 @@
     return len(shares) * (policy.use_share if followed else 1.0)
 
 
-def subjects(service, scaling, engines):
-    """Return (domain, spot) of all numbers that can be asked for."""
-    names = set(scaling.prices) | {domain for domain, _ in engines}
-    kinds = (False,) if scaling.spot_price is None else (False, True)
-    return [(name, spot) for name in sorted(names) for spot in kinds]
-
-
 def due(duties, service, scaling, engines, now,
         policy=capacity.Policy()):
     """Return the orders of a service that are to be given now.
 
     ``engines`` holds the engines that serve, as {(domain, spot): count}.
     """
-    names = sorted({name for name, _ in subjects(
-        service, scaling, engines)})
+    # Where it may run, and where it does.
+    names = set(scaling.prices) | {name for name, _ in engines}
     known = duties.demands[service]
     wanted = capacity.plan(
         scaling, [_domain(duties, service, name, engines)
-                  for name in names],
+                  for name in sorted(names)],
         demand.need(known), known.usual, policy)
     found = []
     for (name, spot), count in wanted.items():
