Refuse a holder's record whose fields have another type

Reading it again: a record with another type in a field was taken over, and each step of the holder would have failed. Ruled out: rerunning; the failure was the same each time. Change: bad_record is a log line; fields of the record are checked. For records of our hosts nothing changes.

--- a/crocuskeel/core/duties/book.py
+++ b/crocuskeel/core/duties/book.py
@@ -51,15 +51,30 @@
     if record is None:
         return Book(), []
     try:
+        done = record["done"]
         book = Book(
-            record["done"],
-            {int(window): dict(counts)
+            None if done is None else _number(done),
+            {int(window): _counts(counts)
              for window, counts in record["decided"].items()},
-            {tuple(row[:-1]): row[-1] for row in record["asked"]})
+            {tuple(row[:-1]): _number(row[-1]) for row in record["asked"]})
         tables = [
-            (name, boot, [(window, tuple(counts.items()))
+            (name, boot, [(_number(window), tuple(_counts(counts).items()))
                           for window, counts in rows])
             for name, boot, rows in record["tables"]]
     except (KeyError, TypeError, ValueError, AttributeError) as exc:
         raise ValueError(f"no record of a holder: {exc!r}") from exc
     return book, tables
+
+
+def _number(value):
+    """Return a whole number as it is; raises TypeError for others.
+
+    A holder that took another type over would fail at each step.
+    """
+    if not isinstance(value, int) or isinstance(value, bool):
+        raise TypeError(value)
+    return value
+
+
+def _counts(rows):
+    return {str(name): _number(count) for name, count in rows.items()}
--- a/crocuskeel/core/entry/holding.py
+++ b/crocuskeel/core/entry/holding.py
@@ -150,7 +150,7 @@
     try:
         duties.book, tables = books.read(lease.record)
     except ValueError as exc:
-        return [lease_effects.Record("bad_record", (("why", str(exc)),))]
+        return [effects.Note("bad_record", {"why": str(exc)})]
     for name, boot, rows in tables:
         counting.merge(duties.tables.setdefault((name, boot), {}), rows)
     return []
--- a/tests/duties/test_counting.py
+++ b/tests/duties/test_counting.py
@@ -133,6 +133,12 @@
         for record in (7, [], "x", {}, {"done": 1, "decided": [],
                                         "asked": [], "tables": []},
                        {"done": 1, "decided": {"x": {}}, "asked": [],
+                        "tables": []},
+                       {"done": [], "decided": {}, "asked": [],
+                        "tables": []},
+                       {"done": 1, "decided": {"7": {"hire": "two"}},
+                        "asked": [], "tables": []},
+                       {"done": 1, "decided": {}, "asked": [["a", None]],
                         "tables": []}):
             with self.subTest(record=record):
                 with self.assertRaises(ValueError):
