--- a/tests/duties/test_records.py
+++ b/tests/duties/test_records.py
@@ -16,8 +16,8 @@
                              engines=worlds.engines())
         world.run(12)
         version, body = world.lease
-        spoiled = {**json.loads(body), "record": {"done": [], "decided": {},
-                                            "asked": [], "tables": []}}
+        record = {"done": [], "decided": {}, "asked": [], "tables": []}
+        spoiled = {**json.loads(body), "record": record}
         world.lease = version + 1, json.dumps(spoiled).encode()
         world.version += 1
         world.kill(json.loads(body)["holder"], 30.0)
