--- a/crocuskeel/core/entry/telling.py
+++ b/crocuskeel/core/entry/telling.py
@@ -19,6 +19,9 @@
 RETOLD_S = 2.0
 # Servers that were heard within this are told of, s.
 LOADS_S = 1.0
+# Of so many at the most in one datagram, which holds 64 kB: a row with
+# streams takes up to 100 bytes.
+LOADS_MOST = 400
 # What changes at engines is told this often at most, s: a host with 30
 # requests a second changes them 90 times, and each change went to nine
 # hosts; an engine takes 100 ms and more to read a prompt.
@@ -175,8 +178,17 @@
 
 
 def _loads(host, now):
-    return tuple(_load_row(state, now) for state in host.servers.values()
-                 if state.mine or state.heard_at > now - LOADS_S)
+    """Return rows of servers with work of this host, or heard lately.
+
+    Its own come first where not all have room: with 3,000 servers just
+    listed a state was 66 kB, more than a datagram holds, and told nobody
+    anything (9 kB now).
+    """
+    told = [state for state in host.servers.values()
+            if state.mine or state.heard_at > now - LOADS_S]
+    if len(told) > LOADS_MOST:
+        told.sort(key=lambda state: (not state.mine, -state.heard_at))
+    return tuple(_load_row(state, now) for state in told[:LOADS_MOST])
 
 
 def _load_row(state, now):
--- a/tests/gateway/test_pieces.py
+++ b/tests/gateway/test_pieces.py
@@ -5,6 +5,7 @@
 import unittest
 
 from crocuskeel.core import duties
+from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import events
 from crocuskeel.gateway import events_split
 from crocuskeel.gateway import gossip
@@ -51,6 +52,20 @@
                                  ("t",))):
             self.assertEqual(event, gossip.decode(gossip.encode(event)))
 
+    def test_a_state_among_thousands_of_servers_fits_a_datagram(self):
+        # Hosts know nothing of each other at the start of a large fleet:
+        # all its servers count as just heard, their rows are more than a
+        # datagram holds, and the system refuses to send it.
+        servers = [support.server(f"i-{number:010x}", "engines")
+                   for number in range(3000)]
+        driver = support.Driver(support.stream(), servers=servers)
+        driver.host.servers[servers[-1].sid].mine[1, 0] = 500
+        driver.feed(events.PeersSeen((support.peer("other"),)))
+        tell = support.only(driver.feed(events.Ticked(), 0.3),
+                            effects.Tell)[0]
+        self.assertLess(len(gossip.encode(tell.event)), 65_000)
+        self.assertEqual(servers[-1].sid, tell.event.loads[0][0])
+
     def test_what_is_no_datagram_of_a_host_is_refused(self):
         for data in (b"", b"\xc1", b"\x93\x01\x02\x03", b"\x91\xa1x",
                      b"hello", bytes(200), b"\x92\x00\xa1x",
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -1,6 +1,7 @@
 """Following the store through outages, against a store of a few lines."""
 
 import dataclasses
+import json
 import random
 import unittest
 
@@ -198,6 +199,20 @@
         self.assertEqual(8, self.host.catalog.revision)
         self.assertEqual(["s1"], list(self.host.servers))
 
+    def test_one_change_is_fetched_without_all_other_servers(self):
+        # A fleet of 300 hosts before 3,000 servers does not get through
+        # its start: each server that registers has each host fetch and
+        # read the whole list again. Cause: what hosts fetch of a reader
+        # grows with the servers, not with what changed.
+        servers = [_server(f"s{number}") for number in range(3000)]
+        self.store.answer("servers", stores.Changes(
+            tuple((server, False) for server in servers), 5))
+        known = json.dumps(self.follower.snapshot(3))
+        self.store.answer("servers", stores.Changes(
+            ((_server("s7", "draining"), False),), 6))
+        fetched = json.dumps(self.follower.snapshot(3))
+        self.assertLess(len(fetched), len(known) / 100)
+
     def test_a_snapshot_tells_what_lapsed_and_is_kept(self):
         self.gateway.feed(events.StoreBack())
         self.host.store_back_at = self.gateway.now
