--- a/tools/soak/store.py
+++ b/tools/soak/store.py
@@ -28,6 +28,7 @@
         self.history = []
         self.history_from = 0
         self.down = False
+        self.outages = 0
         self.delay_s = 0.0
         self.loses = False
         self.listener = callers.new_listener(reactor, self)
@@ -92,8 +93,14 @@
         self.watches.append((exchange, kind, since))
 
     def set_down(self, down):
-        """Begin or end an outage; its history is gone afterwards."""
-        self.down = down
+        """Begin or end an outage; its history is gone afterwards.
+
+        Outages overlap: the end of one does not end another. Entries that
+        lapsed in the second would be back 3 s after the store's return,
+        and hosts would rightly take their servers for gone.
+        """
+        self.outages += 1 if down else -1
+        self.down = self.outages > 0
         if down:
             waiting, self.watches = self.watches, []
             for exchange, _, _ in waiting:
