--- a/crocuskeel/core/entry/admission.py
+++ b/crocuskeel/core/entry/admission.py
@@ -119,7 +119,7 @@
         return False
     return not any(
         cost.later_streams(host, state, pending, now) <= LATE_MOST
-        for state in choosing.sound(host, pending.service, now))
+        for state in choosing.sound(host, pending, now))
 
 
 def _bounds(pending, rank):
--- a/crocuskeel/core/entry/budget.py
+++ b/crocuskeel/core/entry/budget.py
@@ -7,7 +7,7 @@
 
 import collections
 
-__all__ = ["arrived", "may_repeat", "repeated"]
+__all__ = ["arrived", "may_repeat", "rate", "repeated"]
 
 # Of its part a host uses this much: windows slide, and hosts that are
 # not heard of for a moment use theirs as well.
@@ -34,6 +34,13 @@
     return repeats + 1 <= USED * most
 
 
+def rate(host, now):
+    """Return the requests a second of callers here, of all services."""
+    total = sum(len(_within(host, host.arrivals, service, now))
+                for service in list(host.arrivals))
+    return total / host.cfg.repeat_window_s
+
+
 def _within(host, counts, service, now):
     times = counts.setdefault(service, collections.deque())
     while times and times[0] < now - host.cfg.repeat_window_s:
--- a/crocuskeel/core/entry/choosing.py
+++ b/crocuskeel/core/entry/choosing.py
@@ -26,7 +26,7 @@
     is left: a suspect server may serve, and an excluded one has failed
     this very request.
     """
-    usable = _usable(host, pending.service, now)
+    usable = _usable(host, pending, now)
     for strict in (2, 1, 0):
         found = [state for state in usable
                  if _fits(state, strict, exclude, now)]
@@ -41,20 +41,20 @@
     ``has_room(state)`` says which have any. One that is suspect has none:
     a dead engine has nothing before it and would look the best.
     """
-    found = [state for state in sound(host, pending.service, now)
+    found = [state for state in sound(host, pending, now)
              if has_room(state)]
     return cost.least(host, found, pending, now) if found else None
 
 
-def sound(host, service, now):
-    """Return the servers that may get requests and seem well."""
-    return [state for state in _usable(host, service, now)
+def sound(host, pending, now):
+    """Return the servers that may get a request and seem well."""
+    return [state for state in _usable(host, pending, now)
             if _fits(state, 2, (), now)]
 
 
-def _usable(host, service, now):
-    most = _connections(host, service)
-    return [state for state in host.by_service.get(service, ())
+def _usable(host, pending, now):
+    most = _connections(host, pending.service)
+    return [state for state in pending.candidates
             if not (state.server.draining or state.misdirects)
             and serverload.running(state, now) < most]
 
--- a/crocuskeel/core/entry/events.py
+++ b/crocuskeel/core/entry/events.py
@@ -6,6 +6,7 @@
 
 from crocuskeel.core.duties import model as duties_model
 from crocuskeel.core.duties import state
+from crocuskeel.core.entry import carrying
 from crocuskeel.core.entry import model
 
 __all__ = [
@@ -140,12 +141,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServersChanged:
-    """Entries that changed, and ids that were removed or unreadable."""
+    """Entries that changed, and ids that were removed or unreadable.
+
+    ``lapsing`` as in :class:`ServersListed`.
+    """
 
     changed: tuple
     removed: tuple
     revision: int
     unreadable: tuple = ()
+    lapsing: tuple | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -187,7 +192,8 @@
     ``informed_s``: how old what it knows of the store may be, s.
     ``carriers`` names hosts that it knows to be ready for callers.
     ``wall`` is its time of day, s since 1970, None if it has no duties;
-    ``leader`` says who holds them.
+    ``leader`` says who holds them. ``wanted``: how many hosts are needed
+    to carry callers.
 
     ``crashed`` holds (digest, incarnation) of requests under which a server
     ended; ``loads`` is that of LoadHeard, ``parts`` holds (server
@@ -207,6 +213,7 @@
     informed_s: float = math.inf
     wall: float | None = None
     leader: state.Leader = state.Leader()
+    wanted: carrying.Wanted = carrying.Wanted(0, 0.0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/crocuskeel/core/entry/fleet.py
+++ b/crocuskeel/core/entry/fleet.py
@@ -8,7 +8,7 @@
 
 import math
 
-
+from crocuskeel.core.entry import carrying
 from crocuskeel.core.entry import routing
 
 __all__ = ["SILENT_S", "addresses", "carriers", "changed", "is_carrier",
@@ -19,8 +19,8 @@
 SILENT_S = 1.3
 ADDRESSES_MOST = 64
 # At least so many hosts carry callers, so that one that fails takes a
-# fifth of the requests under way; and all that have half of the largest's
-# capacity.
+# fifth of the requests under way; and of those that have half of the
+# largest's capacity as many as are needed.
 CARRIERS_LEAST = 5
 CAPACITY_SHARE = 0.5
 # Up to so many hosts all read the store; of more, so many carriers.
@@ -65,7 +65,8 @@
     if not live:
         return []
     least = live[0].capacity * CAPACITY_SHARE
-    return [peer for place, peer in enumerate(live)
+    most = carrying.count(host, now)
+    return [peer for place, peer in enumerate(live[:most])
             if place < CARRIERS_LEAST or peer.capacity >= least]
 
 
--- a/crocuskeel/core/entry/peers.py
+++ b/crocuskeel/core/entry/peers.py
@@ -1,5 +1,6 @@
 """What other hosts say: that they live, what they know, what they do."""
 
+from crocuskeel.core.entry import carrying
 from crocuskeel.core.entry import duties
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import fleet
@@ -51,6 +52,7 @@
     known.servers_revision = event.servers_revision
     known.reads_store = event.reads_store
     known.informed_s = event.informed_s
+    carrying.hear(host, event.wanted, now)
     duties.heard(host, event, now)
     for digest, incarnation in event.crashed:
         quarantine.learn(host, digest, incarnation, now)
@@ -90,6 +92,7 @@
         state = host.servers.get(sid)
         if state is None:
             continue
+        serverload.note_work(host, state)
         state.others.put(name, count, tokens, reading, now, gaps, memory)
         pauses.heard(state, serverload.ahead_s(state, now), now)
         state.heard_at = max(state.heard_at, now - silent_ms / 1000)
--- a/crocuskeel/core/entry/registry.py
+++ b/crocuskeel/core/entry/registry.py
@@ -45,21 +45,25 @@
     listed = {server.sid for server in event.servers}
     listed.update(event.unreadable)
     missing = tuple(sid for sid in host.servers if sid not in listed)
-    if event.lapsing is None:
-        kept = _lapses(host, missing, now)
-    else:
-        # That host read the store, this one did not: what it saw leave
-        # has left, also if this host was cut off meanwhile.
-        kept = {sid: now + left_s for sid, left_s in event.lapsing}
+    kept = _kept(host, event, missing, now)
     return _apply(host, event, event.servers, missing, kept, now)
 
 
 def servers_changed(host, event, now):
     """Take changes of the list."""
-    kept = _lapses(host, event.removed, now)
+    kept = _kept(host, event, event.removed, now)
     return _apply(host, event, event.changed, event.removed, kept, now)
 
 
+def _kept(host, event, removed, now):
+    """Return until when removed servers are kept, by their ids."""
+    if event.lapsing is None:
+        return _lapses(host, removed, now)
+    # That host read the store, this one did not: what it saw leave has
+    # left, also if this host was cut off meanwhile.
+    return {sid: now + left_s for sid, left_s in event.lapsing}
+
+
 def _apply(host, event, changed, removed, kept, now):
     """Take changes; ``kept`` maps lapsed servers to when they go."""
     host.servers_revision = max(host.servers_revision, event.revision)
@@ -89,11 +93,13 @@
         _drop(host, sid)
     elif host.servers[sid].lapses_at is None:
         host.servers[sid].lapses_at = kept[sid]
+        host.lapsing[sid] = None
     return [effects.Note("server_removed", {
         "server": sid, "revision": revision, "lapse": sid in kept})]
 
 
 def _put(host, server, now):
+    host.lapsing.pop(server.sid, None)
     known = host.servers.get(server.sid)
     if known is None:
         _end_former(host, server)
@@ -161,17 +167,23 @@
 def lapsing(host, now):
     """Return (server id, seconds) of entries that lapsed and are kept."""
     return tuple(
-        (sid, max(0.0, min(BACK_S, state.lapses_at - now)))
-        for sid, state in host.servers.items()
-        if state.lapses_at is not None)
+        (state.server.sid, max(0.0, min(BACK_S, state.lapses_at - now)))
+        for state in _lapsing(host))
+
+
+def _lapsing(host):
+    return [host.servers[sid] for sid in host.lapsing]
 
 
 def _drop(host, sid):
     host.servers.pop(sid, None)
+    host.working.pop(sid, None)
+    host.lapsing.pop(sid, None)
 
 
 def _index(host):
     host.by_service = {}
+    host.rings = {}
     for state in host.servers.values():
         host.by_service.setdefault(
             state.server.service, []).append(state)
@@ -179,8 +191,8 @@
 
 def expire(host, now):
     """Drop servers that did not register again in time."""
-    late = [sid for sid, state in host.servers.items()
-            if state.lapses_at is not None and state.lapses_at <= now]
+    late = [state.server.sid for state in _lapsing(host)
+            if state.lapses_at <= now]
     for sid in late:
         _drop(host, sid)
     if late:
@@ -193,10 +205,9 @@
     if host.store_lost_at is not None:
         return []
     host.store_lost_at = now
-    for state in host.servers.values():
-        if state.lapses_at is not None:
-            # What has not registered again can't do so now.
-            state.lapses_at = math.inf
+    for state in _lapsing(host):
+        # What has not registered again can't do so now.
+        state.lapses_at = math.inf
     return [effects.Note("store_lost", {"why": event.reason})]
 
 
@@ -224,6 +235,5 @@
 
 def _wait_no_more(host, now):
     host.store_lost_at = None
-    for state in host.servers.values():
-        if state.lapses_at is not None:
-            state.lapses_at = min(state.lapses_at, now + BACK_S)
+    for state in _lapsing(host):
+        state.lapses_at = min(state.lapses_at, now + BACK_S)
--- a/crocuskeel/core/entry/repeating.py
+++ b/crocuskeel/core/entry/repeating.py
@@ -66,8 +66,13 @@
 
 
 def _is_lost(host, sid):
+    """Say whether a server is known to be gone or out of reach.
+
+    One that left the list serves on for a while: taken for lost, it let a
+    stream that it had run begin on a third server where two are allowed.
+    """
     target = host.servers.get(sid)
-    return target is None or target.unreached
+    return target is not None and target.unreached
 
 
 def _others(host, service, tried):
--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -2,6 +2,7 @@
 
 from crocuskeel.core.entry import admission
 from crocuskeel.core.entry import budget
+from crocuskeel.core.entry import candidates
 from crocuskeel.core.entry import choosing
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import ending
@@ -20,8 +21,8 @@
     left = pending.ends_at - now
     if left < repeating.WORTH_SENDING_S:
         return ending.give_up(host, pending, "time is up", now)
-    parts.look(
-        pending, choosing.sound(host, pending.service, now), now)
+    pending.candidates = candidates.pick(host, pending)
+    parts.look(pending, choosing.sound(host, pending, now), now)
     tried = {attempt.sid for attempt in pending.tries}
     target = choosing.choose(host, pending, tried, now)
     if target is None:
@@ -118,6 +119,7 @@
     pending.reached_out += 1
     if not target.mine:
         target.asked_at = now
+    serverload.note_work(host, target)
     target.mine[pending.key, attempt.turn] = attempt.fresh_tokens
     if pending.route.kind is model.Kind.STREAM:
         pauses.note_sent(target, pending.route)
@@ -135,7 +137,7 @@
     """
     prompt = pending.request.prompt
     source = parts.source(host, target, pending, choosing.sound(
-        host, pending.service, now), now)
+        host, pending, now), now)
     held = parts.held(target, prompt)
     attempt.fresh_tokens = parts.to_read(host, target, pending)
     attempt.fetched_tokens = parts.fetchable(host, pending, held)
--- a/crocuskeel/core/entry/serverload.py
+++ b/crocuskeel/core/entry/serverload.py
@@ -6,8 +6,9 @@
 
 from crocuskeel.core.entry import parts
 
-__all__ = ["ahead_s", "ahead_tokens", "is_silent", "memory", "note_load",
-           "read_s", "reading", "running", "sample", "slots"]
+__all__ = ["HEARD_S", "ahead_s", "ahead_tokens", "is_silent", "memory",
+           "note_load", "note_work", "read_s", "reading", "running",
+           "sample", "slots"]
 
 # A server with work that was not heard for this long on top of the time
 # to read its prompts, s, is silent. Events come each 30 to 200 ms.
@@ -17,6 +18,10 @@
 # Weight of a sample of what an engine does: four samples a second make
 # a mean over the last second and a half.
 BUSY_WEIGHT = 0.2
+# An idle engine's mean is taken for zero below this, after some 7 s.
+BUSY_LEAST = 0.01
+# What was heard of a server is told to others for this long, s.
+HEARD_S = 1.0
 
 
 def is_silent(state, now):
@@ -55,11 +60,30 @@
         tokens > 0 for tokens in state.mine.values())
 
 
+def note_work(host, state):
+    """Note that a server has work, or was heard of."""
+    host.working[state.server.sid] = None
+
+
 def sample(host, now):
-    """Note which engines have prompts to read, once a tick."""
-    for state in host.servers.values():
+    """Note which engines have prompts to read, once a tick.
+
+    Only those with work are looked at: what an idle host costs must not
+    grow with the servers.
+    """
+    for sid in list(host.working):
+        state = host.servers[sid]
         busy = ahead_tokens(state, now) > 0
         state.busy += BUSY_WEIGHT * (busy - state.busy)
+        if _rests(state, now):
+            state.busy = 0.0
+            del host.working[sid]
+
+
+def _rests(state, now):
+    return (not state.mine and not state.others.rows
+            and state.busy < BUSY_LEAST
+            and state.heard_at < now - HEARD_S)
 
 
 def running(state, now):
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -7,8 +7,10 @@
 
 from crocuskeel.core.duties import capacity
 from crocuskeel.core.duties import state
+from crocuskeel.core.entry import carrying
 from crocuskeel.core.entry import loads
 from crocuskeel.core.entry import model
+from crocuskeel.core.entry import routing
 
 __all__ = ["Host", "Pending", "PeerState", "ServerState", "Settings", "Try",
            "new_host", "new_server"]
@@ -85,6 +87,8 @@
     pause_s: float = 0.0
     # Time to read what waited at its engine at its last event, s.
     ahead_s: float = 0.0
+    # The servers that were looked at when it was placed last.
+    candidates: list = dataclasses.field(default_factory=list)
     # The most of its prompt's shared tokens that one engine has read.
     elsewhere: int = 0
     # It is in the counts of what engines began.
@@ -104,6 +108,8 @@
     """
 
     server: model.Server
+    # Its place in the order that all hosts share, in [0, 1).
+    point: float = 0.0
     mine: dict = dataclasses.field(default_factory=dict)
     others: loads.Loads = dataclasses.field(default_factory=loads.Loads)
     # Requests there when it last said so itself.
@@ -165,6 +171,12 @@
     catalog: model.Catalog | None = None
     servers: dict = dataclasses.field(default_factory=dict)
     by_service: dict = dataclasses.field(default_factory=dict)
+    # By service: its servers in the order that all hosts share.
+    rings: dict = dataclasses.field(default_factory=dict)
+    # Ids of servers whose entries lapsed, which are kept for a while.
+    lapsing: dict = dataclasses.field(default_factory=dict)
+    # Ids of servers with work, or heard of lately.
+    working: dict = dataclasses.field(default_factory=dict)
     servers_known: bool = False
     servers_revision: int = 0
     pending: dict = dataclasses.field(default_factory=dict)
@@ -174,6 +186,8 @@
     # Hosts that callers are sent to, and until when that holds.
     carriers: list = dataclasses.field(default_factory=list)
     carriers_until: float = 0.0
+    # How many are needed, by what carriers said.
+    wanted: carrying.Wanted = carrying.NOBODY
     # When the list of hosts was read.
     seen_at: float = 0.0
     # By service: times of requests and of repeats within the window.
@@ -192,6 +206,8 @@
     # When this was told last, and whether a time to tell it is set.
     told_load_at: float = 0.0
     load_is_due: bool = False
+    # When hosts were told last that something newer is known.
+    told_news_at: float = 0.0
     # Servers that took no connection, not told yet.
     refusing: set = dataclasses.field(default_factory=set)
     # Requests that wait here for room.
@@ -216,4 +232,5 @@
 def new_server(server, now):
     """Return the state of a server that was just heard of."""
     return ServerState(server=server, heard_at=now,
+                       point=routing.unit_hash(server.sid, "ring"),
                        cold_until=now + server.cold_s)
--- a/crocuskeel/core/entry/telling.py
+++ b/crocuskeel/core/entry/telling.py
@@ -6,22 +6,26 @@
 """
 
 from crocuskeel.core.duties import truetime
+from crocuskeel.core.entry import carrying
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import fleet
 from crocuskeel.core.entry import quarantine
 from crocuskeel.core.entry import routing
+from crocuskeel.core.entry import serverload
 
 __all__ = ["loads_due", "note_changes", "reply", "tell", "tell_lease",
            "tell_news"]
 
 # Crashes are told again for this long, s: a datagram may be lost.
 RETOLD_S = 2.0
-# Servers that were heard within this are told of, s.
-LOADS_S = 1.0
 # Of so many at the most in one datagram, which holds 64 kB: a row with
 # streams takes up to 100 bytes.
 LOADS_MOST = 400
+# News are told this often at most, s, else with the next state: while
+# 3,000 servers register, each host that reads the store told 12 others
+# its whole state for each change, 250 times a second.
+NEWS_GAP_S = 0.1
 # What changes at engines is told this often at most, s: a host with 30
 # requests a second changes them 90 times, and each change went to nine
 # hosts; an engine takes 100 ms and more to read a prompt.
@@ -44,6 +48,8 @@
     """Tell contacts this host's state, as often as they need it."""
     contacts = _contacts(host, now)
     carries = fleet.is_carrier(host, now)
+    if carries:
+        carrying.note_own(host, len(fleet.carriers(host, now)), now)
     contacts += _lost(host, now, contacts)
     state = _state(host, now, carries)
     out = []
@@ -58,12 +64,12 @@
 
 def tell_news(host, now):
     """Tell all contacts at once that something newer is known."""
-    state = _state(host, now, fleet.is_carrier(host, now))
-    out = []
-    for peer in _contacts(host, now):
-        host.peers[peer.name].told_at = now
-        out.append(effects.Tell(peer, state))
-    return out
+    if now < host.told_news_at + NEWS_GAP_S:
+        # The next state tells it.
+        return []
+    host.told_news_at = now
+    state = _state(host, now, False)
+    return [effects.Tell(peer, state) for peer in _contacts(host, now)]
 
 
 def tell_lease(host, now):
@@ -157,6 +163,7 @@
         reads_store=reads and host.servers_known,
         carriers=_known_carriers(host, now),
         informed_s=fleet.informed_s(host, now),
+        wanted=carrying.told(host, now),
         **_of_duties(host, now))
 
 
@@ -184,8 +191,8 @@
     listed a state was 66 kB, more than a datagram holds, and told nobody
     anything (9 kB now).
     """
-    told = [state for state in host.servers.values()
-            if state.mine or state.heard_at > now - LOADS_S]
+    told = [state for state in map(host.servers.get, host.working)
+            if state.mine or state.heard_at > now - serverload.HEARD_S]
     if len(told) > LOADS_MOST:
         told.sort(key=lambda state: (not state.mine, -state.heard_at))
     return tuple(_load_row(state, now) for state in told[:LOADS_MOST])
@@ -195,7 +202,7 @@
     tokens = state.mine.values()
     return (state.server.sid, len(state.mine), sum(tokens),
             sum(count > 0 for count in tokens),
-            int(min(LOADS_S, now - state.heard_at) * 1000),
+            int(min(serverload.HEARD_S, now - state.heard_at) * 1000),
             tuple((*kind, streams)
                   for kind, streams in state.gaps.items()),
             state.memory)
--- a/crocuskeel/gateway/gossip.py
+++ b/crocuskeel/gateway/gossip.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from crocuskeel.core import duties
+from crocuskeel.core.entry import carrying
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import model
 import msgpack
@@ -28,7 +29,8 @@
         heard.ready, heard.leaving, heard.catalog_revision,
         heard.servers_revision, heard.crashed, heard.loads, heard.parts,
         heard.reads_store, heard.carriers, heard.informed_s, heard.wall,
-        dataclasses.astuple(heard.leader)))
+        dataclasses.astuple(heard.leader),
+        dataclasses.astuple(heard.wanted)))
 
 
 def decode(data):
@@ -41,15 +43,16 @@
             loads, refused = state
             return events.LoadHeard(peer, loads, refused)
         (ready, leaving, catalog, servers, crashed, loads, parts,
-         reads_store, carriers, informed_s, wall, leader) = state
+         reads_store, carriers, informed_s, wall, leader, wanted) = state
         leader = duties.Leader(*leader)
+        wanted = carrying.Wanted(*wanted)
         name, boot, domain, front, control, gossip, capacity = peer
     except (TypeError, ValueError, msgpack.UnpackException) as exc:
         raise ValueError(f"no datagram of a host: {exc}") from exc
     return events.Heard(
         model.Peer(name, boot, domain, front, control, gossip, capacity),
         ready, leaving, catalog, servers, crashed, loads, parts,
-        reads_store, carriers, informed_s, wall, leader)
+        reads_store, carriers, informed_s, wall, leader, wanted)
 
 
 class Gossip(protocol.DatagramProtocol):
--- a/crocuskeel/platform/assembly.py
+++ b/crocuskeel/platform/assembly.py
@@ -95,7 +95,8 @@
             known = catalog.revision if catalog else 0
             reply = await calls.call(
                 reactor, address, b"GET",
-                f"{faces.SNAPSHOT}?known={known}".encode(), SNAPSHOT_S)
+                f"{faces.SNAPSHOT}?known={known}"
+                f"&servers={follower.revision}".encode(), SNAPSHOT_S)
             if reply.status != 200:
                 return
             follower.take_snapshot(json.loads(zlib.decompress(reply.body)))
--- a/crocuskeel/platform/faces.py
+++ b/crocuskeel/platform/faces.py
@@ -2,6 +2,7 @@
 what this host knows, for other hosts."""
 
 import json
+import urllib.parse
 import zlib
 
 from crocuskeel.gateway import callers
@@ -46,6 +47,11 @@
         self.gateway.log("unreadable", {"status": status, "why": why})
 
 
+def _revision(text):
+    """Return the revision that a host says it has; 0 if it says none."""
+    return int(text) if text and text.isdigit() else 0
+
+
 def new_face(reactor, gateway, follower, metrics):
     """Return a factory for all ports but the callers'."""
     def ready(exchange):
@@ -60,8 +66,10 @@
             {"Addrs": addresses, "TtlS": ttl}).encode()
 
     def snapshot(exchange):
-        query = exchange.head.target.partition(b"=")[2]
-        found = follower.snapshot(int(query) if query.isdigit() else 0)
+        query = exchange.head.target.decode("latin-1").partition("?")[2]
+        known = dict(urllib.parse.parse_qsl(query))
+        found = follower.snapshot(_revision(known.get("known")),
+                                  _revision(known.get("servers")))
         if found is None:
             return 503, b""
         # Hosts with narrow links fetch this: configurations shrink to a
--- a/crocuskeel/platform/following.py
+++ b/crocuskeel/platform/following.py
@@ -1,5 +1,6 @@
 """Follows the store: configuration, backend servers, other hosts."""
 
+from crocuskeel.core.entry import changelog
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import fleet
 from crocuskeel.core.entry import registry
@@ -31,7 +32,8 @@
 class Follower:
     """Keeps the gateway's core told of what the store holds.
 
-    ``raw`` holds the objects as read, for hosts that ask.
+    ``raw_config`` and ``raw_servers`` hold the objects as read, and
+    ``changes`` what changed in the list of servers, for hosts that ask.
     """
 
     def __init__(self, reactor, gateway, store):
@@ -41,6 +43,7 @@
         self.watches = {}
         self.raw_config = None
         self.raw_servers = {}
+        self.changes = changelog.Log()
         self.revision = 0
         self.begun = False
 
@@ -160,22 +163,37 @@
         self.gateway.feed(events.CatalogSeen(catalog))
 
     def _servers_listed(self, listing, lapsing=None):
-        self.raw_servers = {}
+        former, self.raw_servers = self.raw_servers, {}
         servers, unreadable = self._decode_servers(listing.items)
         self.revision = listing.revision
+        changelog.note_whole(self.changes, former, self.raw_servers,
+                             self.revision)
         self.gateway.feed(events.ServersListed(
             servers, listing.revision, lapsing, unreadable))
 
     def _servers_changed(self, news):
-        removed = tuple(filter(None, (
-            self._name(obj) for obj, gone in news.rows if gone)))
+        if not news.rows:
+            # A watch that ends shows the store's revision, which each
+            # write to it moves on: told to others, it had all of them
+            # fetch a list that they had.
+            return
+        # The last row of an id counts: it may leave and come back.
+        latest = {self._name(obj): (obj, gone) for obj, gone in news.rows}
+        latest.pop(None, None)
+        self._take_changes(
+            [obj for obj, gone in latest.values() if not gone],
+            tuple(sid for sid, (_, gone) in latest.items() if gone),
+            news.revision, None)
+
+    def _take_changes(self, items, removed, revision, lapsing):
         for sid in removed:
             self.raw_servers.pop(sid, None)
-        changed, unreadable = self._decode_servers(
-            [obj for obj, gone in news.rows if not gone])
-        self.revision = news.revision
+        changed, unreadable = self._decode_servers(items)
+        self.revision = revision
+        changelog.note(self.changes, [server.sid for server in changed],
+                       (*removed, *unreadable), revision)
         self.gateway.feed(events.ServersChanged(
-            changed, removed, news.revision, unreadable))
+            changed, removed, revision, unreadable, lapsing))
 
     def _name(self, obj):
         try:
@@ -226,27 +244,44 @@
             self.gateway.log("bad_object", {"why": str(exc)})
             return None
 
-    def snapshot(self, known_revision):
-        """Return what a host lacks that has a configuration, or None."""
+    def snapshot(self, config_revision, servers_revision=0):
+        """Return what a host lacks that has these revisions, or None.
+
+        Of the list of servers it gets the changes since its revision
+        ("since" names it), or the whole if these aren't known here.
+        """
         if self.raw_config is None:
             return None
         config = self.raw_config
-        if config["Meta"]["Rev"] <= known_revision:
+        if config["Meta"]["Rev"] <= config_revision:
             config = None
-        return {"config": config,
-                "servers": list(self.raw_servers.values()),
-                "lapsing": registry.lapsing(
-                    self.gateway.host, self.reactor.seconds()),
-                "revision": self.revision}
+        found = {"config": config,
+                 "lapsing": registry.lapsing(
+                     self.gateway.host, self.reactor.seconds()),
+                 "revision": self.revision}
+        changes = changelog.since(self.changes, servers_revision)
+        if changes is None:
+            return {**found, "servers": list(self.raw_servers.values())}
+        return {**found, "since": servers_revision,
+                "servers": [self.raw_servers[sid]
+                            for sid in changes.changed],
+                "removed": changes.removed}
 
     def take_snapshot(self, snapshot):
         """Take another host's snapshot."""
         if snapshot["config"] is not None:
             self.take_config(snapshot["config"])
-        if snapshot["revision"] > self.revision:
+        if snapshot["revision"] <= self.revision:
+            return
+        lapsing = tuple(map(tuple, snapshot.get("lapsing", ())))
+        since = snapshot.get("since")
+        if since is None:
             self._servers_listed(stores.Listing(
-                tuple(snapshot["servers"]), snapshot["revision"]),
-                tuple(map(tuple, snapshot.get("lapsing", ()))))
+                tuple(snapshot["servers"]), snapshot["revision"]), lapsing)
+        elif since <= self.revision:
+            self._take_changes(
+                snapshot["servers"], tuple(snapshot["removed"]),
+                snapshot["revision"], lapsing)
 
 
 def new_follower(reactor, gateway, store):
--- a/tests/entry/test_choosing.py
+++ b/tests/entry/test_choosing.py
@@ -3,6 +3,7 @@
 import dataclasses
 import unittest
 
+from crocuskeel.core.entry import candidates
 from crocuskeel.core.entry import choosing
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import events
@@ -21,6 +22,7 @@
 
 def _choose(driver, prompt, exclude=()):
     asked = support.pending(TOP, driver.now, prompt=prompt)
+    asked.candidates = candidates.pick(driver.host, asked)
     return choosing.choose(driver.host, asked, set(exclude),
                            driver.now).server.sid
 
@@ -94,6 +96,7 @@
 
     def _load(self, driver, reading, tokens):
         for state in driver.host.servers.values():
+            serverload.note_work(driver.host, state)
             state.others.put("host-1", reading, tokens, reading, driver.now)
 
     def _sends(self, driver, name, key=1, **kwargs):
