Registering servers costs what registers; reports take turns

The age of a reader's word was searched among all hosts for each state told. Of the duties: one report that the platform turns down kept all later ones back for a minute; the kept record was parsed at each look and the next one written out at each look; a field and three defaults stood idle.

Ruled out: decoding of datagrams (a tenth of it).

Change: servers by address are gathered once for each change of the list; the freshest word's time is kept as it is heard; reports that fail take turns with later ones (a test that failed before); the record is read where it changed and written out before a write; a policy is always passed. The soak: a server that left and crashed is not ended twice.

--- a/bench/elastic.py
+++ b/bench/elastic.py
@@ -29,6 +29,7 @@
 
 STEP_S = 0.1
 SERVICE = "engines"
+POLICY = capacity.Policy()
 DOMAINS = ("a", "b", "c")
 START = 10
 # Work that waits for longer than this comes to nothing, s.
@@ -127,8 +128,8 @@
 
 def by_use(duties, shares, serving, now):
     """Order by the share of their time that engines are in use."""
-    ordering.sample(duties, SERVICE, shares, now)
-    return ordering.due(duties, SERVICE, SCALING, serving, now)
+    ordering.sample(duties, SERVICE, shares, now, POLICY)
+    return ordering.due(duties, SERVICE, SCALING, serving, now, POLICY)
 
 
 def by_slope(duties, shares, serving, now):
@@ -139,9 +140,9 @@
     while history[0][0] < now - 1.0:
         history.pop(0)
     growth = max(0.0, used - history[0][1]) * SCALING.boot_s
-    ordering.sample(duties, SERVICE, shares, now)
+    ordering.sample(duties, SERVICE, shares, now, POLICY)
     demand.note(duties.demands[SERVICE], used + growth, now)
-    return ordering.due(duties, SERVICE, SCALING, serving, now)
+    return ordering.due(duties, SERVICE, SCALING, serving, now, POLICY)
 
 
 def never(duties, shares, serving, now):
@@ -151,9 +152,9 @@
 
 def at_most(duties, shares, serving, now):
     """Have as many spot engines as there may be, always."""
-    ordering.sample(duties, SERVICE, shares, now)
+    ordering.sample(duties, SERVICE, shares, now, POLICY)
     demand.note(duties.demands[SERVICE], len(DOMAINS) * SCALING.most, now)
-    return ordering.due(duties, SERVICE, SCALING, serving, now)
+    return ordering.due(duties, SERVICE, SCALING, serving, now, POLICY)
 
 
 WAYS = {"no orders": never, "by use": by_use, "use and slope": by_slope,
--- a/crocuskeel/core/duties/book.py
+++ b/crocuskeel/core/duties/book.py
@@ -13,7 +13,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Book:
-    """``done``: all windows up to this one are reported, or given up.
+    """What the holder has decided, reported and ordered.
+
+    ``done``: all windows up to this one are reported, or given up, but
+    for those that are decided still.
 
     ``decided`` maps a window to its counts, ``asked`` the subject of an
     order to the number of engines that it named.
--- a/crocuskeel/core/duties/capacity.py
+++ b/crocuskeel/core/duties/capacity.py
@@ -41,18 +41,17 @@
 class Domain:
     """Engines of a service in a failure domain.
 
-    ``regular`` and ``spot`` serve there; ``asked`` is the number of
-    regular ones in force; ``dry``: no spot engine is to be had now.
+    ``spot`` ones serve there; ``asked`` is the number of regular ones in
+    force; ``dry``: no spot engine is to be had now.
     """
 
     name: str
-    regular: int
     spot: int
     asked: int
     dry: bool = False
 
 
-def plan(scaling, domains, need, usual, policy=Policy()):
+def plan(scaling, domains, need, usual, policy):
     """Return the engines to have, by (domain, spot).
 
     ``need`` is how many engines would be in use all of their time at the
--- a/crocuskeel/core/duties/model.py
+++ b/crocuskeel/core/duties/model.py
@@ -3,7 +3,7 @@
 import dataclasses
 import enum
 
-__all__ = ["Order", "Outcome", "Report", "Usage"]
+__all__ = ["Order", "Outcome", "REPORTS", "Report", "Usage"]
 
 
 class Outcome(enum.Enum):
@@ -18,6 +18,10 @@
     FAILED = "failed"
 
 
+# The subject of all reports of usage.
+REPORTS = ("usage",)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
     """Requests begun in a window, as (workspace, count) by name.
@@ -31,7 +35,7 @@
     @property
     def subject(self):
         """Name what one holder at a time may speak of."""
-        return ("usage",)
+        return REPORTS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/crocuskeel/core/duties/ordering.py
+++ b/crocuskeel/core/duties/ordering.py
@@ -14,7 +14,7 @@
 NONE_LEFT_S = 1.5
 
 
-def sample(duties, service, shares, now, policy=capacity.Policy()):
+def sample(duties, service, shares, now, policy):
     """Take the shares of their time that a service's engines are used."""
     known = duties.demands.get(service)
     if known is None:
@@ -37,8 +37,7 @@
     return len(shares) * (policy.use_share if followed else 1.0)
 
 
-def due(duties, service, scaling, engines, now,
-        policy=capacity.Policy()):
+def due(duties, service, scaling, engines, now, policy):
     """Return the orders of a service that are to be given now.
 
     ``engines`` holds the engines that serve, as {(domain, spot): count}.
@@ -65,7 +64,7 @@
         ("scale", service, name, False), regular)
     spot = duties.calls.get(("scale", service, name, True))
     return capacity.Domain(
-        name, regular, engines.get((name, True), 0), asked,
+        name, engines.get((name, True), 0), asked,
         dry=spot is not None and spot.none_left)
 
 
--- a/crocuskeel/core/duties/reporting.py
+++ b/crocuskeel/core/duties/reporting.py
@@ -40,24 +40,43 @@
     return list(ended)
 
 
-def due(duties, report_s, due_s, wall):
+def due(duties, report_s, due_s, wall, failed=None):
     """Return the Report that is to be sent next, or None.
 
     Only counts that the object holds for certain go out: the next holder
     would decide a window otherwise whose write never took effect, and the
     platform would get two counts of it.
+
+    After a window that ``failed`` the later ones come first: one report
+    that the platform turned down kept all others back for a minute, which
+    is past the time at which they are due.
     """
-    try:
-        kept, _ = books.read(duties.candidate.lease.kept)
-    except ValueError:
-        return None
-    for window in sorted(duties.book.decided):
+    for window in list(duties.book.decided):
         if wall > (window + 1) * report_s + due_s + LATE_S:
             _close(duties, window)
-        elif window in kept.decided:
-            counts = kept.decided[window]
-            return model.Report(window, tuple(sorted(counts.items())))
-    return None
+    kept = _kept(duties)
+    ready = sorted(set(duties.book.decided) & set(kept))
+    if not ready:
+        return None
+    later = [window for window in ready
+             if failed is not None and window > failed]
+    window = (later or ready)[0]
+    return model.Report(window, tuple(sorted(kept[window].items())))
+
+
+def _kept(duties):
+    """Return the decided windows that the object holds for certain.
+
+    Its record is read where it changed, and not at each look.
+    """
+    record = duties.candidate.lease.kept
+    if record is not duties.kept_record:
+        duties.kept_record = record
+        try:
+            duties.kept, _ = books.read(record)
+        except ValueError:
+            duties.kept = books.Book()
+    return duties.kept.decided
 
 
 def answered(duties, call, outcome):
--- a/crocuskeel/core/duties/state.py
+++ b/crocuskeel/core/duties/state.py
@@ -62,6 +62,9 @@
     told_leader: tuple = ()
     told_leader_at: float = 0.0
     book: books.Book = dataclasses.field(default_factory=books.Book)
+    # What the lease's object holds for certain, as written and as read.
+    kept_record: dict | None = None
+    kept: books.Book = dataclasses.field(default_factory=books.Book)
     calls: dict = dataclasses.field(default_factory=dict)
     # By service.
     demands: dict[str, demand.Demand] = dataclasses.field(
--- a/crocuskeel/core/entry/duties.py
+++ b/crocuskeel/core/entry/duties.py
@@ -67,7 +67,8 @@
                 "workspaces": len(counts), "hosts": sum(
                     window in table for table in duties.tables.values()),
                 "fence": lease.fence}))
-    lease.record = holding.record(duties)
+    if now >= lease.due_at:
+        lease.record = holding.record(duties)
     return lines
 
 
@@ -78,7 +79,8 @@
     if REPORT in host.cfg.duties:
         wall = truetime.now(duties.offsets, now)
         report = reporting.due(
-            duties, host.cfg.report_s, host.cfg.report_due_s, wall)
+            duties, host.cfg.report_s, host.cfg.report_due_s, wall,
+            _failed_window(duties))
         if report is not None and _is_free(duties, report, now):
             calls.append(report)
     if SCALE in host.cfg.duties and host.catalog is not None:
@@ -86,6 +88,14 @@
     return [effect for call in calls for effect in _send(duties, call)]
 
 
+def _failed_window(duties):
+    """Return the window whose report was made last, if it failed."""
+    known = duties.calls.get(model.REPORTS)
+    if known is None or not known.failures:
+        return None
+    return known.call.window
+
+
 def _is_free(duties, call, now):
     known = duties.calls.get(call.subject)
     return known is None or not (known.under_way or known.due_at > now)
@@ -126,7 +136,10 @@
 
 def _send(duties, call):
     known = duties.calls.get(call.subject)
-    failures = known.failures if known and known.call == call else 0
+    failures = 0
+    if known and (known.call == call or call.subject == model.REPORTS):
+        # Reports take turns; while the platform is away all fail.
+        failures = known.failures
     duties.calls[call.subject] = states.Open(
         call, under_way=True, failures=failures)
     lease = duties.candidate.lease
--- a/crocuskeel/core/entry/fleet.py
+++ b/crocuskeel/core/entry/fleet.py
@@ -6,13 +6,12 @@
 long ago a reader's word reached it, at whatever distance.
 """
 
-import math
-
 from crocuskeel.core.entry import carrying
 from crocuskeel.core.entry import routing
 
-__all__ = ["SILENT_S", "addresses", "carriers", "changed", "is_carrier",
-           "informed_s", "is_heard", "is_large", "is_ready", "reads_store"]
+__all__ = ["HOP_S", "SILENT_S", "addresses", "carriers", "changed",
+           "informed_s", "is_carrier", "is_heard", "is_large", "is_ready",
+           "reads_store"]
 
 # A host that was silent for this long is not named to callers, s: four
 # of its datagrams are missing.
@@ -120,8 +119,7 @@
     followed the store for good: 84 hosts, 79 calls a second in calm. Now
     three do, with 2.4 calls.
     """
-    return min((now - known.heard_at + known.informed_s + HOP_S
-                for known in host.peers.values()), default=math.inf)
+    return now - host.told_at
 
 
 def informed_s(host, now):
--- a/crocuskeel/core/entry/holding.py
+++ b/crocuskeel/core/entry/holding.py
@@ -202,6 +202,7 @@
     if any(known.under_way for known in duties.calls.values()):
         return []
     duties.releasing = True
+    lease.record = record(duties)
     return [leases.release(candidate, now)]
 
 
--- a/crocuskeel/core/entry/peers.py
+++ b/crocuskeel/core/entry/peers.py
@@ -51,7 +51,8 @@
     known.catalog_revision = event.catalog_revision
     known.servers_revision = event.servers_revision
     known.reads_store = event.reads_store
-    known.informed_s = event.informed_s
+    host.told_at = max(
+        host.told_at, now - event.informed_s - fleet.HOP_S)
     carrying.hear(host, event.wanted, now)
     duties.heard(host, event, now)
     for digest, incarnation in event.crashed:
--- a/crocuskeel/core/entry/registry.py
+++ b/crocuskeel/core/entry/registry.py
@@ -70,8 +70,9 @@
     host.behind_at = None
     out = []
     anew = restarting.started_again(host, changed)
+    addresses = _by_address(host)
     for server in changed:
-        out += _put(host, server, now)
+        out += _put(host, server, addresses, now)
     for sid in removed:
         out += _remove(host, sid, kept, event.revision, now)
     for sid in event.unreadable:
@@ -98,12 +99,14 @@
         "server": sid, "revision": revision, "lapse": sid in kept})]
 
 
-def _put(host, server, now):
+def _put(host, server, addresses, now):
     host.lapsing.pop(server.sid, None)
     known = host.servers.get(server.sid)
     if known is None:
-        _end_former(host, server)
-        host.servers[server.sid] = states.new_server(server, now)
+        _end_former(host, server, addresses)
+        state = states.new_server(server, now)
+        host.servers[server.sid] = state
+        addresses.setdefault(server.address, []).append(state)
         return [effects.Note("server_added", {
             "server": server.sid, "service": server.service,
             "draining": server.draining})]
@@ -120,7 +123,7 @@
         "server": server.sid, "draining": server.draining})]
 
 
-def _end_former(host, server):
+def _end_former(host, server, addresses):
     """Note that a new server has an address that was another's.
 
     Not by the word of an entry whose service is not configured: that is
@@ -128,9 +131,20 @@
     """
     if host.catalog and server.service not in host.catalog.services:
         return
+    for state in addresses.get(server.address, ()):
+        state.misdirects = True
+
+
+def _by_address(host):
+    """Return the servers by their addresses.
+
+    3,000 servers that register one after the other were each compared
+    with all others: 0.95 s of a processor, with this 0.01 s.
+    """
+    found = {}
     for state in host.servers.values():
-        if state.server.address == server.address:
-            state.misdirects = True
+        found.setdefault(state.server.address, []).append(state)
+    return found
 
 
 def _lapses(host, removed, now):
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -154,8 +154,6 @@
     catalog_revision: int = 0
     servers_revision: int = 0
     reads_store: bool = False
-    # How old what it knows of the store was when it said so, s.
-    informed_s: float = math.inf
     told_at: float = 0.0
     # When another host last said that this one is ready.
     vouched_at: float = 0.0
@@ -188,6 +186,8 @@
     carriers_until: float = 0.0
     # How many are needed, by what carriers said.
     wanted: carrying.Wanted = carrying.NOBODY
+    # When the freshest word of a reader was true that reached this host.
+    told_at: float = -math.inf
     # When the list of hosts was read.
     seen_at: float = 0.0
     # By service: times of requests and of repeats within the window.
--- a/crocuskeel/gateway/gossip.py
+++ b/crocuskeel/gateway/gossip.py
@@ -1,7 +1,5 @@
 """Datagrams between entry hosts: each host's state, some bytes long."""
 
-import dataclasses
-
 from crocuskeel.core import duties
 from crocuskeel.core.entry import carrying
 from crocuskeel.core.entry import events
@@ -29,8 +27,8 @@
         heard.ready, heard.leaving, heard.catalog_revision,
         heard.servers_revision, heard.crashed, heard.loads, heard.parts,
         heard.reads_store, heard.carriers, heard.informed_s, heard.wall,
-        dataclasses.astuple(heard.leader),
-        dataclasses.astuple(heard.wanted)))
+        (heard.leader.version, heard.leader.host, heard.leader.fence),
+        (heard.wanted.carriers, heard.wanted.at)))
 
 
 def decode(data):
--- a/tests/duties/test_capacity.py
+++ b/tests/duties/test_capacity.py
@@ -13,10 +13,14 @@
 
 def domains(spot=0, asked=0, dry=(), names=NAMES):
     """Return as many engines in each failure domain."""
-    return [capacity.Domain(name, asked, spot, asked, dry=name in dry)
+    return [capacity.Domain(name, spot, asked, dry=name in dry)
             for name in names]
 
 
+def _plan(*args, policy=capacity.Policy(), **kwargs):
+    return capacity.plan(*args, policy=policy, **kwargs)
+
+
 def total(found, spot):
     """Return the engines of a kind over all domains."""
     return sum(count for (_, kind), count in found.items() if kind is spot)
@@ -26,21 +30,21 @@
     """The engines to have for a need."""
 
     def test_spot_engines_with_room_for_a_burst(self):
-        found = capacity.plan(SCALING, domains(), need=12, usual=8)
+        found = _plan(SCALING, domains(), need=12, usual=8)
         self.assertEqual((30, 0), (total(found, True), total(found, False)))
 
     def test_the_cheaper_domains_get_one_more(self):
-        found = capacity.plan(SCALING, domains(), need=4.4, usual=3)
+        found = _plan(SCALING, domains(), need=4.4, usual=3)
         self.assertEqual((4, 4, 3), tuple(
             found[name, True] for name in ("perth-a", "bunbury", "perth-b")))
 
     def test_bounds_hold_in_each_domain(self):
         for need, most in ((0, 3), (1000, 60)):
-            found = capacity.plan(SCALING, domains(), need, usual=0)
+            found = _plan(SCALING, domains(), need, usual=0)
             self.assertEqual(most, total(found, True))
 
     def test_both_kinds_have_places_together(self):
-        found = capacity.plan(
+        found = _plan(
             SCALING, domains(spot=0, asked=12), need=30, usual=12)
         for name in NAMES:
             self.assertLessEqual(found[name, True] + 12, SCALING.most)
@@ -52,7 +56,7 @@
         for names in (NAMES[:1], NAMES[:2], NAMES):
             for usual in (2, 6, 10, 18):
                 with self.subTest(names=names, usual=usual):
-                    found = capacity.plan(
+                    found = _plan(
                         SCALING, domains(names=names), usual * 1.2, usual)
                     lost = max(found[name, True] for name in names)
                     left = (total(found, True) + total(found, False)
@@ -63,29 +67,29 @@
 
     def test_regular_engines_go_when_spot_ones_serve(self):
         # Orders that swap all engines at once would leave none that serve.
-        before = capacity.plan(
+        before = _plan(
             SCALING, domains(spot=0, asked=10), need=12, usual=8)
         self.assertEqual(30, total(before, False))
-        after = capacity.plan(
+        after = _plan(
             SCALING, domains(spot=10, asked=10), need=12, usual=8)
         self.assertEqual(0, total(after, False))
 
     def test_what_cannot_be_had_counts_as_lost(self):
-        found = capacity.plan(
+        found = _plan(
             SCALING, domains(spot=1, dry=NAMES), need=12, usual=10)
         self.assertGreaterEqual(
             total(found, False) + 3, 10)
 
     def test_an_operator_may_bound_the_share_of_spot_engines(self):
-        found = capacity.plan(
+        found = _plan(
             SCALING, domains(), need=12, usual=8,
             policy=capacity.Policy(spot_share=0.5))
         self.assertEqual((15, 15), (total(found, True),
                                     total(found, False)))
 
     def test_without_spot_engines(self):
-        found = capacity.plan(worlds.scaling(spot_price=None),
-                              domains(asked=10), need=12, usual=8)
+        found = _plan(worlds.scaling(spot_price=None),
+                      domains(asked=10), need=12, usual=8)
         self.assertEqual({(name, False): 10 for name in NAMES}, found)
 
 
--- a/tests/duties/test_holding.py
+++ b/tests/duties/test_holding.py
@@ -143,6 +143,22 @@
         world.run(20)
         self.assertEqual(1, len(self._check(world, first)))
 
+    def test_a_report_that_is_turned_down_keeps_no_other_back(self):
+        # The platform takes no report of one window. Each later one came
+        # a minute late, when that window was given up: ten were missing.
+        world = led()
+        first = max(world.reports())
+        refused = first + 2
+        world.refused_windows = {refused}
+        world.run(8 * worlds.REPORT_S)
+        self.assertEqual([], worlds.faults_of_one(world))
+        reported = set(world.reports())
+        self.assertGreaterEqual(max(reported), first + 7)
+        self.assertEqual({refused}, {*range(first, max(reported))} - reported)
+        world.refused_windows = set()
+        world.run(5)
+        self.assertIn(refused, world.reports())
+
     def test_all_hosts_are_killed_at_once(self):
         world = led()
         for name in world.hosts:
--- a/tests/duties/world.py
+++ b/tests/duties/world.py
@@ -69,6 +69,8 @@
         # The same as the hosts decided them.
         self.calls = []
         self.refuses_scale = False
+        # Windows whose reports the platform turns down.
+        self.refused_windows = set()
         # A host stands still for so long right after it decided on a call.
         self.pause_at_send_s = 0.0
         self.truth = {}
@@ -230,6 +232,9 @@
         if host.cloud == "out" or delay >= limit:
             self._duty_answer(host, effect, Outcome.FAILED, limit)
             return
+        if self._is_refused(effect.call):
+            self._duty_answer(host, effect, Outcome.FAILED, delay + WAY_S)
+            return
         self.at(delay, lambda: self._take(host, effect))
         outcome = Outcome.DONE
         if (self.refuses_scale
@@ -239,6 +244,10 @@
             outcome = Outcome.FAILED
         self._duty_answer(host, effect, outcome, delay + WAY_S)
 
+    def _is_refused(self, call):
+        return (isinstance(call, duties_model.Report)
+                and call.window in self.refused_windows)
+
     def _duty_answer(self, host, effect, outcome, delay):
         self._answer(host, delay, events.DutyAnswered(
             effect.call, outcome))
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -8,6 +8,8 @@
 from tools.soak import checks
 from tools.soak import fleet as fleets
 from tools.soak import record as records
+from tools.soak import run
+from twisted.internet import task
 
 WHOLE = b"".join(b"id: %d\ndata: r1\n\n" % n for n in range(1, 13))
 IP = "127.1.1.1"
@@ -162,6 +164,24 @@
         self.assertNotEqual([], checks.judge_end([good] * 5 + [bad] * 5))
 
 
+class ServersTest(unittest.TestCase):
+    """Servers that go."""
+
+    def test_one_that_left_may_crash_before_its_end(self):
+        # The run's end of a server that had crashed meanwhile failed, and
+        # what was due with it was not done.
+        clock = task.Clock()
+        clock.listenTCP = unittest.mock.Mock()
+        soak = run.Soak(clock, 5, "/tmp", 1)
+        soak._register = unittest.mock.Mock()
+        soak.add_engine("engines")
+        (sid,) = soak.engines
+        soak.leave(sid)
+        soak.crash(sid)
+        soak.end_left(sid)
+        self.assertEqual({}, soak.engines)
+
+
 class FleetTest(unittest.TestCase):
     """Hosts' addresses."""
 
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -112,7 +112,7 @@
     soak.note_fault("plan", "server leaves", 6.0)
     soak.add_engine(soak.engines[sid].service)
     soak.leave(sid)
-    soak.later(6.0, soak.end_engine, sid)
+    soak.later(6.0, soak.end_left, sid)
 
 
 def _outage(soak):
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -148,6 +148,11 @@
         self.links[sid].close()
         return engine.service
 
+    def end_left(self, sid):
+        """End a server that left, unless a fault ended it before."""
+        if sid in self.engines:
+            self.end_engine(sid)
+
     def crash(self, sid):
         """Have a server go without notice; another comes a bit later."""
         if sid not in self.engines:
