--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 demo: install
 	$(BIN)/python -m tools.demo
 
-CODE := crocuskeel standins bench tests tools models
+CODE := crocuskeel standins bench emulator tests tools models
 
 lint: install
 	$(BIN)/flake8 $(CODE)
--- /dev/null
+++ b/tests/emulator/test_engine.py
@@ -0,0 +1,159 @@
+"""The models of servers do what such servers do."""
+
+import dataclasses
+import unittest
+
+from crocuskeel.core.entry import model
+from emulator import clock as clocks
+from emulator import deployment as deployments
+from emulator import engine as engines
+from emulator import tally as tallies
+
+CFG = deployments.Engines(
+    slots=2, memory=20_000, read_tokens_s=50_000, step_ms=5.0,
+    running_ms=0.0, chunk=1_000, event_tokens=5, fetch_token_us=10.0)
+WORK = deployments.Plain(slots=1, work_ms=50)
+
+
+class _Listener:
+    """Notes when what was told."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.told = []
+
+    def __getattr__(self, name):
+        return lambda run: self.told.append(
+            (name, round(self.clock.now, 3)))
+
+
+class EngineTest(unittest.TestCase):
+    """Steps, prompts read between them, memory, faults."""
+
+    def setUp(self):
+        self.clock = clocks.Clock(0.0)
+        self.tally = tallies.Tally(0.0)
+        self.engine = engines.Engine(self.clock, "e1", CFG, self.tally)
+
+    def _begin(self, own="own-1", shared=4_000, events=3, priority=1,
+               engine=None, source=None):
+        listener = _Listener(self.clock)
+        prompt = model.Prompt(
+            ((f"shared-{shared}", shared), (own, 1_000)), shared + 1_000,
+            20)
+        run = engines.Run(listener, prompt, events, priority)
+        (engine or self.engine).begin(run, source)
+        return run, listener
+
+    def test_a_prompt_is_read_and_events_follow(self):
+        # 5,000 tokens take five steps of 5 ms and 20 ms of reading; five
+        # tokens make an event, 5 ms each.
+        _, listener = self._begin()
+        self.clock.run(1.0)
+        self.assertEqual(
+            [("opened", 0.15), ("progressed", 0.175),
+             ("progressed", 0.2), ("ended", 0.2)], listener.told)
+
+    def test_shared_parts_are_read_once(self):
+        self._begin()
+        self.clock.run(1.0)
+        run, _ = self._begin("own-2")
+        self.assertEqual(1_000, run.unread)
+        self.assertEqual(0, self.tally.again_tokens)
+
+    def test_long_prompts_hold_up_running_streams(self):
+        _, chat = self._begin("own-1", shared=0, events=4)
+        self.clock.run(0.06)
+        self._begin("own-2", shared=9_000)
+        self.clock.run(1.0)
+        times = [at for _, at in chat.told]
+        self.assertGreater(times[-1] - times[0], 0.25)
+
+    def test_all_slots_taken_the_most_urgent_is_next(self):
+        for number in range(2):
+            self._begin(f"own-{number}")
+        _, low = self._begin("low", priority=5)
+        _, top = self._begin("top", priority=0)
+        self.clock.run(2.0)
+        self.assertLess(top.told[0][1], low.told[0][1])
+
+    def test_parts_yield_when_memory_is_full(self):
+        self._begin()
+        self.clock.run(1.0)
+        for number in range(5):
+            self._begin(f"own-{number}", shared=4_000 + number)
+            self.clock.run(self.clock.now + 1.0)
+        self.assertLessEqual(self.engine.parts_tokens, CFG.memory)
+
+    def test_parts_come_from_another_engine(self):
+        self._begin()
+        self.clock.run(1.0)
+        other = engines.Engine(self.clock, "e2", CFG, self.tally)
+        run, listener = self._begin(
+            "own-2", engine=other, source=self.engine)
+        self.assertEqual((1_000, 4_000), (
+            run.unread, self.tally.fetched_tokens))
+        self.clock.run(2.0)
+        # 4,000 tokens at 10 us each come before the rest is read.
+        self.assertGreaterEqual(listener.told[0][1], 1.04)
+
+    def test_a_cancelled_request_takes_no_more_time(self):
+        run, listener = self._begin()
+        self.clock.run(0.01)
+        self.engine.cancel(run)
+        self.clock.run(1.0)
+        self.assertEqual([], listener.told)
+
+    def test_a_crash_ends_all(self):
+        _, listener = self._begin()
+        self.clock.run(0.01)
+        self.engine.crash()
+        self.clock.run(1.0)
+        self.assertEqual([("broken", 0.01)], listener.told)
+
+    def test_a_dark_engine_says_nothing_until_it_is_back(self):
+        _, listener = self._begin()
+        self.engine.set_dark(True)
+        self.clock.run(1.0)
+        self.assertEqual([], listener.told)
+        self.engine.set_dark(False)
+        self.clock.run(2.0)
+        self.assertEqual("ended", listener.told[-1][0])
+
+    def test_more_than_waits_is_refused(self):
+        found = [self.engine.begin(engines.Run(
+            _Listener(self.clock), model.Prompt(
+                ((f"own-{number}", 100),), 100, 20), 1, 5))
+            for number in range(engines.QUEUE + CFG.slots + 1)]
+        self.assertEqual([False], [each for each in found if not each])
+
+    def test_a_plain_server_works_on_one_after_the_other(self):
+        server = engines.PlainServer(self.clock, "p1", WORK)
+        heard = [_Listener(self.clock) for _ in range(2)]
+        for listener in heard:
+            server.begin(engines.Run(listener, None, 0, 5))
+        self.clock.run(1.0)
+        self.assertEqual([[("ended", 0.05)], [("ended", 0.1)]],
+                         [each.told for each in heard])
+
+
+class CheckTest(unittest.TestCase):
+    """Files that can't be played are refused with all that is wrong."""
+
+    def test_those_that_come_with_it_are_good(self):
+        for name in deployments.known():
+            self.assertGreater(len(deployments.read(name).kinds), 1)
+
+    def test_each_problem_is_named(self):
+        found = {"hosts": 0, "engines": {"slots": "many"}, "kinds": [
+            {"name": "chat", "kind": "stream"}], "sources": []}
+        with self.assertRaises(deployments.BadDeployment) as caught:
+            deployments._deployment("bad", found)
+        self.assertEqual(
+            ["emulator.E003", "emulator.E003", "emulator.E006",
+             "emulator.E007", "emulator.E005"],
+            [problem.id for problem in caught.exception.problems])
+
+    def test_fields_are_frozen_data(self):
+        for kind in (deployments.Engines, deployments.Kind):
+            self.assertTrue(dataclasses.fields(kind))
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -74,7 +74,8 @@
         self.assertEqual([], wrong)
 
     def test_no_file_is_over_the_size_limit(self):
-        for top in ("crocuskeel", "standins", "bench", "tools", "tests"):
+        for top in ("crocuskeel", "standins", "bench", "emulator", "tools",
+                    "tests"):
             for path in (ROOT / top).rglob("*.py"):
                 if path.name.endswith(("_pb2.py", "_grpc.py")):
                     continue
