Owe each class a part of what all get, however busy the higher tiers are

Bounds by rank leave the lower ones nothing, and "no class starves" held only as long as bursts end.

Ruled out: what engines do first (they read prompts as they came; the model of the emulator read by priority before, which changed nothing).

Change: a class that is let in less than 0.3 times as often as all requests of its service is let in like the most urgent (core/entry/floors), one by one; not a request of 1.8 times the size of a more urgent class that is refused itself, which would put a higher tier behind.

--- a/crocuskeel/core/entry/admission.py
+++ b/crocuskeel/core/entry/admission.py
@@ -10,6 +10,7 @@
 
 from crocuskeel.core.entry import choosing
 from crocuskeel.core.entry import cost
+from crocuskeel.core.entry import floors
 from crocuskeel.core.entry import parts
 from crocuskeel.core.entry import serverload
 
@@ -74,7 +75,7 @@
     """Say whether a request may go to a server now."""
     if pending.request.prompt is None:
         return True
-    rank = _rank(pending)
+    rank = _rank(host, pending, now)
     most = serverload.slots(target, now) * SLOT_SHARES[rank]
     if serverload.running(target, now) >= most:
         return False
@@ -143,10 +144,12 @@
                 target, pending.request.prompt)) > 0)
 
 
-def _rank(pending):
+def _rank(host, pending, now):
     # Workspaces' priorities order what an engine has; which kinds of
     # request are let in is for the routes' to say, as most workspaces
     # share one.
+    if floors.is_owed(host, pending, now):
+        return 0
     return min(max(0, pending.route.priority), len(WAIT_SHARES) - 1)
 
 
--- a/crocuskeel/core/entry/requests.py
+++ b/crocuskeel/core/entry/requests.py
@@ -3,6 +3,7 @@
 from crocuskeel.core.entry import budget
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import ending
+from crocuskeel.core.entry import floors
 from crocuskeel.core.entry import health
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import quarantine
@@ -66,6 +67,7 @@
         ends_at=now + left - LAST_WORD_S)
     host.pending[event.key] = pending
     budget.arrived(host, placed.service, now)
+    floors.note_arrived(host, pending, now)
     return pending
 
 
--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -6,6 +6,7 @@
 from crocuskeel.core.entry import choosing
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import ending
+from crocuskeel.core.entry import floors
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import parts
 from crocuskeel.core.entry import pauses
@@ -114,6 +115,7 @@
     if pending.request.prompt is not None:
         source = _note_prompt(host, pending, target, attempt, now)
     host.held.discard(pending.key)
+    floors.note_sent(host, pending, now)
     pending.tries.append(attempt)
     pending.sent += 1
     pending.reached_out += 1
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -210,6 +210,8 @@
     told_news_at: float = 0.0
     # Servers that took no connection, not told yet.
     refusing: set = dataclasses.field(default_factory=set)
+    # By service and class: what came and was let in lately.
+    served: dict = dataclasses.field(default_factory=dict)
     # Requests that wait here for room.
     held: set = dataclasses.field(default_factory=set)
     # (server id, part, tokens) sent lately, with when.
--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -138,10 +138,12 @@
             steps * span * self.factor / 1e3, self._stepped, reading, steps)
 
     def _reading(self):
-        """Return the run whose prompt is read next, or None."""
-        found = [run for run in self.running
-                 if run.unread > 0 and run.ready_at <= self.clock.now]
-        return min(found, key=lambda run: run.priority, default=None)
+        """Return the run whose prompt is read next, or None.
+
+        Priorities order who gets a slot; prompts are read as they came.
+        """
+        return next((run for run in self.running if run.unread > 0
+                     and run.ready_at <= self.clock.now), None)
 
     def _steps_until_event(self):
         left = [self.cfg.event_tokens - run.made % self.cfg.event_tokens
--- a/emulator/mechanisms.py
+++ b/emulator/mechanisms.py
@@ -12,6 +12,7 @@
 from crocuskeel.core.entry import candidates
 from crocuskeel.core.entry import carrying
 from crocuskeel.core.entry import cost
+from crocuskeel.core.entry import floors
 from crocuskeel.core.entry import repeating
 from crocuskeel.core.entry import telling
 
@@ -40,6 +41,7 @@
     "moving silent streams": (
         (repeating, "MOVE_SHARE", 9.0), (repeating, "STALL_GAPS", 99.0)),
     "loads told at once": ((telling, "LOADS_GAP_S", 0.3),),
+    "floors of classes": ((floors, "FLOOR_SHARE", 0.0),),
     "few candidates": ((candidates, "LOOKED_AT_MOST", 10 ** 6),),
     "few carriers": ((carrying, "CARRIERS_FEW", 10 ** 6),),
 }
