--- a/crocuskeel/core/entry/candidates.py
+++ b/crocuskeel/core/entry/candidates.py
@@ -37,7 +37,7 @@
     A server that comes or goes moves few parts: those of its neighbours.
     """
     prompt = pending.request.prompt
-    if prompt is None:
+    if prompt is None or not prompt.parts:
         return []
     ring = _ring(host, pending.service)
     part = prompt.parts[-2 if len(prompt.parts) > 1 else -1][0]
--- a/crocuskeel/core/entry/carrying.py
+++ b/crocuskeel/core/entry/carrying.py
@@ -1,9 +1,10 @@
 """How many hosts carry callers: as many as callers' requests need.
 
-Carriers tell each other what they have under way at each engine. Where
-300 equal hosts all carry, each hears of a twentieth of it in time, spends
-a fifth of a core on it, and an engine is chosen by what is not so. A few
-carriers know nearly all; more are needed only for the requests.
+Carriers tell each other what they have under way at each engine. Where a
+hundred equal hosts all carried, each told twelve others, engines were
+chosen by what was not so, and 0.34 of what a day's requests were worth
+came in, 0.78 with few carriers and few candidates. Few carriers know
+nearly all; more are needed only for the requests.
 
 Each carrier works out from its own requests how many that takes, as
 callers spread evenly, and the largest number is passed on by all.
--- a/tests/entry/test_candidates.py
+++ b/tests/entry/test_candidates.py
@@ -5,6 +5,7 @@
 from crocuskeel.core.entry import candidates
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import events
+from crocuskeel.core.entry import model
 from tests.entry import support
 
 MANY = 400
@@ -42,6 +43,13 @@
         self.assertLessEqual(len(found), candidates.LOOKED_AT_MOST)
         self.assertGreater(len(found), candidates.HOME_MOST)
 
+    def test_requests_without_parts_or_prompt(self):
+        driver = _driver(MANY)
+        for prompt in (None, model.Prompt((), 0, 80)):
+            asked = support.pending(ROUTE, driver.now, prompt=prompt)
+            self.assertEqual(candidates.LOOKED_AT_MOST, len(
+                candidates.pick(driver.host, asked)))
+
     def test_all_hosts_send_a_part_to_the_same_servers(self):
         # Hosts that looked at others would each have it read anew.
         self.assertEqual(_home(_driver(MANY)), _home(_driver(MANY)))
