--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -18,9 +18,11 @@
 class Run:
     """A request at a server, and whom to tell what comes of it.
 
-    ``opened``, ``progressed``, ``ended`` and ``broken`` are called with
-    the run. ``unread`` tokens of its prompt have to be read, ``events``
-    are to be made, of which ``made`` tokens are.
+    Of ``listener`` the methods ``opened``, ``progressed``, ``ended`` and
+    ``broken`` are called with the run. ``unread`` tokens of its prompt
+    have to be read, until ``ready_at`` parts of it are on their way from
+    another engine. ``events`` are to be made; ``made`` counts tokens,
+    ``told`` events so far.
     """
 
     listener: object
@@ -33,10 +35,6 @@
     over: bool = False
     ready_at: float = 0.0
 
-    def size(self):
-        """Return the tokens that it holds in memory."""
-        return self.prompt.tokens - self.unread + self.made
-
 
 class Engine:
     """A model engine. ``factor`` is how much slower it works.
--- a/emulator/hosts.py
+++ b/emulator/hosts.py
@@ -134,7 +134,7 @@
         """The caller closed its connection."""
         if self.core is not None and key in self.asked:
             self.feed(events.CallerLeft(key))
-            self._forget(key)
+            self.forget(key)
 
     def hear(self, boot, event):
         """Take an event, unless it is of an earlier life."""
@@ -147,7 +147,7 @@
         self.feed(event)
         if isinstance(event, events.Ended) and key in self.asked:
             self.asked[key].caller.ended()
-            self._forget(key)
+            self.forget(key)
 
     def hear_host(self, event):
         """Take what another host tells."""
@@ -169,7 +169,8 @@
             if perform is not None:
                 perform(self, effect)
 
-    def _forget(self, key):
+    def forget(self, key):
+        """Let go of a request, and end what servers do for it."""
         asked = self.asked.pop(key)
         if asked.timer is not None:
             self.world.clock.cancel(asked.timer)
@@ -221,17 +222,17 @@
         asked.caller.event()
         return
     asked.caller.ended()
-    host._forget(effect.key)
+    host.forget(effect.key)
 
 
 def _answer(host, effect):
     host.asked[effect.key].caller.refused(effect.status, effect.retry_s)
-    host._forget(effect.key)
+    host.forget(effect.key)
 
 
 def _cut(host, effect):
     host.asked[effect.key].caller.cut()
-    host._forget(effect.key)
+    host.forget(effect.key)
 
 
 def _timer(host, effect):
