Emulator: name what is wrong with files before anything is played

Cause: trying its command as a user would: a file to compare with that is not there, or is none, ended in a traceback after all was played; a kind of request or fault that does not exist failed in the middle of a run.

--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -107,33 +107,53 @@
         kinds=kinds, faults=faults)
 
 
-def main(argv=None):
-    """Play what the arguments ask for; return the exit code."""
-    args = new_parser().parse_args(argv)
+def _read(args):
+    """Return the deployments and what to set them beside, or None.
+
+    What is wrong with a file is printed.
+    """
     try:
         found = [deployments.read(name) for name
                  in args.deployments or deployments.known()]
+        if args.verb != "compare":
+            return found, {}
+        return found, _named(report.kept(args.other))
     except deployments.BadDeployment as exc:
         for problem in exc.problems:
             print(problem, file=sys.stderr)
-        return EXIT_BAD
     except OSError as exc:
         print(f"{exc.filename}: {exc.strerror}", file=sys.stderr)
+    except (ValueError, KeyError, TypeError) as exc:
+        print(f"{args.other}: not written by --keep: {exc!r}",
+              file=sys.stderr)
+    return None
+
+
+def _run(found, before, args):
+    """Play, print a table, and draw if that is asked for."""
+    played = _play_all(found, args.without or [""], args)
+    rows = _rows(played)
+    print(report.table({**before, **rows}))
+    if args.plot:
+        report.plot(args.plot, {
+            f"{name} {variant}".strip(): results[0]
+            for (name, variant), results in played.items()})
+    return rows
+
+
+def main(argv=None):
+    """Play what the arguments ask for; return the exit code."""
+    args = new_parser().parse_args(argv)
+    read = _read(args)
+    if read is None:
         return EXIT_BAD
+    found, before = read
     if args.verb == "sweep":
         found = [_larger(each, times) for each in found for times in SIZES]
     if args.verb == "ablate":
         rows = _ablate(found, args)
     else:
-        played = _play_all(found, args.without or [""], args)
-        rows = _rows(played)
-        if args.verb == "compare":
-            rows = {**_named(report.kept(args.other)), **rows}
-        print(report.table(rows))
-        if args.plot:
-            report.plot(args.plot, {
-                f"{name} {variant}".strip(): results[0]
-                for (name, variant), results in played.items()})
+        rows = _run(found, before, args)
     if args.keep:
         report.keep(args.keep, rows)
     return 0
--- a/emulator/deployment.py
+++ b/emulator/deployment.py
@@ -8,6 +8,8 @@
 __all__ = ["BadDeployment", "Deployment", "Engines", "Fault", "Kind",
            "Plain", "Problem", "known", "read"]
 
+REQUESTS = ("stream", "safe", "unsafe")
+FAULTS = ("burst", "crash", "dark", "slow", "drain", "kill", "hot")
 FOLDER = pathlib.Path(__file__).parent / "deployments"
 
 
@@ -154,6 +156,7 @@
     unknown = set(found) - {field.name for field
                             in dataclasses.fields(Deployment)}
     problems += [_unknown(each) for each in sorted(unknown)]
+    problems += _wrong_words(made)
     if not made.kinds:
         problems.append(Problem(
             "emulator.E005", "no kinds of requests",
@@ -163,6 +166,19 @@
     return made
 
 
+def _wrong_words(made):
+    """Return the problems with what kinds and faults are said to be."""
+    rows = [(kind.kind, REQUESTS) for kind in made.kinds]
+    rows += [(fault.kind, FAULTS) for fault in made.faults]
+    found = [Problem("emulator.E008", f"kind is {word!r}",
+                     f"one of {', '.join(words)}")
+             for word, words in rows if word not in words]
+    found += [Problem("emulator.E003", f"a_second is {kind.a_second!r}",
+                      "a number above zero")
+              for kind in made.kinds if not kind.a_second]
+    return found
+
+
 def _number(found, name, default, problems):
     value = found.get(name, default)
     if isinstance(value, bool) or not isinstance(value, (int, float)) or (
--- a/tests/emulator/test_engine.py
+++ b/tests/emulator/test_engine.py
@@ -1,12 +1,12 @@
 """The models of servers do what such servers do."""
 
-import dataclasses
 import unittest
 
 from crocuskeel.core.entry import model
 from emulator import clock as clocks
 from emulator import deployment as deployments
 from emulator import engine as engines
+from emulator import faults
 from emulator import tally as tallies
 
 CFG = deployments.Engines(
@@ -146,14 +146,16 @@
 
     def test_each_problem_is_named(self):
         found = {"hosts": 0, "engines": {"slots": "many"}, "kinds": [
-            {"name": "chat", "kind": "stream"}], "sources": []}
+            {"name": "chat", "kind": "stream"},
+            {"name": "talk", "kind": "chat", "a_second": 0.0}],
+            "faults": [{"kind": "flood", "at": 1.0}], "sources": []}
         with self.assertRaises(deployments.BadDeployment) as caught:
             deployments._deployment("bad", found)
         self.assertEqual(
             ["emulator.E003", "emulator.E003", "emulator.E006",
-             "emulator.E007", "emulator.E005"],
+             "emulator.E007", "emulator.E008", "emulator.E008",
+             "emulator.E003"],
             [problem.id for problem in caught.exception.problems])
 
-    def test_fields_are_frozen_data(self):
-        for kind in (deployments.Engines, deployments.Kind):
-            self.assertTrue(dataclasses.fields(kind))
+    def test_each_fault_that_is_known_can_be_played(self):
+        self.assertEqual(set(deployments.FAULTS), set(faults.FAULTS))
