One piece for files' faults, for reading them, and for emulated servers

Trying it again: a deployment with 2.5 hosts was taken and ended in a traceback.

Ruled out: one clock for emulator and bench/policy: it is not only a copy (no handles, no cancelling), a dozen modules use it, and it goes with core/dispatch. Most pairs that are listed as alike share only the shape of frozen data classes.

Change: programs/checks.py (Fault, BadFile, read_object) serves the capacity file and the emulator, entry._read both files; _Server is the base of both emulated servers; fields of a deployment are checked by one rule.

--- a/bench/hosts.py
+++ b/bench/hosts.py
@@ -13,7 +13,7 @@
 from crocuskeel.core.entry import fleet
 from crocuskeel.core.entry import model
 
-__all__ = ["World", "new_world"]
+__all__ = ["LIMITS", "World", "new_peer", "new_world"]
 
 STEP_S = 0.05
 TICK_STEPS = 6
@@ -141,8 +141,8 @@
 def new_world(large, small, seed=1):
     """Return a world of so many large and small hosts, just started."""
     world = World(random.Random(seed))
-    peers = [_peer(f"large-{n}", 2.0) for n in range(large)]
-    peers += [_peer(f"small-{n}", 0.5) for n in range(small)]
+    peers = [new_peer(f"large-{n}", 2.0) for n in range(large)]
+    peers += [new_peer(f"small-{n}", 0.5) for n in range(small)]
     for peer in peers:
         host = entry.new_host(entry.Settings(),
                               random.Random(f"{seed}:{peer.name}"))
@@ -153,6 +153,7 @@
     return world
 
 
-def _peer(name, capacity):
+def new_peer(name, capacity):
+    """Return a host with so many cores."""
     return model.Peer(name, 1, "perth-a", f"{name}:80", (name, 81),
                       (name, 82), capacity)
--- a/bench/idle.py
+++ b/bench/idle.py
@@ -14,6 +14,7 @@
 import random
 import time
 
+from bench import hosts as fleets
 from crocuskeel.core import entry
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import events
@@ -32,6 +33,12 @@
 START_S = 6.0
 FETCH_S = 0.25
 SERVICE = "engines"
+# Of all other hosts; the one that is measured has more or fewer.
+CORES = 1.0
+
+
+def _peer(name):
+    return fleets.new_peer(name, CORES)
 
 
 class Fleet:
@@ -46,17 +53,13 @@
         self.bytes = 0
         # Names of the hosts that carry callers, once all were heard.
         self.carriers = ()
-        self.feed(events.Started(self._peer("me", 1.1 if carries else 0.4)))
+        self.feed(events.Started(fleets.new_peer(
+            "me", 1.1 if carries else 0.4)))
         self.feed(events.CatalogSeen(model.Catalog(
             1, 1, {}, {SERVICE: model.Service(
                 SERVICE, 0, model.Engine(64, 500_000))},
-            None, model.Limits(16384, 1 << 20, 3.0, 15.0))))
-        self.feed(events.PeersSeen(tuple(map(
-            self._peer, self.names))))
-
-    def _peer(self, name, cores=1.0):
-        return model.Peer(name, 1, "a", f"{name}:80", (name, 81),
-                          (name, 82), cores)
+            None, fleets.LIMITS)))
+        self.feed(events.PeersSeen(tuple(map(_peer, self.names))))
 
     def feed(self, event):
         """Feed an event; datagrams that follow are encoded."""
@@ -68,7 +71,7 @@
 
     def _hear(self, name):
         data = gossip.encode(events.Heard(
-            self._peer(name), True, False, 1, self.host.servers_revision,
+            _peer(name), True, False, 1, self.host.servers_revision,
             reads_store=name == "h0", informed_s=0.1,
             carriers=self.carriers if name in self.carriers else ()))
         self.bytes += len(data)
--- a/crocuskeel/programs/entry.py
+++ b/crocuskeel/programs/entry.py
@@ -50,24 +50,13 @@
 def main(argv=None):
     """Run until stopped; return the exit code."""
     args = new_parser().parse_args(argv)
-    try:
-        with open(args.settings, encoding="utf-8") as lines:
-            boot = boots.read_boot(lines.read())
-    except OSError as exc:
-        print(f"{args.settings}: {exc.strerror}", file=sys.stderr)
-        return EXIT_SETTINGS
-    except exceptions.BadBoot as exc:
-        for fault in exc.faults:
-            print(f"{args.settings}: {fault}", file=sys.stderr)
-        return EXIT_SETTINGS
-    try:
-        how = _read_policy(args.capacity)
-    except OSError as exc:
-        print(f"{args.capacity}: {exc.strerror}", file=sys.stderr)
+    boot = _read(args.settings, boots.read_boot)
+    if boot is None:
         return EXIT_SETTINGS
-    except policy.BadPolicy as exc:
-        for fault in exc.faults:
-            print(f"{args.capacity}: {fault}", file=sys.stderr)
+    how = capacity.Policy()
+    if args.capacity is not None:
+        how = _read(args.capacity, policy.read_policy)
+    if how is None:
         return EXIT_SETTINGS
     if args.check:
         print(f"{args.settings}: good")
@@ -75,11 +64,20 @@
     return _run(boot, args.settings, how, args.statsd)
 
 
-def _read_policy(path):
-    if path is None:
-        return capacity.Policy()
-    with open(path, encoding="utf-8") as lines:
-        return policy.read_policy(lines.read())
+def _read(path, read):
+    """Return what ``read`` makes of a file's text, or None.
+
+    What is wrong with the file is printed.
+    """
+    try:
+        with open(path, encoding="utf-8") as lines:
+            return read(lines.read())
+    except OSError as exc:
+        print(f"{path}: {exc.strerror}", file=sys.stderr)
+    except (exceptions.BadBoot, policy.BadPolicy) as exc:
+        for fault in exc.faults:
+            print(f"{path}: {fault}", file=sys.stderr)
+    return None
 
 
 def _run(boot, path, how, statsd_address):
--- a/emulator/deployment.py
+++ b/emulator/deployment.py
@@ -3,34 +3,19 @@
 import dataclasses
 import pathlib
 
-import json5
+from crocuskeel.programs import checks
+from emulator import faults
 
 __all__ = ["BadDeployment", "Deployment", "Engines", "Fault", "Kind",
-           "Plain", "Problem", "known", "read"]
+           "Plain", "known", "read"]
 
 REQUESTS = ("stream", "safe", "unsafe")
-FAULTS = ("burst", "crash", "dark", "slow", "drain", "kill", "hot")
+FAULTS = tuple(faults.FAULTS)
 FOLDER = pathlib.Path(__file__).parent / "deployments"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Problem:
-    """What is wrong with a file, and how to mend it."""
-
-    id: str
-    text: str
-    hint: str
-
-    def __str__(self):
-        return f"{self.id}: {self.text} ({self.hint})"
-
-
-class BadDeployment(Exception):
-    """A file that can't be played; ``problems`` are all that were found."""
-
-    def __init__(self, problems):
-        super().__init__("; ".join(map(str, problems)))
-        self.problems = tuple(problems)
+class BadDeployment(checks.BadFile):
+    """A file that can't be played."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -131,18 +116,16 @@
     if not path.exists():
         path = pathlib.Path(name)
     try:
-        found = json5.loads(path.read_text(encoding="utf-8"))
-    except (ValueError, RecursionError) as exc:
-        raise BadDeployment([Problem(
+        text = path.read_text(encoding="utf-8")
+    except UnicodeDecodeError as exc:
+        raise BadDeployment([checks.Fault(
             "emulator.E001", f"not JSON with comments: {exc}",
-            "check commas and brackets")]) from exc
+            "write it in UTF-8")]) from exc
+    found = checks.read_object(text, "emulator", BadDeployment)
     return _deployment(path.stem, found)
 
 
 def _deployment(name, found):
-    if not isinstance(found, dict):
-        raise BadDeployment([Problem(
-            "emulator.E002", "not an object", "write { ... }")])
     problems = []
     made = Deployment(
         name=name,
@@ -158,7 +141,7 @@
     problems += [_unknown(each) for each in sorted(unknown)]
     problems += _wrong_words(made)
     if not made.kinds:
-        problems.append(Problem(
+        problems.append(checks.Fault(
             "emulator.E005", "no kinds of requests",
             "name one at least under kinds"))
     if problems:
@@ -170,29 +153,28 @@
     """Return the problems with what kinds and faults are said to be."""
     rows = [(kind.kind, REQUESTS) for kind in made.kinds]
     rows += [(fault.kind, FAULTS) for fault in made.faults]
-    found = [Problem("emulator.E008", f"kind is {word!r}",
-                     f"one of {', '.join(words)}")
+    found = [checks.Fault("emulator.E008", f"kind is {word!r}",
+                          f"one of {', '.join(words)}")
              for word, words in rows if word not in words]
-    found += [Problem("emulator.E003", f"a_second is {kind.a_second!r}",
-                      "a number above zero")
+    found += [checks.Fault("emulator.E003", f"a_second is {kind.a_second!r}",
+                           "a number above zero")
               for kind in made.kinds if not kind.a_second]
     return found
 
 
 def _number(found, name, default, problems):
     value = found.get(name, default)
-    if isinstance(value, bool) or not isinstance(value, (int, float)) or (
-            value <= 0):
-        problems.append(Problem(
+    if not _fits(value, type(default)) or value <= 0:
+        problems.append(checks.Fault(
             "emulator.E003", f"{name} is {value!r}",
-            "a number above zero"))
+            f"a {type(default).__name__} above zero"))
         return default
     return value
 
 
 def _parts(kind, rows, problems):
     if not isinstance(rows, list):
-        problems.append(Problem(
+        problems.append(checks.Fault(
             "emulator.E004", f"{rows!r} is no list", "write [ ... ]"))
         return ()
     return tuple(each for row in rows
@@ -203,19 +185,19 @@
     """Return a dataclass of a table's fields, or None."""
     fields = {field.name: field for field in dataclasses.fields(kind)}
     if not isinstance(row, dict):
-        problems.append(Problem(
+        problems.append(checks.Fault(
             "emulator.E004", f"{row!r} is no object", "write { ... }"))
         return None
     wrong = [_unknown(name) for name in row if name not in fields]
     for name, field in fields.items():
         if name in row and not _fits(row[name], field.type):
-            wrong.append(Problem(
+            wrong.append(checks.Fault(
                 "emulator.E003", f"{name} is {row[name]!r}",
                 f"a {field.type.__name__} that is not negative"))
     needed = [name for name, field in fields.items()
               if field.default is dataclasses.MISSING and name not in row]
-    wrong += [Problem("emulator.E006", f"{name} is missing",
-                      f"each {kind.__name__} has one") for name in needed]
+    wrong += [checks.Fault("emulator.E006", f"{name} is missing",
+                           f"each {kind.__name__} has one") for name in needed]
     problems += wrong
     return None if wrong else kind(**row)
 
@@ -231,5 +213,5 @@
 
 
 def _unknown(name):
-    return Problem("emulator.E007", f"{name} is not known",
-                   "see docs/howto/emulator.md for the names")
+    return checks.Fault("emulator.E007", f"{name} is not known",
+                        "see docs/howto/emulator.md for the names")
--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -36,22 +36,63 @@
     ready_at: float = 0.0
 
 
-class Engine:
-    """A model engine. ``factor`` is how much slower it works.
+class _Server:
+    """What all servers have. ``factor`` is how much slower it works."""
 
-    ``parts`` holds what it keeps of prompts, least recently used first.
-    """
-
-    def __init__(self, clock, sid, cfg, tally):
+    def __init__(self, clock, sid, cfg):
         self.clock = clock
         self.sid = sid
         self.cfg = cfg
-        self.tally = tally
         self.factor = 1.0
         self.down = False
         self.dark = False
         self.waiting = []
         self.running = []
+
+    def cancel(self, run):
+        """Drop a request whose connection closed."""
+        if not run.over:
+            self._remove(run)
+            self._go_on()
+
+    def load(self):
+        """Return (running, waiting, slots), as it says of itself."""
+        return len(self.running), len(self.waiting), self.cfg.slots
+
+    def crash(self):
+        """End all connections, and take none."""
+        self.down = True
+        runs, self.running, self.waiting = (
+            self.running + self.waiting, [], [])
+        for run in runs:
+            run.over = True
+            run.listener.broken(run)
+
+    def set_dark(self, dark):
+        """Say nothing more, with all connections open."""
+        self.dark = dark
+        self._go_on()
+
+    def _remove(self, run):
+        run.over = True
+        if run in self.running:
+            self.running.remove(run)
+        if run in self.waiting:
+            self.waiting.remove(run)
+
+    def _go_on(self):
+        raise NotImplementedError
+
+
+class Engine(_Server):
+    """A model engine.
+
+    ``parts`` holds what it keeps of prompts, least recently used first.
+    """
+
+    def __init__(self, clock, sid, cfg, tally):
+        super().__init__(clock, sid, cfg)
+        self.tally = tally
         self.parts = collections.OrderedDict()
         self.parts_tokens = 0
         self.links_until = 0.0
@@ -171,60 +212,28 @@
             self._remove(run)
             run.listener.ended(run)
 
-    def _remove(self, run):
-        run.over = True
-        if run in self.running:
-            self.running.remove(run)
-        if run in self.waiting:
-            self.waiting.remove(run)
-
-    def cancel(self, run):
-        """Drop a request whose connection closed."""
-        if not run.over:
-            self._remove(run)
-            if self.stepping is None:
-                self._go_on()
-
-    def load(self):
-        """Return (running, waiting, slots), as it says of itself."""
-        return len(self.running), len(self.waiting), self.cfg.slots
-
     def crash(self):
         """End all connections, and take none."""
-        self.down = True
-        if self.stepping is not None:
-            self.clock.cancel(self.stepping)
-            self.stepping = None
-        runs, self.running, self.waiting = (
-            self.running + self.waiting, [], [])
-        for run in runs:
-            run.over = True
-            run.listener.broken(run)
+        self._halt()
+        super().crash()
         self.parts.clear()
         self.parts_tokens = 0
 
     def set_dark(self, dark):
         """Say nothing more, with all connections open."""
-        self.dark = dark
-        if dark and self.stepping is not None:
+        if dark:
+            self._halt()
+        super().set_dark(dark)
+
+    def _halt(self):
+        if self.stepping is not None:
             self.clock.cancel(self.stepping)
             self.stepping = None
-        self._go_on()
 
 
-class PlainServer:
+class PlainServer(_Server):
     """A server of a plain service."""
 
-    def __init__(self, clock, sid, cfg):
-        self.clock = clock
-        self.sid = sid
-        self.cfg = cfg
-        self.factor = 1.0
-        self.down = False
-        self.dark = False
-        self.waiting = []
-        self.running = []
-
     def begin(self, run, source=None):
         """Take a request, or return False if all is full."""
         if len(self.waiting) >= QUEUE:
@@ -244,35 +253,5 @@
     def _done(self, run):
         if not run.over and not self.dark:
             self._remove(run)
+            self._go_on()
             run.listener.ended(run)
-
-    def _remove(self, run):
-        run.over = True
-        if run in self.running:
-            self.running.remove(run)
-        if run in self.waiting:
-            self.waiting.remove(run)
-        self._go_on()
-
-    def cancel(self, run):
-        """Drop a request whose connection closed."""
-        if not run.over:
-            self._remove(run)
-
-    def load(self):
-        """Return (running, waiting, slots), as it says of itself."""
-        return len(self.running), len(self.waiting), self.cfg.slots
-
-    def crash(self):
-        """End all connections, and take none."""
-        self.down = True
-        runs, self.running, self.waiting = (
-            self.running + self.waiting, [], [])
-        for run in runs:
-            run.over = True
-            run.listener.broken(run)
-
-    def set_dark(self, dark):
-        """Say nothing more, with all connections open."""
-        self.dark = dark
-        self._go_on()
--- a/emulator/hosts.py
+++ b/emulator/hosts.py
@@ -10,13 +10,12 @@
 from crocuskeel.core.entry import model
 from emulator import engine as engines
 
-__all__ = ["EntryHost", "peer"]
+__all__ = ["EntryHost"]
 
 TICK_S = 0.3
-CONNECT_S = 1.0
 
 
-def peer(name, boot=1):
+def _peer(name, boot=1):
     """Return a host of this name as others know it."""
     return model.Peer(name, boot, "a", f"{name}:80", (name, 81),
                       (name, 82), 1.0)
@@ -63,14 +62,13 @@
         self._tell(events.Broken(
             self.key, self.turn, model.Outcome.BROKEN, "reset", True))
 
-    def fails(self, outcome, after_s=0.0):
+    def fails(self, outcome):
         """The attempt ends without having run."""
-        self._tell(events.Broken(self.key, self.turn, outcome), after_s)
+        self._tell(events.Broken(self.key, self.turn, outcome))
 
-    def _tell(self, event, after_s=0.0):
+    def _tell(self, event):
         self.host.world.clock.after(
-            self.host.world.way_s + after_s, self.host.hear, self.host.boot,
-            event)
+            self.host.world.way_s, self.host.hear, self.host.boot, event)
 
 
 class EntryHost:
@@ -88,11 +86,10 @@
     def start(self):
         """Begin, knowing the configuration and the servers."""
         self.boot += 1
-        self.asked = {}
         self.core = entry.new_host(entry.Settings(
             repeat_slack=50.0), random.Random(self.rng.random()))
-        me = peer(self.name, self.boot)
-        others = tuple(peer(name) for name in self.world.names)
+        me = _peer(self.name, self.boot)
+        others = tuple(map(_peer, self.world.names))
         for event in (events.Started(me), events.PeersSeen(others),
                       events.CatalogSeen(self.world.catalog),
                       events.ServersListed(self.world.listed(), 5)):
@@ -103,11 +100,9 @@
     def stop(self):
         """Lose power: callers' connections end, servers see theirs."""
         self.core = None
-        for asked in self.asked.values():
-            for server, run in asked.runs.values():
-                server.cancel(run)
+        for key, asked in list(self.asked.items()):
+            self.forget(key)
             asked.caller.cut()
-        self.asked = {}
 
     def _tick(self, boot):
         if self.core is not None and boot == self.boot:
--- a/emulator/run.py
+++ b/emulator/run.py
@@ -1,5 +1,6 @@
 """One run: a deployment, a seed, and what came of it."""
 
+import dataclasses
 import random
 
 from crocuskeel.core.entry import events
@@ -80,9 +81,8 @@
 
     def drain(self, sid):
         """Have a server say that it leaves."""
-        entry = self.entries[sid]
-        self.entries[sid] = model.Server(
-            sid, entry.service, entry.address, "a", entry.slots, True)
+        self.entries[sid] = dataclasses.replace(
+            self.entries[sid], draining=True)
         self._change((self.entries[sid],), ())
 
     def end(self, sid):
