Log each failed call of the store and each watch that begins after one

On call nobody could tell what a host that had lost the store did next: it wrote the first failure and then nothing until the store was back. Three explanations of configuration that was not in force fit the same logs.

Now each failed list or watch leaves a line with its error, its revision and how long it took, the first watch after a list or a failure one with its span, and a gauge tells for how long the store gave no answer, by kind. Calls in an outage are at least 0.15 s apart, so are the lines; in calm there are none. No decision changes.

What is known of a kind of object is in one dataclass in place of locals of the loop and a dict of watches, so that the metric can read it.

test_the_log_tells_each_failed_call_and_the_next_watch and test_a_metric_tells_how_long_the_store_gave_no_answer fail without.

--- a/crocuskeel/gateway/metrics.py
+++ b/crocuskeel/gateway/metrics.py
@@ -76,6 +76,26 @@
         yield needed
 
 
+class _Unheard:
+    """For how long the store gave no answer, when read.
+
+    ``unheard_s()`` returns seconds by kind of object.
+    """
+
+    def __init__(self, unheard_s):
+        self.unheard_s = unheard_s
+
+    def collect(self):
+        """Yield the family of metrics."""
+        unheard = core.GaugeMetricFamily(
+            "crocuskeel_store_unheard_seconds",
+            "Time since the store last answered, by kind of object.",
+            labels=["kind"])
+        for kind, span_s in self.unheard_s().items():
+            unheard.add_metric([kind], span_s)
+        yield unheard
+
+
 class _Metrics:
     """Counts what the log tells, also lines that it leaves out.
 
@@ -120,6 +140,10 @@
             name, text, registry=self.registry)
         gauge.set_function(read)
 
+    def show_unheard(self, unheard_s):
+        """Show what ``unheard_s()`` returns: seconds by kind."""
+        self.registry.register(_Unheard(unheard_s))
+
     def note(self, event, fields):
         """Count one line of the log."""
         self.lines.labels(event).inc()
--- a/crocuskeel/platform/assembly.py
+++ b/crocuskeel/platform/assembly.py
@@ -53,6 +53,7 @@
     store = stores.new_store(reactor, boot.store)
     gateway.duties = duties.new_duties(reactor, gateway, store, boot)
     follower = following.new_follower(reactor, gateway, store)
+    counts.show_unheard(follower.unheard_s)
     _listen(reactor, boot, gateway, follower, counts)
     gateway.fetch = _fetcher(reactor, gateway, follower)
     gateway.on_exit = on_exit
--- a/crocuskeel/platform/following.py
+++ b/crocuskeel/platform/following.py
@@ -1,5 +1,8 @@
 """Follows the store: configuration, backend servers, other hosts."""
 
+import dataclasses
+import typing
+
 from crocuskeel.core.entry import changelog
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import fleet
@@ -29,6 +32,29 @@
 ROLE_S = 0.3
 
 
+@dataclasses.dataclass(slots=True)
+class _Kind:
+    """A kind of object that is followed.
+
+    ``listed`` and ``changed`` take what the store answers. Everything up
+    to ``revision`` is known; it is None until the list was read.
+    ``heard_at`` is when the store last answered, by the runtime's clock.
+    """
+
+    name: str
+    listed: typing.Callable
+    changed: typing.Callable
+    heard_at: float
+    revision: int | None = None
+    failures: int = 0
+    asked_at: float = 0.0
+    # The watch that is open, if any.
+    watch: defer.Deferred | None = None
+    # The next watch is the first one since the list was read, or since
+    # a call failed.
+    is_resuming: bool = True
+
+
 class Follower:
     """Keeps the gateway's core told of what the store holds.
 
@@ -40,7 +66,7 @@
         self.reactor = reactor
         self.gateway = gateway
         self.store = store
-        self.watches = {}
+        self.kinds = []
         self.raw_config = None
         self.raw_servers = {}
         self.changes = changelog.Log()
@@ -62,54 +88,87 @@
         if self.begun:
             return
         self.begun = True
-        self._run(self._follow(
-            CONFIG, self._config_listed, self._config_changed))
-        self._run(self._follow(
-            SERVERS, self._servers_listed, self._servers_changed))
+        now = self.reactor.seconds()
+        self.kinds = [
+            _Kind(CONFIG, self._config_listed, self._config_changed, now),
+            _Kind(SERVERS, self._servers_listed, self._servers_changed,
+                  now)]
+        for kind in self.kinds:
+            self._run(self._follow(kind))
 
     def _died(self, failure):
         self.gateway.log("follower_died", {
             "why": failure.getErrorMessage(),
             "where": failure.getBriefTraceback()})
 
-    async def _follow(self, kind, listed, changed):
-        revision = None
-        failures = 0
+    async def _follow(self, kind):
         reading = False
         while True:
             if reading != self._reads():
                 reading = not reading
                 self.gateway.log("reads_store", {
-                    "kind": kind, "reads": reading})
+                    "kind": kind.name, "reads": reading})
             if not reading:
-                revision = None
+                kind.revision = None
                 self.gateway.feed(events.StoreLeft())
                 await task.deferLater(self.reactor, ROLE_S)
                 continue
+            kind.asked_at = self.reactor.seconds()
             try:
-                if revision is None:
-                    listing = await self.store.list(kind)
-                    revision = listing.revision
-                    self._is_back(kind)
-                    listed(listing)
+                if kind.revision is None:
+                    await self._list(kind)
                 else:
-                    self.watches[kind] = defer.Deferred.fromCoroutine(
-                        self.store.watch(kind, revision, self._span_s()))
-                    news = await self.watches[kind]
-                    revision = news.revision
-                    self._is_back(kind)
-                    changed(news)
-                failures = 0
+                    await self._watch(kind)
+                kind.failures = 0
             except defer.CancelledError:
                 # The store is back: this watch may be a dead one.
                 continue
             except exceptions.StoreError as exc:
-                failures += 1
-                if exc.status == stores.GONE:
-                    revision = None
-                elif failures > 1 or not exc.status:
-                    self._is_lost(str(exc))
-                await self._pause(failures)
+                self._failed(kind, exc)
+                await self._pause(kind.failures)
+
+    async def _list(self, kind):
+        listing = await self.store.list(kind.name)
+        kind.revision = listing.revision
+        kind.is_resuming = True
+        self._heard(kind)
+        kind.listed(listing)
+
+    async def _watch(self, kind):
+        span_s = self._span_s()
+        if kind.is_resuming:
+            kind.is_resuming = False
+            self.gateway.log("watch_begun", {
+                "kind": kind.name, "revision": kind.revision,
+                "span_s": round(span_s, 3)})
+        kind.watch = defer.Deferred.fromCoroutine(
+            self.store.watch(kind.name, kind.revision, span_s))
+        news = await kind.watch
+        kind.revision = news.revision
+        self._heard(kind)
+        kind.changed(news)
+
+    def _failed(self, kind, exc):
+        kind.failures += 1
+        kind.is_resuming = True
+        self.gateway.log("store_call_failed", {
+            "kind": kind.name, "why": str(exc), "status": exc.status,
+            "revision": kind.revision, "failures": kind.failures,
+            "after_s": round(self.reactor.seconds() - kind.asked_at, 3)})
+        if exc.status == stores.GONE:
+            kind.revision = None
+        elif kind.failures > 1 or not exc.status:
+            self._is_lost(str(exc))
+
+    def unheard_s(self):
+        """Return for how long the store gave no answer, s, by kind.
+
+        A kind that this host doesn't read itself is left out.
+        """
+        if not self._reads():
+            return {}
+        now = self.reactor.seconds()
+        return {kind.name: now - kind.heard_at for kind in self.kinds}
 
     def _reads(self):
         return fleet.reads_store(self.gateway.host,
@@ -123,16 +182,17 @@
     def _is_lost(self, why):
         self.gateway.feed(events.StoreLost(why))
 
-    def _is_back(self, kind):
+    def _heard(self, kind):
+        kind.heard_at = self.reactor.seconds()
         if self.gateway.host.store_lost_at is None:
             return
         self.gateway.feed(events.StoreBack())
         # A host that was cut off and healed may hold a watch on a
         # connection that is dead without showing it: what changes then
         # would be seen only when that watch should have ended.
-        for other, watch in self.watches.items():
-            if other != kind:
-                watch.cancel()
+        for other in self.kinds:
+            if other is not kind and other.watch is not None:
+                other.watch.cancel()
 
     def _pause(self, failures):
         span = min(RETRY_MOST_S, RETRY_LEAST_S * 2 ** (failures - 1))
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -7,6 +7,7 @@
 
 from crocuskeel.core import entry
 from crocuskeel.core.entry import events
+from crocuskeel.gateway import metrics
 from crocuskeel.platform import exceptions
 from crocuskeel.platform import following
 from crocuskeel.platform import objects
@@ -62,6 +63,7 @@
         self.host = entry.new_host(entry.Settings(), random.Random(1))
         self.now = 0.0
         self.lines = []
+        self.fields = {}
         self.feed(events.Started(support.peer("me")))
 
     def feed(self, event):
@@ -69,6 +71,7 @@
 
     def log(self, event, fields):
         self.lines.append(event)
+        self.fields[event] = fields
 
 
 class FollowerTest(unittest.TestCase):
@@ -128,6 +131,35 @@
         self.assertEqual(watches + 1, self.store.calls.count(
             ("watch", "config", 4)))
 
+    def test_the_log_tells_each_failed_call_and_the_next_watch(self):
+        # Only the first failure left a line: whether a host watched,
+        # listed or had ended could not be told afterwards.
+        del self.gateway.lines[:]
+        self.clock.advance(0.4)
+        self.store.answer("servers", exceptions.StoreError(0, "reset"))
+        self.clock.advance(0.5)
+        self.clock.advance(0.2)
+        self.store.answer("servers", exceptions.StoreError(410, "gone"))
+        self.assertEqual({
+            "kind": "servers", "why": "gone (410)", "status": 410,
+            "revision": 4, "failures": 2, "after_s": 0.2},
+            self.gateway.fields["store_call_failed"])
+        self.clock.advance(1.0)
+        self.store.answer("servers", stores.Listing((), 9))
+        self.assertEqual(
+            ["store_call_failed", "watch_begun", "store_call_failed",
+             "watch_begun"], self.gateway.lines)
+        self.assertEqual(9, self.gateway.fields["watch_begun"]["revision"])
+
+    def test_a_metric_tells_how_long_the_store_gave_no_answer(self):
+        counts = metrics.new_metrics(self.host)
+        counts.show_unheard(self.follower.unheard_s)
+        self.clock.advance(1.5)
+        self.store.answer("servers", stores.Changes((), 9))
+        text = counts.text().decode()
+        self.assertIn('unheard_seconds{kind="config"} 1.5', text)
+        self.assertIn('unheard_seconds{kind="servers"} 0.0', text)
+
     def test_calls_in_an_outage_are_few(self):
         # Each is billed, also those that get no answer.
         before = len(self.store.calls)
