Bound how long a host waits for the store without an answer

Cause: a watch of 30 s was the only call of its kind of object, and the one sign that the store is there. A watch that the store took while it answered nothing stays open and is never answered. The connection is sound, so TCP's keep-alive doesn't end it. Each host watches for itself, so no host knows more, and the rule that one kind's answer renews the other's watch has no answer to start from. Nothing but the 30 s ended it. A dropped history is one way in; connections that are reset in the silence are another.

A watch now waits 1.75 s at the most, and no longer than the platform allows for a configuration to be in force; with its slack and a retry a lost one is found within 2.7 s, the platform allows 3 s. While the store counts as lost a watch asks for 0.1 s only. 410 is an answer: it is no failure to back off from, and shows that the store is back. A retry's pause counts from the beginning of the call that failed, so a call that hangs doesn't add to it. The shorter span that only large fleets had is gone: one for all.

--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -25,6 +25,8 @@
     """
 
     grace_s: float = 8.0
+    # How soon an accepted configuration has to be in force.
+    apply_s: float = 2.0
     repeat_share: float = 0.2
     repeat_window_s: float = 10.0
     repeat_slack: float = 50.0
--- a/crocuskeel/platform/boot.py
+++ b/crocuskeel/platform/boot.py
@@ -132,6 +132,8 @@
     default = entry.Settings()
     return entry.Settings(
         grace_s=reader.number("Bounds.GraceS", default.grace_s),
+        apply_s=reader.number(
+            "Bounds.ConfigApplyMs", default.apply_s * 1000) / 1000,
         repeat_share=reader.number(
             "Bounds.BudgetRatio", default.repeat_share),
         repeat_window_s=reader.number(
--- a/crocuskeel/platform/following.py
+++ b/crocuskeel/platform/following.py
@@ -20,14 +20,19 @@
 SERVERS = "servers"
 # This system's own kind of objects: its entry hosts.
 HOSTS = "crocuskeel-hosts"
-# Between calls to a store that fails, s: each call is billed, and
-# configuration has to be in force within 2 s.
+# Between the beginnings of calls to a store that fails, s: each call is
+# billed, and configuration has to be in force within 2 s. The least also
+# goes by between the end of one and the next.
 RETRY_LEAST_S = 0.2
 RETRY_MOST_S = 1.0
-# In a large fleet all hosts depend on a few that read. A store that turns
-# one of these away may leave its watch silent, which shows only when the
-# watch should have ended, s.
-LARGE_WATCH_S = 2.0
+# A watch that the store took while it answered nothing stays open and is
+# never answered; nothing but its end shows that. It waits this long at the
+# most, s, and no longer than a configuration may take to be in force: with
+# the time to notice and to ask again a host is back within 3 s.
+WATCH_MOST_S = 1.75
+# A watch while the store counts as lost, s: its answer shows that the store
+# is back.
+PROBE_S = 0.1
 # A host that doesn't read the store looks this often whether it should, s.
 ROLE_S = 0.3
 
@@ -125,7 +130,7 @@
                 continue
             except exceptions.StoreError as exc:
                 self._failed(kind, exc)
-                await self._pause(kind.failures)
+                await self._pause(kind.failures, self._since(kind))
 
     async def _list(self, kind):
         listing = await self.store.list(kind.name)
@@ -154,12 +159,19 @@
         self.gateway.log("store_call_failed", {
             "kind": kind.name, "why": str(exc), "status": exc.status,
             "revision": kind.revision, "failures": kind.failures,
-            "after_s": round(self.reactor.seconds() - kind.asked_at, 3)})
+            "after_s": round(self._since(kind), 3)})
         if exc.status == stores.GONE:
+            # An answer all the same: the list can be read at once.
             kind.revision = None
+            kind.failures = 1
+            self._heard(kind)
         elif kind.failures > 1 or not exc.status:
             self._is_lost(str(exc))
 
+    def _since(self, kind):
+        """Return how long ago the last call of a kind was made, s."""
+        return self.reactor.seconds() - kind.asked_at
+
     def unheard_s(self):
         """Return for how long the store gave no answer, s, by kind.
 
@@ -175,9 +187,10 @@
                                  self.reactor.seconds())
 
     def _span_s(self):
-        if fleet.is_large(self.gateway.host):
-            return LARGE_WATCH_S
-        return stores.WATCH_S
+        host = self.gateway.host
+        if host.store_lost_at is not None:
+            return PROBE_S
+        return min(WATCH_MOST_S, host.cfg.apply_s)
 
     def _is_lost(self, why):
         self.gateway.feed(events.StoreLost(why))
@@ -194,8 +207,10 @@
             if other is not kind and other.watch is not None:
                 other.watch.cancel()
 
-    def _pause(self, failures):
+    def _pause(self, failures, waited_s=0.0):
+        """Wait before the next call; ``waited_s`` went by in the last."""
         span = min(RETRY_MOST_S, RETRY_LEAST_S * 2 ** (failures - 1))
+        span = max(RETRY_LEAST_S, span - waited_s)
         span *= 0.75 + 0.5 * self.gateway.host.rng.random()
         return task.deferLater(self.reactor, span)
 
--- a/crocuskeel/platform/store.py
+++ b/crocuskeel/platform/store.py
@@ -13,8 +13,6 @@
 PATH = "/crocuskeel/objects/"
 # The store answers in 4 ms, when slow in some hundred, s.
 CALL_S = 2.0
-# The longest that the store holds a watch, s: each one is billed.
-WATCH_S = 30.0
 # A watch that has not ended by itself this much later is dead, s.
 LATE_S = 0.7
 PAGES_MOST = 1000
@@ -61,7 +59,7 @@
             after = f"?AfterRev={_quote(_last_name(items))}"
         return Listing(tuple(items), page["AsOf"])
 
-    async def watch(self, kind, revision, span_s=WATCH_S):
+    async def watch(self, kind, revision, span_s):
         """Wait for changes after a revision, ``span_s`` at most.
 
         Returns Changes. Raises StoreError; its status is 410 if the
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -34,12 +34,14 @@
 
     def __init__(self):
         self.calls = []
+        self.spans = []
         self.waiting = {}
 
     async def list(self, kind):
         return await self._call("list", kind)
 
     async def watch(self, kind, revision, span_s):
+        self.spans.append(span_s)
         return await self._call("watch", kind, revision)
 
     async def put(self, kind, name, spec):
@@ -119,6 +121,12 @@
         self.store.answer("servers", stores.Changes((), 9))
         self.assertIsNone(self.host.store_lost_at)
 
+    def test_a_watch_waits_as_long_as_a_configuration_may_take(self):
+        self.assertLess(max(self.store.spans), self.host.cfg.apply_s)
+        self.gateway.feed(events.SettingsSeen(entry.Settings(apply_s=0.5)))
+        self.store.answer("servers", stores.Changes((), 9))
+        self.assertEqual(0.5, self.store.spans[-1])
+
     def test_a_watch_that_is_back_renews_the_other(self):
         # A host is cut off and heals. One watch is renewed; the other
         # hangs on a connection that is dead, and the configuration of
--- a/tests/platform/test_silence.py
+++ b/tests/platform/test_silence.py
@@ -17,7 +17,9 @@
 from twisted.internet import task
 
 ANSWER_S = 0.004
-# What the platform allows after a disturbance of the store, s.
+# What the platform allows after a change was acknowledged, and after a
+# disturbance of the store: s.
+APPLY_S = 2.0
 STABLE_S = 3.0
 STEP_S = 0.05
 
@@ -154,6 +156,7 @@
         patch.start()
         self.addCleanup(patch.stop)
         self.version = 0
+        self.acked = []
         self._change()
         self._server("s1")
         self.hosts = []
@@ -169,6 +172,7 @@
         self.version += 1
         self.store.write("config", "main", {
             "Version": self.version, "Routes": []})
+        self.acked.append(self.clock.seconds())
 
     def _server(self, sid):
         self.store.write("servers", sid, {
@@ -181,6 +185,11 @@
         while self.clock.seconds() < ends - STEP_S / 2:
             self.clock.advance(STEP_S)
 
+    def _due(self):
+        """Return the version that has to be in force by now."""
+        now = self.clock.seconds()
+        return sum(at + APPLY_S <= now for at in self.acked)
+
     def _versions(self):
         return [host.catalog.version for host in self.hosts]
 
@@ -197,6 +206,53 @@
         self._run(STABLE_S - 0.9)
         self.assertEqual([self.version] * 3, self._versions())
 
+    def test_a_watch_that_was_cut_in_the_silence_hides_no_change(self):
+        # The same without a dropped history.
+        self.store.silent = True
+        self.store.cut()
+        self._run(2.0)
+        self.store.speak()
+        self._change()
+        self._run(STABLE_S)
+        self.assertEqual([self.version] * 3, self._versions())
+
+    def test_a_server_that_leaves_in_the_silence_is_not_used_on(self):
+        self.store.silent = True
+        self.store.cut()
+        self._run(1.0)
+        self.store.write("servers", "s1", None)
+        self._server("s2")
+        self.store.speak()
+        self._run(STABLE_S)
+        for host in self.hosts:
+            self.assertIn("s2", host.servers)
+            gone = host.servers.get("s1")
+            self.assertTrue(gone is None or gone.lapses_at is not None)
+
+    def test_no_order_of_silence_cuts_and_changes_hides_a_change(self):
+        # Drawn orders; a change counts 2 s after it was acknowledged, and
+        # only 3 s after the last disturbance.
+        for seed in range(40):
+            with self.subTest(seed):
+                self._begin(hosts=2)
+                self._play(random.Random(seed))
+                self.assertGreaterEqual(
+                    min(self._versions()), self._due())
+
+    def _play(self, rng):
+        self._run(rng.uniform(0, 4))
+        for _ in range(rng.randint(1, 3)):
+            self.store.silent = True
+            for _ in range(rng.randint(1, 4)):
+                self._run(rng.uniform(0, 1.2))
+                act = rng.choice((self.store.cut, self.store.drop_history,
+                                  self._change))
+                act()
+            self.store.speak()
+            self._run(rng.uniform(0, 1.0))
+        self._change()
+        self._run(STABLE_S)
+
     def test_a_store_that_is_well_is_asked_seldom(self):
         # Each call is billed.
         self._run(5.0)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -90,7 +90,7 @@
 
     def test_changes_that_are_no_objects_are_passed_over(self):
         found, _ = self._read(
-            lambda store: store.watch("servers", 3),
+            lambda store: store.watch("servers", 3, 2.0),
             b'{"events": [7, null, {"Removed": true}, {"Object": 5,'
             b' "Removed": false}], "AsOf": 6}')
         self.assertEqual(((5, False),), found.rows)
