--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -112,6 +112,12 @@
         self.store.answer("servers", stores.Listing((_server("s1"),), 9))
         self.assertEqual(["s1"], list(self.host.servers))
 
+    def test_a_history_that_is_gone_shows_that_the_store_is_back(self):
+        self.store.answer("config", exceptions.StoreError(0, "down"))
+        self.assertIsNotNone(self.host.store_lost_at)
+        self.store.answer("servers", exceptions.StoreError(410, "gone"))
+        self.assertIsNone(self.host.store_lost_at)
+
     def test_what_is_known_holds_through_an_outage(self):
         for _ in range(5):
             self.store.answer("servers", exceptions.StoreError(0, "down"))
--- a/tests/platform/test_silence.py
+++ b/tests/platform/test_silence.py
@@ -21,6 +21,9 @@
 # disturbance of the store: s.
 APPLY_S = 2.0
 STABLE_S = 3.0
+# Hosts find that the store is back within this, s. Servers that have not
+# registered again by then are kept for 1.6 s more.
+BACK_S = 1.25
 STEP_S = 0.05
 
 
@@ -229,6 +232,22 @@
             gone = host.servers.get("s1")
             self.assertTrue(gone is None or gone.lapses_at is not None)
 
+    def test_the_store_counts_as_back_soon_though_nothing_changes(self):
+        # Servers whose entries lapsed are kept until some time after that.
+        for seed in range(20):
+            with self.subTest(seed):
+                self._begin()
+                rng = random.Random(seed)
+                self.store.silent = True
+                self.store.cut()
+                self._run(rng.uniform(3.0, 6.0))
+                self.assertTrue(all(host.store_lost_at
+                                    for host in self.hosts))
+                self.store.speak()
+                self._run(BACK_S)
+                self.assertEqual([None] * 3, [
+                    host.store_lost_at for host in self.hosts])
+
     def test_no_order_of_silence_cuts_and_changes_hides_a_change(self):
         # Drawn orders; a change counts 2 s after it was acknowledged, and
         # only 3 s after the last disturbance.
