Log the class of what is sent or refused for load; let-in share by class

Urgent requests that wait while less urgent ones run could not be seen in the logs: sent and shed lines had the number that the engine is told, which is the workspace's where it has one, and neither the route nor the rank that decided.

Both lines name route and rank now, shed also how busy the engine was, and a gauge tells the share of each class that was let in lately. No decision changes. test_the_text_tells_how_much_of_each_class_is_let_in failed before.

--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -56,6 +56,7 @@
         said_age_s=round(said_age_s, 1), fresh=attempt.fresh_tokens,
         spill=attempt.spilled_tokens, fetch=attempt.fetched_tokens,
         source=source.server.sid if source else "",
+        route=pending.route.name, rank=pending.rank,
         priority=pending.priority,
         loud_s=round(pauses.loud_s(target, now), 3),
         left_s=round(pending.ends_at - now, 2),
@@ -98,7 +99,9 @@
 def _shed(host, pending, target, now):
     """Refuse a request that no server has room for."""
     line = ending.note("shed", pending.request, server=target.server.sid,
+                       route=pending.route.name, rank=pending.rank,
                        priority=pending.priority,
+                       busy=round(target.busy, 2),
                        running=serverload.running(target, now),
                        ahead=serverload.ahead_tokens(target, now),
                        reading=serverload.reading(target, now),
--- a/crocuskeel/gateway/metrics.py
+++ b/crocuskeel/gateway/metrics.py
@@ -34,6 +34,25 @@
         yield samples
 
 
+class _Classes:
+    """What was let in of each class of prompts lately, when read."""
+
+    def __init__(self, host):
+        self.host = host
+
+    def collect(self):
+        """Yield the family of metrics."""
+        shares = core.GaugeMetricFamily(
+            "crocuskeel_let_in_share",
+            "Share of a class's requests that went to an engine lately.",
+            labels=["service", "route", "priority"])
+        for service, classes in self.host.served.items():
+            for route, seen in classes.items():
+                shares.add_metric(
+                    [service, route, str(seen.priority)], seen.share())
+        yield shares
+
+
 class _Duties:
     """What the host knows of the platform's duties, when read."""
 
@@ -129,6 +148,7 @@
                     lambda: host.catalog.revision if host.catalog else 0)
 
         self.registry.register(_Paces(host))
+        self.registry.register(_Classes(host))
         self.registry.register(_Duties(host))
 
     def _histogram(self, name, text):
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from crocuskeel.core.entry import floors
 from crocuskeel.core.entry import pace
 from crocuskeel.gateway import metrics
 from tests.duties import world as worlds
@@ -46,6 +47,16 @@
         self.assertIn(
             'crocuskeel_reading_pause_seconds{service="engines"} 0.2', text)
 
+    def test_the_text_tells_how_much_of_each_class_is_let_in(self):
+        # An urgent class that gets less than others shows here first.
+        host = support.Driver().host
+        asked = support.pending(support.stream(), prompt=support.prompt())
+        floors.note_arrived(host, asked, support.NOW)
+        text = metrics.new_metrics(host).text().decode()
+        self.assertIn(
+            'let_in_share{priority="0",route="advice",service="engines"} 0',
+            text)
+
     def test_the_text_tells_who_holds_the_duties(self):
         world = worlds.World(scaling=worlds.scaling(),
                              engines=worlds.engines())
