A newer configuration is fetched from a peer though servers change

Found by reading for the same cause elsewhere: what a host waits for without a proof that it will come. A host whose watch of the configuration is dead hears from its peers that there is a newer one and fetches it after 0.4 s without word from the store. That wait was one for both kinds: each change of a server that came by the other, sound watch began it anew. While servers changed more often than that, as when many are replaced, it never fetched, and refused with 401 or 404 what the newer configuration allowed until its watch ended.

Since when the configuration and since when the list is behind are kept apart. test_changes_of_servers_hide_no_newer_configuration failed before (no fetch in 1.5 s).

--- a/crocuskeel/core/entry/fleet.py
+++ b/crocuskeel/core/entry/fleet.py
@@ -132,8 +132,9 @@
             reads_store(host, now)):
         return 0.0
     age = _told_s(host, now)
-    if host.behind_at is not None:
-        age = max(age, now - host.behind_at)
+    for since in (host.catalog_behind_at, host.servers_behind_at):
+        if since is not None:
+            age = max(age, now - since)
     return age
 
 
--- a/crocuskeel/core/entry/peers.py
+++ b/crocuskeel/core/entry/peers.py
@@ -113,19 +113,34 @@
 
 def _catch_up(host, known, now):
     """Fetch what a peer knows that is newer."""
-    mine = host.catalog.revision if host.catalog else 0
-    newer = (known.catalog_revision > mine
-             or known.servers_revision > host.servers_revision)
-    if not newer:
+    since = _behind_since(host, known, now)
+    if since is None:
         return []
-    if host.behind_at is None:
-        host.behind_at = now
     if known.catalog_revision == 0 or now < host.fetch_at:
         return []
     reads = fleet.reads_store(host, now) and host.store_lost_at is None
-    if reads and mine and now < host.behind_at + BEHIND_S:
+    if reads and host.catalog and now < since + BEHIND_S:
         # The store tells this host itself, in a moment. It does not if
         # this host's watch fell silent: the wait is bounded.
         return []
     host.fetch_at = now + FETCH_S
     return [effects.FetchCatalog(known.peer)]
+
+
+def _behind_since(host, known, now):
+    """Return since when what a peer knows is newer, or None.
+
+    By kind: changes of servers that go on coming say nothing of the
+    configuration.
+    """
+    found = []
+    revision = host.catalog.revision if host.catalog else 0
+    if known.catalog_revision > revision:
+        if host.catalog_behind_at is None:
+            host.catalog_behind_at = now
+        found.append(host.catalog_behind_at)
+    if known.servers_revision > host.servers_revision:
+        if host.servers_behind_at is None:
+            host.servers_behind_at = now
+        found.append(host.servers_behind_at)
+    return min(found, default=None)
--- a/crocuskeel/core/entry/registry.py
+++ b/crocuskeel/core/entry/registry.py
@@ -32,7 +32,7 @@
     if host.catalog and catalog.revision <= host.catalog.revision:
         return []
     host.catalog = catalog
-    host.behind_at = None
+    host.catalog_behind_at = None
     line = effects.Note("catalog", {
         "version": catalog.version, "revision": catalog.revision,
         "routes": sum(map(len, catalog.routes.values()))})
@@ -67,7 +67,7 @@
 def _apply(host, event, changed, removed, kept, now):
     """Take changes; ``kept`` maps lapsed servers to when they go."""
     host.servers_revision = max(host.servers_revision, event.revision)
-    host.behind_at = None
+    host.servers_behind_at = None
     out = []
     anew = restarting.started_again(host, changed)
     addresses = {}
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -203,8 +203,9 @@
     store_lost_at: float | None = None
     store_back_at: float | None = None
     fetch_at: float = 0.0
-    # Since when a peer knows something newer.
-    behind_at: float | None = None
+    # Since when a peer knows a newer configuration or list of servers.
+    catalog_behind_at: float | None = None
+    servers_behind_at: float | None = None
     # Engines whose load changed and was not told yet.
     changed: set = dataclasses.field(default_factory=set)
     # When this was told last, and whether a time to tell it is set.
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -156,6 +156,17 @@
             asked += self.driver.feed(_heard("b"), 0.15)
         self.assertNotEqual([], support.only(asked, effects.FetchCatalog))
 
+    def test_changes_of_servers_hide_no_newer_configuration(self):
+        # The watch of the configuration is dead, that of servers is not.
+        # Each change of a server began the wait for the store anew.
+        asked = []
+        for number in range(5):
+            asked += self.driver.feed(
+                _heard("a", catalog_revision=11), 0.15)
+            asked += self.driver.feed(events.ServersChanged(
+                PAIR, (), 6 + number), 0.15)
+        self.assertNotEqual([], support.only(asked, effects.FetchCatalog))
+
     def test_a_starting_host_asks_at_once(self):
         driver = support.Driver()
         out = driver.feed(_heard("a"))
--- a/tests/entry/test_readers.py
+++ b/tests/entry/test_readers.py
@@ -59,6 +59,6 @@
         # Hosts that it tells would wait for it for good.
         host = self.world.hosts["small-0"]
         self.assertLess(fleet.informed_s(host, self.world.now), 2)
-        host.behind_at = self.world.now - 5
+        host.catalog_behind_at = self.world.now - 5
         self.assertGreaterEqual(
             fleet.informed_s(host, self.world.now), 5)
