An error in taking what the store says does not end the following

Found by reading, of the same class: a host that waits for news which nobody fetches any more. A configuration with a field of another type (a list for the limits, a number for a host's name) raised AttributeError, which no handler knew. The loop that follows the configuration ended with one line, follower_died, and the host stayed at its version until its process ended, also when later configurations were sound.

Such an object is a bad one like others and leaves its line. Any other unforeseen error still leaves follower_died, and the kind is followed anew from its list after a second.

test_a_configuration_of_another_form_hides_no_later_one and test_an_error_in_taking_news_does_not_end_the_following failed before.

--- a/crocuskeel/platform/following.py
+++ b/crocuskeel/platform/following.py
@@ -80,10 +80,8 @@
 
     def start(self):
         """Begin to follow; never ends."""
-        self._run(self._register())
-
-    def _run(self, coroutine):
-        defer.Deferred.fromCoroutine(coroutine).addErrback(self._died)
+        registering = defer.Deferred.fromCoroutine(self._register())
+        registering.addErrback(self._died)
 
     def _begin(self):
         """Follow the store, once it is known for how many hosts.
@@ -99,7 +97,18 @@
             _Kind(SERVERS, self._servers_listed, self._servers_changed,
                   now)]
         for kind in self.kinds:
-            self._run(self._follow(kind))
+            self._run_follow(kind)
+
+    def _run_follow(self, kind):
+        following = defer.Deferred.fromCoroutine(self._follow(kind))
+        following.addErrback(self._died)
+        # It ends by an unforeseen error only.
+        following.addCallback(lambda _: self._begin_anew(kind))
+
+    def _begin_anew(self, kind):
+        """Follow a kind from its list on, after a pause."""
+        kind.revision = None
+        self.reactor.callLater(RETRY_MOST_S, self._run_follow, kind)
 
     def _died(self, failure):
         self.gateway.log("follower_died", {
--- a/crocuskeel/platform/objects.py
+++ b/crocuskeel/platform/objects.py
@@ -44,7 +44,7 @@
                       for row in spec.get("Services") or ()},
             api_keys=_api_keys(spec.get("Tenants")),
             limits=_limits(spec.get("Limits") or {}))
-    except (KeyError, TypeError, ValueError) as exc:
+    except (AttributeError, KeyError, TypeError, ValueError) as exc:
         raise exceptions.BadObject(f"configuration: {exc!r}") from exc
 
 
--- a/tests/platform/test_following.py
+++ b/tests/platform/test_following.py
@@ -4,6 +4,7 @@
 import json
 import random
 import unittest
+from unittest import mock
 
 from crocuskeel.core import entry
 from crocuskeel.core.entry import events
@@ -194,6 +195,27 @@
                          self.gateway.lines[-2:])
         self.assertEqual(3, self.host.catalog.revision)
 
+    def test_a_configuration_of_another_form_hides_no_later_one(self):
+        for bad in ({"Limits": [1]}, {"Routes": [{"Name": "r", "Host": 5}]}):
+            self.setUp()
+            self.store.answer("config", stores.Changes(
+                ((_config(7, **bad), False),), 7))
+            self.assertEqual("bad_object", self.gateway.lines[-1])
+            self.store.answer("config", stores.Changes(
+                ((_config(8), False),), 8))
+            self.assertEqual(8, self.host.catalog.revision)
+
+    def test_an_error_in_taking_news_does_not_end_the_following(self):
+        with mock.patch.object(self.follower, "take_config", autospec=True,
+                               side_effect=RuntimeError("unforeseen")):
+            self.store.answer("config", stores.Changes(
+                ((_config(7), False),), 7))
+        self.assertEqual("follower_died", self.gateway.lines[-1])
+        self.clock.advance(2.0)
+        self.store.answer("config", stores.Listing((_config(7),), 9))
+        self.assertEqual(7, self.host.catalog.revision)
+        self.assertIn(("watch", "config", 9), self.store.calls)
+
     def test_bad_entries_harm_no_other(self):
         # Another program writes to the list of servers. A host that read
         # one entry without a name stopped to follow the list for good.
