Soak: a store that falls silent, and watches that end in their time

The soak checks that configurations are in force, and missed the silent store: its stand-in can be down, slow or lose answers, but never took a call without answering it. It also kept a watch without news open for ever, whatever wait was asked for: with watches that end after 1.75 s hosts would take it for lost.

--- a/tests/soak/test_store.py
+++ b/tests/soak/test_store.py
@@ -1,6 +1,8 @@
 """The soak's stand-in of the store."""
 
+import json
 import unittest
+from unittest import mock
 
 from tools.soak import store as stores
 from twisted.internet import task
@@ -22,5 +24,53 @@
         self.assertFalse(store.down)
 
 
+class _Exchange:
+    def __init__(self, target):
+        self.head = mock.Mock(method=b"GET", target=target, spec_set=[
+            "method", "target"])
+        self.ends = []
+
+    def answer(self, status, headers, body):
+        self.ends.append(json.loads(body))
+
+    def cut(self):
+        self.ends.append("cut")
+
+
+class WatchTest(unittest.TestCase):
+    """Watches without news, and while the store is silent."""
+
+    def setUp(self):
+        self.clock = task.Clock()
+        self.store = stores.Store(self.clock)
+
+    def _watch(self):
+        exchange = _Exchange(
+            b"/crocuskeel/objects/config?Watch=1&WaitMs=1500")
+        self.store.arrived(exchange)
+        return exchange
+
+    def test_a_watch_ends_in_its_time(self):
+        # It waited for ever, and hosts took the store for lost.
+        watching = self._watch()
+        self.clock.advance(1.4)
+        self.assertEqual([], watching.ends)
+        self.clock.advance(0.2)
+        self.assertEqual([{"events": [], "AsOf": 1}], watching.ends)
+
+    def test_a_silent_store_answers_nothing_that_it_took(self):
+        before = self._watch()
+        self.store.set_silent(True)
+        self.assertEqual(["cut"], before.ends)
+        during = self._watch()
+        self.store.put("config", "main", {})
+        self.store.set_silent(False)
+        self.clock.advance(2.0)
+        self.assertEqual([], during.ends)
+        after = self._watch()
+        self.clock.advance(0.1)
+        self.assertEqual(2, after.ends[0]["AsOf"])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -19,7 +19,10 @@
     Earlier seeds keep the kinds that they had: those that failed once are
     played again.
     """
-    known = FAULTS if seed < NEWER_FROM else FAULTS + NEWER
+    known = FAULTS
+    for begins, newer in NEWER:
+        if seed >= begins:
+            known += newer
     return rng.sample(known, KINDS_A_RUN)
 
 
@@ -130,6 +133,12 @@
     soak.later(3.5, soak.register_again, lapsed)
 
 
+def _silent_store(soak):
+    soak.note_fault("store", "store silent", 2.5)
+    soak.store.set_silent(True)
+    soak.later(2.5, soak.store.set_silent, False)
+
+
 def _slow_store(soak):
     soak.note_fault("store", "store slow", 2.0)
     soak.store.delay_s = 0.3
@@ -229,5 +238,5 @@
     _slow_store, _lost_writes, _spoil, _delay, _reset, _forget, _one_way,
     _cut,
 )
-NEWER = (_reborn, _other_writer)
-NEWER_FROM = 200
+# Kinds that came later, and the first seed that draws them.
+NEWER = ((200, (_reborn, _other_writer)), (400, (_silent_store,)))
--- a/tools/soak/store.py
+++ b/tools/soak/store.py
@@ -16,7 +16,8 @@
     """Answers hosts' calls; ``down`` makes it answer 503 to all.
 
     ``delay_s`` is added to each answer; ``loses`` has writes done and
-    not answered.
+    not answered. While it is ``silent`` it takes calls that it will never
+    answer.
     """
 
     def __init__(self, reactor):
@@ -31,6 +32,7 @@
         self.outages = 0
         self.delay_s = 0.0
         self.loses = False
+        self.silent = False
         self.listener = callers.new_listener(reactor, self)
 
     def limits(self):
@@ -72,12 +74,26 @@
 
     def _tell(self, kind, obj, removed):
         self.history.append((self.revision, kind, obj, removed))
-        if self.down:
+        if self.down or self.silent:
             return
+        self._tell_waiting()
+
+    def _tell_waiting(self):
         waiting, self.watches = self.watches, []
         for exchange, wanted, since in waiting:
             self._watch(exchange, wanted, since)
 
+    def set_silent(self, silent):
+        """Answer nothing, and cut the watches; or answer again."""
+        self.silent = silent
+        if silent:
+            self._cut_watches()
+
+    def _cut_watches(self):
+        waiting, self.watches = self.watches, []
+        for exchange, _, _ in waiting:
+            exchange.cut()
+
     def _watch(self, exchange, kind, since):
         """Answer a watch with what changed, or have it wait."""
         if since < self.history_from:
@@ -102,14 +118,14 @@
         self.outages += 1 if down else -1
         self.down = self.outages > 0
         if down:
-            waiting, self.watches = self.watches, []
-            for exchange, _, _ in waiting:
-                exchange.cut()
+            self._cut_watches()
             self.history = []
             self.history_from = self.revision + 1
 
     def arrived(self, exchange):
         """Answer a call."""
+        if self.silent:
+            return
         if self.down:
             exchange.answer(503, [], b"")
             return
@@ -153,8 +169,18 @@
             self._answer(exchange, {"Items": items, "More": False,
                                     "AsOf": self.revision})
             return
+        wait_s = int(query["WaitMs"][0]) / 1000
+        self.reactor.callLater(wait_s, self._end_watch, exchange)
         self._watch(exchange, kind, int(query["Watch"][0]))
 
+    def _end_watch(self, exchange):
+        """Answer a watch that has waited for its time."""
+        if self.silent or not any(
+                row[0] is exchange for row in self.watches):
+            return
+        self.left(exchange)
+        self._answer(exchange, {"events": [], "AsOf": self.revision})
+
     def _answer(self, exchange, page):
         body = json.dumps(page).encode()
         self.reactor.callLater(self.delay_s, exchange.answer, 200, JSON,
