--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -51,6 +51,15 @@
                 reply = asking.Reply(status, body)
                 self.assertNotEqual([], _judge(_seen(kind, reply), runs))
 
+    def test_a_server_that_ended_meanwhile_does_not_count(self):
+        # One that had left ended under a stream; it is the second of three.
+        seen = _seen("safe", asking.Reply(200, b"answer to r1"))
+        for ended_at, allowed in ((seen.at - 1, False), (seen.at + 0.5, True),
+                                  (seen.ended_at + 1, False)):
+            wrong = _judge(seen, ["s", "t", "u"], lambda record: (
+                record.ended.update(t=ended_at)))
+            self.assertEqual(allowed, wrong == [])
+
     def test_a_dropped_route_that_serves(self):
         reply = asking.Reply(200, b"answer to r1")
         seen = _seen("v1", reply, version=4, settled=4)
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -63,7 +63,8 @@
         return ["ran more than once"]
     # Servers that ended or were cut off meanwhile don't count.
     counted = [sid for sid in runs
-               if record.is_calm(seen.at, seen.ended_at, sid)]
+               if record.is_calm(seen.at, seen.ended_at, sid)
+               and not seen.at <= record.ended.get(sid, 0) <= seen.ended_at]
     if seen.asked.kind != "unsafe" and len(counted) > 2:
         return ["ran on more servers than its route allows"]
     return []
--- a/tools/soak/record.py
+++ b/tools/soak/record.py
@@ -32,7 +32,8 @@
     holds (request id, server, time). ``spoiled`` holds ids of requests
     that a server broke, ``crashes`` (body, time), ``working`` (request
     id, server). ``faults`` holds (start, end, where, name), ``left`` maps
-    a server to when it left, ``seen`` a request id to its Seen.
+    a server to when it left, ``ended`` to when its process ended, ``seen``
+    a request id to its Seen.
     """
 
     runs: dict = dataclasses.field(default_factory=dict)
@@ -42,6 +43,7 @@
     working: set = dataclasses.field(default_factory=set)
     faults: list = dataclasses.field(default_factory=list)
     left: dict = dataclasses.field(default_factory=dict)
+    ended: dict = dataclasses.field(default_factory=dict)
     seen: dict = dataclasses.field(default_factory=dict)
 
     def fault(self, where, name, now, span_s=0.0):
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -144,6 +144,7 @@
     def end_engine(self, sid):
         """End a server; return its service."""
         engine = self.engines.pop(sid)
+        self.record.ended[sid] = self.reactor.seconds()
         engine.crash()
         self.links[sid].close()
         return engine.service
