--- a/crocuskeel/platform/following.py
+++ b/crocuskeel/platform/following.py
@@ -170,7 +170,7 @@
             "revision": kind.revision, "failures": kind.failures,
             "after_s": round(self._since(kind), 3)})
         if exc.status == stores.GONE:
-            # An answer all the same: the list can be read at once.
+            # An answer all the same: the list is read after a short pause.
             kind.revision = None
             kind.failures = 1
             self._heard(kind)
