Log the rates that servers name in their answers; count such servers

Of the hypotheses on engines that got more than they named (docs/incidents/ rate-limits.md) the logs could not tell 'the word is not read' from 'it is read on some ways and lost on others': no line said what an answer named.

The head of each answer that is certain to be the server's own, also of one that says that nothing ran, is decoded into Hints and fed to the core before the event that says what the answer is. A line rate_limit tells each change, a gauge how many servers name a rate. No decision changes.

--- a/crocuskeel/core/entry/events.py
+++ b/crocuskeel/core/entry/events.py
@@ -12,7 +12,8 @@
 __all__ = [
     "Answered", "Arrived", "Broken", "CallerLeft", "CatalogSeen",
     "DutyAnswered", "Ended",
-    "Heard", "LoadHeard", "LoadsDue", "Opened", "PeersSeen", "Progressed",
+    "Heard", "HintsSeen", "LoadHeard", "LoadsDue", "Opened", "PeersSeen",
+    "Progressed",
     "ServersChanged", "ServersListed", "SettingsSeen",
     "Started", "StopAsked", "StoreBack",
     "StoreLeft", "StoreLost", "Ticked", "TimerFired",
@@ -63,6 +64,18 @@
     key: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HintsSeen:
+    """The head of a server's answer is here, also of a refusal.
+
+    It comes before the event that tells what the answer is.
+    """
+
+    key: int
+    turn: int
+    hints: model.Hints
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Opened:
     """The first whole event of a stream is here.
--- a/crocuskeel/core/entry/model.py
+++ b/crocuskeel/core/entry/model.py
@@ -4,8 +4,8 @@
 import enum
 
 __all__ = [
-    "Catalog", "Engine", "Kind", "Limits", "Outcome", "Peer", "Prompt",
-    "Request", "Route", "Scaling", "Server", "Service", "Workspace",
+    "Catalog", "Engine", "Hints", "Kind", "Limits", "Outcome", "Peer",
+    "Prompt", "Request", "Route", "Scaling", "Server", "Service", "Workspace",
 ]
 
 
@@ -192,6 +192,17 @@
         return f"{self.sid}/{self.born}"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hints:
+    """What the head of a server's answer says of what the server takes.
+
+    ``rate_limit``: requests a second from all hosts together, None if
+    it names no limit.
+    """
+
+    rate_limit: float | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Peer:
     """An entry host. ``front`` is where callers reach it.
--- a/crocuskeel/core/entry/reducer.py
+++ b/crocuskeel/core/entry/reducer.py
@@ -4,6 +4,7 @@
 from crocuskeel.core.entry import attempts
 from crocuskeel.core.entry import duties
 from crocuskeel.core.entry import events
+from crocuskeel.core.entry import hints
 from crocuskeel.core.entry import holding
 from crocuskeel.core.entry import lifecycle
 from crocuskeel.core.entry import peers
@@ -43,6 +44,7 @@
     events.Arrived: requests.arrived,
     events.CallerLeft: requests.caller_left,
     events.TimerFired: requests.timer_fired,
+    events.HintsSeen: hints.seen,
     events.Opened: attempts.opened,
     events.Progressed: attempts.progressed,
     events.Ended: attempts.ended,
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -177,6 +177,8 @@
     rings: dict = dataclasses.field(default_factory=dict)
     # Ids of servers whose entries lapsed, which are kept for a while.
     lapsing: dict = dataclasses.field(default_factory=dict)
+    # By the name of a server's life: the rate that it named.
+    rate_limits: dict = dataclasses.field(default_factory=dict)
     # Ids of servers with work, or heard of lately.
     working: dict = dataclasses.field(default_factory=dict)
     servers_known: bool = False
--- a/crocuskeel/gateway/dialect.py
+++ b/crocuskeel/gateway/dialect.py
@@ -49,7 +49,8 @@
     ValueError with the reason of a 400. ``server_headers(head, send,
     last_event)`` returns a request's headers towards a server, without
     its framing. ``judge(request, head)`` returns a Verdict,
-    ``load(head)`` (running, waiting, slots) or None. ``stamped(head)``
+    ``load(head)`` (running, waiting, slots) or None, ``hints(head)`` a
+    model.Hints. ``stamped(head)``
     says whether a server vouches for an answer. ``answer_headers(head,
     keep_stamp)`` returns an answer's headers towards the caller.
     """
@@ -58,5 +59,6 @@
     server_headers: typing.Callable
     judge: typing.Callable
     load: typing.Callable
+    hints: typing.Callable
     stamped: typing.Callable
     answer_headers: typing.Callable
--- a/crocuskeel/gateway/metrics.py
+++ b/crocuskeel/gateway/metrics.py
@@ -1,6 +1,7 @@
 """Counters and histograms of a host: as text, and to statsd if asked."""
 
 from crocuskeel.core.duties import demand
+from crocuskeel.core.entry import ratelimits
 import prometheus_client
 from prometheus_client import core
 
@@ -143,6 +144,9 @@
                     lambda: len(host.pending))
         self._gauge("crocuskeel_servers", "Backend servers known.",
                     lambda: len(host.servers))
+        self._gauge("crocuskeel_rate_limited_servers",
+                    "Backend servers that name a rate in their answers.",
+                    lambda: ratelimits.limited(host))
         self._gauge("crocuskeel_catalog_revision",
                     "Revision of the configuration in force.",
                     lambda: host.catalog.revision if host.catalog else 0)
--- a/crocuskeel/gateway/servers.py
+++ b/crocuskeel/gateway/servers.py
@@ -14,6 +14,8 @@
 # A plain answer is held until it is whole, up to this size, bytes: only
 # then is it known to be complete.
 ANSWER_MOST = 4 << 20
+# Heads that are certain to be the server's own.
+VOUCHED_FOR = (dialect.Verdict.ANSWER, dialect.Verdict.NOT_RUN)
 OUTCOMES = {
     connections.Failure.UNREACHED: model.Outcome.UNREACHED,
     connections.Failure.REFUSED: model.Outcome.REFUSED,
@@ -65,6 +67,10 @@
         """Judge an answer by its head."""
         head = dialect.Head(headers, status=status)
         verdict = self.gateway.dialect.judge(self.exchange.request, head)
+        if verdict in VOUCHED_FOR:
+            self.gateway.feed(events.HintsSeen(
+                self.exchange.key, self.turn,
+                self.gateway.dialect.hints(head)))
         match verdict:
             case dialect.Verdict.NOT_RUN:
                 self._fail(model.Outcome.NOT_RUN, str(head.status))
--- a/crocuskeel/platform/headers.py
+++ b/crocuskeel/platform/headers.py
@@ -1,6 +1,7 @@
 """Headers of callers and backend servers, decoded once."""
 
 import hashlib
+import math
 
 from crocuskeel.core.entry import model
 from crocuskeel.gateway import dialect
@@ -21,6 +22,8 @@
 _STAMP = STAMP.lower()
 _NOT_RUN = b"x-crocuskeel-not-run"
 _LOAD = b"x-crocuskeel-server-load"
+# Requests a second that the engine takes from all hosts together.
+_RATE_LIMIT = b"server-limit"
 _TOKENS = b"x-crocuskeel-token-count"
 # Parts of the prompt with their tokens; the name says hash.
 _PARTS = b"x-crocuskeel-prefix-hash"
@@ -47,7 +50,7 @@
     """Return the platform's Dialect."""
     return dialect.Dialect(
         read_request=_read_request, server_headers=_server_headers,
-        judge=_judge, load=_load, stamped=_stamped,
+        judge=_judge, load=_load, hints=_hints, stamped=_stamped,
         answer_headers=_answer_headers)
 
 
@@ -159,6 +162,19 @@
     return tuple(map(int, counts))
 
 
+def _hints(head):
+    return model.Hints(rate_limit=_number(head.get(_RATE_LIMIT)))
+
+
+def _number(value):
+    """Return a header's number, None if it is no finite one from zero."""
+    try:
+        number = float(value or b"")
+    except ValueError:
+        return None
+    return number if 0 <= number < math.inf else None
+
+
 def _answer_headers(head, keep_stamp):
     left_out = HOP if keep_stamp else HOP | {_STAMP}
     return _kept(head, left_out)
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -55,10 +55,13 @@
         word = (head.get(b"verdict") or b"answer").decode()
         return dialect.Verdict(word)
 
+    def hints(head):
+        return model.Hints(float(head.get(b"rate") or 0) or None)
+
     return dialect.Dialect(
         read_request=read_request,
         server_headers=lambda head, send, last: [(b"Host", b"h")],
-        judge=judge, load=lambda head: None,
+        judge=judge, load=lambda head: None, hints=hints,
         stamped=lambda head: True,
         answer_headers=lambda head, keep: [(b"X-Kept", b"1")])
 
--- a/tests/gateway/test_servers.py
+++ b/tests/gateway/test_servers.py
@@ -101,6 +101,24 @@
                 self.assertEqual(expected, self._play(data, end))
         self.assertEqual([(200, b"ok")], self.caller.sent)
 
+    def test_hints_come_before_what_the_answer_is(self):
+        # A request that is sent on after a refusal must find the limit
+        # that the refusal named.
+        whole = b"Content-Length: 2\r\n\r\nok"
+        for verdict, expected in (
+                (b"answer", [events.HintsSeen, events.Answered]),
+                (b"not_run", [events.HintsSeen, events.Broken]),
+                (b"misdirected", [events.Broken]),
+                (b"foreign", [events.Broken]),
+                (b"garbled", [events.Broken])):
+            with self.subTest(verdict):
+                self._play(OK + b"Rate: 2\r\nVerdict: " + verdict
+                           + b"\r\n" + whole)
+                found = self.gateway.events
+                self.assertEqual(expected, [type(each) for each in found])
+                if len(found) > 1:
+                    self.assertEqual(2.0, found[0].hints.rate_limit)
+
     def test_streams(self):
         head = OK + b"Transfer-Encoding: chunked\r\n\r\n"
         body = b"%x\r\n%s\r\n" % (len(EVENTS), EVENTS)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -50,6 +50,17 @@
         return self.dialect.judge(
             request, dialect.Head(rows, status=status)).value
 
+    def test_a_rate_limit_is_a_number_of_requests_a_second(self):
+        rows = ((b"1.3", 1.3), (b"0", 0.0), (None, None), (b"", None),
+                (b"few", None), (b"-1", None), (b"nan", None),
+                (b"inf", None))
+        for value, expected in rows:
+            with self.subTest(value):
+                head = dialect.Head(
+                    ((b"Server-Limit", value),) if value is not None else ())
+                self.assertEqual(
+                    expected, self.dialect.hints(head).rate_limit)
+
     def test_an_engine_fetches_only_where_this_system_says(self):
         # A caller that names an engine would get another's memory read.
         send = effects.Send(1, 0, support.server("i-1"), 1.5, 0, "hire",
