A failing test: engines get more than the rate that they name

Six hosts before six engines in the emulator; two engines name a rate in their answers from 4 s on. Counted as the rule does: requests in 4 s from hosts that passed on such an answer half a second before or earlier, from 3 s after the rate was first named, at most one and a half times the rate and five more.

The emulator's servers name a rate, note who sent them what and when, and whom they told; a fault 'limit' sets it.

--- a/emulator/deployment.py
+++ b/emulator/deployment.py
@@ -78,7 +78,8 @@
 class Fault:
     """``kind`` of :mod:`emulator.faults`, at ``at`` s, for ``for_s``.
 
-    ``count`` engines are hit, or the load is ``times`` as much.
+    ``count`` engines are hit, or the load is ``times`` as much; with
+    ``limit`` an engine takes ``times`` requests a second.
     """
 
     kind: str
--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -8,6 +8,8 @@
 import collections
 import dataclasses
 
+from crocuskeel.core.entry import model
+
 __all__ = ["Engine", "PlainServer", "Run"]
 
 # Requests that wait before a full server; one more is refused.
@@ -37,7 +39,12 @@
 
 
 class _Server:
-    """What all servers have. ``factor`` is how much slower it works."""
+    """What all servers have. ``factor`` is how much slower it works.
+
+    ``rate_limit`` is the rate that its answers name, requests a second.
+    ``arrivals`` holds (time, host) of each request that reached it, and
+    ``told`` when each host first passed on an answer that names a rate.
+    """
 
     def __init__(self, clock, sid, cfg):
         self.clock = clock
@@ -48,6 +55,13 @@
         self.dark = False
         self.waiting = []
         self.running = []
+        self.rate_limit = None
+        self.arrivals = []
+        self.told = {}
+
+    def hints(self):
+        """Return what its answers say of what it takes."""
+        return model.Hints(self.rate_limit)
 
     def cancel(self, run):
         """Drop a request whose connection closed."""
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -46,6 +46,17 @@
     server.factor = 1.0
 
 
+def _limit(world, fault):
+    """Engines take ``times`` requests a second from all hosts together."""
+    for server in _engines(world, fault):
+        server.rate_limit = fault.times
+        world.clock.after(fault.for_s, _lift, server)
+
+
+def _lift(server):
+    server.rate_limit = None
+
+
 def _drain(world, fault):
     """Engines leave as planned, and others come."""
     for server in _engines(world, fault):
@@ -72,4 +83,4 @@
 
 
 FAULTS = {"burst": _burst, "crash": _crash, "dark": _dark, "slow": _slow,
-          "drain": _drain, "kill": _kill, "hot": _hot}
+          "limit": _limit, "drain": _drain, "kill": _kill, "hot": _hot}
--- a/emulator/hosts.py
+++ b/emulator/hosts.py
@@ -43,6 +43,7 @@
 
     def opened(self, run):
         """The first event was made."""
+        self._tell_hints()
         self._tell(events.Opened(self.key, self.turn, self.server.load()))
 
     def progressed(self, run):
@@ -54,6 +55,7 @@
         if run.prompt is not None:
             self._tell(events.Ended(self.key, self.turn))
             return
+        self._tell_hints()
         self._tell(events.Answered(
             self.key, self.turn, 200, self.server.load(), True))
 
@@ -64,8 +66,17 @@
 
     def fails(self, outcome):
         """The attempt ends without having run."""
+        if outcome is model.Outcome.NOT_RUN:
+            self._tell_hints()
         self._tell(events.Broken(self.key, self.turn, outcome))
 
+    def _tell_hints(self):
+        found = self.server.hints()
+        if found.rate_limit is not None:
+            self.server.told.setdefault(
+                self.host.name, self.host.world.clock.now)
+        self._tell(events.HintsSeen(self.key, self.turn, found))
+
     def _tell(self, event):
         self.host.world.clock.after(
             self.host.world.way_s, self.host.hear, self.host.boot, event)
@@ -195,6 +206,8 @@
 def _arrive(listener, run, source):
     if run.over:
         return
+    listener.server.arrivals.append(
+        (listener.host.world.clock.now, listener.host.name))
     if listener.server.down:
         run.over = True
         listener.broken(run)
