Hosts keep together to the rate that a server names

Cause: no host acted on the word. Reading it alone is not enough, as it is a rate of all hosts together and most of them hear it late or never: what a peer says in band to one host is a matter of all. Each host now takes the rate from the head of any answer that is the server's own, tells the others at once and in each state, and keeps it by the server's life, so that neither an entry that lapses and comes back nor an older word replaces it; a new life begins without one. As many hosts as the burst has requests (two and a second's worth) share a rate, each with a token bucket that begins empty; the others send nothing. The sum keeps within rate x span + burst without a message that counts. Those that share it notice that it is lifted, also from zero (a probe each 5 s).

A request that finds no room waits half its goal at the most if there will be some by then, the most urgent first; else it is refused at once with the time to come back. A second attempt that finds no room leaves the first one alone. Engines fetch from a limited one as before: no host sends for that.

--- a/crocuskeel/core/entry/choosing.py
+++ b/crocuskeel/core/entry/choosing.py
@@ -9,9 +9,10 @@
 import math
 
 from crocuskeel.core.entry import cost
+from crocuskeel.core.entry import ratelimits
 from crocuskeel.core.entry import serverload
 
-__all__ = ["choose", "choose_with_room", "sound"]
+__all__ = ["choose", "choose_with_room", "free_in", "holders", "sound"]
 
 # Of the connections that a server accepts, hosts use this share together:
 # each hears of the others' with a delay of some ms, in which they could
@@ -26,7 +27,7 @@
     is left: a suspect server may serve, and an excluded one has failed
     this very request.
     """
-    usable = _usable(host, pending, now)
+    usable = _free(host, pending, now)
     for strict in (2, 1, 0):
         found = [state for state in usable
                  if _fits(state, strict, exclude, now)]
@@ -48,10 +49,50 @@
 
 def sound(host, pending, now):
     """Return the servers that may get a request and seem well."""
+    return [state for state in _free(host, pending, now)
+            if _fits(state, 2, (), now)]
+
+
+def holders(host, pending, now):
+    """Return the servers that others may fetch from.
+
+    A rate that a server names is for what hosts send it.
+    """
     return [state for state in _usable(host, pending, now)
             if _fits(state, 2, (), now)]
 
 
+def free_in(host, pending, now):
+    """Return when a server's rate has room for a request, s.
+
+    None if no server would take it then either.
+    """
+    return min((ratelimits.free_in(host, state.server, now)
+                for state in _usable(host, pending, now)), default=None)
+
+
+def _free(host, pending, now):
+    """Return the usable servers whose rates have room for a request.
+
+    What is left of a rate is for the most urgent of those that wait.
+    """
+    usable = _usable(host, pending, now)
+    if not host.rate_limits:
+        return usable
+    preceded = _is_preceded(host, pending)
+    return [state for state in usable
+            if ratelimits.may_send(host, state.server, now)
+            and not (preceded
+                     and ratelimits.is_limited(host, state.server))]
+
+
+def _is_preceded(host, pending):
+    """Say whether a more urgent request is held here."""
+    return any(host.pending[key].rank < pending.rank
+               and host.pending[key].service == pending.service
+               for key in host.held)
+
+
 def _usable(host, pending, now):
     most = _connections(host, pending.service)
     return [state for state in pending.candidates
--- a/crocuskeel/core/entry/ending.py
+++ b/crocuskeel/core/entry/ending.py
@@ -22,8 +22,11 @@
     return [attempt for attempt in pending.tries if not attempt.over]
 
 
-def give_up(host, pending, reason, now):
-    """Answer for good: what a server said, or what is known."""
+def give_up(host, pending, reason, now, retry_s=BUSY_RETRY_S):
+    """Answer for good: what a server said, or what is known.
+
+    ``retry_s`` is when to come back if it has not run.
+    """
     finish(host, pending)
     line = note("gave_up", pending.request, why=reason,
                 ran=pending.may_have_run, tries=len(pending.tries),
@@ -34,7 +37,7 @@
         return [effects.PassOn(pending.key, pending.fallback), line]
     if not pending.may_have_run:
         left = pending.ends_at - now
-        return [refuse(pending.key, left, reason, BUSY_RETRY_S), line]
+        return [refuse(pending.key, left, reason, retry_s), line]
     status = BAD_GATEWAY
     if now >= pending.ends_at:
         status = GATEWAY_TIMEOUT
--- a/crocuskeel/core/entry/events.py
+++ b/crocuskeel/core/entry/events.py
@@ -12,8 +12,8 @@
 __all__ = [
     "Answered", "Arrived", "Broken", "CallerLeft", "CatalogSeen",
     "DutyAnswered", "Ended",
-    "Heard", "HintsSeen", "LoadHeard", "LoadsDue", "Opened", "PeersSeen",
-    "Progressed",
+    "Heard", "HintsHeard", "HintsSeen", "LoadHeard", "LoadsDue", "Opened",
+    "PeersSeen", "Progressed",
     "ServersChanged", "ServersListed", "SettingsSeen",
     "Started", "StopAsked", "StoreBack",
     "StoreLeft", "StoreLost", "Ticked", "TimerFired",
@@ -206,7 +206,7 @@
     ``carriers`` names hosts that it knows to be ready for callers.
     ``wall`` is its time of day, s since 1970, None if it has no duties;
     ``leader`` says who holds them. ``wanted``: how many hosts are needed
-    to carry callers.
+    to carry callers. ``rate_limits`` is that of HintsHeard.
 
     ``crashed`` holds (digest, incarnation) of requests under which a server
     ended; ``loads`` is that of LoadHeard, ``parts`` holds (server
@@ -227,6 +227,7 @@
     wall: float | None = None
     leader: state.Leader = state.Leader()
     wanted: carrying.Wanted = carrying.Wanted(0, 0.0)
+    rate_limits: tuple = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -250,6 +251,18 @@
     refused: tuple = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HintsHeard:
+    """What servers name in their answers, as host ``name`` says.
+
+    ``rate_limits`` holds (a server's life, requests a second or None,
+    how long ago that was true in ms).
+    """
+
+    name: str
+    rate_limits: tuple
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DutyAnswered:
     """A call of a duty ended; ``call`` is as in effects.SendDuty."""
--- a/crocuskeel/core/entry/hints.py
+++ b/crocuskeel/core/entry/hints.py
@@ -2,13 +2,22 @@
 
 from crocuskeel.core.entry import ending
 from crocuskeel.core.entry import ratelimits
+from crocuskeel.core.entry import telling
 
-__all__ = ["seen"]
+__all__ = ["heard", "seen"]
 
 
 def seen(host, event, now):
-    """Take the hints of an answer's head."""
+    """Take the hints of an answer's head, and tell what changed."""
     pending, attempt = ending.find(host, event)
     if attempt is None:
         return []
-    return ratelimits.named(host, attempt, event.hints.rate_limit, now)
+    out = ratelimits.named(host, attempt, event.hints.rate_limit, now)
+    if out:
+        out += telling.tell_hints(host, now)
+    return out
+
+
+def heard(host, event, now):
+    """Take what another host was told by servers."""
+    return ratelimits.heard(host, event.rate_limits, now)
--- a/crocuskeel/core/entry/peers.py
+++ b/crocuskeel/core/entry/peers.py
@@ -8,6 +8,7 @@
 from crocuskeel.core.entry import parts
 from crocuskeel.core.entry import pauses
 from crocuskeel.core.entry import quarantine
+from crocuskeel.core.entry import ratelimits
 from crocuskeel.core.entry import serverload
 from crocuskeel.core.entry import state as states
 from crocuskeel.core.entry import telling
@@ -59,6 +60,7 @@
         quarantine.learn(host, digest, incarnation, now)
     _take_loads(host, event, now)
     _take_carriers(host, event, now)
+    out += ratelimits.heard(host, event.rate_limits, now)
     out += telling.reply(host, known, now)
     return out + _catch_up(host, known, now)
 
--- a/crocuskeel/core/entry/ratelimits.py
+++ b/crocuskeel/core/entry/ratelimits.py
@@ -1,34 +1,182 @@
-"""Rates of requests that servers name for all hosts together."""
+"""Rates of requests that servers name for all hosts together.
+
+The load that this answers: a server in need names a rate, and hosts that
+each know only their own requests overrun it together. A few hosts, the
+same ones in the eyes of all, share a server's rate, each with a token
+bucket of its own, and the others send it nothing: the sum keeps within the
+rate and one burst without a message for each request. What one host hears
+of a rate, all are told. Those that share it go on sending, and so notice
+when it is lifted.
+"""
 
 import dataclasses
+import heapq
+import math
 
 from crocuskeel.core.entry import effects
+from crocuskeel.core.entry import fleet
+from crocuskeel.core.entry import routing
+
+__all__ = ["RateLimit", "free_in", "heard", "is_limited", "limited",
+           "may_send", "named", "refill", "rows", "sent"]
 
-__all__ = ["RateLimit", "limited", "named"]
+# All buckets of a server together hold what it takes in a second, and so
+# many requests more: as many hosts at the most share its rate.
+BURST_LEAST = 2.0
+# A server that takes less is still sent so many requests a second: nobody
+# would learn otherwise that it takes more again.
+PROBE_RATE = 0.2
+# A change is told again for this long, s: a datagram may be lost.
+RETOLD_S = 2.0
+# What is known of a server that is not listed is kept for this long, s:
+# its entry may have lapsed, and it may serve on.
+KEPT_S = 60.0
+# Sums of a bucket's fractions may miss a whole request by so much.
+ROUNDING = 1e-6
 
 
 @dataclasses.dataclass(slots=True)
 class RateLimit:
-    """The last that is known of one life of a server.
+    """What is known of one life of a server, and this host's bucket.
 
-    ``rate`` is in requests a second, None once the limit is lifted.
+    ``rate`` is in requests a second, None once the limit is lifted;
+    ``as_of`` is when that was true, s. ``tokens`` are the requests that
+    this host may send at once, as of ``filled_at``.
     """
 
-    rate: float | None
+    rate: float | None = None
+    as_of: float = -math.inf
+    told_until: float = -math.inf
+    tokens: float = 0.0
+    filled_at: float = 0.0
 
 
 def named(host, attempt, rate, now):
     """Take what the head of an answer to an attempt says."""
-    known = host.rate_limits.get(attempt.incarnation)
-    was = known.rate if known is not None else None
-    if rate == was:
+    if rate is not None:
+        return _learn(host, attempt.incarnation, rate, now, now)
+    # The server may have written this answer before it named a limit.
+    return _learn(host, attempt.incarnation, None, attempt.at, now)
+
+
+def heard(host, told, now):
+    """Take what another host says: (server's life, rate, age in ms)."""
+    out = []
+    for incarnation, rate, age_ms in told:
+        as_of = now - age_ms / 1000 - fleet.HOP_S
+        out += _learn(host, incarnation, rate, as_of, now)
+    return out
+
+
+def _learn(host, incarnation, rate, as_of, now):
+    known = host.rate_limits.get(incarnation)
+    if known is None:
+        if rate is None:
+            return []
+        known = RateLimit(filled_at=now)
+        host.rate_limits[incarnation] = known
+    if as_of < known.as_of:
+        if rate != known.rate:
+            # Whoever says so missed what this host knows.
+            known.told_until = now + RETOLD_S
+        return []
+    known.as_of = as_of
+    if rate == known.rate:
         return []
-    host.rate_limits[attempt.incarnation] = RateLimit(rate)
-    return [effects.Note("rate_limit", {
-        "server": attempt.sid, "rate": rate, "was": was})]
+    line = effects.Note("rate_limit", {
+        "server": incarnation, "rate": rate, "was": known.rate})
+    known.rate = rate
+    known.told_until = now + RETOLD_S
+    return [line]
+
+
+def rows(host, now):
+    """Return what to tell other hosts, as :func:`heard` takes it."""
+    return tuple(
+        (incarnation, known.rate, int((now - known.as_of) * 1000))
+        for incarnation, known in host.rate_limits.items()
+        if known.rate is not None or now < known.told_until)
 
 
 def limited(host):
-    """Return how many servers name a limit, as far as is known."""
+    """Return how many servers name a rate, as far as is known."""
     return sum(known.rate is not None
                for known in host.rate_limits.values())
+
+
+def is_limited(host, server):
+    """Say whether a server names a rate."""
+    return _limit(host, server) is not None
+
+
+def may_send(host, server, now):
+    """Say whether this host's part of a server's rate has room."""
+    return free_in(host, server, now) <= 0
+
+
+def free_in(host, server, now):
+    """Return after how many s this host may send there; inf for never."""
+    known = _limit(host, server)
+    if known is None:
+        return 0.0
+    share, _ = _fill(host, known, server.sid, now)
+    missing = 1 - known.tokens - ROUNDING
+    if missing <= 0:
+        return 0.0
+    return missing / share if share else math.inf
+
+
+def sent(host, server, now):
+    """Note a request that is sent to a server."""
+    known = _limit(host, server)
+    if known is not None:
+        _fill(host, known, server.sid, now)
+        known.tokens -= 1
+
+
+def _limit(host, server):
+    if not host.rate_limits:
+        return None
+    known = host.rate_limits.get(server.incarnation)
+    return known if known is not None and known.rate is not None else None
+
+
+def refill(host, now):
+    """Go on with time, and forget servers that are gone for good.
+
+    A host that comes to share a rate begins with an empty bucket, so the
+    buckets are looked at at each tick.
+    """
+    if not host.rate_limits:
+        return
+    listed = {state.server.incarnation: state.server
+              for state in host.servers.values()}
+    for incarnation, known in list(host.rate_limits.items()):
+        server = listed.get(incarnation)
+        if server is None:
+            if known.as_of < now - KEPT_S:
+                del host.rate_limits[incarnation]
+        elif known.rate is not None:
+            _fill(host, known, server.sid, now)
+
+
+def _fill(host, known, sid, now):
+    """Fill a bucket; return this host's part of (rate, burst)."""
+    share, burst = _part(host, known.rate, sid, now)
+    known.tokens = min(
+        burst, known.tokens + share * (now - known.filled_at))
+    known.filled_at = now
+    return share, burst
+
+
+def _part(host, rate, sid, now):
+    rate = max(rate, PROBE_RATE)
+    burst = BURST_LEAST + rate
+    sharing = fleet.carriers(host, now)
+    if len(sharing) > int(burst):
+        sharing = heapq.nsmallest(
+            int(burst), sharing,
+            key=lambda peer: routing.name_hash(peer.name, sid))
+    if not any(peer.name == host.me.name for peer in sharing):
+        return 0.0, 0.0
+    return rate / len(sharing), burst / len(sharing)
--- a/crocuskeel/core/entry/reducer.py
+++ b/crocuskeel/core/entry/reducer.py
@@ -8,6 +8,7 @@
 from crocuskeel.core.entry import holding
 from crocuskeel.core.entry import lifecycle
 from crocuskeel.core.entry import peers
+from crocuskeel.core.entry import ratelimits
 from crocuskeel.core.entry import registry
 from crocuskeel.core.entry import requests
 from crocuskeel.core.entry import serverload
@@ -32,6 +33,7 @@
 
 def _ticked(host, event, now):
     serverload.sample(host, now)
+    ratelimits.refill(host, now)
     return (registry.expire(host, now) + telling.tell(host, now)
             + duties.step(host, event.wall, now)
             + lifecycle.go_on(host, now))
@@ -45,6 +47,7 @@
     events.CallerLeft: requests.caller_left,
     events.TimerFired: requests.timer_fired,
     events.HintsSeen: hints.seen,
+    events.HintsHeard: hints.heard,
     events.Opened: attempts.opened,
     events.Progressed: attempts.progressed,
     events.Ended: attempts.ended,
--- a/crocuskeel/core/entry/repeating.py
+++ b/crocuskeel/core/entry/repeating.py
@@ -3,6 +3,7 @@
 from crocuskeel.core.entry import budget
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import quarantine
+from crocuskeel.core.entry import ratelimits
 
 __all__ = ["WORTH_SENDING_S", "may_go_on", "next_check", "stall_s"]
 
@@ -52,7 +53,7 @@
     if quarantine.condemned(host, pending.request.digest, now):
         return False
     tried = {attempt.sid for attempt in pending.tries}
-    if not _others(host, pending.service, tried):
+    if not _others(host, pending.service, tried, now):
         return False
     return budget.may_repeat(host, pending.service, now)
 
@@ -75,7 +76,8 @@
     return target is not None and target.unreached
 
 
-def _others(host, service, tried):
+def _others(host, service, tried, now):
     return any(state.server.sid not in tried
                and not state.server.draining
+               and ratelimits.may_send(host, state.server, now)
                for state in host.by_service.get(service, ()))
--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -1,5 +1,7 @@
 """Sends requests to servers, or holds or refuses them for want of room."""
 
+import math
+
 from crocuskeel.core.entry import admission
 from crocuskeel.core.entry import budget
 from crocuskeel.core.entry import candidates
@@ -10,6 +12,7 @@
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import parts
 from crocuskeel.core.entry import pauses
+from crocuskeel.core.entry import ratelimits
 from crocuskeel.core.entry import repeating
 from crocuskeel.core.entry import serverload
 from crocuskeel.core.entry import state as states
@@ -24,11 +27,11 @@
         return ending.give_up(host, pending, "time is up", now)
     pending.candidates = candidates.pick(host, pending)
     pending.rank = admission.rank(host, pending, now)
-    parts.look(pending, choosing.sound(host, pending, now), now)
+    parts.look(pending, choosing.holders(host, pending, now), now)
     tried = {attempt.sid for attempt in pending.tries}
     target = choosing.choose(host, pending, tried, now)
     if target is None:
-        return ending.give_up(host, pending, "no server", now)
+        return _wait_for_rate(host, pending, now)
     if not admission.admits(host, pending, target, now):
         full, target = target, _elsewhere(host, pending, now)
         if target is None:
@@ -70,6 +73,22 @@
     return [effects.Timer(pending.key, due)]
 
 
+def _wait_for_rate(host, pending, now):
+    """Hold a request that no server has a rate left for, or refuse it."""
+    if ending.live(pending):
+        return [effects.Timer(
+            pending.key, repeating.next_check(pending, now))]
+    free_s = choosing.free_in(host, pending, now)
+    if free_s is None or pending.fallback is not None:
+        return ending.give_up(host, pending, "no server", now)
+    if now + free_s < admission.hold_until(pending):
+        return _hold(host, pending, now)
+    retry_s = admission.retry_s(host, pending, now)
+    if free_s < math.inf:
+        retry_s = max(retry_s, free_s)
+    return ending.give_up(host, pending, "rate limited", now, retry_s)
+
+
 def _elsewhere(host, pending, now):
     """Return another server for a request that its best one can't take.
 
@@ -119,6 +138,7 @@
     if pending.request.prompt is not None:
         source = _note_prompt(host, pending, target, attempt, now)
     host.held.discard(pending.key)
+    ratelimits.sent(host, target.server, now)
     floors.note_sent(host, pending, now)
     pending.tries.append(attempt)
     pending.sent += 1
@@ -142,7 +162,7 @@
     Returns the server that it is to fetch from, or None.
     """
     prompt = pending.request.prompt
-    source = parts.source(host, target, pending, choosing.sound(
+    source = parts.source(host, target, pending, choosing.holders(
         host, pending, now), now)
     held = parts.held(target, prompt)
     attempt.fresh_tokens = parts.to_read(host, target, pending)
--- a/crocuskeel/core/entry/telling.py
+++ b/crocuskeel/core/entry/telling.py
@@ -13,11 +13,12 @@
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import fleet
 from crocuskeel.core.entry import quarantine
+from crocuskeel.core.entry import ratelimits
 from crocuskeel.core.entry import routing
 from crocuskeel.core.entry import serverload
 
-__all__ = ["loads_due", "note_changes", "reply", "tell", "tell_lease",
-           "tell_news"]
+__all__ = ["loads_due", "note_changes", "reply", "tell",
+           "tell_hints", "tell_lease", "tell_news"]
 
 # Crashes are told again for this long, s: a datagram may be lost.
 RETOLD_S = 2.0
@@ -82,6 +83,12 @@
     return _tell_contacts(host, now)
 
 
+def tell_hints(host, now):
+    """Tell all contacts at once what servers name in their answers."""
+    news = events.HintsHeard(host.me.name, ratelimits.rows(host, now))
+    return [effects.Tell(peer, news) for peer in _contacts(host, now)]
+
+
 def _tell_contacts(host, now):
     state = _state(host, now, False)
     return [effects.Tell(peer, state) for peer in _contacts(host, now)]
@@ -181,6 +188,7 @@
         carriers=_known_carriers(host, now),
         informed_s=fleet.informed_s(host, now),
         wanted=carrying.told(host, now),
+        rate_limits=ratelimits.rows(host, now),
         **_of_duties(host, now))
 
 
--- a/crocuskeel/gateway/gossip.py
+++ b/crocuskeel/gateway/gossip.py
@@ -15,32 +15,35 @@
 
 __all__ = ["Gossip", "decode", "encode", "encode_former"]
 
-# First in a datagram with counts; a host's own name or peer stands there
-# in the others.
+# First in a datagram with counts, and in one with what servers name; a
+# host's own name or peer stands there in the others.
 USAGE = 0
+HINTS = 1
 # Fields of a state after its peer: in the version before, and now.
 FORMER_FIELDS = 10
 FIELDS = 13
 
 
 def encode(heard):
-    """Return the datagram of a Heard, LoadHeard or Usage event."""
+    """Return the datagram of an event that one host tells another."""
     if isinstance(heard, events.LoadHeard):
         return msgpack.packb((heard.name, heard.loads, heard.refused))
     if isinstance(heard, duties.Usage):
         return msgpack.packb((USAGE, heard.name, heard.boot, heard.rows))
+    if isinstance(heard, events.HintsHeard):
+        return msgpack.packb((HINTS, heard.name, heard.rate_limits))
     return msgpack.packb((
         *_former_fields(heard), heard.wall,
         (heard.leader.version, heard.leader.host, heard.leader.fence),
-        (heard.wanted.carriers, heard.wanted.at)))
+        (heard.wanted.carriers, heard.wanted.at), heard.rate_limits))
 
 
 def encode_former(heard):
     """Return the datagram as the version before reads it, or None.
 
-    That version knows of no duties, and so of no counts.
+    That version knows of no duties, and so of no counts, and of no rates.
     """
-    if isinstance(heard, duties.Usage):
+    if isinstance(heard, duties.Usage | events.HintsHeard):
         return None
     if isinstance(heard, events.Heard):
         return msgpack.packb(_former_fields(heard))
@@ -77,6 +80,9 @@
         first, *rest = fields
         if first == USAGE:
             return duties.Usage(*rest)
+        if first == HINTS:
+            name, rows = rest
+            return events.HintsHeard(name, _rate_limits(rows))
         if isinstance(first, str):
             loads, refused = rest
             return events.LoadHeard(first, loads, refused)
@@ -94,8 +100,20 @@
     *former, wall, leader, wanted = rest[:FIELDS]
     if len(former) != FORMER_FIELDS:
         raise ValueError(f"{len(rest)} fields")
+    # A host of the version before ends its state here.
+    rate_limits = _rate_limits(rest[FIELDS] if len(rest) > FIELDS else ())
     return events.Heard(sender, *former, wall, duties.Leader(*leader),
-                        carrying.Wanted(*wanted))
+                        carrying.Wanted(*wanted), rate_limits)
+
+
+def _rate_limits(rows):
+    """Check rows of (server's life, rate or None, age in ms)."""
+    for incarnation, rate, age_ms in rows:
+        if not isinstance(incarnation, str):
+            raise ValueError(f"server {incarnation!r}")
+        if min(0.0 if rate is None else rate, age_ms) < 0:
+            raise ValueError(f"rate {rate!r}, {age_ms!r} ms ago")
+    return rows
 
 
 class Gossip(protocol.DatagramProtocol):
--- a/tests/gateway/test_upgrade.py
+++ b/tests/gateway/test_upgrade.py
@@ -1,5 +1,6 @@
 """Hosts of this version and of the one before, in one fleet."""
 
+import dataclasses
 import unittest
 import unittest.mock
 
@@ -64,6 +65,21 @@
         self.assertEqual(STATE.loads, fields[5])
         self.assertIsNone(self._tell(duties.Usage("h1", 4, ())))
 
+    def test_a_state_without_rates_names_none(self):
+        # Hosts of the version that has duties and no rates were taken for
+        # silent in the middle of an upgrade.
+        fields = msgpack.unpackb(gossip.encode(STATE), use_list=False)
+        self.assertEqual(STATE, gossip.decode(msgpack.packb(fields[:-1])))
+
+    def test_what_servers_name_is_told_alike_by_itself_and_in_states(self):
+        rows = (("s1/7", 1.5, 30), ("s2/None", None, 0))
+        for event in (events.HintsHeard("h1", rows),
+                      dataclasses.replace(STATE, rate_limits=rows)):
+            self.assertEqual(event, gossip.decode(self._tell(event)))
+        self._hear(gossip.encode_former(
+            events.Heard(support.peer("h0"), True, False, 3, 4)))
+        self.assertIsNone(self._tell(events.HintsHeard("h1", rows)))
+
     def test_once_upgraded_it_gets_all_again(self):
         former = events.Heard(support.peer("h0"), True, False, 3, 4)
         self._hear(gossip.encode_former(former))
