Soak: servers name a rate in their answers, and get no more

The check counts as the rule does: what reaches it in 4 s from hosts that it told, from 3 s after it named the rate, less what hosts sent that a fault had touched.

--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -153,6 +153,39 @@
         record.arrivals.append(("r1", "s", 94.0))
         self.assertNotEqual([], checks.judge_run(record))
 
+    def _limited(self, count, change=lambda record: None):
+        """Return what is wrong with so many requests within 3 s."""
+        record = records.new_record()
+        record.limits["s"] = 100.0, 110.0, 1.0
+        record.told["s", IP] = 100.0
+        for number in range(count):
+            rid = f"r{number}"
+            record.seen[rid] = _seen("safe", asking.Reply(200), rid)
+            record.reached.append((rid, "s", 102.0 + 3 * number / count))
+        change(record)
+        return checks.judge_run(record)
+
+    def test_a_server_gets_more_than_its_rate(self):
+        self.assertEqual([], self._limited(11))
+        self.assertNotEqual([], self._limited(12))
+
+    def test_who_was_not_told_of_a_rate_or_was_disturbed_is_excused(self):
+        def not_told(record):
+            record.told.clear()
+
+        def killed(record):
+            record.fault(IP, "kill", 101.0, 1.0)
+
+        def other_killed(record):
+            record.fault("127.1.1.2", "kill", 101.0, 1.0)
+
+        def lifted(record):
+            record.limits["s"] = 100.0, 102.5, 1.0
+
+        for change in (not_told, killed, lifted):
+            self.assertEqual([], self._limited(12, change))
+        self.assertNotEqual([], self._limited(12, other_killed))
+
     def test_a_host_goes_back_behind_a_version(self):
         record = records.new_record()
         record.seen["r1"] = _seen("v3", asking.Reply(200), "r1", 100.0, 3)
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -31,6 +31,14 @@
 # All hosts know a request that crashed three servers after this, s. Sent
 # to several hosts within some ms it may crash more before.
 KNOWN_S = 1.0
+# From this long after it named a rate first, a server gets this many times
+# what that allows in a span at the most, and so many requests more, from
+# hosts that it told this long ago; s.
+RATE_STABLE_S = 3.0
+RATE_SPAN_S = 4.0
+RATE_TIMES = 1.5
+RATE_MORE = 5
+RATE_TOLD_S = 0.5
 
 
 def judge(seen, record):
@@ -126,7 +134,7 @@
 def judge_run(record):
     """Return what is wrong with a whole run."""
     return (_left(record) + _back(record) + _starved(record)
-            + _tiers(record) + _crashed(record))
+            + _tiers(record) + _crashed(record) + _limited(record))
 
 
 def _left(record):
@@ -164,6 +172,30 @@
     return wrong
 
 
+def _limited(record):
+    """Servers that name a rate get no more from hosts that know it."""
+    wrong = []
+    for sid, (since, until, rate) in record.limits.items():
+        most = RATE_TIMES * rate * RATE_SPAN_S + RATE_MORE
+        times = [at for rid, reached, at in record.reached
+                 if reached == sid and at <= until
+                 and _counts(record, sid, record.seen[rid].ip, at)]
+        for last in times:
+            count = sum(last - RATE_SPAN_S < at <= last for at in times)
+            if last >= since + RATE_STABLE_S and count > most and (
+                    record.is_calm(last - RATE_SPAN_S, last, sid)):
+                wrong.append(f"{sid} got {count} requests in {RATE_SPAN_S} "
+                             f"s, by its rate {most:g} are allowed")
+    return wrong
+
+
+def _counts(record, sid, ip, at):
+    """Say whether a host knew a server's rate, and was calm."""
+    told_at = record.told.get((sid, ip))
+    return (told_at is not None and told_at + RATE_TOLD_S <= at
+            and record.is_calm(told_at, at, ip))
+
+
 def _crashed(record):
     """A request that crashes servers is stopped after a few."""
     times = collections.defaultdict(list)
--- a/tools/soak/engine.py
+++ b/tools/soak/engine.py
@@ -1,5 +1,7 @@
 """A stand-in of a backend server: streams and calls, with faults."""
 
+import math
+
 from crocuskeel.gateway import callers
 from crocuskeel.gateway import loop
 
@@ -25,7 +27,8 @@
 
     ``faults`` maps a fault's name to its share of requests: ``lost``
     runs and resets, ``torn`` breaks a stream half way, ``full`` refuses,
-    ``error`` answers 500, ``mute`` runs and says nothing.
+    ``error`` answers 500, ``mute`` runs and says nothing. Its answers
+    name ``rate_limit``, requests a second, if it is set.
     """
 
     def __init__(self, reactor, rng, sid, service, record, on_poison):
@@ -36,6 +39,7 @@
         self.record = record
         self.on_poison = on_poison
         self.faults = dict(USUAL)
+        self.rate_limit = None
         self.port = None
         self.address = None
         self.is_down = False
@@ -82,12 +86,14 @@
     def arrived(self, exchange):
         """Run a request."""
         rid = exchange.head.get(RID).decode()
+        self.record.reached.append((rid, self.sid, self.reactor.seconds()))
         wanted = exchange.head.get(b"x-crocuskeel-expect-instance")
         if wanted != self.sid.encode():
             exchange.answer(421, [], b"")
             return
         if self._has("full"):
-            exchange.answer(503, [(b"X-Crocuskeel-Not-Run", b"1")], b"")
+            exchange.answer(503, [(b"X-Crocuskeel-Not-Run", b"1"),
+                                  *self._hints(rid)], b"")
             return
         self.record.runs.setdefault(rid, []).append(self.sid)
         self.record.arrivals.append((rid, self.sid, self.reactor.seconds()))
@@ -121,7 +127,25 @@
 
     def _headers(self, rid):
         return [(b"X-Crocuskeel-Request-Id", rid.encode()),
-                (b"X-Crocuskeel-Server-Stamp", b"stamp")]
+                (b"X-Crocuskeel-Server-Stamp", b"stamp"),
+                *self._hints(rid)]
+
+    def _hints(self, rid):
+        if self.rate_limit is None:
+            return []
+        self.record.told.setdefault(
+            (self.sid, self.record.seen[rid].ip), self.reactor.seconds())
+        return [(b"Server-Limit", b"%g" % self.rate_limit)]
+
+    def name_rate(self, rate):
+        """Name a rate in all answers from now on, or none any more."""
+        now = self.reactor.seconds()
+        if self.rate_limit is not None:
+            since, _, named = self.record.limits[self.sid]
+            self.record.limits[self.sid] = since, now, named
+        elif rate is not None:
+            self.record.limits[self.sid] = now, math.inf, rate
+        self.rate_limit = rate
 
     def _rest(self, exchange):
         rid = exchange.head.get(RID).decode()
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -151,6 +151,17 @@
     soak.later(2.0, soak.store.mend)
 
 
+def _need(soak):
+    # It names a rate once in its life: the check goes by the first.
+    sid = soak.any_engine()
+    engine = soak.engines[sid]
+    if sid in soak.record.limits:
+        return
+    soak.note_fault("plan", "server names a rate", 6.0)
+    engine.name_rate(soak.rng.choice((0.5, 1.0, 2.0)))
+    soak.later(6.0, engine.name_rate, None)
+
+
 def _spoil(soak):
     name = soak.rng.choice(("lost", "torn", "full", "error", "mute"))
     soak.note_fault("engines", "servers " + name, 1.5)
@@ -239,4 +250,5 @@
     _cut,
 )
 # Kinds that came later, and the first seed that draws them.
-NEWER = ((200, (_reborn, _other_writer)), (400, (_silent_store,)))
+NEWER = ((200, (_reborn, _other_writer)), (400, (_silent_store,)),
+         (500, (_need,)))
--- a/tools/soak/record.py
+++ b/tools/soak/record.py
@@ -33,7 +33,10 @@
     that a server broke, ``crashes`` (body, time), ``working`` (request
     id, server). ``faults`` holds (start, end, where, name), ``left`` maps
     a server to when it left, ``ended`` to when its process ended, ``seen``
-    a request id to its Seen.
+    a request id to its Seen. ``reached`` is like ``arrivals``, with those
+    that did not run. ``limits`` maps a server to (since, until, requests
+    a second) of the rate that it named, ``told`` (server, host) to when
+    it told that host first.
     """
 
     runs: dict = dataclasses.field(default_factory=dict)
@@ -45,6 +48,9 @@
     left: dict = dataclasses.field(default_factory=dict)
     ended: dict = dataclasses.field(default_factory=dict)
     seen: dict = dataclasses.field(default_factory=dict)
+    reached: list = dataclasses.field(default_factory=list)
+    limits: dict = dataclasses.field(default_factory=dict)
+    told: dict = dataclasses.field(default_factory=dict)
 
     def fault(self, where, name, now, span_s=0.0):
         """Note a fault."""
