Log that servers leave or ask for rest, by their answers

The logs could not tell apart the hypotheses on servers that got requests after they had said that they leave or had asked for rest: no line said that an answer spoke of either. Both are decoded with the rate into Hints, the time of rest from refusals only, and noted by the server's life; lines server_leaving and server_rests tell the first and each longer time. No decision changes.

--- a/crocuskeel/core/entry/hints.py
+++ b/crocuskeel/core/entry/hints.py
@@ -1,6 +1,8 @@
 """What servers say in the heads of their answers of what they take."""
 
+from crocuskeel.core.entry import backoff
 from crocuskeel.core.entry import ending
+from crocuskeel.core.entry import leaving
 from crocuskeel.core.entry import ratelimits
 from crocuskeel.core.entry import telling
 
@@ -12,9 +14,14 @@
     pending, attempt = ending.find(host, event)
     if attempt is None:
         return []
-    out = ratelimits.named(host, attempt, event.hints.rate_limit, now)
+    found = event.hints
+    out = ratelimits.named(host, attempt, found.rate_limit, now)
     if out:
         out += telling.tell_hints(host, now)
+    if found.leaving:
+        out += leaving.said(host, attempt, now)
+    if found.rest_s is not None:
+        out += backoff.asked(host, attempt, found.rest_s, now)
     return out
 
 
--- a/crocuskeel/core/entry/model.py
+++ b/crocuskeel/core/entry/model.py
@@ -197,10 +197,13 @@
     """What the head of a server's answer says of what the server takes.
 
     ``rate_limit``: requests a second from all hosts together, None if
-    it names no limit.
+    it names no limit. ``leaving``: it will end. ``rest_s``: for how long
+    it wants nothing from this host, s; None if it doesn't ask for that.
     """
 
     rate_limit: float | None = None
+    leaving: bool = False
+    rest_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/crocuskeel/platform/headers.py
+++ b/crocuskeel/platform/headers.py
@@ -24,6 +24,10 @@
 _LOAD = b"x-crocuskeel-server-load"
 # Requests a second that the engine takes from all hosts together.
 _RATE_LIMIT = b"server-limit"
+# "1" in all answers of an engine that leaves.
+_LEAVING = b"server-leaving"
+# In a refusal: the engine wants nothing from this host for so many s.
+_REST = b"retry-after"
 _TOKENS = b"x-crocuskeel-token-count"
 # Parts of the prompt with their tokens; the name says hash.
 _PARTS = b"x-crocuskeel-prefix-hash"
@@ -43,6 +47,7 @@
     b"x-crocuskeel-kv-backup", FETCH.lower(), b"kv-from"))
 
 MISDIRECTED = 421
+REFUSALS = (429, 503)
 URGENCY_LEAST = 9
 
 
@@ -163,7 +168,11 @@
 
 
 def _hints(head):
-    return model.Hints(rate_limit=_number(head.get(_RATE_LIMIT)))
+    rest_s = None
+    if head.status in REFUSALS:
+        rest_s = _number(head.get(_REST))
+    return model.Hints(_number(head.get(_RATE_LIMIT)),
+                       (head.get(_LEAVING) or b"").strip() == b"1", rest_s)
 
 
 def _number(value):
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -61,6 +61,24 @@
                 self.assertEqual(
                     expected, self.dialect.hints(head).rate_limit)
 
+    def test_an_engine_says_that_it_leaves_or_wants_rest(self):
+        rows = (
+            (200, (), (False, None)),
+            (200, ((b"Server-Leaving", b"1"),), (True, None)),
+            (200, ((b"Server-Leaving", b"0"),), (False, None)),
+            (503, ((b"Server-Leaving", b" 1"), (b"Retry-After", b"3")),
+             (True, 3.0)),
+            (503, ((b"Retry-After", b"0.25"),), (False, 0.25)),
+            (503, ((b"Retry-After", b"Thu, 01 Jan 2026 00:00:00 GMT"),),
+             (False, None)),
+            # No refusal: it is for the caller.
+            (200, ((b"Retry-After", b"3"),), (False, None)),
+        )
+        for status, sent, expected in rows:
+            with self.subTest(sent=sent, status=status):
+                found = self.dialect.hints(dialect.Head(sent, status=status))
+                self.assertEqual(expected, (found.leaving, found.rest_s))
+
     def test_an_engine_fetches_only_where_this_system_says(self):
         # A caller that names an engine would get another's memory read.
         send = effects.Send(1, 0, support.server("i-1"), 1.5, 0, "hire",
