--- a/emulator/deployment.py
+++ b/emulator/deployment.py
@@ -79,7 +79,8 @@
     """``kind`` of :mod:`emulator.faults`, at ``at`` s, for ``for_s``.
 
     ``count`` engines are hit, or the load is ``times`` as much; with
-    ``limit`` an engine takes ``times`` requests a second.
+    ``limit`` an engine takes ``times`` requests a second, with ``rest`` it
+    asks for ``times`` s of rest.
     """
 
     kind: str
--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -10,7 +10,7 @@
 
 from crocuskeel.core.entry import model
 
-__all__ = ["Engine", "PlainServer", "Run"]
+__all__ = ["Arrival", "Engine", "PlainServer", "Run"]
 
 # Requests that wait before a full server; one more is refused.
 QUEUE = 32
@@ -38,12 +38,26 @@
     ready_at: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that reached a server: when, from which host.
+
+    Its caller had asked that host at ``asked_at``.
+    """
+
+    at: float
+    host: str
+    asked_at: float
+
+
 class _Server:
     """What all servers have. ``factor`` is how much slower it works.
 
-    ``rate_limit`` is the rate that its answers name, requests a second.
-    ``arrivals`` holds (time, host) of each request that reached it, and
-    ``told`` when each host first passed on an answer that names a rate.
+    Its answers name ``rate_limit``, requests a second, and say that it is
+    ``leaving``. With ``rest_s`` it refuses all, and asks for so much rest.
+    ``arrivals`` are those of all requests, ``told`` is when each host
+    first passed on an answer that names a rate, ``told_leaving`` one that
+    says that it leaves; ``rests`` holds (time, host, s) of its refusals.
     """
 
     def __init__(self, clock, sid, cfg):
@@ -56,12 +70,16 @@
         self.waiting = []
         self.running = []
         self.rate_limit = None
+        self.leaving = False
+        self.rest_s = None
         self.arrivals = []
         self.told = {}
+        self.told_leaving = {}
+        self.rests = []
 
     def hints(self):
         """Return what its answers say of what it takes."""
-        return model.Hints(self.rate_limit)
+        return model.Hints(self.rate_limit, self.leaving, self.rest_s)
 
     def cancel(self, run):
         """Drop a request whose connection closed."""
@@ -117,7 +135,7 @@
 
         ``source`` is an engine to fetch shared parts from.
         """
-        if len(self.waiting) >= QUEUE:
+        if len(self.waiting) >= QUEUE or self.rest_s is not None:
             return False
         fetched = self._fetch(run, source)
         run.unread = self._unread(run.prompt)
@@ -250,7 +268,7 @@
 
     def begin(self, run, source=None):
         """Take a request, or return False if all is full."""
-        if len(self.waiting) >= QUEUE:
+        if len(self.waiting) >= QUEUE or self.rest_s is not None:
             return False
         self.waiting.append(run)
         self._go_on()
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -57,6 +57,25 @@
     server.rate_limit = None
 
 
+def _leave(world, fault):
+    """Engines leave and say so in their answers; the store says nothing."""
+    for server in _engines(world, fault):
+        server.leaving = True
+        world.add_engine()
+        world.clock.after(fault.for_s, world.end, server.sid)
+
+
+def _rest(world, fault):
+    """Engines refuse all, and ask for ``times`` s of rest."""
+    for server in _engines(world, fault):
+        server.rest_s = fault.times
+        world.clock.after(fault.for_s, _rested, server)
+
+
+def _rested(server):
+    server.rest_s = None
+
+
 def _drain(world, fault):
     """Engines leave as planned, and others come."""
     for server in _engines(world, fault):
@@ -83,4 +102,5 @@
 
 
 FAULTS = {"burst": _burst, "crash": _crash, "dark": _dark, "slow": _slow,
-          "limit": _limit, "drain": _drain, "kill": _kill, "hot": _hot}
+          "limit": _limit, "leave": _leave, "rest": _rest,
+          "drain": _drain, "kill": _kill, "hot": _hot}
--- a/emulator/hosts.py
+++ b/emulator/hosts.py
@@ -27,6 +27,7 @@
 
     caller: object
     request: model.Request
+    at: float
     runs: dict = dataclasses.field(default_factory=dict)
     timer: list | None = None
     passing: int | None = None
@@ -72,9 +73,13 @@
 
     def _tell_hints(self):
         found = self.server.hints()
+        now, name = self.host.world.clock.now, self.host.name
         if found.rate_limit is not None:
-            self.server.told.setdefault(
-                self.host.name, self.host.world.clock.now)
+            self.server.told.setdefault(name, now)
+        if found.leaving:
+            self.server.told_leaving.setdefault(name, now)
+        if found.rest_s is not None:
+            self.server.rests.append((now, name, found.rest_s))
         self._tell(events.HintsSeen(self.key, self.turn, found))
 
     def _tell(self, event):
@@ -132,7 +137,8 @@
         if self.core is None:
             return None
         self.keys += 1
-        self.asked[self.keys] = _Asked(caller, request)
+        self.asked[self.keys] = _Asked(
+            caller, request, self.world.clock.now)
         self.feed(events.Arrived(self.keys, request))
         return self.keys
 
@@ -206,8 +212,10 @@
 def _arrive(listener, run, source):
     if run.over:
         return
-    listener.server.arrivals.append(
-        (listener.host.world.clock.now, listener.host.name))
+    host = listener.host
+    asked = host.asked.get(listener.key)
+    listener.server.arrivals.append(engines.Arrival(
+        host.world.clock.now, host.name, asked.at if asked else 0.0))
     if listener.server.down:
         run.over = True
         listener.broken(run)
--- a/emulator/run.py
+++ b/emulator/run.py
@@ -12,7 +12,7 @@
 from emulator import hosts
 from emulator import tally as tallies
 
-__all__ = ["World", "play"]
+__all__ = ["World", "play", "played"]
 
 ENGINES = "engines"
 PLAIN = "plain"
@@ -174,11 +174,16 @@
         kind.gap_ms / 1e3)
 
 
-def play(deployment, seed):
-    """Play a deployment; return the tally's Result."""
+def played(deployment, seed):
+    """Play a deployment; return its World after the end."""
     world = World(deployment, seed)
     world.begin()
     world.load()
     longest = max(kind.limit_ms for kind in deployment.kinds) / 1e3
     world.clock.run(world.tally.began + deployment.seconds + longest)
-    return world.tally.result()
+    return world
+
+
+def play(deployment, seed):
+    """Play a deployment; return the tally's Result."""
+    return played(deployment, seed).tally.result()
--- a/tests/entry/test_ratelimits.py
+++ b/tests/entry/test_ratelimits.py
@@ -33,8 +33,8 @@
     The server names it from ``since`` to ``until``.
     """
     most = TIMES * rate * SPAN_S + MORE
-    times = [at for at, host in server.arrivals
-             if at >= server.told.get(host, math.inf) + TOLD_S]
+    times = [each.at for each in server.arrivals
+             if each.at >= server.told.get(each.host, math.inf) + TOLD_S]
     found = []
     for last in times:
         count = sum(last - SPAN_S < at <= last for at in times)
@@ -52,22 +52,13 @@
         known, hosts=hosts, seconds=20.0, faults=(limit, *faults))
 
 
-def play(deployment, seed):
-    """Return the world of a run after its end."""
-    world = run.World(deployment, seed)
-    world.begin()
-    world.load()
-    world.clock.run(world.tally.began + deployment.seconds + 8.0)
-    return world
-
-
 class FleetTest(unittest.TestCase):
     """Hosts keep to a server's rate together."""
 
     def test_engines_get_no_more_than_they_name(self):
         # Engines in need were sent as much as before by all hosts.
         for seed, rate in ((1, 1.0), (2, 1.3), (3, 0.5), (4, 3.0)):
-            world = play(limited_fleet(rate), seed)
+            world = run.played(limited_fleet(rate), seed)
             since = world.tally.began + LIMITED_AT
             for server in world.servers.values():
                 if server.told:
@@ -82,7 +73,7 @@
         kills = tuple(deployments.Fault("kill", at, 1.0)
                       for at in (6.0, 8.0, 10.0, 12.0, 14.0))
         for seed in range(3):
-            world = play(limited_fleet(1.0, faults=kills), seed)
+            world = run.played(limited_fleet(1.0, faults=kills), seed)
             since = world.tally.began + LIMITED_AT
             for server in world.servers.values():
                 if server.told:
@@ -93,25 +84,26 @@
     def test_a_large_fleet_keeps_to_it_too(self):
         # Of one request a second 40 hosts can't each have a part: the
         # server got nothing for as long as it was in need.
-        world = play(limited_fleet(1.0, hosts=40, count=3), 1)
+        world = run.played(limited_fleet(1.0, hosts=40, count=3), 1)
         since = world.tally.began + LIMITED_AT
         for server in world.servers.values():
             if server.told:
                 until = since + LIMITED_S
                 self.assertEqual([], over_rate(server, 1.0, since, until))
-                got = sum(since <= at <= until for at, _ in server.arrivals)
+                got = sum(since <= each.at <= until
+                          for each in server.arrivals)
                 self.assertGreater(got, LIMITED_S / 2)
 
     def test_all_hosts_learn_that_a_limit_is_lifted(self):
         # Most hosts send a limited server nothing, and would leave it
         # alone for good.
-        world = play(dataclasses.replace(
+        world = run.played(dataclasses.replace(
             limited_fleet(0.5), seconds=28.0), 1)
         lifted_at = world.tally.began + LIMITED_AT + LIMITED_S
         for server in world.servers.values():
             if server.told:
-                senders = {host for at, host in server.arrivals
-                           if at > lifted_at}
+                senders = {each.host for each in server.arrivals
+                           if each.at > lifted_at}
                 self.assertEqual(set(world.names), senders)
         self.assertEqual([0] * 6, [
             ratelimits.limited(host.core) for host in world.hosts.values()])
