A server that says in an answer that it leaves gets nothing new

Cause: hosts learned of a leaving from the store alone, and it was away. What a peer tells in band was dropped, the same cause as with the rate that a server names. A host now takes Server-Leaving from the head of any answer that is the server's own, also of a refusal, and tells the others at once and in each state until the store says so, too. It holds for that life of the server: no list, entry or lapse ends it, and an answer without it could reach nobody who sends nothing. Streams under way go on there; one that breaks is not resumed there, and one that is slow is not moved where all others leave.

--- a/crocuskeel/core/entry/choosing.py
+++ b/crocuskeel/core/entry/choosing.py
@@ -9,6 +9,7 @@
 import math
 
 from crocuskeel.core.entry import cost
+from crocuskeel.core.entry import leaving
 from crocuskeel.core.entry import ratelimits
 from crocuskeel.core.entry import serverload
 
@@ -96,7 +97,8 @@
 def _usable(host, pending, now):
     most = _connections(host, pending.service)
     return [state for state in pending.candidates
-            if not (state.server.draining or state.misdirects)
+            if not (leaving.is_leaving(host, state.server)
+                    or state.misdirects)
             and serverload.running(state, now) < most]
 
 
--- a/crocuskeel/core/entry/duties.py
+++ b/crocuskeel/core/entry/duties.py
@@ -7,6 +7,7 @@
 from crocuskeel.core.duties import truetime
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import holding
+from crocuskeel.core.entry import leaving
 from crocuskeel.core.entry import serverload
 from crocuskeel.core.entry import usage
 
@@ -108,7 +109,7 @@
         if service.scaling is None:
             continue
         engines = [state for state in host.by_service.get(service.name, ())
-                   if not state.server.draining]
+                   if not leaving.is_leaving(host, state.server)]
         if not engines:
             # The list of engines may not be known yet.
             continue
--- a/crocuskeel/core/entry/events.py
+++ b/crocuskeel/core/entry/events.py
@@ -206,7 +206,8 @@
     ``carriers`` names hosts that it knows to be ready for callers.
     ``wall`` is its time of day, s since 1970, None if it has no duties;
     ``leader`` says who holds them. ``wanted``: how many hosts are needed
-    to carry callers. ``rate_limits`` is that of HintsHeard.
+    to carry callers. ``rate_limits`` and ``servers_leaving`` are
+    those of HintsHeard.
 
     ``crashed`` holds (digest, incarnation) of requests under which a server
     ended; ``loads`` is that of LoadHeard, ``parts`` holds (server
@@ -228,6 +229,7 @@
     leader: state.Leader = state.Leader()
     wanted: carrying.Wanted = carrying.Wanted(0, 0.0)
     rate_limits: tuple = ()
+    servers_leaving: tuple = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -256,11 +258,13 @@
     """What servers name in their answers, as host ``name`` says.
 
     ``rate_limits`` holds (a server's life, requests a second or None,
-    how long ago that was true in ms).
+    how long ago that was true in ms), ``servers_leaving`` (server id, its
+    life).
     """
 
     name: str
     rate_limits: tuple
+    servers_leaving: tuple = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/crocuskeel/core/entry/hints.py
+++ b/crocuskeel/core/entry/hints.py
@@ -16,10 +16,10 @@
         return []
     found = event.hints
     out = ratelimits.named(host, attempt, found.rate_limit, now)
-    if out:
-        out += telling.tell_hints(host, now)
     if found.leaving:
         out += leaving.said(host, attempt, now)
+    if out:
+        out += telling.tell_hints(host, now)
     if found.rest_s is not None:
         out += backoff.asked(host, attempt, found.rest_s, now)
     return out
@@ -27,4 +27,5 @@
 
 def heard(host, event, now):
     """Take what another host was told by servers."""
-    return ratelimits.heard(host, event.rate_limits, now)
+    return (ratelimits.heard(host, event.rate_limits, now)
+            + leaving.heard(host, event.servers_leaving, now))
--- a/crocuskeel/core/entry/peers.py
+++ b/crocuskeel/core/entry/peers.py
@@ -5,6 +5,7 @@
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import fleet
 from crocuskeel.core.entry import health
+from crocuskeel.core.entry import leaving
 from crocuskeel.core.entry import parts
 from crocuskeel.core.entry import pauses
 from crocuskeel.core.entry import quarantine
@@ -61,6 +62,7 @@
     _take_loads(host, event, now)
     _take_carriers(host, event, now)
     out += ratelimits.heard(host, event.rate_limits, now)
+    out += leaving.heard(host, event.servers_leaving, now)
     out += telling.reply(host, known, now)
     return out + _catch_up(host, known, now)
 
--- a/crocuskeel/core/entry/reducer.py
+++ b/crocuskeel/core/entry/reducer.py
@@ -6,6 +6,7 @@
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import hints
 from crocuskeel.core.entry import holding
+from crocuskeel.core.entry import leaving
 from crocuskeel.core.entry import lifecycle
 from crocuskeel.core.entry import peers
 from crocuskeel.core.entry import ratelimits
@@ -34,6 +35,7 @@
 def _ticked(host, event, now):
     serverload.sample(host, now)
     ratelimits.refill(host, now)
+    leaving.forget(host, now)
     return (registry.expire(host, now) + telling.tell(host, now)
             + duties.step(host, event.wall, now)
             + lifecycle.go_on(host, now))
--- a/crocuskeel/core/entry/registry.py
+++ b/crocuskeel/core/entry/registry.py
@@ -9,6 +9,7 @@
 import math
 
 from crocuskeel.core.entry import effects
+from crocuskeel.core.entry import leaving
 from crocuskeel.core.entry import quarantine
 from crocuskeel.core.entry import restarting
 from crocuskeel.core.entry import state as states
@@ -90,7 +91,7 @@
 def _remove(host, sid, kept, revision, now):
     if sid not in host.servers:
         return []
-    if not host.servers[sid].server.draining:
+    if not leaving.is_leaving(host, host.servers[sid].server):
         quarantine.note_gone(host, sid, now)
     if sid not in kept:
         _drop(host, sid)
@@ -162,7 +163,7 @@
 
 def _lapsed(host, removed, now):
     gone = [host.servers[sid] for sid in removed if sid in host.servers
-            and not host.servers[sid].server.draining]
+            and not leaving.is_leaving(host, host.servers[sid].server)]
     if host.store_lost_at is not None or _was_away(host, now):
         return {state.server.sid for state in gone}
     lapsed = set()
--- a/crocuskeel/core/entry/repeating.py
+++ b/crocuskeel/core/entry/repeating.py
@@ -1,6 +1,7 @@
 """When a request is looked at again, and may get another server."""
 
 from crocuskeel.core.entry import budget
+from crocuskeel.core.entry import leaving
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import quarantine
 from crocuskeel.core.entry import ratelimits
@@ -78,6 +79,6 @@
 
 def _others(host, service, tried, now):
     return any(state.server.sid not in tried
-               and not state.server.draining
+               and not leaving.is_leaving(host, state.server)
                and ratelimits.may_send(host, state.server, now)
                for state in host.by_service.get(service, ()))
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -179,8 +179,8 @@
     lapsing: dict = dataclasses.field(default_factory=dict)
     # By the name of a server's life: the rate that it named.
     rate_limits: dict = dataclasses.field(default_factory=dict)
-    # By the name of a server's life: when it was known to leave, and until
-    # when it wants nothing from this host.
+    # By the name of a server's life: (its id, when it was known to leave),
+    # and until when it wants nothing from this host.
     leaving: dict = dataclasses.field(default_factory=dict)
     rests: dict = dataclasses.field(default_factory=dict)
     # Ids of servers with work, or heard of lately.
--- a/crocuskeel/core/entry/telling.py
+++ b/crocuskeel/core/entry/telling.py
@@ -12,6 +12,7 @@
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import fleet
+from crocuskeel.core.entry import leaving
 from crocuskeel.core.entry import quarantine
 from crocuskeel.core.entry import ratelimits
 from crocuskeel.core.entry import routing
@@ -85,7 +86,9 @@
 
 def tell_hints(host, now):
     """Tell all contacts at once what servers name in their answers."""
-    news = events.HintsHeard(host.me.name, ratelimits.rows(host, now))
+    news = events.HintsHeard(
+        host.me.name, ratelimits.rows(host, now)[:LOADS_MOST],
+        leaving.rows(host)[:LOADS_MOST])
     return [effects.Tell(peer, news) for peer in _contacts(host, now)]
 
 
@@ -188,7 +191,8 @@
         carriers=_known_carriers(host, now),
         informed_s=fleet.informed_s(host, now),
         wanted=carrying.told(host, now),
-        rate_limits=ratelimits.rows(host, now),
+        rate_limits=ratelimits.rows(host, now)[:LOADS_MOST],
+        servers_leaving=leaving.rows(host)[:LOADS_MOST],
         **_of_duties(host, now))
 
 
--- a/crocuskeel/gateway/gossip.py
+++ b/crocuskeel/gateway/gossip.py
@@ -31,11 +31,13 @@
     if isinstance(heard, duties.Usage):
         return msgpack.packb((USAGE, heard.name, heard.boot, heard.rows))
     if isinstance(heard, events.HintsHeard):
-        return msgpack.packb((HINTS, heard.name, heard.rate_limits))
+        return msgpack.packb((HINTS, heard.name, heard.rate_limits,
+                              heard.servers_leaving))
     return msgpack.packb((
         *_former_fields(heard), heard.wall,
         (heard.leader.version, heard.leader.host, heard.leader.fence),
-        (heard.wanted.carriers, heard.wanted.at), heard.rate_limits))
+        (heard.wanted.carriers, heard.wanted.at), heard.rate_limits,
+        heard.servers_leaving))
 
 
 def encode_former(heard):
@@ -81,8 +83,9 @@
         if first == USAGE:
             return duties.Usage(*rest)
         if first == HINTS:
-            name, rows = rest
-            return events.HintsHeard(name, _rate_limits(rows))
+            name, limits, leaving = rest
+            return events.HintsHeard(
+                name, _rate_limits(limits), _servers_leaving(leaving))
         if isinstance(first, str):
             loads, refused = rest
             return events.LoadHeard(first, loads, refused)
@@ -101,9 +104,10 @@
     if len(former) != FORMER_FIELDS:
         raise ValueError(f"{len(rest)} fields")
     # A host of the version before ends its state here.
-    rate_limits = _rate_limits(rest[FIELDS] if len(rest) > FIELDS else ())
+    limits, leaving = (*rest[FIELDS:], (), ())[:2]
     return events.Heard(sender, *former, wall, duties.Leader(*leader),
-                        carrying.Wanted(*wanted), rate_limits)
+                        carrying.Wanted(*wanted), _rate_limits(limits),
+                        _servers_leaving(leaving))
 
 
 def _rate_limits(rows):
@@ -116,6 +120,14 @@
     return rows
 
 
+def _servers_leaving(rows):
+    """Check rows of (server id, its life)."""
+    for sid, incarnation in rows:
+        if not isinstance(sid, str) or not isinstance(incarnation, str):
+            raise ValueError(f"server {sid!r}, {incarnation!r}")
+    return rows
+
+
 class Gossip(protocol.DatagramProtocol):
     """Sends and takes hosts' states.
 
--- a/tests/entry/test_hints.py
+++ b/tests/entry/test_hints.py
@@ -1,6 +1,7 @@
 """Servers that leave, or ask a host for rest, by what they answer."""
 
 import dataclasses
+import itertools
 import math
 import unittest
 
@@ -59,6 +60,119 @@
                                          IN_REST_MOST)
 
 
+class LeavingTest(unittest.TestCase):
+    """One host, a server that leaves, and what others say of it."""
+
+    def setUp(self):
+        self.driver = support.Driver(
+            support.route(), support.stream(), servers=(
+                support.server("s1"), support.server("s2"),
+                support.server("e1", "engines"),
+                support.server("e2", "engines")))
+        self.host = self.driver.host
+        self.keys = itertools.count(10)
+
+    def _leaves(self, sid="s1"):
+        """Have another host tell that a server leaves."""
+        life = self.host.servers[sid].server.incarnation
+        return self.driver.feed(events.HintsHeard(
+            "other", (), ((sid, life),)))
+
+    def _sent(self):
+        out = self.driver.arrive(next(self.keys))
+        return [each.server.sid for each in support.only(out, effects.Send)]
+
+    def _all_sent(self):
+        return {sid for _ in range(20) for sid in self._sent()}
+
+    def test_one_answer_that_says_so_is_enough(self):
+        self.assertEqual({"s1", "s2"}, self._all_sent())
+        (sid,) = self._sent()
+        self.driver.feed(events.HintsSeen(
+            max(self.host.pending), 0, model.Hints(leaving=True)))
+        self.assertEqual({"s1", "s2"} - {sid}, self._all_sent())
+
+    def test_what_one_host_was_told_holds_at_others(self):
+        self._leaves()
+        self.assertEqual({"s2"}, self._all_sent())
+
+    def test_it_is_told_at_once_and_until_the_store_says_so(self):
+        self.driver.feed(events.Heard(
+            support.peer("other"), True, False, 10, 5))
+        (sid,) = self._sent()
+        out = self.driver.feed(events.HintsSeen(
+            10, 0, model.Hints(leaving=True)))
+        row = (sid, self.host.servers[sid].server.incarnation)
+        tells = support.only(out, effects.Tell)
+        tells += support.only(
+            self.driver.feed(events.Ticked(), 0.3), effects.Tell)
+        self.assertEqual([(row,)] * 2, [
+            each.event.servers_leaving for each in tells])
+        self.driver.feed(events.ServersChanged(
+            (support.server(sid, draining=True),), (), 6))
+        for each in support.only(
+                self.driver.feed(events.Ticked(), 0.3), effects.Tell):
+            self.assertEqual((), each.event.servers_leaving)
+
+    def test_an_entry_of_the_store_does_not_end_it(self):
+        # The store takes its word late; a list of before says ready, and
+        # an entry that lapsed comes back as ready.
+        self._leaves()
+        self.driver.feed(events.ServersListed(
+            (support.server("s1"), support.server("s2")), 6))
+        self.assertEqual({"s2"}, self._all_sent())
+        self.driver.feed(events.ServersChanged((), ("s1",), 7))
+        self.driver.feed(events.Ticked(), 5.0)
+        self.driver.feed(events.ServersChanged(
+            (support.server("s1"),), (), 8))
+        self.assertEqual({"s2"}, self._all_sent())
+
+    def test_another_life_of_it_does_not_leave(self):
+        self.driver.feed(events.ServersChanged(
+            (support.server("s1", born=1),), (), 6))
+        self._leaves()
+        self.driver.feed(events.ServersChanged(
+            (support.server("s1", born=2),), (), 7))
+        self.assertEqual({"s1", "s2"}, self._all_sent())
+
+    def test_a_stream_goes_on_there_and_is_not_resumed_there(self):
+        out = self.driver.arrive(1, path="/advice/1",
+                                 prompt=support.prompt())
+        (send,) = support.only(out, effects.Send)
+        self.driver.feed(events.Opened(1, 0, None), 0.2)
+        sid = send.server.sid
+        out = self._leaves(sid)
+        self.assertEqual([], support.only(out, effects.Cancel))
+        other = "e2" if sid == "e1" else "e1"
+        out = self.driver.feed(events.Broken(
+            1, 0, model.Outcome.BROKEN, "reset", True), 0.2)
+        self.assertEqual([other], [
+            each.server.sid for each in support.only(out, effects.Send)])
+
+    def test_a_stream_is_not_moved_where_all_others_leave(self):
+        self.driver.arrive(1, path="/advice/1", prompt=support.prompt())
+        target = self.host.pending[1].tries[0].sid
+        self.driver.feed(events.Opened(1, 0, None), 0.2)
+        self._leaves("e2" if target == "e1" else "e1")
+        out = self.driver.feed(events.TimerFired(1), 2.0)
+        self.assertEqual([effects.Timer], list(map(type, out)))
+
+    def test_refused_with_the_time_to_come_back_where_all_leave(self):
+        for sid in ("s1", "s2"):
+            self._leaves(sid)
+        (answer,) = support.only(self.driver.arrive(1), effects.Answer)
+        self.assertEqual(503, answer.status)
+        self.assertGreater(answer.retry_s, 0.0)
+
+    def test_it_is_forgotten_long_after_its_end(self):
+        self._leaves()
+        self.driver.feed(events.ServersChanged((), ("s1",), 6))
+        self.driver.feed(events.Ticked(), 30.0)
+        self.assertEqual(1, len(self.host.leaving))
+        self.driver.feed(events.Ticked(), 40.0)
+        self.assertEqual({}, self.host.leaving)
+
+
 class LogTest(unittest.TestCase):
     """What a host writes down."""
 
--- a/tests/gateway/test_pieces.py
+++ b/tests/gateway/test_pieces.py
@@ -77,9 +77,11 @@
                      msgpack.packb((("h", 1, "d", "f", (), (), 1.0), True,
                                     False, 3, 4, (), (), (), True, (), 0.0,
                                     None, 5, (0, 0.0))),
-                     msgpack.packb((1, "h", ((7, 1.0, 5),))),
-                     msgpack.packb((1, "h", (("s", -1.0, 5),))),
-                     msgpack.packb((1, "h", (("s", 1.0),)))):
+                     msgpack.packb((1, "h", ((7, 1.0, 5),), ())),
+                     msgpack.packb((1, "h", (("s", -1.0, 5),), ())),
+                     msgpack.packb((1, "h", (("s", 1.0),), ())),
+                     msgpack.packb((1, "h", (), (("s", 7),))),
+                     msgpack.packb((1, "h", (), ("s",)))):
             with self.assertRaises(ValueError):
                 gossip.decode(data)
 
--- a/tests/gateway/test_upgrade.py
+++ b/tests/gateway/test_upgrade.py
@@ -69,12 +69,16 @@
         # Hosts of the version that has duties and no rates were taken for
         # silent in the middle of an upgrade.
         fields = msgpack.unpackb(gossip.encode(STATE), use_list=False)
-        self.assertEqual(STATE, gossip.decode(msgpack.packb(fields[:-1])))
+        for count in (1, 2):
+            self.assertEqual(
+                STATE, gossip.decode(msgpack.packb(fields[:-count])))
 
     def test_what_servers_name_is_told_alike_by_itself_and_in_states(self):
         rows = (("s1/7", 1.5, 30), ("s2/None", None, 0))
-        for event in (events.HintsHeard("h1", rows),
-                      dataclasses.replace(STATE, rate_limits=rows)):
+        leave = (("s3", "s3/9"),)
+        for event in (events.HintsHeard("h1", rows, leave),
+                      dataclasses.replace(STATE, rate_limits=rows,
+                                          servers_leaving=leave)):
             self.assertEqual(event, gossip.decode(self._tell(event)))
         self._hear(gossip.encode_former(
             events.Heard(support.peer("h0"), True, False, 3, 4)))
