A server that asks a host for rest gets it

Cause: Retry-After of a refusal was not read, as with the other words. A host left a server that sheds alone for 0.15 s, and only as a suspicion that is passed over where all are suspect. A server that refuses all is never busy, so it looked the best again each time.

The time of rest is kept by the server's life, for this host alone, as the server asks each for its own; a shorter one doesn't end a longer, and none is longer than a minute. Until it is over the server isn't chosen, also as the last one left. Where none is free, a request waits if one is within half its goal, and else is refused at once with the time that is left of the rest, or a third of what its caller has.

Seven more tests on one host; without the rest, its bound, the longer of two, or the time to come back at least one fails each.

--- a/crocuskeel/core/entry/choosing.py
+++ b/crocuskeel/core/entry/choosing.py
@@ -8,12 +8,14 @@
 
 import math
 
+from crocuskeel.core.entry import backoff
 from crocuskeel.core.entry import cost
 from crocuskeel.core.entry import leaving
 from crocuskeel.core.entry import ratelimits
 from crocuskeel.core.entry import serverload
 
-__all__ = ["choose", "choose_with_room", "free_in", "holders", "sound"]
+__all__ = ["choose", "choose_with_room", "free_in", "holders",
+           "is_free", "sound"]
 
 # Of the connections that a server accepts, hosts use this share together:
 # each hears of the others' with a delay of some ms, in which they could
@@ -57,32 +59,41 @@
 def holders(host, pending, now):
     """Return the servers that others may fetch from.
 
-    A rate that a server names is for what hosts send it.
+    What a server asks of hosts is for what they send it.
     """
     return [state for state in _usable(host, pending, now)
             if _fits(state, 2, (), now)]
 
 
 def free_in(host, pending, now):
-    """Return when a server's rate has room for a request, s.
+    """Return after how many s a server takes a request again.
 
     None if no server would take it then either.
     """
-    return min((ratelimits.free_in(host, state.server, now)
+    return min((_free_in(host, state, now)
                 for state in _usable(host, pending, now)), default=None)
 
 
+def is_free(host, state, now):
+    """Say whether a server takes requests of this host, by its word."""
+    return _free_in(host, state, now) <= 0
+
+
+def _free_in(host, state, now):
+    return max(ratelimits.free_in(host, state.server, now),
+               backoff.free_in(host, state.server, now))
+
+
 def _free(host, pending, now):
-    """Return the usable servers whose rates have room for a request.
+    """Return the usable servers that take a request, by their word.
 
     What is left of a rate is for the most urgent of those that wait.
     """
     usable = _usable(host, pending, now)
-    if not host.rate_limits:
+    if not host.rate_limits and not host.rests:
         return usable
     preceded = _is_preceded(host, pending)
-    return [state for state in usable
-            if ratelimits.may_send(host, state.server, now)
+    return [state for state in usable if is_free(host, state, now)
             and not (preceded
                      and ratelimits.is_limited(host, state.server))]
 
--- a/crocuskeel/core/entry/ratelimits.py
+++ b/crocuskeel/core/entry/ratelimits.py
@@ -18,7 +18,7 @@
 from crocuskeel.core.entry import routing
 
 __all__ = ["RateLimit", "free_in", "heard", "is_limited", "limited",
-           "may_send", "named", "refill", "rows", "sent"]
+           "named", "refill", "rows", "sent"]
 
 # All buckets of a server together hold what it takes in a second, and so
 # many requests more: as many hosts at the most share its rate.
@@ -109,11 +109,6 @@
     return _limit(host, server) is not None
 
 
-def may_send(host, server, now):
-    """Say whether this host's part of a server's rate has room."""
-    return free_in(host, server, now) <= 0
-
-
 def free_in(host, server, now):
     """Return after how many s this host may send there; inf for never."""
     known = _limit(host, server)
--- a/crocuskeel/core/entry/reducer.py
+++ b/crocuskeel/core/entry/reducer.py
@@ -2,6 +2,7 @@
 
 from crocuskeel.core.duties import model as duties_model
 from crocuskeel.core.entry import attempts
+from crocuskeel.core.entry import backoff
 from crocuskeel.core.entry import duties
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import hints
@@ -36,6 +37,7 @@
     serverload.sample(host, now)
     ratelimits.refill(host, now)
     leaving.forget(host, now)
+    backoff.forget(host, now)
     return (registry.expire(host, now) + telling.tell(host, now)
             + duties.step(host, event.wall, now)
             + lifecycle.go_on(host, now))
--- a/crocuskeel/core/entry/repeating.py
+++ b/crocuskeel/core/entry/repeating.py
@@ -1,10 +1,10 @@
 """When a request is looked at again, and may get another server."""
 
 from crocuskeel.core.entry import budget
+from crocuskeel.core.entry import choosing
 from crocuskeel.core.entry import leaving
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import quarantine
-from crocuskeel.core.entry import ratelimits
 
 __all__ = ["WORTH_SENDING_S", "may_go_on", "next_check", "stall_s"]
 
@@ -80,5 +80,5 @@
 def _others(host, service, tried, now):
     return any(state.server.sid not in tried
                and not leaving.is_leaving(host, state.server)
-               and ratelimits.may_send(host, state.server, now)
+               and choosing.is_free(host, state, now)
                for state in host.by_service.get(service, ()))
--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -31,7 +31,7 @@
     tried = {attempt.sid for attempt in pending.tries}
     target = choosing.choose(host, pending, tried, now)
     if target is None:
-        return _wait_for_rate(host, pending, now)
+        return _wait_for_server(host, pending, now)
     if not admission.admits(host, pending, target, now):
         full, target = target, _elsewhere(host, pending, now)
         if target is None:
@@ -73,8 +73,8 @@
     return [effects.Timer(pending.key, due)]
 
 
-def _wait_for_rate(host, pending, now):
-    """Hold a request that no server has a rate left for, or refuse it."""
+def _wait_for_server(host, pending, now):
+    """Hold a request that no server takes now, or refuse it."""
     if ending.live(pending):
         return [effects.Timer(
             pending.key, repeating.next_check(pending, now))]
@@ -86,7 +86,7 @@
     retry_s = admission.retry_s(host, pending, now)
     if free_s < math.inf:
         retry_s = max(retry_s, free_s)
-    return ending.give_up(host, pending, "rate limited", now, retry_s)
+    return ending.give_up(host, pending, "servers limited", now, retry_s)
 
 
 def _elsewhere(host, pending, now):
--- a/tests/entry/test_hints.py
+++ b/tests/entry/test_hints.py
@@ -173,6 +173,103 @@
         self.assertEqual({}, self.host.leaving)
 
 
+class RestTest(unittest.TestCase):
+    """One host, and servers that refuse and want rest."""
+
+    def setUp(self):
+        self.driver = support.Driver(
+            support.route(), support.stream(), servers=(
+                support.server("s1"), support.server("s2")))
+        self.host = self.driver.host
+        self.keys = itertools.count(10)
+
+    def _refuse(self, key, turn=0, rest_s=3.0):
+        """Have the server of an attempt refuse it; return the effects."""
+        self.driver.feed(events.HintsSeen(
+            key, turn, model.Hints(rest_s=rest_s)))
+        return self.driver.feed(events.Broken(
+            key, turn, model.Outcome.NOT_RUN, "503"))
+
+    def _ask(self):
+        key = next(self.keys)
+        out = self.driver.arrive(key)
+        return key, [each.server.sid
+                     for each in support.only(out, effects.Send)]
+
+    def _rest(self, rest_s=3.0):
+        """Have one server ask for rest; return the ids, its own first."""
+        key, (sid,) = self._ask()
+        self._refuse(key, rest_s=rest_s)
+        return sid, "s2" if sid == "s1" else "s1"
+
+    def test_it_gets_nothing_until_the_rest_is_over(self):
+        resting, other = self._rest()
+        for _ in range(28):
+            self.driver.now += 0.1
+            self.assertEqual([other], self._ask()[1])
+        self.driver.now += 0.3
+        self.assertIn(resting, {
+            sid for _ in range(20) for sid in self._ask()[1]})
+
+    def test_a_shorter_rest_does_not_end_a_longer_one(self):
+        key, (sid,) = self._ask()
+        other, (again,) = self._ask()
+        while again != sid:
+            other, (again,) = self._ask()
+        self._refuse(key)
+        self._refuse(other, rest_s=0.2)
+        self.driver.now += 1.0
+        self.assertNotIn(sid, {
+            each for _ in range(20) for each in self._ask()[1]})
+
+    def test_a_suspect_server_is_tried_and_not_one_that_rests(self):
+        # With all others suspect a host passed over every reason not to.
+        resting, other = self._rest()
+        self.host.servers[other].suspect_until = math.inf
+        for _ in range(5):
+            self.assertEqual([other], self._ask()[1])
+
+    def test_refused_with_the_time_of_rest_where_all_rest(self):
+        key, (sid,) = self._ask()
+        self._refuse(key)
+        out = self._refuse(key, turn=1)
+        (answer,) = support.only(out, effects.Answer)
+        self.assertEqual(503, answer.status)
+        (answer,) = support.only(
+            self.driver.feed(events.Arrived(1, support.request(
+                deadline_s=30.0))), effects.Answer)
+        # No more than a third of what is left: a caller waits no longer.
+        self.assertAlmostEqual(0.65, answer.retry_s, places=2)
+
+    def test_callers_come_back_no_sooner_than_the_rest_is_over(self):
+        driver = support.Driver(
+            support.route(timeout_s=60.0, goal_s=0.4),
+            servers=(support.server("s1"),))
+        driver.arrive(1, deadline_s=60.0)
+        driver.feed(events.HintsSeen(1, 0, model.Hints(rest_s=12.0)))
+        (answer,) = support.only(driver.feed(events.Broken(
+            1, 0, model.Outcome.NOT_RUN, "503")), effects.Answer)
+        self.assertGreaterEqual(answer.retry_s, 12.0)
+
+    def test_a_rest_that_ends_soon_is_waited_for(self):
+        key, _ = self._ask()
+        self._refuse(key, rest_s=0.1)
+        out = self._refuse(key, turn=1, rest_s=0.1)
+        key = next(self.keys)
+        out = self.driver.arrive(key)
+        self.assertEqual([effects.Timer], list(map(type, out)))
+        out = self.driver.feed(events.TimerFired(key), 0.11)
+        self.assertEqual(1, len(support.only(out, effects.Send)))
+
+    def test_an_endless_rest_ends(self):
+        resting, _ = self._rest(rest_s=1e9)
+        self.driver.now += 61.0
+        self.assertIn(resting, {
+            sid for _ in range(20) for sid in self._ask()[1]})
+        self.driver.feed(events.Ticked())
+        self.assertEqual({}, self.host.rests)
+
+
 class LogTest(unittest.TestCase):
     """What a host writes down."""
 
