--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -186,6 +186,33 @@
             self.assertEqual([], self._limited(12, change))
         self.assertNotEqual([], self._limited(12, other_killed))
 
+    def test_a_server_that_said_that_it_leaves_gets_a_request(self):
+        for at, ip, allowed in ((101.9, IP, True), (102.1, IP, False),
+                                (102.1, "127.1.1.2", True)):
+            record = records.new_record()
+            record.told_leaving["s", IP] = 100.0
+            record.seen["r1"] = _seen("safe", asking.Reply(200), at=at)
+            record.seen["r1"].ip = ip
+            record.reached.append(("r1", "s", at + 0.1))
+            with self.subTest(at=at, ip=ip):
+                self.assertEqual(allowed, checks.judge_run(record) == [])
+            record.fault(ip, "pause", 101.0, 0.8)
+            self.assertEqual([], checks.judge_run(record))
+
+    def test_a_server_that_asked_for_rest_gets_requests(self):
+        for count, rest_s, allowed in ((2, 3.0, True), (3, 3.0, False),
+                                       (3, 1.0, True)):
+            record = records.new_record()
+            record.rests.append(("s", IP, 100.0, rest_s))
+            for number in range(count):
+                rid = f"r{number}"
+                record.seen[rid] = _seen("safe", asking.Reply(200), rid)
+                record.reached.append((rid, "s", 101.5 + number / 10))
+            with self.subTest(count=count, rest_s=rest_s):
+                self.assertEqual(allowed, checks.judge_run(record) == [])
+            record.fault("s", "server restart", 101.0, 1.0)
+            self.assertEqual([], checks.judge_run(record))
+
     def test_a_host_goes_back_behind_a_version(self):
         record = records.new_record()
         record.seen["r1"] = _seen("v3", asking.Reply(200), "r1", 100.0, 3)
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -39,6 +39,13 @@
 RATE_TIMES = 1.5
 RATE_MORE = 5
 RATE_TOLD_S = 0.5
+# A host that was told by a server that it leaves sends it nothing that
+# callers send later than this, s.
+TOLD_LEAVING_S = 2.0
+# From this long after it asked a host for rest, s, a server gets so many
+# requests of it at the most until the rest is over.
+REST_HEARD_S = 0.5
+IN_REST_MOST = 2
 
 
 def judge(seen, record):
@@ -134,7 +141,8 @@
 def judge_run(record):
     """Return what is wrong with a whole run."""
     return (_left(record) + _back(record) + _starved(record)
-            + _tiers(record) + _crashed(record) + _limited(record))
+            + _tiers(record) + _crashed(record) + _limited(record)
+            + _told_leaving(record) + _rested(record))
 
 
 def _left(record):
@@ -189,6 +197,35 @@
     return wrong
 
 
+def _told_leaving(record):
+    """A server gets nothing new from a host that it told that it leaves."""
+    wrong = []
+    for rid, sid, at in record.reached:
+        seen = record.seen[rid]
+        told_at = record.told_leaving.get((sid, seen.ip))
+        if told_at is None or seen.at <= told_at + TOLD_LEAVING_S:
+            continue
+        if record.is_calm(told_at, at, seen.ip):
+            wrong.append(f"{rid}: reached {sid} {seen.at - told_at:.1f} s "
+                         "after it had told its host that it leaves")
+    return wrong
+
+
+def _rested(record):
+    """A server gets the rest that it asks a host for."""
+    wrong = []
+    for sid, ip, asked_at, rest_s in record.rests:
+        count = sum(
+            reached == sid and record.seen[rid].ip == ip
+            and asked_at + REST_HEARD_S <= at <= asked_at + rest_s
+            for rid, reached, at in record.reached)
+        if count > IN_REST_MOST and record.is_calm(
+                asked_at, asked_at + rest_s, ip, sid):
+            wrong.append(f"{sid} got {count} requests of {ip} in a rest of "
+                         f"{rest_s:g} s")
+    return wrong
+
+
 def _counts(record, sid, ip, at):
     """Say whether a host knew a server's rate, and was calm."""
     told_at = record.told.get((sid, ip))
--- a/tools/soak/engine.py
+++ b/tools/soak/engine.py
@@ -28,7 +28,8 @@
     ``faults`` maps a fault's name to its share of requests: ``lost``
     runs and resets, ``torn`` breaks a stream half way, ``full`` refuses,
     ``error`` answers 500, ``mute`` runs and says nothing. Its answers
-    name ``rate_limit``, requests a second, if it is set.
+    name ``rate_limit``, requests a second, if it is set, and say that it
+    is ``leaving``. With ``rest_s`` it refuses all and asks for so much.
     """
 
     def __init__(self, reactor, rng, sid, service, record, on_poison):
@@ -40,6 +41,8 @@
         self.on_poison = on_poison
         self.faults = dict(USUAL)
         self.rate_limit = None
+        self.leaving = False
+        self.rest_s = None
         self.port = None
         self.address = None
         self.is_down = False
@@ -91,9 +94,15 @@
         if wanted != self.sid.encode():
             exchange.answer(421, [], b"")
             return
+        if self.rest_s is not None:
+            self._refuse(exchange, rid, [
+                (b"Retry-After", b"%g" % self.rest_s)])
+            self.record.rests.append(
+                (self.sid, self.record.seen[rid].ip, self.reactor.seconds(),
+                 self.rest_s))
+            return
         if self._has("full"):
-            exchange.answer(503, [(b"X-Crocuskeel-Not-Run", b"1"),
-                                  *self._hints(rid)], b"")
+            self._refuse(exchange, rid, [])
             return
         self.record.runs.setdefault(rid, []).append(self.sid)
         self.record.arrivals.append((rid, self.sid, self.reactor.seconds()))
@@ -130,12 +139,21 @@
                 (b"X-Crocuskeel-Server-Stamp", b"stamp"),
                 *self._hints(rid)]
 
+    def _refuse(self, exchange, rid, headers):
+        exchange.answer(503, [(b"X-Crocuskeel-Not-Run", b"1"),
+                              *headers, *self._hints(rid)], b"")
+
     def _hints(self, rid):
-        if self.rate_limit is None:
-            return []
-        self.record.told.setdefault(
-            (self.sid, self.record.seen[rid].ip), self.reactor.seconds())
-        return [(b"Server-Limit", b"%g" % self.rate_limit)]
+        where, now = (self.sid, self.record.seen[rid].ip), (
+            self.reactor.seconds())
+        found = []
+        if self.rate_limit is not None:
+            self.record.told.setdefault(where, now)
+            found.append((b"Server-Limit", b"%g" % self.rate_limit))
+        if self.leaving:
+            self.record.told_leaving.setdefault(where, now)
+            found.append((b"Server-Leaving", b"1"))
+        return found
 
     def name_rate(self, rate):
         """Name a rate in all answers from now on, or none any more."""
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -162,6 +162,29 @@
     soak.later(6.0, engine.name_rate, None)
 
 
+def _leave_unlisted(soak):
+    # The store never takes its word, and lists it until it has ended.
+    sid = soak.any_engine()
+    engine = soak.engines[sid]
+    if engine.leaving:
+        return
+    soak.note_fault("plan", "server leaves by its answers", 7.0)
+    soak.add_engine(engine.service)
+    engine.leaving = True
+    soak.later(7.0, soak.leave_ended, sid)
+
+
+def _rest(soak):
+    engine = soak.engines[soak.any_engine()]
+    soak.note_fault("plan", "server wants rest", 4.0)
+    engine.rest_s = soak.rng.choice((1.0, 2.0, 3.0))
+    soak.later(4.0, _rested, engine)
+
+
+def _rested(engine):
+    engine.rest_s = None
+
+
 def _spoil(soak):
     name = soak.rng.choice(("lost", "torn", "full", "error", "mute"))
     soak.note_fault("engines", "servers " + name, 1.5)
@@ -251,4 +274,4 @@
 )
 # Kinds that came later, and the first seed that draws them.
 NEWER = ((200, (_reborn, _other_writer)), (400, (_silent_store,)),
-         (500, (_need,)))
+         (500, (_need,)), (600, (_leave_unlisted, _rest)))
--- a/tools/soak/record.py
+++ b/tools/soak/record.py
@@ -36,7 +36,8 @@
     a request id to its Seen. ``reached`` is like ``arrivals``, with those
     that did not run. ``limits`` maps a server to (since, until, requests
     a second) of the rate that it named, ``told`` (server, host) to when
-    it told that host first.
+    it told that host first, ``told_leaving`` to when it told it that it
+    leaves. ``rests`` holds (server, host, time, s) of rest asked for.
     """
 
     runs: dict = dataclasses.field(default_factory=dict)
@@ -51,6 +52,8 @@
     reached: list = dataclasses.field(default_factory=list)
     limits: dict = dataclasses.field(default_factory=dict)
     told: dict = dataclasses.field(default_factory=dict)
+    told_leaving: dict = dataclasses.field(default_factory=dict)
+    rests: list = dataclasses.field(default_factory=list)
 
     def fault(self, where, name, now, span_s=0.0):
         """Note a fault."""
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -138,6 +138,7 @@
 
     def leave(self, sid):
         """Take a server off the list; it serves on for a while."""
+        self.engines[sid].leaving = True
         self.store.remove("servers", sid)
         self.record.left[sid] = self.reactor.seconds()
 
@@ -154,6 +155,12 @@
         if sid in self.engines:
             self.end_engine(sid)
 
+    def leave_ended(self, sid):
+        """End a server that left without the store's word."""
+        if sid in self.engines:
+            self.leave(sid)
+            self.end_engine(sid)
+
     def crash(self, sid):
         """Have a server go without notice; another comes a bit later."""
         if sid not in self.engines:
