A request is not held for the server that refused it

Whether to wait goes by the untried servers only now; the time to come back still by all. test_not_ held_for_a_server_that_has_refused_it failed before (no answer); without limits or rests nothing changes.

--- a/crocuskeel/core/entry/choosing.py
+++ b/crocuskeel/core/entry/choosing.py
@@ -65,13 +65,14 @@
             if _fits(state, 2, (), now)]
 
 
-def free_in(host, pending, now):
+def free_in(host, pending, exclude, now):
     """Return after how many s a server takes a request again.
 
-    None if no server would take it then either.
+    None if there is none but those in ``exclude``.
     """
     return min((_free_in(host, state, now)
-                for state in _usable(host, pending, now)), default=None)
+                for state in _usable(host, pending, now)
+                if state.server.sid not in exclude), default=None)
 
 
 def is_free(host, state, now):
--- a/crocuskeel/core/entry/ending.py
+++ b/crocuskeel/core/entry/ending.py
@@ -4,8 +4,9 @@
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import pauses
 
-__all__ = ["UNAVAILABLE", "cancel_all", "cancel_others", "changed", "find",
-           "finish", "give_up", "live", "note", "refuse", "release"]
+__all__ = ["BUSY_RETRY_S", "UNAVAILABLE", "cancel_all", "cancel_others",
+           "changed", "find", "finish", "give_up", "live", "note", "refuse",
+           "release"]
 
 UNAVAILABLE = 503
 BAD_GATEWAY = 502
--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -31,7 +31,7 @@
     tried = {attempt.sid for attempt in pending.tries}
     target = choosing.choose(host, pending, tried, now)
     if target is None:
-        return _wait_for_server(host, pending, now)
+        return _wait_for_server(host, pending, tried, now)
     if not admission.admits(host, pending, target, now):
         full, target = target, _elsewhere(host, pending, now)
         if target is None:
@@ -73,20 +73,28 @@
     return [effects.Timer(pending.key, due)]
 
 
-def _wait_for_server(host, pending, now):
+def _wait_for_server(host, pending, tried, now):
     """Hold a request that no server takes now, or refuse it."""
     if ending.live(pending):
         return [effects.Timer(
             pending.key, repeating.next_check(pending, now))]
-    free_s = choosing.free_in(host, pending, now)
+    free_s = choosing.free_in(host, pending, tried, now)
     if free_s is None or pending.fallback is not None:
-        return ending.give_up(host, pending, "no server", now)
+        return ending.give_up(host, pending, "no server", now,
+                              _back_s(host, pending, now))
     if now + free_s < admission.hold_until(pending):
         return _hold(host, pending, now)
+    return ending.give_up(host, pending, "servers limited", now,
+                          _back_s(host, pending, now))
+
+
+def _back_s(host, pending, now):
+    """Return when to come back to servers that take nothing now, s."""
+    free_s = choosing.free_in(host, pending, (), now)
+    if not free_s:
+        return ending.BUSY_RETRY_S
     retry_s = admission.retry_s(host, pending, now)
-    if free_s < math.inf:
-        retry_s = max(retry_s, free_s)
-    return ending.give_up(host, pending, "servers limited", now, retry_s)
+    return max(retry_s, free_s) if free_s < math.inf else retry_s
 
 
 def _elsewhere(host, pending, now):
--- a/tests/entry/test_ratelimits.py
+++ b/tests/entry/test_ratelimits.py
@@ -166,6 +166,17 @@
         out = self.driver.feed(events.TimerFired(1), 0.13)
         self.assertEqual(1, len(support.only(out, effects.Send)))
 
+    def test_not_held_for_a_server_that_has_refused_it(self):
+        # The other one was limited: the request waited half its goal for
+        # the one that it may not go to again.
+        self.driver.feed(events.ServersChanged(
+            (support.server("s2"),), (), 6))
+        (sid,) = self._sent()
+        self._name(0.1, "s2" if sid == "s1" else "s1")
+        out = self.driver.feed(events.Broken(
+            10, 0, model.Outcome.NOT_RUN, "503"))
+        self.assertEqual(1, len(support.only(out, effects.Answer)))
+
     def test_what_is_left_of_a_rate_is_for_the_most_urgent(self):
         for sid in ("e1", "e2"):
             self._name(2.5, sid)
