--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -91,6 +91,12 @@
         world.clock.after(fault.for_s, world.hosts[name].start)
 
 
+def _part(world, fault):
+    """Hosts hear no others, and no others hear them."""
+    world.parted = set(world.names[:fault.count])
+    world.clock.after(fault.for_s, world.parted.clear)
+
+
 def _hot(world, fault):
     """One subject of each kind gets most of its requests."""
     world.hot = 0
@@ -103,4 +109,4 @@
 
 FAULTS = {"burst": _burst, "crash": _crash, "dark": _dark, "slow": _slow,
           "limit": _limit, "leave": _leave, "rest": _rest,
-          "drain": _drain, "kill": _kill, "hot": _hot}
+          "drain": _drain, "kill": _kill, "part": _part, "hot": _hot}
--- a/emulator/hosts.py
+++ b/emulator/hosts.py
@@ -263,7 +263,7 @@
 
 def _tell(host, effect):
     other = host.world.hosts.get(effect.peer.name)
-    if other is not None:
+    if other is not None and host.world.hear_each_other(host, other):
         host.world.clock.after(
             host.world.way_s, other.hear_host, effect.event)
 
--- a/emulator/run.py
+++ b/emulator/run.py
@@ -49,6 +49,8 @@
         self.names = [f"h{number}" for number in range(deployment.hosts)]
         self.hosts = {name: hosts.EntryHost(self, name, f"{seed}-{name}")
                       for name in self.names}
+        # Hosts that are cut off from the others.
+        self.parted = set()
         self.weights = {}
         self.told = []
         self.told_until = 0.0
@@ -102,6 +104,10 @@
         for host in self.hosts.values():
             self.clock.after(LISTED_S, host.hear_host, event)
 
+    def hear_each_other(self, host, other):
+        """Say whether what one of two hosts tells reaches the other."""
+        return (host.name in self.parted) == (other.name in self.parted)
+
     def host_for_caller(self):
         """Return the host that a caller asks, None if it knows none."""
         if self.clock.now >= self.told_until or not self.told:
--- a/tests/entry/test_hints.py
+++ b/tests/entry/test_hints.py
@@ -1,5 +1,6 @@
 """Servers that leave, or ask a host for rest, by what they answer."""
 
+import collections
 import dataclasses
 import itertools
 import math
@@ -22,6 +23,9 @@
 # requests from that host at the most until the rest is over, s.
 HEARD_S = 0.5
 IN_REST_MOST = 2
+# After a rest that all asked for, servers get this many times the usual in
+# a second at the most.
+HERD_TIMES = 3
 
 
 def fleet_with(fault):
@@ -59,6 +63,22 @@
                     self.assertLessEqual(max(counts, default=0),
                                          IN_REST_MOST)
 
+    def test_the_end_of_all_rests_brings_no_herd(self):
+        # All engines refuse for 3 s. What was refused meanwhile would come
+        # back at the same moment, and be refused again.
+        rest = deployments.Fault("rest", 4.0, 0.5, count=6, times=3.0)
+        for seed in range(3):
+            world = run.played(fleet_with(rest), seed)
+            began = world.tally.began
+            per_s = collections.Counter(
+                int(each.at - began) for server in world.engines()
+                for each in server.arrivals)
+            usual = sum(per_s[second] for second in range(4)) / 4
+            with self.subTest(seed=seed):
+                self.assertLessEqual(
+                    max(per_s[second] for second in range(7, 12)),
+                    HERD_TIMES * usual)
+
 
 class LeavingTest(unittest.TestCase):
     """One host, a server that leaves, and what others say of it."""
--- a/tests/entry/test_ratelimits.py
+++ b/tests/entry/test_ratelimits.py
@@ -27,14 +27,16 @@
 LIMITED_S = 12.0
 
 
-def over_rate(server, rate, since, until):
+def over_rate(server, rate, since, until, excused=()):
     """Return the spans with more than the rate allows, (until, count).
 
-    The server names it from ``since`` to ``until``.
+    The server names it from ``since`` to ``until``; what ``excused`` hosts
+    send does not count.
     """
     most = TIMES * rate * SPAN_S + MORE
     times = [each.at for each in server.arrivals
-             if each.at >= server.told.get(each.host, math.inf) + TOLD_S]
+             if each.at >= server.told.get(each.host, math.inf) + TOLD_S
+             and each.host not in excused]
     found = []
     for last in times:
         count = sum(last - SPAN_S < at <= last for at in times)
@@ -81,6 +83,22 @@
                         self.assertEqual([], over_rate(
                             server, 1.0, since, since + LIMITED_S))
 
+    def test_hosts_that_are_cut_off_leave_the_others_within_the_rate(self):
+        # Four of nine hosts hear no others, one is killed and comes back:
+        # each side takes the other for lost, and shares the rate anew.
+        faults = (deployments.Fault("part", 6.0, 5.0, count=4),
+                  deployments.Fault("kill", 7.0, 1.0))
+        for seed in range(3):
+            world = run.played(
+                limited_fleet(1.0, hosts=9, faults=faults), seed)
+            since = world.tally.began + LIMITED_AT
+            sides = world.names[:4], world.names[4:]
+            for server in world.servers.values():
+                for excused in sides if server.told else ():
+                    with self.subTest(seed=seed, server=server.sid):
+                        self.assertEqual([], over_rate(
+                            server, 1.0, since, since + LIMITED_S, excused))
+
     def test_a_large_fleet_keeps_to_it_too(self):
         # Of one request a second 40 hosts can't each have a part: the
         # server got nothing for as long as it was in need.
