Comments on servers' limits, leaving and rest in the usual terms

Read as a newcomer would: incarnation in place of a server's life, share and token bucket in place of part, and what a limit's fields hold. One private function is renamed; no code changes.

--- a/crocuskeel/core/entry/backoff.py
+++ b/crocuskeel/core/entry/backoff.py
@@ -1,22 +1,22 @@
-"""Servers that ask this host for rest as they refuse a request.
+"""Servers that refuse a request and say when to come back.
 
-The load that this answers: a server that refuses all that it gets is never
-busy and looks the best, so that each request goes there first and uses up
-one of its attempts. The rest is this host's alone; others are asked for
-their own.
+The load that this answers: a server that refuses all requests is never
+busy and looks like the best choice, so that each request goes there first
+and loses one of its attempts. A server asks each host by itself, so the
+time holds for this host alone.
 """
 
 from crocuskeel.core.entry import effects
 
 __all__ = ["asked", "forget", "free_in"]
 
-# No rest is longer, s: a spoilt number must not take a server away for
-# good.
+# Longest time that is honoured, s: a corrupt number must not take a server
+# out of use for good.
 REST_MOST_S = 60.0
 
 
 def asked(host, attempt, rest_s, now):
-    """Note that a refusal of an attempt asks for so many s of rest."""
+    """Note that a refusal of an attempt asks for ``rest_s`` seconds."""
     until = now + min(rest_s, REST_MOST_S)
     if until <= host.rests.get(attempt.incarnation, now):
         return []
--- a/crocuskeel/core/entry/choosing.py
+++ b/crocuskeel/core/entry/choosing.py
@@ -59,7 +59,7 @@
 def holders(host, pending, now):
     """Return the servers that others may fetch from.
 
-    What a server asks of hosts is for what they send it.
+    Also those that are limited or resting: no host sends for a fetch.
     """
     return [state for state in _usable(host, pending, now)
             if _fits(state, 2, (), now)]
@@ -76,7 +76,7 @@
 
 
 def is_free(host, state, now):
-    """Say whether a server takes requests of this host, by its word."""
+    """Say whether a server's rate limit and rest allow a request now."""
     return _free_in(host, state, now) <= 0
 
 
@@ -86,9 +86,9 @@
 
 
 def _free(host, pending, now):
-    """Return the usable servers that take a request, by their word.
+    """Return the usable servers that are neither limited nor resting.
 
-    What is left of a rate is for the most urgent of those that wait.
+    What is left of a rate limit goes to the most urgent request first.
     """
     usable = _usable(host, pending, now)
     if not host.rate_limits and not host.rests:
--- a/crocuskeel/core/entry/events.py
+++ b/crocuskeel/core/entry/events.py
@@ -257,9 +257,9 @@
 class HintsHeard:
     """What servers name in their answers, as host ``name`` says.
 
-    ``rate_limits`` holds (a server's life, requests a second or None,
-    how long ago that was true in ms), ``servers_leaving`` (server id, its
-    life).
+    ``rate_limits`` holds (incarnation of a server, requests a second or
+    None, how long ago that was true in ms), ``servers_leaving`` (server
+    id, incarnation).
     """
 
     name: str
--- a/crocuskeel/core/entry/leaving.py
+++ b/crocuskeel/core/entry/leaving.py
@@ -1,10 +1,10 @@
 """Servers that leave, by the store or by what they say in their answers.
 
 The load that this answers: a server that leaves while the store is away,
-or whose entry hosts see late. It says so in its answers, each of which
-reaches one host, so hosts tell each other. A life of a server that leaves
-does not come back: no later word ends this, as a host that sends it
-nothing could hear none.
+or whose entry reaches hosts late. It says so in its answers, each of which
+reaches one host, so hosts tell each other. Leaving is final for an
+incarnation of a server: a host that sends it nothing could not hear of a
+change.
 """
 
 from crocuskeel.core.entry import effects
@@ -17,12 +17,12 @@
 
 
 def said(host, attempt, now):
-    """Note that an answer to an attempt says so; return what is new."""
+    """Note that an answer to an attempt says that its server leaves."""
     return _learn(host, attempt.sid, attempt.incarnation, now)
 
 
 def heard(host, told, now):
-    """Take what another host tells: (server id, name of its life)."""
+    """Take rows of another host: (server id, incarnation)."""
     out = []
     for sid, incarnation in told:
         out += _learn(host, sid, incarnation, now)
@@ -37,14 +37,17 @@
 
 
 def is_leaving(host, server):
-    """Say whether a server should get nothing new."""
+    """Say whether a server leaves and must get nothing new."""
     if server.draining:
         return True
     return bool(host.leaving) and server.incarnation in host.leaving
 
 
 def rows(host):
-    """Return what to tell others: the store doesn't tell it yet."""
+    """Return rows for other hosts, of servers that the store shows ready.
+
+    Of the others the store has told all hosts.
+    """
     return tuple((sid, incarnation)
                  for incarnation, (sid, _) in host.leaving.items()
                  if _is_listed_as_ready(host, sid, incarnation))
@@ -57,7 +60,7 @@
 
 
 def forget(host, now):
-    """Forget servers that have been gone for long."""
+    """Forget servers that have long not been listed."""
     for incarnation, (sid, at) in list(host.leaving.items()):
         if sid not in host.servers and at < now - KEPT_S:
             del host.leaving[incarnation]
--- a/crocuskeel/core/entry/ratelimits.py
+++ b/crocuskeel/core/entry/ratelimits.py
@@ -1,12 +1,12 @@
-"""Rates of requests that servers name for all hosts together.
+"""Rate limits that servers name for all hosts together.
 
 The load that this answers: a server in need names a rate, and hosts that
-each know only their own requests overrun it together. A few hosts, the
+each count only their own requests overrun it together. A few hosts, the
 same ones in the eyes of all, share a server's rate, each with a token
-bucket of its own, and the others send it nothing: the sum keeps within the
-rate and one burst without a message for each request. What one host hears
-of a rate, all are told. Those that share it go on sending, and so notice
-when it is lifted.
+bucket of its own, and the others send it nothing. The sum of the buckets
+bounds what the server gets without a message for each request. Hosts tell
+each other the limits that they hear of. Those that share a rate go on
+sending, and so notice when it is lifted.
 """
 
 import dataclasses
@@ -20,27 +20,29 @@
 __all__ = ["RateLimit", "free_in", "heard", "is_limited", "limited",
            "named", "refill", "rows", "sent"]
 
-# All buckets of a server together hold what it takes in a second, and so
-# many requests more: as many hosts at the most share its rate.
+# The buckets of a server together hold one second of its rate and this
+# many requests. At most as many hosts share the rate, so that each bucket
+# holds a whole request.
 BURST_LEAST = 2.0
-# A server that takes less is still sent so many requests a second: nobody
-# would learn otherwise that it takes more again.
+# A server with a lower rate still gets this many requests a second:
+# without any answer no host would learn that the limit was lifted.
 PROBE_RATE = 0.2
-# A change is told again for this long, s: a datagram may be lost.
+# A change is repeated for this long, s: a datagram may be lost.
 RETOLD_S = 2.0
-# What is known of a server that is not listed is kept for this long, s:
-# its entry may have lapsed, and it may serve on.
+# A limit of a server that is no longer listed is kept for this long, s:
+# its entry may have lapsed and come back.
 KEPT_S = 60.0
-# Sums of a bucket's fractions may miss a whole request by so much.
+# Tolerance for sums of fractions of a request.
 ROUNDING = 1e-6
 
 
 @dataclasses.dataclass(slots=True)
 class RateLimit:
-    """What is known of one life of a server, and this host's bucket.
+    """The limit of one incarnation of a server, and this host's bucket.
 
     ``rate`` is in requests a second, None once the limit is lifted;
-    ``as_of`` is when that was true, s. ``tokens`` are the requests that
+    ``as_of`` is when that was true, s. Until ``told_until`` other hosts
+    are told of it also if it is lifted. ``tokens`` is how many requests
     this host may send at once, as of ``filled_at``.
     """
 
@@ -55,12 +57,12 @@
     """Take what the head of an answer to an attempt says."""
     if rate is not None:
         return _learn(host, attempt.incarnation, rate, now, now)
-    # The server may have written this answer before it named a limit.
+    # It may have been held up on its way since before the limit.
     return _learn(host, attempt.incarnation, None, attempt.at, now)
 
 
 def heard(host, told, now):
-    """Take what another host says: (server's life, rate, age in ms)."""
+    """Take rows of another host: (incarnation, rate or None, age in ms)."""
     out = []
     for incarnation, rate, age_ms in told:
         as_of = now - age_ms / 1000 - fleet.HOP_S
@@ -77,7 +79,7 @@
         host.rate_limits[incarnation] = known
     if as_of < known.as_of:
         if rate != known.rate:
-            # Whoever says so missed what this host knows.
+            # The sender has missed a change: repeat it.
             known.told_until = now + RETOLD_S
         return []
     known.as_of = as_of
@@ -91,7 +93,7 @@
 
 
 def rows(host, now):
-    """Return what to tell other hosts, as :func:`heard` takes it."""
+    """Return rows for other hosts, as :func:`heard` takes them."""
     return tuple(
         (incarnation, known.rate, int((now - known.as_of) * 1000))
         for incarnation, known in host.rate_limits.items()
@@ -105,12 +107,15 @@
 
 
 def is_limited(host, server):
-    """Say whether a server names a rate."""
+    """Say whether a server has a rate limit."""
     return _limit(host, server) is not None
 
 
 def free_in(host, server, now):
-    """Return after how many s this host may send there; inf for never."""
+    """Return after how many s this host may send there.
+
+    Infinity if it has no share of the server's rate.
+    """
     known = _limit(host, server)
     if known is None:
         return 0.0
@@ -122,7 +127,7 @@
 
 
 def sent(host, server, now):
-    """Note a request that is sent to a server."""
+    """Take a token for a request that is sent to a server."""
     known = _limit(host, server)
     if known is not None:
         _fill(host, known, server.sid, now)
@@ -137,10 +142,10 @@
 
 
 def refill(host, now):
-    """Go on with time, and forget servers that are gone for good.
+    """Fill all buckets, and forget servers that are gone.
 
-    A host that comes to share a rate begins with an empty bucket, so the
-    buckets are looked at at each tick.
+    At each tick: a host that comes to share a rate must begin with an
+    empty bucket, and not with what it would have had since its last look.
     """
     if not host.rate_limits:
         return
@@ -156,15 +161,15 @@
 
 
 def _fill(host, known, sid, now):
-    """Fill a bucket; return this host's part of (rate, burst)."""
-    share, burst = _part(host, known.rate, sid, now)
+    """Fill a bucket; return this host's share of (rate, burst)."""
+    share, burst = _share_of(host, known.rate, sid, now)
     known.tokens = min(
         burst, known.tokens + share * (now - known.filled_at))
     known.filled_at = now
     return share, burst
 
 
-def _part(host, rate, sid, now):
+def _share_of(host, rate, sid, now):
     rate = max(rate, PROBE_RATE)
     burst = BURST_LEAST + rate
     sharing = fleet.carriers(host, now)
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -177,9 +177,9 @@
     rings: dict = dataclasses.field(default_factory=dict)
     # Ids of servers whose entries lapsed, which are kept for a while.
     lapsing: dict = dataclasses.field(default_factory=dict)
-    # By the name of a server's life: the rate that it named.
+    # By incarnation of a server: the rate limit that it named.
     rate_limits: dict = dataclasses.field(default_factory=dict)
-    # By the name of a server's life: (its id, when it was known to leave),
+    # By incarnation of a server: (its id, since when it is known to leave),
     # and until when it wants nothing from this host.
     leaving: dict = dataclasses.field(default_factory=dict)
     rests: dict = dataclasses.field(default_factory=dict)
--- a/crocuskeel/gateway/gossip.py
+++ b/crocuskeel/gateway/gossip.py
@@ -111,7 +111,7 @@
 
 
 def _rate_limits(rows):
-    """Check rows of (server's life, rate or None, age in ms)."""
+    """Check rows of (incarnation, rate or None, age in ms)."""
     for incarnation, rate, age_ms in rows:
         if not isinstance(incarnation, str):
             raise ValueError(f"server {incarnation!r}")
@@ -121,7 +121,7 @@
 
 
 def _servers_leaving(rows):
-    """Check rows of (server id, its life)."""
+    """Check rows of (server id, incarnation)."""
     for sid, incarnation in rows:
         if not isinstance(sid, str) or not isinstance(incarnation, str):
             raise ValueError(f"server {sid!r}, {incarnation!r}")
