Soak: a route dropped while its request was on its way may answer 404

The trace shows that it is allowed: r252 was sent while version 2 was the last, the host put version 3, which has no route of version 1, in force at 2885.0013 and refused at 2885.0315, naming version 3. The check went by the version at the request's sending alone; it goes by the later one of sending and end now. A 404 where no version dropped the route meanwhile is caught as before, both are tested.

--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -67,6 +67,14 @@
         seen = _seen("v1", reply, version=4, settled=2)
         self.assertEqual([], _judge(seen, ["s"]))
 
+    def test_a_route_that_was_dropped_while_its_request_was_on_its_way(self):
+        # The host had put the version in force that drops it.
+        for ended_version, allowed in ((0, False), (2, False), (3, True)):
+            seen = _seen("v1", asking.Reply(404), version=2, settled=1)
+            seen.ended_version = ended_version
+            with self.subTest(ended_version=ended_version):
+                self.assertEqual(allowed, _judge(seen) == [])
+
     def test_work_for_a_caller_that_left(self):
         seen = _seen("safe", asking.Reply(left=True))
 
@@ -218,6 +226,8 @@
         record.seen["r1"] = _seen("v3", asking.Reply(200), "r1", 100.0, 3)
         record.seen["r2"] = _seen("v3", asking.Reply(404), "r2", 102.0, 4)
         self.assertNotEqual([], checks.judge_run(record))
+        record.seen["r2"].ended_version = 5
+        self.assertEqual([], checks.judge_run(record))
 
     def test_one_request_crashes_server_after_server(self):
         record = records.new_record()
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -104,7 +104,7 @@
     asked = int(seen.asked.kind[1:])
     status = seen.reply.status
     if status == NOT_FOUND and asked in (seen.settled, seen.settled - 1) and (
-            asked >= seen.version - 1):
+            seen.is_kept(asked)):
         return [f"route of version {asked} is in force and not there"]
     if status == 200 and asked < seen.settled - 1:
         return [f"route of version {asked} was dropped and serves"]
@@ -173,7 +173,7 @@
             shown[where] = (version, seen.ended_at)
         behind = (seen.reply.status == NOT_FOUND and version <= best
                   and seen.at > since + BACK_S
-                  and version >= seen.version - 1)
+                  and seen.is_kept(version))
         if behind and record.is_calm(seen.at, seen.ended_at, seen.ip):
             wrong.append(f"{seen.asked.rid}: {seen.ip} went back behind "
                          f"version {best}")
--- a/tools/soak/record.py
+++ b/tools/soak/record.py
@@ -22,6 +22,12 @@
     settled: int
     ended_at: float = 0.0
     reply: object = None
+    # The version written when it ended, if another one was by then.
+    ended_version: int = 0
+
+    def is_kept(self, version):
+        """Say whether all versions while it ran have a version's route."""
+        return version >= max(self.version, self.ended_version) - 1
 
 
 @dataclasses.dataclass
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -265,6 +265,7 @@
         caller = self._caller(ip)
         seen.reply = await caller.ask(asked)
         seen.ended_at = self.reactor.seconds()
+        seen.ended_version = self.version
         self._keep(ip, caller)
         self.later(JUDGED_S, self._judge, seen)
         return seen.reply
