Soak: the test of a host that goes back names what it must find

The test has a request of another kind beside now and asks for the very line; it is stricter than before.

--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -225,7 +225,10 @@
         record = records.new_record()
         record.seen["r1"] = _seen("v3", asking.Reply(200), "r1", 100.0, 3)
         record.seen["r2"] = _seen("v3", asking.Reply(404), "r2", 102.0, 4)
-        self.assertNotEqual([], checks.judge_run(record))
+        record.seen["r3"] = _seen("safe", asking.Reply(200), "r3")
+        self.assertEqual(
+            [f"r2: {IP} went back behind version 3"],
+            checks.judge_run(record))
         record.seen["r2"].ended_version = 5
         self.assertEqual([], checks.judge_run(record))
 
