Soak: a server that starts again is another one, which does not leave

The trace: s-3 had said so at 3108.15 and started again under its id at 3111.57, which both hosts noted; r213 was sent to the new process at 3111.594, and is allowed. The stand-in's new process went on saying that it leaves. It begins anew now, and the check passes over requests that came after such a start; those before it, and starts before the word, are caught as before (tested).

--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -207,6 +207,17 @@
             record.fault(ip, "pause", 101.0, 0.8)
             self.assertEqual([], checks.judge_run(record))
 
+    def test_a_server_that_starts_again_does_not_leave(self):
+        for restarted_at, allowed in ((99.0, False), (101.0, True),
+                                      (103.0, False)):
+            record = records.new_record()
+            record.told_leaving["s", IP] = 100.0
+            record.restarted["s"] = restarted_at
+            record.seen["r1"] = _seen("safe", asking.Reply(200), at=102.1)
+            record.reached.append(("r1", "s", 102.2))
+            with self.subTest(restarted_at=restarted_at):
+                self.assertEqual(allowed, checks.judge_run(record) == [])
+
     def test_a_server_that_asked_for_rest_gets_requests(self):
         for count, rest_s, allowed in ((2, 3.0, True), (3, 3.0, False),
                                        (3, 1.0, True)):
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -205,6 +205,9 @@
         told_at = record.told_leaving.get((sid, seen.ip))
         if told_at is None or seen.at <= told_at + TOLD_LEAVING_S:
             continue
+        if told_at < record.restarted.get(sid, 0.0) <= at:
+            # What leaves is the process before.
+            continue
         if record.is_calm(told_at, at, seen.ip):
             wrong.append(f"{rid}: reached {sid} {seen.at - told_at:.1f} s "
                          "after it had told its host that it leaves")
--- a/tools/soak/engine.py
+++ b/tools/soak/engine.py
@@ -62,6 +62,10 @@
     def start_again(self):
         """Take connections once more, and know nothing of before."""
         self.born = int(self.reactor.seconds() * 1000)
+        self.record.restarted[self.sid] = self.reactor.seconds()
+        self.leaving = False
+        self.rest_s = None
+        self.name_rate(None)
         self.read_at = 0.0
         self.parts = set()
         self.is_down = False
--- a/tools/soak/record.py
+++ b/tools/soak/record.py
@@ -43,7 +43,8 @@
     that did not run. ``limits`` maps a server to (since, until, requests
     a second) of the rate that it named, ``told`` (server, host) to when
     it told that host first, ``told_leaving`` to when it told it that it
-    leaves. ``rests`` holds (server, host, time, s) of rest asked for.
+    leaves. ``rests`` holds (server, host, time, s) of rest asked for,
+    ``restarted`` when a server last started again under its id.
     """
 
     runs: dict = dataclasses.field(default_factory=dict)
@@ -60,6 +61,7 @@
     told: dict = dataclasses.field(default_factory=dict)
     told_leaving: dict = dataclasses.field(default_factory=dict)
     rests: list = dataclasses.field(default_factory=list)
+    restarted: dict = dataclasses.field(default_factory=dict)
 
     def fault(self, where, name, now, span_s=0.0):
         """Note a fault."""
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -157,7 +157,7 @@
 
     def leave_ended(self, sid):
         """End a server that left without the store's word."""
-        if sid in self.engines:
+        if sid in self.engines and self.engines[sid].leaving:
             self.leave(sid)
             self.end_engine(sid)
 
