A lookup that arrives during a read of its slot is answered

What callers saw: a caller that is refused while its lookup waits at the slot's owner was told "unknown" after 0.5 s, with a Retry-After of a second, though its booking is held by nobody. True, as it promises nothing, but it sends the caller to the service's books instead of back with the same request. The test on a whole daemon shows it: tests/frontend/ test_lookups.py, "unknown" before, "not_run" now.

Cause: after a read _next_action goes on to a commit if an outcome or a claim is due and the next read for lookups is not. A commit with nothing to write ended with the eviction timer alone, so the slot held the lookup with neither a call in flight nor a timer. Ruled out: a lost answer of the store (no call was in flight) and an answer to another host (the lookup was still in the slot's state).

Change: such a commit chooses the slot's next action anew. It ends, as all requests and outcomes are gone by then and only lookups can remain.

The rule itself is checked now: tests/liveness.py, asserted by the simulation of claims after each event.

--- a/crocuskeel/core/claims/reducer.py
+++ b/crocuskeel/core/claims/reducer.py
@@ -369,7 +369,8 @@
         out.append(effects.Send(request.host, answer))
     if not commit.changed and slot.in_doubt_version is None:
         slot.outcomes.clear()
-        return [*out, _schedule_eviction(state, slot)]
+        # Lookups may still wait for their own read.
+        return [*out, *_next_action(state, slot, now)]
     commits.record_commit(slot, state.cfg, now)
     slot.commit = commit
     slot.phase = states.Phase.WRITING
--- a/tests/claims/simulation.py
+++ b/tests/claims/simulation.py
@@ -13,6 +13,7 @@
 from crocuskeel.core import effects
 from crocuskeel.core import events
 from crocuskeel.core import messages
+from tests import liveness
 
 ENTRY_HOST = "door"
 STATUS = events.StoreStatus
@@ -149,6 +150,24 @@
             return
         for effect in claims.handle(owner.state, event, self.now):
             self._apply_effect(at, owner, effect)
+        self._check_liveness(at, owner)
+
+    def _check_liveness(self, at, owner):
+        """Check that each slot with work has a call or a timer."""
+        wakeups = set(owner.timers)
+        wakeups.update(op.op for caller, op in self.calls if caller == at)
+        for event in owner.inbox:
+            if isinstance(event, events.StoreAnswered):
+                wakeups.add(event.op)
+            elif isinstance(event, events.TimerFired):
+                wakeups.add(event.key)
+        waiting = {}
+        for number, slot in owner.state.slots.items():
+            if (slot.requests or slot.lookups or slot.outcomes
+                    or slot.in_doubt_version is not None):
+                waiting[f"slot {number}"] = {
+                    slot.op, (claims.COMPONENT, number, "pump")}
+        liveness.check("claims", waiting, wakeups)
 
     def _apply_effect(self, at, owner, effect):
         match effect:
--- a/tests/frontend/driver.py
+++ b/tests/frontend/driver.py
@@ -6,6 +6,7 @@
 from crocuskeel.conf import tree as trees
 from crocuskeel.core import backends
 from crocuskeel.core import claims
+from crocuskeel.core import dispatch
 from crocuskeel.core import effects
 from crocuskeel.core import events
 from crocuskeel.core import follower
@@ -68,7 +69,7 @@
             rng=random.Random(7), follower=follower.new_state(_tree()),
             membership=membership.new_state(me),
             backends=backends.new_state(),
-            quarantine=quarantine.new_state(), dispatch=None,
+            quarantine=quarantine.new_state(), dispatch=dispatch.new_state(),
             frontend=frontend.new_state(),
             claims=claims.new_state("h1", 1, random.Random(7)))
         self.receive_members("h2", member("h2"), member("h3"))
@@ -89,13 +90,17 @@
     def feed(self, event):
         """Handle one event; update the timers and the log of effects."""
         out = frontend.handle(self.daemon, event, self.now)
+        self.record(out)
+        return out
+
+    def record(self, out):
+        """Apply the effects on timers, and log all effects."""
         for effect in out:
             if isinstance(effect, effects.SetTimer):
                 self.timers[effect.key] = self.now + effect.after_s
             elif isinstance(effect, effects.CancelTimer):
                 self.timers.pop(effect.key, None)
         self.log += out
-        return out
 
     def advance(self, seconds):
         """Advance the clock and fire the timers that expire, in order."""
