A request that is retried after its deadline has a bound again

What callers saw: a request whose deadline passed while an attempt was open, and whose server then refused the attempt, waited for its dispatcher with no bound of its own. A dispatcher that is reached refuses it at its next tick; with the dispatcher lost the caller waited until another one took over.

Cause: the timer of the deadline was set once, on arrival, and an expiry while an attempt is open changes nothing.

Change: each time that a request is queued the timer is set for the same moment, at once if that has passed. The request is then refused with the outcome of its attempts.

--- a/crocuskeel/core/frontend/admitting.py
+++ b/crocuskeel/core/frontend/admitting.py
@@ -3,7 +3,6 @@
 from crocuskeel.core import follower
 from crocuskeel.core.frontend import claim_lookup
 from crocuskeel.core.frontend import completion
-from crocuskeel.core.frontend import deadlines
 from crocuskeel.core.frontend import locating
 from crocuskeel.core.frontend import models
 from crocuskeel.core.frontend import queueing
@@ -110,8 +109,7 @@
         daemon.frontend.rids_by_key[req.scope] = req.rid
     recovering.add_retry_budget(daemon, req.policy)
     out += [reporting.record(req, "arrived", now),
-            reporting.count(f"class.{req.policy.name}.arrived"),
-            deadlines.start(req, now)]
+            reporting.count(f"class.{req.policy.name}.arrived")]
     return out + queueing.enqueue(daemon, req, now)
 
 
--- a/crocuskeel/core/frontend/deadlines.py
+++ b/crocuskeel/core/frontend/deadlines.py
@@ -1,30 +1,15 @@
 """Deadlines: answers requests that no dispatcher granted or shed in time."""
 
-from crocuskeel.core import effects
 from crocuskeel.core.frontend import completion
 from crocuskeel.core.frontend import recovering
 from crocuskeel.core.frontend import state
 from crocuskeel.core import problems
 
-__all__ = ["expired", "start"]
+__all__ = ["expired"]
 
-LATE_DEADLINE_FACTOR = 4.0
 RETRY_AFTER_S = 1.0
 
 
-def start(req, now):
-    """Set the timer that bounds a request's total wait.
-
-    For a class that drops late requests an answer is worthless after
-    the deadline. Other classes may be late, but each caller's wait is
-    still bounded.
-    """
-    timeout_s = req.policy.deadline_s
-    if req.policy.late != "drop":
-        timeout_s *= LATE_DEADLINE_FACTOR
-    return effects.SetTimer(("door", "deadline", req.rid), timeout_s)
-
-
 def expired(daemon, req, now):
     """Answer a request whose timer expired, unless it is being served."""
     if req.stage is state.Stage.WAITING:
--- a/crocuskeel/core/frontend/queueing.py
+++ b/crocuskeel/core/frontend/queueing.py
@@ -21,6 +21,7 @@
            "refused", "requeue", "reregister", "reregister_requested",
            "reregister_unreachable", "update_dispatchers"]
 
+LATE_DEADLINE_FACTOR = 4.0
 REREGISTER_INTERVAL_S = 0.5
 RETRY_AFTER_S = 1.0
 
@@ -53,7 +54,8 @@
     req.stage = state.Stage.WAITING
     cell_state = get_cell_state(daemon, req.cell, now)
     cell_state.waiting[req.rid] = None
-    out = [reporting.record(req, "enqueued", now,
+    out = [_deadline_timer(req, now),
+           reporting.record(req, "enqueued", now,
                             dispatcher=cell_state.dispatcher)]
     if cell_state.dispatcher:
         message = _enqueue_message(req, now)
@@ -61,6 +63,21 @@
     return out
 
 
+def _deadline_timer(req, now):
+    """Return the timer that bounds a request's total wait.
+
+    For a class that drops late requests an answer is worthless after
+    the deadline. Other classes may be late, but each caller's wait is
+    still bounded. Each attempt sets the timer, because it may have fired
+    while an earlier one was open.
+    """
+    timeout_s = req.policy.deadline_s
+    if req.policy.late != "drop":
+        timeout_s *= LATE_DEADLINE_FACTOR
+    left_s = max(0.0, req.arrived_at + timeout_s - now)
+    return effects.SetTimer(("door", "deadline", req.rid), left_s)
+
+
 def requeue(daemon, req, now):
     """Enqueue the next attempt with a new attempt number.
 
