Simulations check that whatever waits has a call or a timer

The class of the unanswered lookup: a state machine that holds work with neither a call in flight nor a timer. The entry core's driver checks in each of its tests, too, that a request's timer is not after its deadline.

--- a/tests/dispatch/support.py
+++ b/tests/dispatch/support.py
@@ -11,6 +11,7 @@
 from crocuskeel.core import messages
 from crocuskeel.core import quarantine
 from crocuskeel.core import state
+from tests import liveness
 
 __all__ = ["CELL", "Harness", "advance", "cell_of", "crash_engine",
            "end_attempt", "enqueue", "new_harness", "receive",
@@ -28,7 +29,7 @@
 
     By (rid, attempt), ``enqueued`` holds the enqueued attempts, ``running``
     the grants in use and ``refused`` the refusals. ``crash_counts`` counts
-    the crashes of each engine.
+    the crashes of each engine. ``timers`` holds the keys of pending timers.
     """
 
     daemon: state.Daemon
@@ -39,6 +40,7 @@
     refused: dict = dataclasses.field(default_factory=dict)
     crash_counts: collections.Counter = dataclasses.field(
         default_factory=collections.Counter)
+    timers: set = dataclasses.field(default_factory=lambda: {TICK.key})
 
 
 def host_list(engines, at=1, leaving=()):
@@ -72,14 +74,28 @@
 def deliver(harness, event):
     """Handle an event, record grants and refusals; return effects."""
     out = []
+    if type(event) is events.TimerFired:
+        harness.timers.discard(event.key)
     for component in (backends, quarantine, dispatch):
         out += component.handle(harness.daemon, event, harness.now)
     for effect in out:
         if type(effect) is effects.Send:
             _record_reply(harness, effect.message)
+        elif type(effect) is effects.SetTimer:
+            harness.timers.add(effect.key)
+    _check_liveness(harness)
     return out
 
 
+def _check_liveness(harness):
+    """Check that waiting and running attempts are looked at again."""
+    waiting = {}
+    for cell in harness.daemon.dispatch.cells.values():
+        for key in [*cell.waiting, *cell.suspects, *cell.running]:
+            waiting[key] = {TICK.key}
+    liveness.check("dispatch", waiting, harness.timers)
+
+
 def _record_reply(harness, message):
     key = (getattr(message, "rid", ""), getattr(message, "attempt", 0))
     if type(message) is messages.Grant:
--- a/tests/duties/world.py
+++ b/tests/duties/world.py
@@ -5,6 +5,7 @@
 store and to the platform, and their responses.
 """
 
+import collections
 import dataclasses
 import heapq
 import json
@@ -19,6 +20,7 @@
 from crocuskeel.core.leadership import effects as lease_effects
 from crocuskeel.core.leadership import events as lease_events
 from tests.entry import support
+from tests import liveness
 from tools.soak import cloud
 
 Status = lease_events.Status
@@ -30,6 +32,7 @@
 # One-way delay between two processes, and the timeout of a call, s.
 DELAY_S = 0.002
 TIMEOUT_S = 1.0
+LEASE = "lease"
 DUTIES = frozenset({"usage", "scale"})
 
 
@@ -41,6 +44,7 @@
     but the response is lost. ``late``, for writes to the store: carried
     out 2 s later if the condition still holds. ``slow``, for calls to the
     platform: delayed. ``skew`` is the error of the host's wall clock, s.
+    ``calls_in_flight`` counts those for the lease and those of each duty.
     """
 
     name: str
@@ -52,6 +56,8 @@
     dead: bool = False
     skew: float = 0.0
     tick_at: float = 0.0
+    calls_in_flight: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter)
     lines: list = dataclasses.field(default_factory=list)
 
 
@@ -90,6 +96,7 @@
 
     def _boot(self, host):
         host.dead = False
+        host.calls_in_flight.clear()
         host.core = entry.new_host(
             entry.Settings(duties=DUTIES, lease_s=LEASE_S,
                            report_window_s=REPORT_S),
@@ -111,6 +118,20 @@
         """Feed an event to a host and carry out its effects."""
         for effect in entry.reduce(host.core, event, self.now):
             self._carry_out(host, effect)
+        self._check_liveness(host)
+
+    def _check_liveness(self, host):
+        """Check that a host that waits for a call has one in flight.
+
+        While it waits, it makes no other: the lease would not be renewed,
+        and the duty not done.
+        """
+        duties = host.core.duties
+        waiting = {subject: {subject} for subject, call in duties.calls.items()
+                   if call.in_progress}
+        if duties.lease_state.lease.call_in_progress:
+            waiting[LEASE] = {LEASE}
+        liveness.check(host.name, waiting, set(+host.calls_in_flight))
 
     def at(self, delay, action):
         """Schedule an action after ``delay`` seconds."""
@@ -147,10 +168,13 @@
             case effects.SendToPeer():
                 self._tell(host, effect)
             case lease_effects.ReadLease():
+                host.calls_in_flight[LEASE] += 1
                 self._read(host)
             case lease_effects.WriteLease():
+                host.calls_in_flight[LEASE] += 1
                 self._write(host, effect)
             case effects.SendDuty():
+                host.calls_in_flight[effect.call.subject] += 1
                 boot = host.boot
                 if self.pause_at_send_s:
                     self.pause(host.name, self.pause_at_send_s)
@@ -171,6 +195,11 @@
         if host.paused:
             self.at(STEP_S, lambda: self._deliver(host, boot, event))
             return
+        match event:
+            case lease_events.LeaseRead() | lease_events.LeaseWritten():
+                host.calls_in_flight[LEASE] -= 1
+            case events.DutyAnswered(call=call):
+                host.calls_in_flight[call.subject] -= 1
         self.feed(host, event)
 
     def _answer(self, host, delay, event):
--- a/tests/entry/support.py
+++ b/tests/entry/support.py
@@ -3,13 +3,16 @@
 import random
 
 from crocuskeel.core import entry
+from crocuskeel.core.entry import effects as entry_effects
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import state as states
+from tests import liveness
 
 NOW = 100.0
 HOST = "desk.example"
 KEY = "key-1"
+LOADS = "loads"
 
 
 def route(name="booking", kind=model.Kind.SAFE, **kwargs):
@@ -81,10 +84,15 @@
 
 
 class Driver:
-    """Feeds events to a host whose clock it controls."""
+    """Feeds events to a host whose clock it controls.
+
+    ``timers`` maps the key of a request to the time of its timer, or
+    LOADS to that of the next load update.
+    """
 
     def __init__(self, *routes, servers=(), **settings):
         self.now = NOW
+        self.timers = {}
         self.host = entry.new_host(
             entry.Settings(**settings), random.Random(1))
         self.feed(events.Started(peer("me")))
@@ -96,7 +104,27 @@
     def feed(self, event, after=0.0):
         """Feed an event ``after`` seconds later; return its effects."""
         self.now += after
-        return entry.reduce(self.host, event, self.now)
+        if type(event) is events.TimerFired:
+            self.timers.pop(event.key, None)
+        elif type(event) is events.LoadsDue:
+            self.timers.pop(LOADS, None)
+        out = entry.reduce(self.host, event, self.now)
+        for effect in out:
+            if type(effect) is entry_effects.SetRequestTimer:
+                self.timers[effect.key] = effect.at
+            elif type(effect) is entry_effects.ScheduleLoadsDue:
+                self.timers[LOADS] = effect.at
+        self._check_liveness()
+        return out
+
+    def _check_liveness(self):
+        """Check that each request has a timer, at its deadline at last."""
+        waiting = {key: {key} for key in self.host.pending}
+        if self.host.changed_loads or self.host.refused_servers:
+            waiting["changed loads"] = {LOADS}
+        late = {key for key, pending in self.host.pending.items()
+                if self.timers.get(key, 0.0) > pending.deadline_at}
+        liveness.check("entry", waiting, self.timers.keys() - late)
 
     def arrive(self, key=1, **kwargs):
         """Feed a request; return its effects."""
--- a/tests/follower/fleet.py
+++ b/tests/follower/fleet.py
@@ -10,7 +10,9 @@
 from crocuskeel.core import effects
 from crocuskeel.core import events
 from crocuskeel.core import follower
+from crocuskeel.core import messages
 from crocuskeel.core import state as core_state
+from tests import liveness
 
 DELAY_S = 0.005
 DOCUMENT = {
@@ -52,6 +54,20 @@
             self.hosts[name] = _daemon(name, self)
             self.feed(name, events.Started())
 
+    def exchange(self, sender, receiver):
+        """Deliver a message of another component, as a probe is one."""
+        if self._can_reach(sender, receiver):
+            self.feed(receiver, events.Received(
+                sender, 1, messages.HostListAsk(-1),
+                follower.generation(self.hosts[sender])))
+
+    def restart(self, name):
+        """Replace a daemon by one with no settings."""
+        del self.hosts[name]
+        for key in [each for each in self.timers if each[0] == name]:
+            del self.timers[key]
+        self.start(name)
+
     def commit(self, edits):
         """Commit a batch, as an operator's command does."""
         number = self.tree.generation
@@ -78,6 +94,16 @@
         for arrival in follower.take_released(daemon):
             self.handled.append((arrival.rid, follower.generation(daemon),
                                 follower.ready(daemon, self.now)))
+        self._check_liveness(name)
+
+    def _check_liveness(self, name):
+        """Check that a host reads the head again, and retries if behind."""
+        state = self.hosts[name].follower
+        wakeups = {key for host, key in self.timers if host == name}
+        waiting = {"head": {("follower", "read")}}
+        if state.behind_since is not None or state.load or state.parked:
+            waiting["newer generation"] = {("follower", "retry")}
+        liveness.check(f"follower {name}", waiting, wakeups)
 
     def arrive(self, name, rid):
         """Deliver a caller's request to a host."""
@@ -134,6 +160,7 @@
 
         def fire():
             if self.timers.get((name, key)) is token:
+                del self.timers[name, key]
                 self.feed(name, events.TimerFired(key))
         self.later(after_s, fire)
 
