A duty's call that ends in an unexpected error counts as failed

What callers saw: nothing yet; found by reading for the class of the unanswered lookup. The core marks the lease's call and each duty's call as in progress until an event ends it. An error that the executor did not foresee was logged and gave no event, so the holder of the lease renewed it no more and the host could take no other, for as long as its process ran; a report or an order was never repeated.

Change: such an error is reported as a failed call whose effect is unknown, as a timeout is. For a write of the lease that means the object is read before the next write.

Test: test_unexpected_error_ends_the_call, with a call that raises RuntimeError; before the fix no event came (the test ended in an error as there were none to unpack). Ruled out as a cause in practice: answers of the store that are no JSON or have another shape, which were handled already.

--- a/crocuskeel/platform/duties.py
+++ b/crocuskeel/platform/duties.py
@@ -49,12 +49,17 @@
         """Start an effect; its result is fed to the gateway as an event."""
         perform = EFFECT_HANDLERS[type(effect)]
         defer.Deferred.fromCoroutine(
-            perform(self, effect)).addErrback(self._log_crash)
+            perform(self, effect)).addErrback(self._crashed, effect)
 
-    def _log_crash(self, failure):
+    def _crashed(self, failure, effect):
+        """Report an unexpected error as a failed call.
+
+        The core makes no other call while it waits for this one.
+        """
         self.gateway.log("duty_died", {
             "why": failure.getErrorMessage(),
             "where": failure.getBriefTraceback()})
+        self.gateway.feed(_failed_event(effect))
 
     async def read_lease(self, effect):
         """Read the lease from the store."""
@@ -112,6 +117,18 @@
         return model.Outcome.DONE, ""
 
 
+def _failed_event(effect):
+    """Return the event for a call whose result is unknown."""
+    match effect:
+        case lease_effects.ReadLease():
+            return lease_events.LeaseRead(Status.UNAVAILABLE)
+        case lease_effects.WriteLease():
+            return lease_events.LeaseWritten(
+                effect.nonce, effect.number, Status.UNKNOWN, 0)
+    return events.DutyAnswered(
+        effect.call, model.Outcome.FAILED, "unexpected error")
+
+
 def _lease_event(found):
     if found is None:
         return lease_events.LeaseRead(Status.NOT_FOUND)
--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -75,6 +75,26 @@
                               if line[0] == "duty_died"])
         return self.gateway.events.pop()
 
+    def test_unexpected_error_ends_the_call(self):
+        # The host waited for the call for ever: it renewed its lease no
+        # more, took no other, and repeated no report or order.
+        write = lease_effects.WriteLease("n", 4, b"{}", 7)
+        crash = mock.patch.object(
+            calls, "call", lambda *_, **__: defer.fail(RuntimeError("bug")))
+        with crash:
+            for effect in (lease_effects.ReadLease(), write,
+                           effects.SendDuty(REPORT, 12, 100.6)):
+                self.duties(effect)
+        self.assertEqual(["duty_died"] * 3,
+                         [name for name, _ in self.gateway.lines])
+        read, written, answered = self.gateway.events
+        self.assertEqual(lease_events.LeaseRead(Status.UNAVAILABLE), read)
+        self.assertEqual(
+            lease_events.LeaseWritten("n", 4, Status.UNKNOWN, 0), written)
+        self.assertEqual(
+            (REPORT, model.Outcome.FAILED),
+            (answered.call, answered.outcome))
+
     def test_duties_come_from_the_settings(self):
         self.assertEqual({"usage", "scale"}, self.boot.settings.duties)
         self.assertEqual(3.0, self.boot.settings.lease_s)
