A host whose registration ends in an unexpected error reads the store

What callers would see: a host that has no configuration and answers 503 until its process ends. The loops that watch the store start when the registration is done, or after its first failed call. An error that is none of the store's ended the registration before either, was logged, and nothing started the loops.

Change: the host starts to watch at once and registers again after a second.

--- a/crocuskeel/platform/store_watcher.py
+++ b/crocuskeel/platform/store_watcher.py
@@ -81,7 +81,13 @@
     def start(self):
         """Register this host and start to watch; runs until the end."""
         registration = defer.Deferred.fromCoroutine(self._register())
-        registration.addErrback(self._log_crash)
+        registration.addErrback(self._registration_crashed)
+
+    def _registration_crashed(self, failure):
+        """Watch the store all the same, and register again later."""
+        self._log_crash(failure)
+        self._start_watching()
+        self.reactor.callLater(RETRY_MAX_S, self.start)
 
     def _start_watching(self):
         """Start to watch, once the number of hosts is known.
--- a/tests/platform/test_store_watcher.py
+++ b/tests/platform/test_store_watcher.py
@@ -93,6 +93,17 @@
         self.store.answer("servers", stores.Listing(
             (_server("s1"), _server("s2")), 4))
 
+    def test_host_watches_after_an_unexpected_error_of_registration(self):
+        # The host never read the store: it had no configuration.
+        store = _Store()
+        watcher = store_watcher.new_watcher(
+            self.clock, self.gateway, store)
+        watcher.start()
+        store.answer("crocuskeel-hosts", RuntimeError("bug"))
+        self.assertIn(("list", "config"), store.calls)
+        self.clock.advance(1.1)
+        self.assertEqual(2, store.calls.count(("put", "crocuskeel-hosts")))
+
     def test_watch_starts_at_the_revision_of_the_list(self):
         self.assertIn(("watch", "config", 4), self.store.calls)
         self.assertEqual(3, self.host.catalog.revision)
