--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -12,6 +12,7 @@
 
 GRACE_S = 8.0
 KINDS_PER_RUN = 3
+SEVERED_SHARE = 0.7
 
 
 def choose_kinds(rng, seed):
@@ -231,6 +232,18 @@
     soak.call_later(4.0, link.restore)
 
 
+def _sever(soak):
+    """Silence most connections of a link for good, and some of them twice."""
+    link, where = _random_link(soak)
+    for delay_s in (0.0, 1.0):
+        soak.call_later(delay_s, _silence_most, soak, link, where)
+
+
+def _silence_most(soak, link, where):
+    soak.note_fault(where, "most connections silent", 4.0)
+    link.silence_open(lambda: soak.rng.random() < SEVERED_SHARE)
+
+
 def _one_way(soak):
     link, where = _random_link(soak)
     soak.note_fault(where, "cut one way", 2.0)
@@ -274,5 +287,6 @@
     _cut,
 )
 # Kinds that were added later, with the first seed that draws them.
-ADDED_KINDS = ((200, (_reborn, _other_writer)), (400, (_silent_store,)),
-               (500, (_need,)), (600, (_leave_unlisted, _rest)))
+ADDED_KINDS = (
+    (200, (_reborn, _other_writer)), (400, (_silent_store,)),
+    (500, (_need,)), (600, (_leave_unlisted, _rest)), (1000, (_sever,)))
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -148,10 +148,16 @@
         for side in self.sides:
             side.silenced = side.silenced or self.is_silent(side)
 
-    def silence_open(self):
-        """Drop all further data of the connections that are open now."""
-        for side in self.sides:
-            side.silenced = True
+    def silence_open(self, is_chosen=lambda: True):
+        """Drop all further data of connections that are open now.
+
+        ``is_chosen()`` decides on each connection; new ones work.
+        """
+        for side in [each for each in self.sides if each.from_client]:
+            if is_chosen():
+                side.silenced = True
+                if side.other is not None:
+                    side.other.silenced = True
 
     def reset(self):
         """Reset all open connections."""
