Engines are reserved for a more urgent class that finds none

Cause: each request is judged by its own bounds. They go by its own goal and by whether its shared parts can be fetched, so an engine that prefills for most of its time admits a draft of 9,200 tokens, whose parts it can fetch, and no chat of 710, whose parts are too short for a fetch. Nothing orders the classes against each other: a host could only go by its own share of refusals, after seconds.

Change, two parts: - A larger request (1.8 times the class's mean) of a less urgent class begins only where the latest request of each more urgent class of the last five seconds would be admitted, or while any engine admits that. It follows from what a host sees of the engines now: no share, no time constant, nothing new between hosts. The guarantee of a class goes first, and a request that may have run is not held back. - An engine busy with prefill takes a prompt whose whole prefill is short (25 ms), whatever can be fetched.

The emulator's test of what mechanisms are worth passes unchanged, slots by rank included.

Tests: tests/entry/test_class_order.py, 400 random sets of engines and classes: while an urgent request is refused, no larger one begins at the same moment.

--- a/crocuskeel/core/entry/admission.py
+++ b/crocuskeel/core/entry/admission.py
@@ -43,7 +43,9 @@
 MAX_PREFILL_SHARES = (1.0, 0.95, 0.85)
 # An engine that doesn't cache a request's shared parts is used only if its
 # prefill share is at most this: a repeated prefill displaces three requests.
+# One whose whole prefill is so short, s, is no longer than ten decode steps.
 SPILL_MAX_PREFILL_SHARE = 0.7
+SHORT_PREFILL_S = 0.025
 # Streams of the same or a more urgent priority that a prompt may make late:
 # beyond this, admitting it would lose more than it gains. On a day of high
 # load 264 of 891 of the most urgent streams were late without this limit;
@@ -77,6 +79,45 @@
     """Say whether a request may be sent to a server now."""
     if pending.request.prompt is None:
         return True
+    return (_is_within_bounds(host, pending, target, now)
+            and not _is_reserved(host, pending, target, now))
+
+
+def _is_reserved(host, pending, target, now):
+    """Say whether a server is reserved for a more urgent class.
+
+    The bounds go by a request's own goal, so an engine may admit a long
+    prompt while it admits no short one that is more urgent. While no engine
+    admits requests of a more urgent class, larger ones begin nowhere that
+    doesn't. The guarantee of a class takes precedence, and a request that
+    may have run is not held back.
+    """
+    if pending.may_have_run or pending.rank < _rank_by_route(pending):
+        return False
+    return any(not _accepts(host, stats.latest, target, now)
+               and not _finds_server(host, stats, pending, now)
+               for stats in class_minimums.more_urgent(host, pending, now))
+
+
+def _accepts(host, pending, target, now):
+    cached = prefix_cache.cached_tokens(target, pending.request.prompt)
+    if (cached < pending.cached_elsewhere_tokens
+            and not may_prefill_again(host, pending, target)):
+        return False
+    return _is_within_bounds(host, pending, target, now)
+
+
+def _finds_server(host, stats, pending, now):
+    """Say whether any candidate of a request admits one of a class now."""
+    if stats.checked_at != now:
+        stats.checked_at = now
+        stats.finds_server = any(
+            _accepts(host, stats.latest, state, now)
+            for state in server_choice.healthy(host, pending, now))
+    return stats.finds_server
+
+
+def _is_within_bounds(host, pending, target, now):
     rank = pending.rank
     limit = server_load.usable_slots(target, now) * MAX_SLOT_SHARES[rank]
     if server_load.running_requests(target, now) >= limit:
@@ -138,12 +179,16 @@
 def may_prefill_again(host, pending, target):
     """Say whether an engine has time to prefill shared parts once more.
 
-    Parts that it can fetch from another engine need no prefill.
+    Parts that it can fetch from another engine need no prefill, and a short
+    prompt takes hardly any time from others.
     """
-    return (target.prefill_share <= SPILL_MAX_PREFILL_SHARE
-            or prefix_cache.fetchable_tokens(
-                host, pending, prefix_cache.cached_tokens(
-                    target, pending.request.prompt)) > 0)
+    if target.prefill_share <= SPILL_MAX_PREFILL_SHARE:
+        return True
+    cached = prefix_cache.cached_tokens(target, pending.request.prompt)
+    if prefix_cache.fetchable_tokens(host, pending, cached) > 0:
+        return True
+    tokens = prefix_cache.prefill_tokens(host, target, pending)
+    return server_load.prefill_s(target, tokens) <= SHORT_PREFILL_S
 
 
 def rank(host, pending, now):
@@ -157,6 +202,10 @@
         return 0
     if class_minimums.is_below_minimum(host, pending, now):
         return 0
+    return _rank_by_route(pending)
+
+
+def _rank_by_route(pending):
     return min(max(0, pending.route.priority), len(MAX_WAIT_SHARES) - 1)
 
 
--- a/crocuskeel/core/entry/class_minimums.py
+++ b/crocuskeel/core/entry/class_minimums.py
@@ -16,7 +16,8 @@
 import dataclasses
 import math
 
-__all__ = ["ClassStats", "is_below_minimum", "note_arrived", "note_sent"]
+__all__ = ["ClassStats", "is_below_minimum", "more_urgent", "note_arrived",
+           "note_sent"]
 
 # Guaranteed admitted share of a class, as a fraction of the service's
 # admitted share. Callers see a class as starved at a quarter, and admitted
@@ -34,6 +35,9 @@
 UNDERSERVED_S = 8.0
 # Least number of recent arrivals for a share to be meaningful.
 MIN_ARRIVED = 4.0
+# Servers are reserved for a more urgent class for so long after its latest
+# request, s: the span over which a caller judges whether its class is served.
+RESERVED_S = 5.0
 # A more urgent class counts as refused if more than this share of it is;
 # a request counts as larger beyond this many times its mean size.
 REFUSED_SHARE = 0.06
@@ -45,6 +49,8 @@
     """Decaying counts of a class's arrivals, admissions and prompt tokens.
 
     ``underserved_since`` is when it became underserved, or None.
+    ``latest`` is its latest request, which arrived at ``latest_at``.
+    ``finds_server`` says whether any server admitted it at ``checked_at``.
     """
 
     priority: int
@@ -53,6 +59,10 @@
     tokens: float = 0.0
     at: float = 0.0
     underserved_since: float | None = None
+    latest: object = None
+    latest_at: float = -math.inf
+    finds_server: bool = True
+    checked_at: float = -math.inf
 
     def admitted_share(self):
         """Return the share of its requests that were admitted."""
@@ -69,6 +79,8 @@
         stats = _class_stats(host, pending, now)
         stats.arrived += 1.0
         stats.tokens += pending.request.prompt.tokens
+        stats.latest = pending
+        stats.latest_at = now
 
 
 def note_sent(host, pending, now):
@@ -128,6 +140,19 @@
             and own.admitted_share() < GUARANTEED_SHARE * service_share)
 
 
+def more_urgent(host, pending, now):
+    """Return the stats of more urgent classes with smaller requests.
+
+    Only classes that had a request within RESERVED_S are included.
+    """
+    tokens = pending.request.prompt.tokens
+    return [each for each
+            in host.class_stats.get(pending.service, {}).values()
+            if each.priority < pending.route.priority
+            and now < each.latest_at + RESERVED_S
+            and tokens > LARGER_SIZE_FACTOR * each.mean_tokens()]
+
+
 def _excludes(other, own, tokens):
     """Say whether a more urgent class is refused and has smaller requests."""
     return (other.priority < own.priority
--- a/emulator/mechanisms.py
+++ b/emulator/mechanisms.py
@@ -26,6 +26,9 @@
     "reading time by rank": (
         (admission, "MAX_PREFILL_SHARES", (2.0, 2.0, 2.0)),),
     "no spill to busy engines": ((admission, "SPILL_MAX_PREFILL_SHARE", 2.0),),
+    "short prompts at busy engines": ((admission, "SHORT_PREFILL_S", -1.0),),
+    "engines reserved for urgent classes": (
+        (class_minimums, "RESERVED_S", 0.0),),
     "slots by rank": ((admission, "MAX_SLOT_SHARES", FULL_SHARES),),
     "bound on memory": ((admission, "MAX_MEMORY_SHARE", math.inf),),
     "bound on streams made late": ((admission, "MAX_LATE_STREAMS", math.inf),),
