--- a/tests/entry/test_ratelimits.py
+++ b/tests/entry/test_ratelimits.py
@@ -103,6 +103,21 @@
                             server, 1.0, since, since + LIMITED_S,
                             excluded))
 
+    def test_both_sides_of_a_partition_stay_within_the_rate_together(self):
+        # Each half of a partitioned fleet that reaches the server shares out
+        # the whole rate among its own hosts.
+        cut = deployments.Fault("part", 6.0, 8.0, count=4)
+        over = []
+        for seed, rate in ((1, 1.0), (2, 3.0), (3, 6.0)):
+            world = run.played(
+                limited_deployment(rate, hosts=9, faults=(cut,)), seed)
+            since = world.tally.began + LIMITED_AT
+            for server in world.servers.values():
+                if server.told:
+                    over += windows_over_rate(
+                        server, rate, since, since + LIMITED_S)
+        self.assertEqual([], over)
+
     def test_a_large_fleet_stays_within_the_rate(self):
         # 40 hosts can't each have a share of one request a second: the
         # server got no requests while it was overloaded.
--- a/tests/follower/test_follower.py
+++ b/tests/follower/test_follower.py
@@ -111,6 +111,32 @@
         fleet.run(fleet.now + 3)
         self.assertGreaterEqual(fleet.generations()["h0"], handled)
 
+    def test_a_restart_of_all_holders_in_an_outage_does_not_go_back(self):
+        """A caller must not see old settings after the new ones.
+
+        Two hosts hold the newest generation and have adopted it; both
+        restart before they could tell another one, in an outage.
+        """
+        fleet = self._started()
+        holders, others = HOSTS[:2], HOSTS[2:]
+        fleet.cut = {(name, "platform") for name in others}
+        fleet.cut |= {(first, second) for first in holders
+                      for second in others}
+        fleet.commit(_edit(2))
+        fleet.run(fleet.now + IN_FORCE_S)
+        for name in holders:
+            other, = set(holders) - {name}
+            fleet.exchange(other, name)
+        handled = fleet.generations()["h0"]
+        self.assertEqual(2, handled)
+        fleet.cut = {(name, "platform") for name in HOSTS}
+        for name in holders:
+            fleet.restart(name)
+        for _ in range(3):
+            fleet.exchange("h5", "h0")
+            fleet.run(fleet.now + 1)
+        self.assertIn(fleet.generations()["h0"], (0, handled))
+
     def test_a_host_without_peers_does_not_wait(self):
         fleet = fleets.Fleet(HOSTS[:1])
         fleet.commit(FIRST)
