--- a/crocuskeel/core/entry/admission.py
+++ b/crocuskeel/core/entry/admission.py
@@ -94,8 +94,8 @@
     """
     if pending.may_have_run or pending.rank < _rank_by_route(pending):
         return False
-    return any(not _accepts(host, stats.latest, target, now)
-               and not _finds_server(host, stats, pending, now)
+    return any(not _finds_server(host, stats, pending, now)
+               and not _accepts(host, stats.latest, target, now)
                for stats in class_minimums.more_urgent(host, pending, now))
 
 
