--- a/crocuskeel/core/entry/admission.py
+++ b/crocuskeel/core/entry/admission.py
@@ -43,8 +43,9 @@
 MAX_PREFILL_SHARES = (1.0, 0.95, 0.85)
 # An engine that doesn't cache a request's shared parts is used only if its
 # prefill share is at most this: a repeated prefill displaces three requests.
-# One whose whole prefill is so short, s, is no longer than ten decode steps.
 SPILL_MAX_PREFILL_SHARE = 0.7
+# A prompt whose whole prefill takes no longer, s, is exempt from that: it
+# delays others by some ten decode steps.
 SHORT_PREFILL_S = 0.025
 # Streams of the same or a more urgent priority that a prompt may make late:
 # beyond this, admitting it would lose more than it gains. On a day of high
@@ -87,10 +88,10 @@
     """Say whether a server is reserved for a more urgent class.
 
     The bounds go by a request's own goal, so an engine may admit a long
-    prompt while it admits no short one that is more urgent. While no engine
-    admits requests of a more urgent class, larger ones begin nowhere that
-    doesn't. The guarantee of a class takes precedence, and a request that
-    may have run is not held back.
+    prompt while it admits no short one that is more urgent. So larger
+    requests wait while no engine admits those of a more urgent class. The
+    guarantee of a class takes precedence, and a request that may have run
+    is not held back.
     """
     if pending.may_have_run or pending.rank < _rank_by_route(pending):
         return False
