Log the store's era with each watch, and how old a refusing configuration is

Logs named a watch's revision, but not the era of the store that gave it out, nor for how long the version that refused a request had been in force.

Now `watch_begun` has the era (header Store-Era of the store's answers), `store_era_changed` says that an answer shows another era than the one before, with the revision that was watched, and `refused` has the age of the configuration in force. An answer's headers are kept for it. No logic changes: the era is read and logged only.

--- a/crocuskeel/core/entry/registry.py
+++ b/crocuskeel/core/entry/registry.py
@@ -35,6 +35,7 @@
     if host.catalog and catalog.revision <= host.catalog.revision:
         return []
     host.catalog = catalog
+    host.catalog_applied_at = now
     host.catalog_behind_at = None
     note = effects.LogEvent("catalog", {
         "version": catalog.version, "revision": catalog.revision,
--- a/crocuskeel/core/entry/requests.py
+++ b/crocuskeel/core/entry/requests.py
@@ -35,7 +35,9 @@
         return [effects.Answer(event.key, refusal.status, refusal.reason),
                 ending.log_line("refused", request, status=refusal.status,
                                 why=refusal.reason,
-                                version=host.catalog.version)]
+                                version=host.catalog.version,
+                                version_age_s=round(
+                                    now - host.catalog_applied_at, 3))]
     if quarantine.is_quarantined(host, request.digest, now):
         return _quarantined(host, event, now)
     pending = _register(host, event, resolved.unwrap(), now)
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -179,6 +179,7 @@
     rng: random.Random
     self_peer: model.Peer | None = None
     catalog: model.Catalog | None = None
+    catalog_applied_at: float = 0.0
     servers: dict = dataclasses.field(default_factory=dict)
     by_service: dict = dataclasses.field(default_factory=dict)
     # By service: its servers in the order of the shared hash ring.
--- a/crocuskeel/gateway/calls.py
+++ b/crocuskeel/gateway/calls.py
@@ -14,10 +14,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
-    """The complete answer to a call."""
+    """The complete answer to a call; ``headers`` holds (name, value)."""
 
     status: int
     body: bytes
+    headers: tuple = ()
 
 
 class _Call:
@@ -28,6 +29,7 @@
         self.done = done
         self.connection = None
         self.status = 0
+        self.headers = ()
         self.body = []
         self.size = 0
 
@@ -36,8 +38,9 @@
         return self.request_parts
 
     def head_received(self, status, headers):
-        """Store the status."""
+        """Store the status and the headers."""
         self.status = status
+        self.headers = tuple(headers)
 
     def data_received(self, data):
         """Collect a piece of the answer."""
@@ -50,7 +53,8 @@
     def end_received(self):
         """Deliver the complete answer."""
         self.connection.close()
-        self.done.callback(Reply(self.status, b"".join(self.body)))
+        self.done.callback(Reply(
+            self.status, b"".join(self.body), self.headers))
 
     def failed(self, failure, detail):
         """Report that the call failed."""
--- a/crocuskeel/platform/store.py
+++ b/crocuskeel/platform/store.py
@@ -22,31 +22,41 @@
 CONFLICT = 409
 GONE = 410
 NOT_FOUND = 404
+# Header of every answer: a number that rises when the store is restored from
+# a copy. Compared in lower case.
+ERA_HEADER = b"store-era"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listing:
-    """All objects of a kind, as of a revision."""
+    """All objects of a kind, as of a revision in an era of the store."""
 
     items: tuple
     revision: int
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Changes:
-    """Changes as (object, is removed), up to a revision."""
+    """Changes as (object, is removed), up to a revision in an era."""
 
     rows: tuple
     revision: int
+    era: int = 0
 
 
 class Store:
-    """Makes calls to the store; ``call_counts`` holds their number by name."""
+    """Makes calls to the store.
+
+    ``call_counts`` holds their number by name. ``era`` is that of the latest
+    answer, 0 while none had one.
+    """
 
     def __init__(self, reactor, address):
         self.reactor = reactor
         self.address = address
         self.call_counts = {}
+        self.era = 0
 
     async def list(self, kind):
         """Return the Listing of a kind; raises StoreError."""
@@ -58,7 +68,7 @@
             if not page.get("More"):
                 break
             after = f"?AfterRev={_quote(_last_readable_name(items))}"
-        return Listing(tuple(items), page["AsOf"])
+        return Listing(tuple(items), page["AsOf"], self.era)
 
     async def watch(self, kind, revision, wait_s):
         """Wait for changes after a revision, ``wait_s`` at most.
@@ -71,7 +81,7 @@
         rows = tuple((row["Object"], bool(row.get("Removed")))
                      for row in _list_field(page, "events")
                      if isinstance(row, dict) and "Object" in row)
-        return Changes(rows, page["AsOf"])
+        return Changes(rows, page["AsOf"], self.era)
 
     async def read(self, kind, name):
         """Return one object, or None if there is none.
@@ -140,11 +150,21 @@
         self.call_counts[operation] = self.call_counts.get(operation, 0) + 1
         data = json.dumps(body).encode() if body is not None else b""
         try:
-            return await calls.call(
+            reply = await calls.call(
                 self.reactor, self.address, method,
                 (PATH + target).encode(), timeout_s, data)
         except gateway_exceptions.CallFailed as exc:
             raise exceptions.StoreError(0, f"{operation}: {exc}") from exc
+        self.era = _era(reply, self.era)
+        return reply
+
+
+def _era(reply, default):
+    """Return the era in an answer, or ``default`` if it has none."""
+    for name, value in reply.headers:
+        if name.lower() == ERA_HEADER and value.isdigit():
+            return int(value)
+    return default
 
 
 def _object(reply, operation):
--- a/crocuskeel/platform/store_watcher.py
+++ b/crocuskeel/platform/store_watcher.py
@@ -51,6 +51,7 @@
     on_change: typing.Callable
     answered_at: float
     revision: int | None = None
+    era: int = 0
     failures: int = 0
     called_at: float = 0.0
     # The open watch, if any.
@@ -151,6 +152,7 @@
     async def _list(self, kind):
         listing = await self.store.list(kind.name)
         kind.revision = listing.revision
+        kind.era = listing.era
         kind.is_resuming = True
         self._store_answered(kind)
         kind.on_list(listing)
@@ -160,12 +162,17 @@
         if kind.is_resuming:
             kind.is_resuming = False
             self.gateway.log("watch_begun", {
-                "kind": kind.name, "revision": kind.revision,
-                "span_s": round(span_s, 3)})
+                "kind": kind.name, "era": kind.era,
+                "revision": kind.revision, "span_s": round(span_s, 3)})
         kind.watch = defer.Deferred.fromCoroutine(
             self.store.watch(kind.name, kind.revision, span_s))
         update = await kind.watch
+        if update.era != kind.era:
+            self.gateway.log("store_era_changed", {
+                "kind": kind.name, "era": update.era, "former": kind.era,
+                "revision": update.revision, "watched": kind.revision})
         kind.revision = update.revision
+        kind.era = update.era
         self._store_answered(kind)
         kind.on_change(update)
 
