Order the store's content by era, and configurations by their version

Cause: everything that came from the store was ordered by its revision, a counter of somebody else that was promised to grow only. After the copy a new configuration has a lower revision than the one in force and was taken for old; a watch from a number that the store gives out again missed what lay below it, without a 410.

Now a revision holds the era above the number (core/revisions.py), composed and taken apart in the store's client alone. When the era rises, everything is listed again and open watches are closed; an answer of a former era is refused, also the one that ends a watch or comes between two pages. The configuration goes by the operator's version, which rises over eras, so the copy's older one is never put in force. Hosts tell each other the operator's version and the era; fields of the former build keep plain numbers, and a host of it is taken to be in the same era. The log of changes knows which revisions of a former era it hasn't seen, and gives the whole list for these.

Fixtures that put a second configuration in force gave it a new revision with the same version; they raise the version now, as operators do.

--- a/crocuskeel/core/entry/changelog.py
+++ b/crocuskeel/core/entry/changelog.py
@@ -8,6 +8,8 @@
 
 import dataclasses
 
+from crocuskeel.core import revisions
+
 __all__ = ["ChangeLog", "Changes", "changes_since", "record_changes",
            "record_full_list"]
 
@@ -31,10 +33,15 @@
     ``first_revision`` is the revision since which the log is complete, None
     while there is no list. ``changes`` maps an id to the revision of the
     list that showed its last change; ``removed`` does so, in the same
-    order, for the ids of removed servers.
+    order, for the ids of removed servers. ``last_revision`` is that of the
+    newest list. What was logged between the two revisions ``restored`` is
+    unknown: the store returned from an older copy, and another host may have
+    read more before that.
     """
 
     first_revision: int | None = None
+    last_revision: int = 0
+    restored: tuple = ()
     changes: dict = dataclasses.field(default_factory=dict)
     removed: dict = dataclasses.field(default_factory=dict)
 
@@ -42,8 +49,12 @@
 def record_full_list(log, former, current, revision):
     """Log a full list; ``former`` and ``current`` map ids to entries."""
     if log.first_revision is None:
-        log.first_revision = revision
+        log.first_revision = log.last_revision = revision
         return
+    if revisions.era(revision) > revisions.era(log.last_revision):
+        if log.restored:
+            log.first_revision = max(log.first_revision, log.restored[1])
+        log.restored = log.last_revision, revision
     changed = [sid for sid, entry in current.items()
                if former.get(sid) != entry]
     removed = [sid for sid in former if sid not in current]
@@ -52,6 +63,7 @@
 
 def record_changes(log, changed, removed, revision):
     """Log the ids of servers that changed up to a revision."""
+    log.last_revision = max(log.last_revision, revision)
     for sid in (*changed, *removed):
         log.changes.pop(sid, None)
         log.removed.pop(sid, None)
@@ -76,6 +88,8 @@
     """
     if log.first_revision is None or revision < log.first_revision:
         return None
+    if log.restored and log.restored[0] < revision < log.restored[1]:
+        return None
     changed = []
     removed = []
     for sid in reversed(log.changes):
--- a/crocuskeel/core/entry/events.py
+++ b/crocuskeel/core/entry/events.py
@@ -206,6 +206,9 @@
     ``reads_store``: it reads the store itself, successfully.
     ``store_data_age_s``: maximum age of its information from the store, s.
     ``serving_hosts`` names serving hosts that it knows to be ready.
+    ``catalog_version`` is the operator's version of its configuration, None
+    if it runs the former version of this program; its other revisions are
+    numbers without an era then (core.revisions).
     ``wall`` is its wall clock time, s since 1970, None if it has no
     duties; ``leader`` is the holder of the duties' lease. ``serving_demand``:
     how many hosts that serve callers are needed. ``rate_limits`` and
@@ -232,6 +235,7 @@
     serving_demand: serving.ServingDemand = serving.ServingDemand(0, 0.0)
     rate_limits: tuple = ()
     servers_leaving: tuple = ()
+    catalog_version: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/crocuskeel/core/entry/gossip.py
+++ b/crocuskeel/core/entry/gossip.py
@@ -197,6 +197,7 @@
         peer=host.self_peer, ready=fleet.is_ready(host),
         leaving=host.stop_at is not None,
         catalog_revision=host.catalog.revision if host.catalog else 0,
+        catalog_version=host.catalog.version if host.catalog else 0,
         servers_revision=host.servers_revision,
         crashes=quarantine.recent_crashes(host, now, CRASH_REPEAT_S),
         loads=_load_rows(host, now) if with_loads else (),
--- a/crocuskeel/core/entry/peers.py
+++ b/crocuskeel/core/entry/peers.py
@@ -13,6 +13,7 @@
 from crocuskeel.core.entry import server_load
 from crocuskeel.core.entry import serving
 from crocuskeel.core.entry import state as states
+from crocuskeel.core import revisions
 
 __all__ = ["handle_peer_list", "handle_peer_loads", "handle_peer_state"]
 
@@ -51,7 +52,11 @@
         known.leaving = event.leaving
         fleet.invalidate_serving_hosts(host)
     known.catalog_revision = event.catalog_revision
+    known.catalog_version = event.catalog_version
     known.servers_revision = event.servers_revision
+    if event.catalog_version is None:
+        known.servers_revision = revisions.in_era_of(
+            host.servers_revision, event.servers_revision)
     known.reads_store = event.reads_store
     host.informed_at = max(
         host.informed_at, now - event.store_data_age_s - fleet.HOP_DELAY_S)
@@ -134,6 +139,14 @@
     return [effects.FetchCatalog(known.peer)]
 
 
+def _has_newer_catalog(known, catalog):
+    if catalog is None:
+        return known.catalog_revision > 0
+    if known.catalog_version is None:
+        return known.catalog_revision > catalog.revision
+    return known.catalog_version > catalog.version
+
+
 def _behind_since(host, known, now):
     """Return since when a peer has had newer data, or None.
 
@@ -141,8 +154,7 @@
     server changes doesn't show that the configuration is up to date.
     """
     times = []
-    revision = host.catalog.revision if host.catalog else 0
-    if known.catalog_revision > revision:
+    if _has_newer_catalog(known, host.catalog):
         if host.catalog_behind_at is None:
             host.catalog_behind_at = now
         times.append(host.catalog_behind_at)
--- a/crocuskeel/core/entry/registry.py
+++ b/crocuskeel/core/entry/registry.py
@@ -15,9 +15,9 @@
 from crocuskeel.core.entry import restarting
 from crocuskeel.core.entry import state as states
 
-__all__ = ["catalog_seen", "drop_expired", "grace_periods", "servers_changed",
-           "servers_listed", "store_back", "store_lost",
-           "store_reading_stopped"]
+__all__ = ["catalog_seen", "drop_expired", "grace_periods",
+           "is_newer_catalog", "servers_changed", "servers_listed",
+           "store_back", "store_lost", "store_reading_stopped"]
 
 # Grace period of expired entries, s. Servers register again within some 2 s
 # of the store's return. A server that left instead must get nothing 2 s
@@ -32,7 +32,7 @@
 def catalog_seen(host, event, now):
     """Put a configuration in force unless it is older than the current."""
     catalog = event.catalog
-    if host.catalog and catalog.revision <= host.catalog.revision:
+    if not is_newer_catalog(host, catalog):
         return []
     host.catalog = catalog
     host.catalog_applied_at = now
@@ -43,6 +43,15 @@
     return [note, *gossip.broadcast_change(host, now)]
 
 
+def is_newer_catalog(host, catalog):
+    """Return whether a configuration is newer than the one in force.
+
+    The operator's version decides: the store's revision also rises when an
+    older configuration is restored.
+    """
+    return host.catalog is None or catalog.version > host.catalog.version
+
+
 def servers_listed(host, event, now):
     """Apply the full list; missing servers left or their entries expired."""
     host.servers_loaded = True
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -164,6 +164,8 @@
     ready: bool = False
     leaving: bool = False
     catalog_revision: int = 0
+    # None if it runs the former version of this program.
+    catalog_version: int | None = None
     servers_revision: int = 0
     reads_store: bool = False
     last_sent_at: float = 0.0
--- a/crocuskeel/gateway/gossip.py
+++ b/crocuskeel/gateway/gossip.py
@@ -6,10 +6,13 @@
 appends are ignored.
 """
 
+import dataclasses
+
 from crocuskeel.core import duties
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import serving
+from crocuskeel.core import revisions
 import msgpack
 from twisted.internet import protocol
 
@@ -35,10 +38,20 @@
                               event.servers_leaving))
     return msgpack.packb((
         *_previous_fields(event), event.wall,
-        (event.leader.version, event.leader.host, event.leader.fence),
+        (revisions.number(event.leader.version), event.leader.host,
+         revisions.number(event.leader.fence)),
         (event.serving_demand.serving_hosts, event.serving_demand.measured_at),
         event.rate_limits,
-        event.servers_leaving))
+        event.servers_leaving,
+        _versions(event)))
+
+
+def _versions(event):
+    """Return the versions that the other fields hold without their era."""
+    if event.catalog_version is None:
+        return ()
+    return (event.catalog_version, event.servers_revision,
+            event.leader.version, event.leader.fence)
 
 
 def encode_previous(event):
@@ -59,8 +72,9 @@
         (peer.name, peer.boot, peer.domain, peer.public_address, peer.control,
          peer.gossip, peer.capacity),
         event.ready, event.leaving, event.catalog_revision,
-        event.servers_revision, event.crashes, event.loads, event.parts,
-        event.reads_store, event.serving_hosts, event.store_data_age_s)
+        revisions.number(event.servers_revision), event.crashes,
+        event.loads, event.parts, event.reads_store, event.serving_hosts,
+        event.store_data_age_s)
 
 
 def decode(data):
@@ -104,13 +118,29 @@
     *previous, wall, leader, wanted = rest[:STATE_FIELDS]
     if len(previous) != PREVIOUS_FIELDS:
         raise ValueError(f"state has {len(rest)} fields")
-    # A state of the version without rate limits ends here.
-    limits, leaving = (*rest[STATE_FIELDS:], (), ())[:2]
-    return events.PeerStateReceived(sender, *previous, wall,
-                                    duties.Leader(*leader),
-                                    serving.ServingDemand(*wanted),
-                                    _rate_limits(limits),
-                                    _servers_leaving(leaving))
+    # A state of the version without rate limits ends here, one of the
+    # version without eras after the next two fields.
+    limits, leaving, versions = (
+        *rest[STATE_FIELDS:], (), (), ())[:3]
+    state = events.PeerStateReceived(sender, *previous, wall,
+                                     duties.Leader(*leader),
+                                     serving.ServingDemand(*wanted),
+                                     _rate_limits(limits),
+                                     _servers_leaving(leaving))
+    if not versions:
+        return state
+    catalog_version, servers_revision, leader_version, fence = map(
+        _integer, versions)
+    return dataclasses.replace(
+        state, catalog_version=catalog_version,
+        servers_revision=servers_revision, leader=dataclasses.replace(
+            state.leader, version=leader_version, fence=fence))
+
+
+def _integer(value):
+    if not isinstance(value, int):
+        raise ValueError(f"invalid version {value!r}")
+    return value
 
 
 def _rate_limits(rows):
--- a/crocuskeel/platform/assembly.py
+++ b/crocuskeel/platform/assembly.py
@@ -97,12 +97,10 @@
 def _new_snapshot_fetcher(reactor, gateway, watcher):
     async def fetch(address, name):
         try:
-            catalog = gateway.host.catalog
-            known_revision = catalog.revision if catalog else 0
             reply = await calls.call(
-                reactor, address, b"GET",
-                f"{endpoints.SNAPSHOT_PATH}?known={known_revision}"
-                f"&servers={watcher.revision}".encode(), SNAPSHOT_TIMEOUT_S)
+                reactor, address, b"GET", endpoints.snapshot_target(
+                    gateway.host.catalog, watcher.revision),
+                SNAPSHOT_TIMEOUT_S)
             if reply.status != 200:
                 return
             watcher.apply_snapshot(json.loads(zlib.decompress(reply.body)))
--- a/crocuskeel/platform/endpoints.py
+++ b/crocuskeel/platform/endpoints.py
@@ -5,10 +5,11 @@
 import urllib.parse
 import zlib
 
+from crocuskeel.core import revisions
 from crocuskeel.gateway import callers
 from crocuskeel.gateway import loop
 
-__all__ = ["new_endpoints"]
+__all__ = ["new_endpoints", "snapshot_target"]
 
 READY_PATH = "/crocuskeel/ready"
 RESOLVE_PATH = "/crocuskeel/resolve"
@@ -63,15 +64,17 @@
         self.state = None
         self.bodies = {}
 
-    def answer(self, config_revision, servers_revision):
-        """Return (status, body) for a host that has these revisions."""
+    def answer(self, *known):
+        """Return (status, body) for a host that has these versions.
+
+        ``known`` are the arguments of the watcher's ``snapshot``.
+        """
         state = self.watcher.state()
         if state != self.state or len(self.bodies) >= MAX_CACHED_SNAPSHOTS:
             self.state = state
             self.bodies = {}
-        revisions = config_revision, servers_revision
-        if revisions not in self.bodies:
-            snapshot_data = self.watcher.snapshot(*revisions)
+        if known not in self.bodies:
+            snapshot_data = self.watcher.snapshot(*known)
             if snapshot_data is None:
                 return 503, b""
             # Some hosts have narrow links; compression reduces configurations
@@ -80,8 +83,20 @@
             if snapshot_data["lapsing"]:
                 # Their remaining time differs for each request.
                 return 200, body
-            self.bodies[revisions] = body
-        return 200, self.bodies[revisions]
+            self.bodies[known] = body
+        return 200, self.bodies[known]
+
+
+def snapshot_target(catalog, servers_revision):
+    """Return the target of a request for what is newer at another host.
+
+    Hosts of the former version ignore the last two parameters.
+    """
+    known = catalog.revision if catalog else 0
+    version = catalog.version if catalog else 0
+    return (f"{SNAPSHOT_PATH}?known={known}"
+            f"&servers={revisions.number(servers_revision)}"
+            f"&version={version}&at={servers_revision}").encode()
 
 
 def _parse_revision(text):
@@ -107,8 +122,11 @@
     def snapshot(exchange):
         query = exchange.head.target.decode("latin-1").partition("?")[2]
         parameters = dict(urllib.parse.parse_qsl(query))
+        if "version" in parameters:
+            return cache.answer(_parse_revision(parameters["version"]),
+                                _parse_revision(parameters.get("at")))
         return cache.answer(_parse_revision(parameters.get("known")),
-                            _parse_revision(parameters.get("servers")))
+                            _parse_revision(parameters.get("servers")), True)
 
     return callers.new_listener(reactor, _EndpointHandler(gateway, {
         READY_PATH: ready, RESOLVE_PATH: resolve, SNAPSHOT_PATH: snapshot,
--- a/crocuskeel/platform/store.py
+++ b/crocuskeel/platform/store.py
@@ -4,6 +4,7 @@
 import json
 import urllib.parse
 
+from crocuskeel.core import revisions
 from crocuskeel.gateway import calls
 from crocuskeel.gateway import exceptions as gateway_exceptions
 from crocuskeel.platform import exceptions
@@ -29,27 +30,25 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listing:
-    """All objects of a kind, as of a revision in an era of the store."""
+    """All objects of a kind, as of a revision (core.revisions)."""
 
     items: tuple
     revision: int
-    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Changes:
-    """Changes as (object, is removed), up to a revision in an era."""
+    """Changes as (object, is removed), up to a revision."""
 
     rows: tuple
     revision: int
-    era: int = 0
 
 
 class Store:
-    """Makes calls to the store.
+    """Makes calls to the store; revisions are those of core.revisions.
 
-    ``call_counts`` holds their number by name. ``era`` is that of the latest
-    answer, 0 while none had one.
+    ``call_counts`` holds their number by name. ``era`` is the newest known
+    one, 0 while none is; ``on_restored`` is called when it rises.
     """
 
     def __init__(self, reactor, address):
@@ -57,31 +56,53 @@
         self.address = address
         self.call_counts = {}
         self.era = 0
+        self.on_restored = lambda: None
+
+    def note_era(self, era):
+        """Record an era that an answer of the store or a host reported."""
+        if era > self.era:
+            self.era = era
+            self.on_restored()
 
     async def list(self, kind):
         """Return the Listing of a kind; raises StoreError."""
         items = []
         after = ""
+        era = None
         for _ in range(MAX_PAGES):
             page = await self._get("list", kind, after)
+            if era is not None and era != self.era:
+                raise exceptions.StoreError(
+                    GONE, f"list {kind}: the store was restored")
+            era = self.era
             items += _list_field(page, "Items")
             if not page.get("More"):
                 break
             after = f"?AfterRev={_quote(_last_readable_name(items))}"
-        return Listing(tuple(items), page["AsOf"], self.era)
+        return Listing(tuple(items),
+                       revisions.combine(self.era, page["AsOf"]))
 
     async def watch(self, kind, revision, wait_s):
         """Wait for changes after a revision, ``wait_s`` at most.
 
         Returns Changes. Raises StoreError; its status is 410 if the
-        store no longer keeps the changes after ``revision``.
+        store no longer keeps the changes after ``revision``, or was restored
+        since: it may have the same number again.
         """
-        query = f"?Watch={revision}&WaitMs={int(wait_s * 1000)}"
+        self._check_era(kind, revision)
+        query = (f"?Watch={revisions.number(revision)}"
+                 f"&WaitMs={int(wait_s * 1000)}")
         page = await self._get("watch", kind, query, wait_s + WATCH_GRACE_S)
+        self._check_era(kind, revision)
         rows = tuple((row["Object"], bool(row.get("Removed")))
                      for row in _list_field(page, "events")
                      if isinstance(row, dict) and "Object" in row)
-        return Changes(rows, page["AsOf"], self.era)
+        return Changes(rows, revisions.combine(self.era, page["AsOf"]))
+
+    def _check_era(self, kind, revision):
+        if revisions.era(revision) != self.era:
+            raise exceptions.StoreError(
+                GONE, f"watch {kind}: the store was restored")
 
     async def read(self, kind, name):
         """Return one object, or None if there is none.
@@ -155,7 +176,11 @@
                 (PATH + target).encode(), timeout_s, data)
         except gateway_exceptions.CallFailed as exc:
             raise exceptions.StoreError(0, f"{operation}: {exc}") from exc
-        self.era = _era(reply, self.era)
+        era = _era(reply, self.era)
+        if era < self.era:
+            raise exceptions.StoreError(
+                0, f"{operation}: answered before the store was restored")
+        self.note_era(era)
         return reply
 
 
--- a/crocuskeel/platform/store_watcher.py
+++ b/crocuskeel/platform/store_watcher.py
@@ -7,8 +7,10 @@
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import fleet
 from crocuskeel.core.entry import registry
+from crocuskeel.core import revisions
 from crocuskeel.platform import exceptions
 from crocuskeel.platform import objects
+from crocuskeel.platform import snapshots
 from crocuskeel.platform import store as stores
 from twisted.internet import defer
 from twisted.internet import task
@@ -51,7 +53,6 @@
     on_change: typing.Callable
     answered_at: float
     revision: int | None = None
-    era: int = 0
     failures: int = 0
     called_at: float = 0.0
     # The open watch, if any.
@@ -152,7 +153,6 @@
     async def _list(self, kind):
         listing = await self.store.list(kind.name)
         kind.revision = listing.revision
-        kind.era = listing.era
         kind.is_resuming = True
         self._store_answered(kind)
         kind.on_list(listing)
@@ -162,17 +162,13 @@
         if kind.is_resuming:
             kind.is_resuming = False
             self.gateway.log("watch_begun", {
-                "kind": kind.name, "era": kind.era,
-                "revision": kind.revision, "span_s": round(span_s, 3)})
+                "kind": kind.name, "era": revisions.era(kind.revision),
+                "revision": revisions.number(kind.revision),
+                "span_s": round(span_s, 3)})
         kind.watch = defer.Deferred.fromCoroutine(
             self.store.watch(kind.name, kind.revision, span_s))
         update = await kind.watch
-        if update.era != kind.era:
-            self.gateway.log("store_era_changed", {
-                "kind": kind.name, "era": update.era, "former": kind.era,
-                "revision": update.revision, "watched": kind.revision})
         kind.revision = update.revision
-        kind.era = update.era
         self._store_answered(kind)
         kind.on_change(update)
 
@@ -181,7 +177,8 @@
         kind.is_resuming = True
         self.gateway.log("store_call_failed", {
             "kind": kind.name, "why": str(exc), "status": exc.status,
-            "revision": kind.revision, "failures": kind.failures,
+            "revision": kind.revision and revisions.number(kind.revision),
+            "failures": kind.failures,
             "after_s": round(self._elapsed_s(kind), 3)})
         if exc.status == stores.GONE:
             # The store did answer: the list is read after a short delay.
@@ -191,6 +188,20 @@
         elif kind.failures > 1 or not exc.status:
             self._report_lost(str(exc))
 
+    def store_restored(self):
+        """List everything again: the store came back from an older copy.
+
+        A watch that is open, or continues from a revision of the former era,
+        misses changes without an error if the store has that number again.
+        """
+        self.gateway.log("store_restored", {"era": self.store.era, "watched": {
+            kind.name: kind.revision and revisions.number(kind.revision)
+            for kind in self.kinds}})
+        for kind in self.kinds:
+            kind.revision = None
+            if kind.watch is not None:
+                kind.watch.cancel()
+
     def _elapsed_s(self, kind):
         """Return the time since the last call for a kind began, s."""
         return self.reactor.seconds() - kind.called_at
@@ -254,8 +265,7 @@
         except exceptions.InvalidObjectError as exc:
             self.gateway.log("bad_object", {"why": str(exc)})
             return
-        current = self.gateway.host.catalog
-        if current is None or catalog.revision > current.revision:
+        if registry.is_newer_catalog(self.gateway.host, catalog):
             self.raw_config = obj
         self.gateway.feed(events.CatalogRead(catalog))
 
@@ -347,50 +357,34 @@
 
     def state(self):
         """Return a value that changes whenever a snapshot would."""
-        config = self.raw_config
+        catalog = self.gateway.host.catalog
         lapsing = tuple(self.gateway.host.lapsing)
-        return (config and config["Meta"]["Rev"], self.revision, lapsing)
-
-    def snapshot(self, config_revision, servers_revision=0):
-        """Return the changes for a host that has these revisions, or None.
+        return (catalog and catalog.version, self.revision, lapsing)
 
-        Of the servers it holds the changes after ``servers_revision``, which
-        "since" repeats, or the whole list if the log doesn't reach back.
-        """
-        if self.raw_config is None:
-            return None
-        config = self.raw_config
-        if config["Meta"]["Rev"] <= config_revision:
-            config = None
-        found = {"config": config,
-                 "lapsing": registry.grace_periods(
-                     self.gateway.host, self.reactor.seconds()),
-                 "revision": self.revision}
-        changes = changelog.changes_since(self.changes, servers_revision)
-        if changes is None:
-            return {**found, "servers": list(self.raw_servers.values())}
-        return {**found, "since": servers_revision,
-                "servers": [self.raw_servers[sid]
-                            for sid in changes.changed],
-                "removed": changes.removed}
+    def snapshot(self, *known):
+        """Return the changes for another host, or None; see snapshots."""
+        return snapshots.make(self, *known)
 
     def apply_snapshot(self, snapshot):
         """Apply another host's snapshot."""
         if snapshot["config"] is not None:
             self.apply_config(snapshot["config"])
-        if snapshot["revision"] <= self.revision:
+        self.store.note_era(snapshot.get("era", 0))
+        revision, since = snapshots.revisions_of(snapshot, self.revision)
+        if revision <= self.revision:
             return
         lapsing = tuple(map(tuple, snapshot.get("lapsing", ())))
-        since = snapshot.get("since")
         if since is None:
             self._on_server_list(stores.Listing(
-                tuple(snapshot["servers"]), snapshot["revision"]), lapsing)
+                tuple(snapshot["servers"]), revision), lapsing)
         elif since <= self.revision:
             self._apply_changes(
                 snapshot["servers"], tuple(snapshot["removed"]),
-                snapshot["revision"], lapsing)
+                revision, lapsing)
 
 
 def new_watcher(reactor, gateway, store):
     """Return a watcher that has not started."""
-    return StoreWatcher(reactor, gateway, store)
+    watcher = StoreWatcher(reactor, gateway, store)
+    store.on_restored = watcher.store_restored
+    return watcher
--- a/tests/entry/test_changelog.py
+++ b/tests/entry/test_changelog.py
@@ -4,6 +4,7 @@
 import unittest
 
 from crocuskeel.core.entry import changelog
+from crocuskeel.core import revisions
 
 
 def _apply(known, current, changes):
@@ -70,6 +71,24 @@
             changelog.changes_since(self.log, 10).changed,
             changelog.changes_since(self.log, 10).removed))
 
+    def test_a_host_that_read_more_before_a_restore_gets_the_full_list(self):
+        # Guards against a server that only that host had seen: no change
+        # of the restored list names it.
+        self._begin(3, 10)
+        changelog.record_changes(self.log, ("s1",), (), 12)
+        restored = revisions.combine(1, 11)
+        changelog.record_full_list(
+            self.log, self.current, {**self.current, "s2": 11}, restored)
+        self.assertIsNone(changelog.changes_since(self.log, 13))
+        self.assertEqual(("s2",), changelog.changes_since(
+            self.log, 12).changed)
+        self.assertEqual((), changelog.changes_since(
+            self.log, restored).changed)
+        again = revisions.combine(2, 11)
+        changelog.record_full_list(
+            self.log, self.current, self.current, again)
+        self.assertIsNone(changelog.changes_since(self.log, 12))
+
     def test_the_number_of_removed_servers_is_bounded(self):
         # Each start of a server may have a new id: over months a host would
         # accumulate all ids that ever existed.
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -7,6 +7,7 @@
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import fleet
 from crocuskeel.core.entry import lifecycle
+from crocuskeel.core import revisions
 from tests.entry import support
 
 PAIR = (support.server("s1"), support.server("s2"))
@@ -170,6 +171,20 @@
                 PAIR, (), 6 + number), 0.15)
         self.assertNotEqual([], support.effects_of(out, effects.FetchCatalog))
 
+    def test_the_newer_configuration_is_fetched_whatever_its_revision(self):
+        # Guards against a configuration that is never fetched because the
+        # store was restored and gave it a lower revision.
+        for state, fetches in (
+                (_state("a", catalog_revision=7, catalog_version=11), True),
+                (_state("a", catalog_revision=12, catalog_version=10), False),
+                (_state("a", servers_revision=revisions.combine(1, 3),
+                        catalog_version=10), True)):
+            driver = support.Driver(support.route(), servers=PAIR)
+            out = [effect for _ in range(5)
+                   for effect in driver.feed(state, 0.15)]
+            self.assertEqual(fetches, bool(support.effects_of(
+                out, effects.FetchCatalog)))
+
     def test_a_starting_host_fetches_at_once(self):
         driver = support.Driver()
         out = driver.feed(_state("a"))
--- a/tests/entry/test_prefix_cache.py
+++ b/tests/entry/test_prefix_cache.py
@@ -25,7 +25,7 @@
         engine=model.EngineSpec(64, 500_000, fetch_token_s))
     services = {**catalog.services, "engines": engines}
     driver.feed(events.CatalogRead(dataclasses.replace(
-        catalog, revision=11, services=services)))
+        catalog, revision=11, version=11, services=services)))
     return driver
 
 
--- a/tests/entry/test_server_choice.py
+++ b/tests/entry/test_server_choice.py
@@ -150,7 +150,7 @@
         catalog = driver.host.catalog
         services = {"plain": catalog.services["plain"]}
         driver.feed(events.CatalogRead(dataclasses.replace(
-            catalog, revision=11, services=services)))
+            catalog, revision=11, version=11, services=services)))
         driver.now += 0.1
         self._load(driver, 0, 0)
         out = driver.feed(events.TimerFired(1))
--- a/tests/gateway/test_upgrade.py
+++ b/tests/gateway/test_upgrade.py
@@ -7,6 +7,7 @@
 from crocuskeel.core import duties
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import events
+from crocuskeel.core import revisions
 from crocuskeel.gateway import gossip
 import msgpack
 from tests.entry import support
@@ -69,10 +70,25 @@
         # Hosts of the version with duties and without rate limits were
         # considered dead during an upgrade.
         fields = msgpack.unpackb(gossip.encode(STATE), use_list=False)
-        for count in (1, 2):
+        for count in (1, 2, 3):
             self.assertEqual(
                 STATE, gossip.decode(msgpack.packb(fields[:-count])))
 
+    def test_versions_keep_the_era_and_former_fields_do_not_have_it(self):
+        # Guards against hosts of the version without eras that take each
+        # revision of another host for newer than the store's.
+        state = dataclasses.replace(
+            STATE, catalog_version=24,
+            servers_revision=revisions.combine(3, 4),
+            leader=duties.Leader(revisions.combine(3, 9), "h1",
+                                 revisions.combine(2, 7)))
+        datagram = self._sent_datagram(state)
+        self.assertEqual(state, gossip.decode(datagram))
+        fields = msgpack.unpackb(datagram, use_list=False)
+        former = gossip.decode(msgpack.packb(fields[:-1]))
+        self.assertEqual((None, 4, STATE.leader), (
+            former.catalog_version, former.servers_revision, former.leader))
+
     def test_hints_have_one_format_alone_and_in_states(self):
         rows = (("s1/7", 1.5, 30), ("s2/None", None, 0))
         leave = (("s3", "s3/9"),)
--- a/tests/platform/store_server.py
+++ b/tests/platform/store_server.py
@@ -97,7 +97,7 @@
                               int(parameters["WaitMs"]) / 1000, deferred)
         else:
             self._reply(deferred, OK, {"Items": self._items(kind),
-                                        "AsOf": self.revision})
+                                       "AsOf": self.revision})
         return deferred
 
     def _items(self, kind):
--- a/tests/platform/test_store_restored.py
+++ b/tests/platform/test_store_restored.py
@@ -4,9 +4,11 @@
 from unittest import mock
 
 from crocuskeel.gateway import calls
+from crocuskeel.platform import exceptions
 from crocuskeel.platform import store as stores
 from crocuskeel.platform import store_watcher
 from tests.platform import store_server
+from twisted.internet import defer
 from twisted.internet import task
 
 # Time in which a change must be in force after it was acknowledged, s.
@@ -80,6 +82,43 @@
                 self._advance(APPLY_S)
                 self.assertEqual([self.version] * HOSTS, self._versions())
 
+    def test_watch_does_not_go_on_from_a_number_given_out_again(self):
+        # Guards against a change that no watch reports: the counter passes
+        # the watched number before the watch is opened again.
+        copy = self.store.copy()
+        for _ in range(4):
+            self._write_config()
+        self._advance(1.0)
+        self._restore(copy)
+        self._write_config()
+        for seq in range(9):
+            self._write_server("s3", seq=seq)
+        self._advance(APPLY_S)
+        self.assertEqual([self.version] * HOSTS, self._versions())
+        self.assertIn("s3", self.hosts[0].servers)
+
+    def test_restored_older_configuration_is_not_adopted(self):
+        # Guards against a host that goes back to the copy's configuration,
+        # as its era is newer.
+        copy = self.store.copy()
+        self._write_config()
+        self._advance(1.0)
+        self._restore(copy)
+        self._advance(3.0)
+        self.assertEqual([self.version] * HOSTS, self._versions())
+        self.assertEqual(["s1", "s2"], sorted(self.hosts[0].servers))
+
+    def test_former_era_of_a_slow_answer_is_not_adopted(self):
+        # Guards against a list that was answered before the restore and
+        # arrives after it: the watch would go on from its revision.
+        store = stores.new_store(self.clock, ("10.0.0.1", 80))
+        failures = []
+        late = defer.Deferred.fromCoroutine(store.list("servers"))
+        late.addErrback(lambda failure: failures.append(failure.value))
+        store.note_era(self.store.era + 1)
+        self._advance(0.1)
+        self.assertIsInstance(failures[0], exceptions.StoreError)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_store_watcher.py
+++ b/tests/platform/test_store_watcher.py
@@ -48,6 +48,9 @@
     async def put(self, kind, name, spec):
         self.calls.append(("put", kind))
 
+    def note_era(self, era):
+        pass
+
     def _call(self, *call):
         self.calls.append(call)
         self.pending_calls[call[1]] = defer.Deferred()
