--- a/tests/platform/test_store_restored.py
+++ b/tests/platform/test_store_restored.py
@@ -3,6 +3,8 @@
 import unittest
 from unittest import mock
 
+from crocuskeel.core.entry import draining
+from crocuskeel.core.entry import events
 from crocuskeel.gateway import calls
 from crocuskeel.platform import exceptions
 from crocuskeel.platform import store as stores
@@ -27,6 +29,7 @@
         patch.start()
         self.addCleanup(patch.stop)
         self.version = 0
+        self.gateways = []
         self._write_config()
         self._write_server("s1")
         self._write_server("s2")
@@ -34,11 +37,16 @@
         self._advance(1.0)
 
     def _start_host(self, seed):
+        watcher = self._new_watcher(seed)
+        watcher.start()
+        return watcher.gateway.host
+
+    def _new_watcher(self, seed):
         gateway = store_server.Gateway(self.clock, seed)
-        store_watcher.new_watcher(
+        self.gateways.append(gateway)
+        return store_watcher.new_watcher(
             self.clock, gateway,
-            stores.new_store(self.clock, ("10.0.0.1", 80))).start()
-        return gateway.host
+            stores.new_store(self.clock, ("10.0.0.1", 80)))
 
     def _write_config(self):
         self.version += 1
@@ -58,6 +66,8 @@
         ends = self.clock.seconds() + span_s
         while self.clock.seconds() < ends - STEP_S / 2:
             self.clock.advance(STEP_S)
+            for gateway in self.gateways:
+                gateway.feed(events.Ticked())
 
     def _restore(self, copy, away_s=0.5):
         self.store.stop()
@@ -82,6 +92,52 @@
                 self._advance(APPLY_S)
                 self.assertEqual([self.version] * HOSTS, self._versions())
 
+    def _usable(self, host):
+        return [sid for sid, state in sorted(host.servers.items())
+                if not draining.is_draining(host, state.server)]
+
+    def test_server_that_drains_after_the_restore_gets_no_requests(self):
+        # Guards against a leaving that other hosts don't fetch, as its
+        # revision is below that of the list they have.
+        reader, other = self._new_watcher(7), self._new_watcher(8)
+        reader.start()
+        copy = self.store.copy()
+        for seq in range(9):
+            self._write_server("s3", seq=seq)
+        self._advance(1.0)
+        other.apply_snapshot(reader.snapshot(0))
+        self._restore(copy)
+        self._advance(1.0)
+        self._write_server("s1", "draining")
+        self._advance(1.0)
+        known = other.gateway.host.catalog.version, other.revision
+        other.apply_snapshot(reader.snapshot(*known))
+        for host in (*self.hosts, other.gateway.host):
+            self.assertNotIn("s1", self._usable(host))
+
+    def test_draining_server_that_the_copy_lists_as_ready(self):
+        # Guards against requests to a server that has said that it leaves.
+        copy = self.store.copy()
+        self._write_server("s1", "draining")
+        self._advance(0.5)
+        self._restore(copy)
+        for _ in range(4):
+            self._advance(1.0)
+            for host in self.hosts:
+                self.assertEqual(["s2"], self._usable(host))
+
+    def test_server_that_registered_after_the_copy_is_kept_for_a_while(self):
+        # Guards against refusals while all servers are healthy: their
+        # entries aren't in the copy, and come back within 2 s.
+        copy = self.store.copy()
+        self._write_server("s3")
+        self._advance(0.5)
+        self._restore(copy)
+        self._advance(1.5)
+        self.assertIn("s3", self._usable(self.hosts[0]))
+        self._advance(1.0)
+        self.assertNotIn("s3", self._usable(self.hosts[0]))
+
     def test_watch_does_not_go_on_from_a_number_given_out_again(self):
         # Guards against a change that no watch reports: the counter passes
         # the watched number before the watch is opened again.
