A server that has left stays so when the store is restored from a copy

Cause: what hosts hold of a server is what its entry says last, and a restored copy says less than was said before. The class is the same as for the configuration: an order taken from the store's counter, whose promise has changed.

Draining is final for an incarnation, by its entry as by its answers, and is told to hosts that know the copy only. A server whose entry had been removed is not used because the copy lists it: only once its entry changes, or has outlived the time after which the store removes entries without heartbeats. Its address isn't taken for reused by it. The entry of a former process doesn't replace that of the process that followed. Servers that are missing in the first list of an era are kept for the grace period, as after an outage, whatever share of a service they are.

--- a/crocuskeel/core/entry/draining.py
+++ b/crocuskeel/core/entry/draining.py
@@ -4,12 +4,14 @@
 or when its entry reaches hosts late. Each response reaches only one host, so
 hosts report draining servers to each other. Draining is final for an
 incarnation of a server: a host that sends it no requests could not learn of
-a change.
+a change, and a store that is restored from a copy lists it as ready again.
 """
 
 from crocuskeel.core.entry import effects
+from crocuskeel.core.entry import restores
 
-__all__ = ["is_draining", "merge", "note_response", "remove_unlisted", "rows"]
+__all__ = ["is_draining", "merge", "note_listed", "note_removed",
+           "note_response", "remove_unlisted", "rows"]
 
 # A draining server that is no longer listed is kept for this long, s: its
 # entry may have expired and come back.
@@ -29,6 +31,18 @@
     return out
 
 
+def note_listed(host, server, now):
+    """Record that the store lists a server as draining."""
+    if server.draining:
+        host.leaving.setdefault(server.incarnation, (server.sid, now))
+
+
+def note_removed(host, server, now):
+    """Keep a draining server from its removal on; its entry may come back."""
+    if server.incarnation in host.leaving:
+        host.leaving[server.incarnation] = server.sid, now
+
+
 def _mark_draining(host, sid, incarnation, now):
     if incarnation in host.leaving:
         return []
@@ -37,8 +51,11 @@
 
 
 def is_draining(host, server):
-    """Return whether a server is draining and must get no new requests."""
-    if server.draining:
+    """Return whether a server is draining and must get no new requests.
+
+    So must one that may have left before the store was restored.
+    """
+    if server.draining or restores.is_unconfirmed(host, server.sid):
         return True
     return bool(host.leaving) and server.incarnation in host.leaving
 
--- a/crocuskeel/core/entry/reducer.py
+++ b/crocuskeel/core/entry/reducer.py
@@ -14,6 +14,7 @@
 from crocuskeel.core.entry import registry
 from crocuskeel.core.entry import requests
 from crocuskeel.core.entry import response_hints
+from crocuskeel.core.entry import restores
 from crocuskeel.core.entry import server_load
 from crocuskeel.core.entry import usage
 from crocuskeel.core import exceptions
@@ -37,6 +38,7 @@
     server_load.sample_prefill(host, now)
     ratelimits.refill_buckets(host, now)
     draining.remove_unlisted(host, now)
+    restores.forget_removed(host, now)
     backoff.forget(host, now)
     return (registry.drop_expired(host, now) + gossip.send_state(host, now)
             + duties.step(host, event.wall, now)
--- a/crocuskeel/core/entry/registry.py
+++ b/crocuskeel/core/entry/registry.py
@@ -13,6 +13,7 @@
 from crocuskeel.core.entry import gossip
 from crocuskeel.core.entry import quarantine
 from crocuskeel.core.entry import restarting
+from crocuskeel.core.entry import restores
 from crocuskeel.core.entry import state as states
 
 __all__ = ["catalog_seen", "drop_expired", "grace_periods",
@@ -54,6 +55,9 @@
 
 def servers_listed(host, event, now):
     """Apply the full list; missing servers left or their entries expired."""
+    if event.lapsing is None and restores.is_restore(host, event.revision):
+        # Servers that registered after the copy was taken register again.
+        host.store_up_since = now
     host.servers_loaded = True
     listed = {server.sid for server in event.servers}
     listed.update(event.unreadable)
@@ -80,6 +84,8 @@
 
 def _apply(host, event, changed, removed, grace_ends, now):
     """Apply changes; ``grace_ends`` maps expired servers to drop times."""
+    if restores.is_restore(host, event.revision):
+        changed = restores.current_entries(host, changed)
     host.servers_revision = max(host.servers_revision, event.revision)
     host.servers_behind_at = None
     out = []
@@ -88,7 +94,7 @@
     if any(server.sid not in host.servers for server in changed):
         addresses = _by_address(host)
     for server in changed:
-        out += _add_or_update(host, server, addresses, now)
+        out += _add_or_update(host, server, event, addresses, now)
     for sid in removed:
         out += _remove(host, sid, grace_ends, event.revision, now)
     for sid in event.unreadable:
@@ -107,7 +113,7 @@
     if not draining.is_draining(host, host.servers[sid].server):
         quarantine.record_server_down(host, sid, now)
     if sid not in grace_ends:
-        _delete(host, sid)
+        _drop(host, sid, revision, now)
     elif host.servers[sid].lapses_at is None:
         host.servers[sid].lapses_at = grace_ends[sid]
         host.lapsing[sid] = None
@@ -115,17 +121,20 @@
         "server": sid, "revision": revision, "lapse": sid in grace_ends})]
 
 
-def _add_or_update(host, server, addresses, now):
+def _add_or_update(host, server, event, addresses, now):
     host.lapsing.pop(server.sid, None)
+    draining.note_listed(host, server, now)
     known = host.servers.get(server.sid)
     if known is None:
-        _mark_former_owners(host, server, addresses)
+        if not restores.returns_removed(host, server.sid, event, now):
+            _mark_former_owners(host, server, addresses)
         state = states.new_server(server, now)
         host.servers[server.sid] = state
         addresses.setdefault(server.address, []).append(state)
         return [effects.LogEvent("server_added", {
             "server": server.sid, "service": server.service,
             "draining": server.draining})]
+    restores.note_changed(host, server.sid, event)
     former = known.server
     if restarting.is_restart(former, server):
         return restarting.reset_server(host, server, now)
@@ -207,6 +216,13 @@
     return [host.servers[sid] for sid in host.lapsing]
 
 
+def _drop(host, sid, revision, now):
+    """Delete a server that left, or whose entry didn't come back."""
+    draining.note_removed(host, host.servers[sid].server, now)
+    restores.note_removed(host, sid, revision, now)
+    _delete(host, sid)
+
+
 def _delete(host, sid):
     host.servers.pop(sid, None)
     host.active_servers.pop(sid, None)
@@ -226,7 +242,7 @@
     overdue = [state.server.sid for state in _expired_servers(host)
                if state.lapses_at <= now]
     for sid in overdue:
-        _delete(host, sid)
+        _drop(host, sid, host.servers_revision, now)
     if overdue:
         _rebuild_index(host)
     return [effects.LogEvent("server_gone", {"server": sid})
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -25,6 +25,8 @@
     """
 
     grace_s: float = 8.0
+    # Interval at which servers renew their entries in the store.
+    heartbeat_s: float = 1.2
     # Time within which an accepted configuration has to be in force.
     config_apply_s: float = 2.0
     repeat_share: float = 0.2
@@ -188,6 +190,10 @@
     rings: dict = dataclasses.field(default_factory=dict)
     # Ids of servers that are kept for a while after their entries lapsed.
     lapsing: dict = dataclasses.field(default_factory=dict)
+    # Ids of removed servers: (revision of the list, when), and of servers
+    # that a restored copy lists again: until when they may be gone.
+    removed: dict = dataclasses.field(default_factory=dict)
+    unconfirmed: dict = dataclasses.field(default_factory=dict)
     # By incarnation of a server: the rate limit that it set.
     rate_limits: dict = dataclasses.field(default_factory=dict)
     # By incarnation of a server: (server id, since when it is known to be
--- a/crocuskeel/platform/boot.py
+++ b/crocuskeel/platform/boot.py
@@ -135,6 +135,8 @@
     default = entry.Settings()
     return entry.Settings(
         grace_s=reader.number("Bounds.GraceS", default.grace_s),
+        heartbeat_s=reader.number(
+            "HeartbeatMs", default.heartbeat_s * 1000) / 1000,
         config_apply_s=reader.number(
             "Bounds.ConfigApplyMs", default.config_apply_s * 1000) / 1000,
         repeat_share=reader.number(
--- a/tests/platform/test_store_restored.py
+++ b/tests/platform/test_store_restored.py
@@ -126,6 +126,23 @@
             for host in self.hosts:
                 self.assertEqual(["s2"], self._usable(host))
 
+    def test_server_that_left_and_is_back_by_the_copy(self):
+        # Guards against requests to a server that left without draining. It
+        # is used again only once its entry proves to be renewed.
+        copy = self.store.copy()
+        self.store.write("servers", "s1", None)
+        self._advance(0.5)
+        self._restore(copy)
+        for _ in range(4):
+            self._advance(1.0)
+            self.assertEqual(["s2"], self._usable(self.hosts[0]))
+        self.store.write("servers", "s1", None)
+        self._advance(4.0)
+        self.assertEqual(["s2"], self._usable(self.hosts[0]))
+        self._write_server("s1")
+        self._advance(0.5)
+        self.assertEqual(["s1", "s2"], self._usable(self.hosts[0]))
+
     def test_server_that_registered_after_the_copy_is_kept_for_a_while(self):
         # Guards against refusals while all servers are healthy: their
         # entries aren't in the copy, and come back within 2 s.
