One holder and one count a window, though the store returns from a copy

Versions of the object now have the store's era, so tokens rise. The object says of which era its record is. In a restored store, the holder whose lease is still valid writes it again and goes on with what it remembers; a lapsed one loses it, also where the copy still has it; everybody else waits for a whole span, also for a lease that only the copy shows as free. A holder that has lapsed reads before it writes. A new holder that finds a record from before the restore leaves out the windows that may have been decided until the new era was seen, unless the record has their counts: a report that is missing can be made up for, a second one can't be taken back.

--- a/crocuskeel/core/duties/reporting.py
+++ b/crocuskeel/core/duties/reporting.py
@@ -4,13 +4,18 @@
 object and are reported only when that write is known to have taken
 effect. From then on every holder reports exactly these counts, however
 often.
+
+If the store was restored from an older copy, the object doesn't show what was
+decided since. A window that an earlier holder may have decided is left out
+then: a missing report can be made up for, a second one with other counts
+can't be taken back.
 """
 
 from crocuskeel.core.duties import counting
 from crocuskeel.core.duties import handover as handovers
 from crocuskeel.core.duties import model
 
-__all__ = ["answered", "decide", "due"]
+__all__ = ["answered", "decide", "due", "leave_out"]
 
 # A window is decided this long after its end, s: the first token of a
 # stream arrives after tens of milliseconds, the response to a call after
@@ -21,6 +26,24 @@
 RETRY_LIMIT_S = 60.0
 
 
+def leave_out(duties, report_s, wall):
+    """Give up the windows that may have been decided up to ``wall``.
+
+    Those whose counts the record contains are reported. Returns the others.
+    """
+    book = duties.handover
+    if book.done is None:
+        return []
+    last = max([book.done, *book.decided])
+    newest = _newest_decidable(report_s, wall)
+    book.done = max(book.done, newest)
+    return list(range(last + 1, newest + 1))
+
+
+def _newest_decidable(report_s, wall):
+    return int((wall - SETTLE_S) // report_s) - 1
+
+
 def decide(duties, report_s, wall):
     """Decide the windows that have ended; return their numbers.
 
@@ -32,7 +55,7 @@
         # This is the first holder of all: reports begin with this window.
         book.done = current - 1
     last = max([book.done, *book.decided])
-    newest = int((wall - SETTLE_S) // report_s) - 1
+    newest = _newest_decidable(report_s, wall)
     first = max(last + 1, newest - counting.WINDOWS_KEPT)
     ended = range(first, newest + 1)
     for window in ended:
--- a/crocuskeel/core/entry/duties.py
+++ b/crocuskeel/core/entry/duties.py
@@ -1,5 +1,7 @@
 """The duties of an entry host: usage reports and orders for engines."""
 
+import dataclasses
+
 from crocuskeel.core.duties import clock
 from crocuskeel.core.duties import model
 from crocuskeel.core.duties import ordering
@@ -10,6 +12,7 @@
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import server_load
 from crocuskeel.core.entry import usage
+from crocuskeel.core import revisions
 
 __all__ = ["REPORT", "SCALE", "answered", "begin", "peer_state_received",
            "step"]
@@ -37,7 +40,19 @@
         return
     if event.wall is not None:
         clock.add_reading(duties.offsets, event.peer.name, event.wall, now)
-    duty_lease.leader_received(duties, event.leader, now)
+    duty_lease.leader_received(
+        duties, _leader_of_era(duties, event), now)
+
+
+def _leader_of_era(duties, event):
+    """Return the leader that another host reports, with the store's era."""
+    leader = event.leader
+    if event.catalog_version is not None:
+        return leader
+    own = duties.leader
+    return dataclasses.replace(
+        leader, version=revisions.in_era_of(own.version, leader.version),
+        fence=revisions.in_era_of(own.fence, leader.fence))
 
 
 def step(host, wall, now):
--- a/crocuskeel/core/entry/duty_lease.py
+++ b/crocuskeel/core/entry/duty_lease.py
@@ -8,8 +8,10 @@
 that in normal operation only the holder calls the store.
 """
 
+from crocuskeel.core.duties import clock
 from crocuskeel.core.duties import counting
 from crocuskeel.core.duties import handover as handovers
+from crocuskeel.core.duties import reporting
 from crocuskeel.core.duties import state as states
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import fleet
@@ -18,10 +20,11 @@
 from crocuskeel.core.leadership import effects as lease_effects
 from crocuskeel.core.leadership import events as lease_events
 from crocuskeel.core.leadership import lease as leases
+from crocuskeel.core import revisions
 
 __all__ = ["acts_until", "config", "is_holder", "leader_received",
            "lease_read", "lease_record", "lease_written", "may_act", "step",
-           "stop"]
+           "stop", "store_era_seen"]
 
 # Shares of the deployment's lease span. With a renewal every third of it,
 # two renewals may be lost. A margin of an eighth, some 0.4 s, covers delays in
@@ -34,6 +37,8 @@
 # A host that has just started waits this long to learn who holds the
 # lease, s: other hosts send two datagrams in that time.
 DISCOVERY_S = 1.0
+# Hosts' estimates of the agreed wall clock time differ by less than this, s.
+CLOCK_MARGIN_S = 0.5
 # A step that comes later than this after the previous one indicates a
 # pause, s: steps are 0.3 s apart, and a slow host delays them by less.
 JUMP_S = 1.0
@@ -133,7 +138,7 @@
     fence = candidate.lease.fence
     out += handler(candidate, event, now)
     if candidate.lease.fence != fence:
-        out += _holder_changed(duties, now)
+        out += _holder_changed(host, now)
     known_version = duties.leader.version
     _update_leader(duties, now)
     if duties.leader.version != known_version:
@@ -141,8 +146,9 @@
     return _log_records(out)
 
 
-def _holder_changed(duties, now):
+def _holder_changed(host, now):
     """Take over the last holder's record, or drop this holder's state."""
+    duties = host.duties
     lease = duties.lease_state.lease
     duties.calls = {}
     duties.handover = handovers.HandoverState()
@@ -154,7 +160,31 @@
         return [effects.LogEvent("bad_record", {"why": str(exc)})]
     for name, boot, rows in tables:
         counting.merge(duties.tables.setdefault((name, boot), {}), rows)
-    return []
+    if lease.record_era == revisions.era(lease.version):
+        return []
+    return _leave_out_windows(host, now)
+
+
+def _leave_out_windows(host, now):
+    """Leave out windows that were decided after the store's copy was taken.
+
+    Until this host saw the new era, another one may have decided some. The
+    next write contains the result before any later one counts as of the new
+    era.
+    """
+    duties = host.duties
+    candidate = duties.lease_state
+    wall = clock.wall_time(duties.offsets, now)
+    if wall is None:
+        # This host was paused: begin with the current window, as the first
+        # holder of all does.
+        duties.handover = handovers.HandoverState()
+        return []
+    seen_at = wall - (now - candidate.era_seen_at) + CLOCK_MARGIN_S
+    windows = reporting.leave_out(duties, host.cfg.report_window_s, seen_at)
+    candidate.lease.record = lease_record(duties)
+    return [effects.LogEvent("windows_left_out", {
+        "windows": windows, "era": candidate.era})]
 
 
 def _update_leader(duties, now):
@@ -180,6 +210,7 @@
 
 def leader_received(duties, leader, now):
     """Update the state from another host's state.Leader."""
+    leases.note_era(duties.lease_state, revisions.era(leader.version), now)
     if leader.version > duties.leader.version:
         _set_leader(duties, leader, now)
         leases.note_version(duties.lease_state, leader.version, now)
@@ -221,3 +252,10 @@
     return [effects.LogEvent(effect.kind, dict(effect.fields))
             if isinstance(effect, lease_effects.Record) else effect
             for effect in lease_effs]
+
+
+def store_era_seen(host, event, now):
+    """Record the store's era; the holder reads its lease again."""
+    if host.duties is not None:
+        leases.note_era(host.duties.lease_state, event.era, now)
+    return []
--- a/crocuskeel/core/entry/events.py
+++ b/crocuskeel/core/entry/events.py
@@ -17,8 +17,9 @@
     "HintsReceived", "LoadsDue", "PeerHintsReceived", "PeerLoadsReceived",
     "PeerStateReceived", "PeersListed", "RequestReceived", "ResponseReceived",
     "ServersChanged", "ServersListed", "SettingsRead", "Started", "StopAsked",
-    "StoreAvailable", "StoreReadingStopped", "StoreUnavailable", "StreamEnded",
-    "StreamOpened", "StreamProgressed", "Ticked", "TimerFired",
+    "StoreAvailable", "StoreEraSeen", "StoreReadingStopped",
+    "StoreUnavailable", "StreamEnded", "StreamOpened", "StreamProgressed",
+    "Ticked", "TimerFired",
 ]
 
 
@@ -187,6 +188,16 @@
     """The store responds again."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreEraSeen:
+    """An answer of the store shows a newer era (core.revisions).
+
+    The store was restored from an older copy, or this host has just started.
+    """
+
+    era: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreReadingStopped:
     """This host stopped reading the store because other hosts do."""
--- a/crocuskeel/core/entry/reducer.py
+++ b/crocuskeel/core/entry/reducer.py
@@ -65,6 +65,7 @@
     events.SettingsRead: _settings_seen,
     events.StoreUnavailable: registry.store_lost,
     events.StoreAvailable: registry.store_back,
+    events.StoreEraSeen: duty_lease.store_era_seen,
     events.StoreReadingStopped: registry.store_reading_stopped,
     events.PeersListed: peers.handle_peer_list,
     events.PeerStateReceived: peers.handle_peer_state,
--- a/crocuskeel/core/leadership/effects.py
+++ b/crocuskeel/core/leadership/effects.py
@@ -12,7 +12,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WriteLease:
-    """Update the object if at ``version``; 0 creates it. Never repeated."""
+    """Update the object if at ``version``. Never repeated.
+
+    A version whose number (core.revisions) is 0 creates the object.
+    """
 
     nonce: str
     number: int
--- a/crocuskeel/core/leadership/events.py
+++ b/crocuskeel/core/leadership/events.py
@@ -23,7 +23,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaseRead:
-    """The response to ``ReadLease``."""
+    """The response to ``ReadLease``; the version has the store's era."""
 
     status: Status
     version: int = 0
--- a/crocuskeel/core/leadership/lease.py
+++ b/crocuskeel/core/leadership/lease.py
@@ -13,6 +13,14 @@
 before it sent a write; a candidate measures from after it read that
 write's version. So the holder's span ends first, and ``margin_s``,
 applied on both sides, covers clocks that run at different rates.
+
+The store may be restored from a copy in which the object is older or
+missing. Versions contain the store's era (core.revisions), so they grow all
+the same, and the object contains the era that its record is of. While an
+object of a former era stands there, nobody has renewed the lease since the
+restore. The holder whose lease is still valid writes its own object again;
+any other process waits for a whole span, even if the copy shows the lease as
+free.
 """
 
 import dataclasses
@@ -23,10 +31,11 @@
 from crocuskeel.core.leadership import effects
 from crocuskeel.core.leadership import events
 from crocuskeel.core.leadership import state as states
+from crocuskeel.core import revisions
 
 __all__ = ["check_fence", "detect_pause", "ends_at", "is_valid", "lapses_at",
-           "note_version", "on_read", "on_written", "release", "step",
-           "step_down"]
+           "note_era", "note_version", "on_read", "on_written", "release",
+           "step", "step_down"]
 
 _NONCE_BITS = 128
 _UNKNOWN_SPAN_S = 60.0
@@ -35,7 +44,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Stored:
-    """The lease object; ``nonce`` is empty after a release."""
+    """The lease object; ``nonce`` is empty after a release.
+
+    ``era`` is the store's era that the record is of; None if the writer ran
+    a version of this program without eras.
+    """
 
     holder: str
     nonce: str
@@ -43,6 +56,7 @@
     span_s: float
     order_s: float
     record: typing.Any = None
+    era: int | None = None
 
 
 def _encode(stored):
@@ -55,12 +69,16 @@
         return _Stored(
             str(doc["holder"]), str(doc["nonce"]), int(doc["renewals"]),
             float(doc["span_s"]), float(doc["order_s"]),
-            doc.get("record"))
+            doc.get("record"), _era(doc.get("era")))
     except (KeyError, TypeError, ValueError):
         # The writer of this may act as the holder: assume a long span.
         return _Stored("?", "?", 0, _UNKNOWN_SPAN_S, _UNKNOWN_SPAN_S)
 
 
+def _era(value):
+    return None if value is None else int(value)
+
+
 def is_valid(state, now):
     """Return whether this process may act as the holder now."""
     lease = state.lease
@@ -74,6 +92,21 @@
     return state.lease.confirmed_at + cfg.span_s - cfg.margin_s
 
 
+def note_era(state, era, now):
+    """Record an era of the store that an answer or another process shows.
+
+    A holder reads the object before it relies on its version again.
+    """
+    if era <= state.era:
+        return
+    state.era = era
+    state.era_seen_at = now
+    lease = state.lease
+    if lease.holding and revisions.era(lease.version) < era:
+        lease.write_uncertain = True
+        lease.due_at = now
+
+
 def note_version(state, version, now):
     """Record a version of the object that another process reports.
 
@@ -118,7 +151,9 @@
         return effs
     lease.due_at = now + state.cfg.renew_s
     lease.call_in_progress = True
-    if not lease.holding or lease.write_uncertain:
+    if not is_valid(state, now) or lease.write_uncertain:
+        # A write with a number that the restored store has again would
+        # succeed although another process holds the lease.
         return effs + [effects.ReadLease()]
     return effs + [_renewal(state, now)]
 
@@ -135,17 +170,19 @@
 def _renewal(state, now):
     lease = state.lease
     lease.number += 1
-    return _write(state, state.cfg.host, lease.nonce, now)
+    return _write(state, state.cfg.host, lease.nonce, now,
+                  revisions.era(lease.version))
 
 
-def _write(state, holder, nonce, now):
+def _write(state, holder, nonce, now, era):
     lease, cfg = state.lease, state.cfg
     # A repeated acquisition has the same number: whichever of the two
     # writes took effect, the span is measured from the first sending.
     sent = lease.sent.setdefault(
-        lease.number, states.Sent(now, lease.record))
+        lease.number, states.Sent(now, lease.record, era))
     body = _encode(_Stored(
-        holder, nonce, lease.number, cfg.span_s, cfg.order_s, sent.record))
+        holder, nonce, lease.number, cfg.span_s, cfg.order_s, sent.record,
+        sent.era))
     return effects.WriteLease(
         lease.nonce, lease.number, body, lease.version)
 
@@ -155,7 +192,7 @@
     lease = state.lease
     lease.call_in_progress = True
     lease.number += 1
-    return _write(state, "", "", now)
+    return _write(state, "", "", now, revisions.era(lease.version))
 
 
 # Responses of the store.
@@ -169,9 +206,16 @@
     stored = _Stored("", "", 0, 0.0, 0.0)
     if event.status is Status.FOUND:
         stored = _decode(event.body)
+    note_era(state, revisions.era(event.version), now)
+    valid = is_valid(state, now)
+    restored = lease.holding and revisions.era(
+        event.version) > revisions.era(lease.version)
     is_own = lease.nonce and stored.nonce == lease.nonce
-    if is_own and stored.renewals in lease.sent:
-        return _confirm(state, event.version, stored.renewals, now)
+    if (is_own and stored.renewals in lease.sent
+            and (valid or not restored)):
+        return _confirm_own(state, event.version, stored.renewals, now)
+    if restored and valid and _precedes_restore(stored, event):
+        return _resume(state, event.version, now)
     if lease.holding:
         # Another process acquired the lease, or the object was removed.
         return _lose(state, "lease_lost", now) + _observe(
@@ -179,6 +223,33 @@
     return _observe(state, event.version, stored, now)
 
 
+def _confirm_own(state, version, number, now):
+    """Confirm a write that was read, and renew the lease if it lapsed."""
+    effs = _confirm(state, version, number, now)
+    if is_valid(state, now) or state.stopping:
+        return effs
+    state.lease.call_in_progress = True
+    return effs + [_renewal(state, now)]
+
+
+def _precedes_restore(stored, event):
+    """Return whether nobody wrote the object since the store's restore."""
+    if event.status is Status.NOT_FOUND:
+        return True
+    return stored.era is not None and stored.era < revisions.era(
+        event.version)
+
+
+def _resume(state, version, now):
+    """Write the valid lease again, over an older object or none."""
+    lease = state.lease
+    lease.version = version
+    lease.write_uncertain = False
+    lease.call_in_progress = True
+    return [_record("lease_resumed", ("fence", lease.fence)),
+            _renewal(state, now)]
+
+
 def _observe(state, version, stored, now):
     lease, cfg = state.lease, state.cfg
     if version != lease.seen_version:
@@ -190,9 +261,14 @@
         lease.span_s = max(cfg.span_s, stored.span_s)
         lease.order_s = max(cfg.order_s, stored.order_s)
         lease.record = stored.record
+        lease.record_era = revisions.era(version)
+        if stored.era is not None:
+            lease.record_era = min(lease.record_era, stored.era)
         # A write of our own to an older version can't take effect any more.
         lease.nonce = ""
-    released = version > 0 and not stored.nonce
+    released = (
+        revisions.number(version) > 0 and not stored.nonce
+        and lease.record_era == revisions.era(version))
     if not released and now < lapses_at(state):
         return []
     if state.stopping or now < state.cooldown_until:
@@ -208,7 +284,8 @@
         lease.sent = {}
     lease.version = version
     lease.call_in_progress = True
-    return [_write(state, state.cfg.host, lease.nonce, now)]
+    return [_write(state, state.cfg.host, lease.nonce, now,
+                   lease.record_era)]
 
 
 def on_written(state, event, now):
@@ -233,6 +310,9 @@
     lease = state.lease
     lease.version = version
     lease.write_uncertain = False
+    if lease.sent[number].era < revisions.era(version):
+        # Others can't tell the object from an older one of the copy.
+        lease.due_at = now
     lease.confirmed_at = lease.sent[number].at
     lease.committed_record = lease.sent[number].record
     lease.number = max(lease.number, number)
--- a/crocuskeel/core/leadership/state.py
+++ b/crocuskeel/core/leadership/state.py
@@ -36,10 +36,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sent:
-    """A write of this process: when it was first sent, and its record."""
+    """A write of this process: when it was first sent, and its record.
+
+    ``era`` is the store's era that the record is of.
+    """
 
     at: float
     record: typing.Any = None
+    era: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -57,6 +61,9 @@
 
     ``record`` is a JSON value that the holder stores in the object for
     the next one; ``committed_record`` is known to be stored there.
+    ``record_era`` is the store's era that the record read from the object
+    is of: if that of the object's version is newer, the store was restored
+    and holders may have acted of whom the record says nothing.
     """
 
     holding: bool = False
@@ -72,6 +79,7 @@
     seen_version: int = -1
     seen_at: float = NEVER
     read_version: int = -1
+    record_era: int = 0
     holder: str = ""
     span_s: float = 0.0
     order_s: float = 0.0
@@ -88,7 +96,8 @@
 
     ``rng`` is a ``random.Random`` that no other process shares, as nonces
     are drawn from it. The lease is not acquired before
-    ``cooldown_until``.
+    ``cooldown_until``. ``era`` is the newest era of the store that this
+    process knows, since ``era_seen_at``.
     """
 
     cfg: Config
@@ -97,3 +106,5 @@
     last_step_at: float | None = None
     cooldown_until: float = NEVER
     stopping: bool = False
+    era: int = -1
+    era_seen_at: float = NEVER
--- a/crocuskeel/core/revisions.py
+++ b/crocuskeel/core/revisions.py
@@ -18,8 +18,11 @@
 
 
 def era(revision):
-    """Return the era in which the store gave out a revision."""
-    return revision >> NUMBER_BITS
+    """Return the era in which the store gave out a revision.
+
+    A negative revision stands for none and has era 0.
+    """
+    return max(0, revision) >> NUMBER_BITS
 
 
 def number(revision):
--- a/crocuskeel/platform/duties.py
+++ b/crocuskeel/platform/duties.py
@@ -64,12 +64,12 @@
     async def read_lease(self, effect):
         """Read the lease from the store."""
         try:
-            found = await self.store.read(LEASE_KIND, LEASE_NAME)
+            version, found = await self.store.read(LEASE_KIND, LEASE_NAME)
         except exceptions.StoreError as exc:
             self.gateway.log("lease_not_read", {"why": str(exc)})
             event = lease_events.LeaseRead(Status.UNAVAILABLE)
         else:
-            event = _lease_event(found)
+            event = _lease_event(version, found)
         self.gateway.feed(event)
 
     async def write_lease(self, effect):
@@ -129,12 +129,11 @@
         effect.call, model.Outcome.FAILED, "unexpected error")
 
 
-def _lease_event(found):
+def _lease_event(version, found):
     if found is None:
-        return lease_events.LeaseRead(Status.NOT_FOUND)
+        return lease_events.LeaseRead(Status.NOT_FOUND, version)
     return lease_events.LeaseRead(
-        Status.FOUND, found["Meta"]["Rev"],
-        json.dumps(found.get("Spec")).encode())
+        Status.FOUND, version, json.dumps(found.get("Spec")).encode())
 
 
 def _encode_report(call):
--- a/crocuskeel/platform/store.py
+++ b/crocuskeel/platform/store.py
@@ -105,27 +105,32 @@
                 GONE, f"watch {kind}: the store was restored")
 
     async def read(self, kind, name):
-        """Return one object, or None if there is none.
+        """Return (revision, object) of a name.
 
-        Raises StoreError.
+        If there is no such object it is None, and the revision is that of an
+        object that doesn't exist in the store's era. Raises StoreError.
         """
         reply = await self._call("read", b"GET", f"{kind}/{_quote(name)}",
                                  None)
         if reply.status == NOT_FOUND:
-            return None
-        return _object(reply, "read")
+            return revisions.combine(self.era, 0), None
+        found = _object(reply, "read")
+        return revisions.combine(self.era, found["Meta"]["Rev"]), found
 
     async def write(self, kind, name, spec, revision,
                     timeout_s=CALL_TIMEOUT_S):
-        """Replace an object of this revision, or create it if that is 0.
+        """Replace an object of this revision, or create it.
 
-        Returns the new revision, or None if the object has another one or
-        already exists. Raises StoreError; its status is 0 if the write
-        may have taken effect, or may do so later.
+        A revision with the number 0 is of an object that doesn't exist.
+        Returns the new revision, or None if the object has another one,
+        already exists, or the revision is of a former era. Raises StoreError;
+        its status is 0 if the write may have taken effect, or may do so later.
         """
+        if revisions.era(revision) != self.era:
+            return None
         meta = {"Name": name}
-        if revision:
-            meta["Rev"] = revision
+        if revisions.number(revision):
+            meta["Rev"] = revisions.number(revision)
             method, target = b"PUT", f"{kind}/{_quote(name)}"
         else:
             method, target = b"POST", kind
@@ -133,7 +138,8 @@
                                  {"Meta": meta, "Spec": spec}, timeout_s)
         if reply.status in (CONFLICT, NOT_FOUND):
             return None
-        return _object(reply, "write")["Meta"]["Rev"]
+        return revisions.combine(
+            self.era, _object(reply, "write")["Meta"]["Rev"])
 
     async def put(self, kind, name, spec):
         """Create an object or replace its content; raises StoreError.
--- a/crocuskeel/platform/store_watcher.py
+++ b/crocuskeel/platform/store_watcher.py
@@ -197,6 +197,7 @@
         self.gateway.log("store_restored", {"era": self.store.era, "watched": {
             kind.name: kind.revision and revisions.number(kind.revision)
             for kind in self.kinds}})
+        self.gateway.feed(events.StoreEraSeen(self.store.era))
         for kind in self.kinds:
             kind.revision = None
             if kind.watch is not None:
--- a/tests/duties/world.py
+++ b/tests/duties/world.py
@@ -19,19 +19,19 @@
 from crocuskeel.core.entry import usage
 from crocuskeel.core.leadership import effects as lease_effects
 from crocuskeel.core.leadership import events as lease_events
+from tests.duties import lease_store
 from tests.entry import support
 from tests import liveness
 from tools.soak import cloud
 
-Status = lease_events.Status
 Outcome = duties_model.Outcome
 LEASE_S = 3.0
 REPORT_S = 5.0
 TICK_S = 0.3
 STEP_S = 0.05
 # One-way delay between two processes, and the timeout of a call, s.
-DELAY_S = 0.002
-TIMEOUT_S = 1.0
+DELAY_S = lease_store.DELAY_S
+TIMEOUT_S = lease_store.TIMEOUT_S
 LEASE = "lease"
 DUTIES = frozenset({"usage", "scale"})
 
@@ -45,6 +45,7 @@
     out 2 s later if the condition still holds. ``slow``, for calls to the
     platform: delayed. ``skew`` is the error of the host's wall clock, s.
     ``calls_in_flight`` counts those for the lease and those of each duty.
+    ``era`` is the newest era of the store that it has seen in an answer.
     """
 
     name: str
@@ -55,13 +56,14 @@
     paused: bool = False
     dead: bool = False
     skew: float = 0.0
+    era: int = 0
     tick_at: float = 0.0
     calls_in_flight: collections.Counter = dataclasses.field(
         default_factory=collections.Counter)
     lines: list = dataclasses.field(default_factory=list)
 
 
-class World:
+class World(lease_store.LeaseStore):
     """Hosts h0, h1, ... all of which may serve callers."""
 
     def __init__(self, hosts=5, seed=1, scaling=None, engines=()):
@@ -70,8 +72,7 @@
         self.now = 1000.017
         # Offset of the true wall clock time, s since 1970.
         self.epoch = 1_700_000_000.0
-        self.version = 100
-        self.lease = None
+        super().__init__()
         self.arrivals = []
         # The hosts' call of each arrival.
         self.calls = []
@@ -97,6 +98,7 @@
     def _boot(self, host):
         host.dead = False
         host.calls_in_flight.clear()
+        host.era = 0
         host.core = entry.new_host(
             entry.Settings(duties=DUTIES, lease_s=LEASE_S,
                            report_window_s=REPORT_S),
@@ -206,44 +208,6 @@
         boot = host.boot
         self.at(delay, lambda: self._deliver(host, boot, event))
 
-    def _read(self, host):
-        if host.store != "well":
-            self._answer(host, TIMEOUT_S, lease_events.LeaseRead(
-                Status.UNAVAILABLE))
-            return
-        if self.lease is None:
-            event = lease_events.LeaseRead(Status.NOT_FOUND)
-        else:
-            event = lease_events.LeaseRead(Status.FOUND, *self.lease)
-        self._answer(host, 2 * DELAY_S, event)
-
-    def _write(self, host, effect):
-        def answer(status, version=0, delay=2 * DELAY_S):
-            self._answer(host, delay, lease_events.LeaseWritten(
-                effect.nonce, effect.number, status, version))
-
-        if host.store == "out":
-            answer(Status.UNKNOWN, delay=TIMEOUT_S)
-        elif host.store == "late":
-            self.at(2.0, lambda: self._apply(effect))
-            answer(Status.UNKNOWN, delay=TIMEOUT_S)
-        elif host.store == "lost":
-            self._apply(effect)
-            answer(Status.UNKNOWN, delay=TIMEOUT_S)
-        elif self._apply(effect):
-            answer(Status.WRITTEN, self.version)
-        else:
-            answer(Status.CONFLICT)
-
-    def _apply(self, effect):
-        """Write the lease if its condition holds."""
-        current = self.lease[0] if self.lease else 0
-        if current != effect.version:
-            return False
-        self.version += 1
-        self.lease = self.version, effect.body
-        return True
-
     def _send_call(self, host, boot, effect):
         """Send a call unless it is too late, as the runtime does."""
         if host.boot != boot or host.dead:
