Hosts register again when the store was restored from a copy

A host that had started after the copy was taken is missing in the restored list of hosts, and one that starts then is unknown to it: neither hears of the other, so callers that ask one of them are not sent to the other, and their loads and hints don't pass between them. By reading; cause: an entry that is written once, at the start, is taken to last.

Each host that reads the store writes its entry again and lists the others, within 10 ms for each host of the fleet. An entry that is there costs one call that changes nothing. That a host has listed the others again doesn't put off reading the store where no reader is heard.

test_hosts_register_again_and_list_each_other failed before. The test's store now keeps what hosts write.

--- a/crocuskeel/platform/store_watcher.py
+++ b/crocuskeel/platform/store_watcher.py
@@ -37,6 +37,9 @@
 PROBE_WATCH_S = 0.1
 # How often a host that doesn't read the store checks whether it should, s.
 ROLE_CHECK_INTERVAL_S = 0.3
+# After a restore of the store hosts register again within this time, s, for
+# each host of the fleet: a large one stays below the store's write rate.
+REGISTRATION_SPREAD_S = 0.01
 
 
 @dataclasses.dataclass(slots=True)
@@ -198,6 +201,11 @@
             kind.name: kind.revision and revisions.number(kind.revision)
             for kind in self.kinds}})
         self.gateway.feed(events.StoreEraSeen(self.store.era))
+        if self.started:
+            # The copy may lack this host's entry, or that of a new host.
+            host = self.gateway.host
+            spread_s = REGISTRATION_SPREAD_S * (1 + len(host.peers))
+            self.reactor.callLater(spread_s * host.rng.random(), self.start)
         for kind in self.kinds:
             kind.revision = None
             if kind.watch is not None:
--- a/tests/platform/store_server.py
+++ b/tests/platform/store_server.py
@@ -91,6 +91,8 @@
         kind = path.split("/")[3]
         parameters = dict(urllib.parse.parse_qsl(query))
         if method != b"GET":
+            row = json.loads(body)
+            self.write(kind, row["Meta"]["Name"], row["Spec"])
             self._reply(deferred, CREATED, {"Meta": {"Rev": self.revision}})
         elif "Watch" in parameters:
             self._start_watch(kind, int(parameters["Watch"]),
@@ -149,10 +151,10 @@
 class Gateway:
     """Feeds events to a host."""
 
-    def __init__(self, clock, seed):
+    def __init__(self, clock, seed, name="me"):
         self.clock = clock
         self.host = entry.new_host(entry.Settings(), random.Random(seed))
-        self.feed(events.Started(support.peer("me")))
+        self.feed(events.Started(support.peer(name)))
 
     def feed(self, event):
         entry.reduce(self.host, event, self.clock.seconds())
--- a/tests/platform/test_store_restored.py
+++ b/tests/platform/test_store_restored.py
@@ -41,8 +41,8 @@
         watcher.start()
         return watcher.gateway.host
 
-    def _new_watcher(self, seed):
-        gateway = store_server.Gateway(self.clock, seed)
+    def _new_watcher(self, seed, name="me"):
+        gateway = store_server.Gateway(self.clock, seed, name)
         self.gateways.append(gateway)
         return store_watcher.new_watcher(
             self.clock, gateway,
@@ -155,6 +155,20 @@
         self._advance(1.0)
         self.assertNotIn("s3", self._usable(self.hosts[0]))
 
+    def test_hosts_register_again_and_list_each_other(self):
+        # Guards against a host that no host knows that starts later: the
+        # copy is from before its registration.
+        copy = self.store.copy()
+        late = self._new_watcher(9, "late")
+        late.start()
+        self._advance(0.5)
+        self._restore(copy)
+        new = self._new_watcher(10, "new")
+        new.start()
+        self._advance(1.0)
+        self.assertTrue("new" in late.gateway.host.peers
+                        or "late" in new.gateway.host.peers)
+
     def test_watch_does_not_go_on_from_a_number_given_out_again(self):
         # Guards against a change that no watch reports: the counter passes
         # the watched number before the watch is opened again.
