Emulator: a store that comes back from an older copy

New fault `restore`: the store is down, then lists the servers as they were some seconds before; those whose entries it lacks write them again, entries of ended ones expire.

--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -84,6 +84,13 @@
         world.clock.after(fault.for_s, world.end_server, server.sid)
 
 
+def _restore(world, fault):
+    """The store is down and comes back from a copy, ``times`` s old."""
+    world.stop_store()
+    world.clock.after(fault.for_s, world.restore_store,
+                      world.clock.now - fault.times)
+
+
 def _kill_hosts(world, fault):
     names = world.rng.sample(world.names, min(fault.count, len(world.names)))
     for name in names:
@@ -110,4 +117,4 @@
 FAULTS = {"burst": _burst, "crash": _crash, "dark": _hang, "slow": _slow_down,
           "limit": _limit, "leave": _leave, "rest": _ask_backoff,
           "drain": _drain, "kill": _kill_hosts, "part": _partition,
-          "hot": _skew}
+          "hot": _skew, "restore": _restore}
--- a/emulator/run.py
+++ b/emulator/run.py
@@ -5,6 +5,7 @@
 
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import model
+from crocuskeel.core import revisions
 from emulator import callers
 from emulator import clock as clocks
 from emulator import engine as engines
@@ -20,6 +21,8 @@
 WARM_UP_S = 2.0
 # Delay until hosts learn of a change to the server list, s.
 SERVER_LIST_DELAY_S = 0.02
+# Interval at which servers write their entries, s.
+HEARTBEAT_S = 1.2
 # Share of the requests of a kind that go to the hot subject.
 HOT_SUBJECT_SHARE = 0.6
 # Subjects follow a Zipf distribution: weight 1 / rank ** exponent.
@@ -43,6 +46,11 @@
         self.hot_subject = None
         self.last_number = 0
         self.revision = 5
+        # The store: its era, whether it is down, and (time, entries) after
+        # each change.
+        self.era = 0
+        self.store_down = False
+        self.former_entries = []
         self.servers = {}
         self.entries = {}
         self.catalog = _catalog(deployment)
@@ -99,14 +107,56 @@
             self._send_server_change((), (sid,))
 
     def _send_server_change(self, changed, removed):
+        self.former_entries.append((self.clock.now, dict(self.entries)))
+        if self.store_down:
+            return
         self.revision += 1
-        event = events.ServersChanged(changed, removed, self.revision)
+        self._broadcast(events.ServersChanged(
+            changed, removed, revisions.combine(self.era, self.revision)))
+
+    def _broadcast(self, event):
         for host in self.hosts.values():
             self.clock.after(
                 SERVER_LIST_DELAY_S,
                 host.receive_broadcast,
                 event)
 
+    def stop_store(self):
+        """Stop the store: hosts learn of no change."""
+        self.store_down = True
+        self._broadcast(events.StoreUnavailable("reset"))
+
+    def restore_store(self, taken_at):
+        """Bring the store back from a copy of an earlier time.
+
+        Servers whose entries it lacks write them again. Entries of those
+        that have ended expire.
+        """
+        self.store_down = False
+        self.era += 1
+        kept = [row for row in self.former_entries if row[0] <= taken_at]
+        self.revision = 5 + len(kept)
+        listed = kept[-1][1] if kept else {}
+        self._broadcast(events.StoreAvailable())
+        self._broadcast(events.StoreEraSeen(self.era))
+        self._broadcast(events.ServersListed(
+            tuple(listed.values()),
+            revisions.combine(self.era, self.revision)))
+        for sid, entry in self.entries.items():
+            if listed.get(sid) != entry:
+                self.clock.after(self.rng.uniform(0.0, HEARTBEAT_S),
+                                 self._write_again, sid)
+        self.clock.after(3 * HEARTBEAT_S, self._expire, set(listed))
+
+    def _write_again(self, sid):
+        if sid in self.entries:
+            self._send_server_change((self.entries[sid],), ())
+
+    def _expire(self, sids):
+        ended = tuple(sid for sid in sids if sid not in self.entries)
+        if ended:
+            self._send_server_change((), ended)
+
     def are_connected(self, host, other):
         """Return whether two hosts are in the same network partition."""
         return (host.name in self.partitioned) == (
--- a/tests/emulator/test_run.py
+++ b/tests/emulator/test_run.py
@@ -1,8 +1,10 @@
 """Tests of simulation runs: determinism, and loads near the limits."""
 
 import unittest
+from unittest import mock
 
 from emulator import deployment as deployments
+from emulator import engine
 from emulator import mechanisms
 from emulator import run
 
@@ -53,6 +55,37 @@
                 self.assertAlmostEqual(1.0, sum(result.shares.values()))
                 self.assertGreater(result.goodput, 0.5)
 
+    def test_restored_store_sends_nothing_to_servers_that_left(self):
+        # Guards against requests to a server whose entry is ready again.
+        world = run.World(small(
+            deployments.Fault("drain", 2.0, 20.0),
+            deployments.Fault("restore", 4.0, 0.5, times=3.5),
+            deployments.Fault("restore", 6.0, 0.5, times=5.0)), 2)
+        submitted = []
+        submit = engine.Engine.submit
+
+        def record(server, *args):
+            submitted.append((world.clock.now, server.sid))
+            return submit(server, *args)
+
+        with mock.patch.object(engine.Engine, "submit", record):
+            world.start()
+            world.start_load()
+            world.clock.run(world.tally.began + 9.0)
+        (left,) = [sid for sid, entry in world.entries.items()
+                   if entry.draining]
+        self.assertTrue(any(sid == left for _, sid in submitted))
+        self.assertEqual([], [at for at, sid in submitted if sid == left
+                              and at > world.tally.began + 2.5])
+
+    def test_restored_store_costs_no_goodput(self):
+        faults = (deployments.Fault("restore", 2.0, 0.5, times=3.0),
+                  deployments.Fault("restore", 4.0, 2.0, times=10.0))
+        for seed in range(3):
+            before = run.play(small(), seed)
+            after = run.play(small(*faults), seed)
+            self.assertEqual(before.goodput, after.goodput)
+
     def test_drain_causes_no_failures(self):
         result = run.play(small(deployments.Fault("drain", 2.0, 5.0)), 2)
         self.assertEqual(0, result.shares["failed"])
