Soak: a store that comes back from an older copy

Servers and the operator write again. The check of servers that left excuses such a restore only if they left less than a second before, as a host that has seen a leaving is bound by it.

--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -163,6 +163,18 @@
         record.arrivals.append(("r1", "s", 94.0))
         self.assertNotEqual([], checks.check_run(record))
 
+    def test_restored_copy_does_not_excuse_a_request_to_a_server_that_left(
+            self):
+        for name, began_at, allowed in (
+                (checks.RESTORED, 90.5, True), (checks.RESTORED, 91.5, False),
+                ("store outage", 91.5, True)):
+            record = records.new_record()
+            record.departed["s"] = 90.0
+            record.sent["r1"] = _sent("safe", callers.Reply(200))
+            record.arrivals.append(("r1", "s", 94.0))
+            record.add_fault("store", name, began_at, 1.0)
+            self.assertEqual(allowed, checks.check_run(record) == [])
+
     def _check_limited(self, count, change=lambda record: None):
         """Return the violations for so many requests within 3 s."""
         record = records.new_record()
--- a/tests/soak/test_store.py
+++ b/tests/soak/test_store.py
@@ -24,14 +24,39 @@
         self.assertFalse(store.down)
 
 
+class CopyTest(unittest.TestCase):
+    """A store that comes back from an older copy."""
+
+    def test_later_writes_are_lost_and_numbers_are_given_out_again(self):
+        clock = task.Clock()
+        store = stores.Store(clock)
+        store.put("servers", "s1", {"State": "ready"})
+        clock.advance(2.0)
+        store.put("servers", "s1", {"State": "draining"})
+        store.put("servers", "s2", {})
+        store.return_from_copy(1.0)
+        self.assertEqual([("servers", "s1")], list(store.objects))
+        self.assertEqual("ready", store.objects["servers", "s1"]["Spec"][
+            "State"])
+        self.assertEqual((2, 2), (store.era, store.revision))
+        store.put("servers", "s3", {})
+        self.assertEqual(3, store.revision)
+        watching = _Exchange(
+            b"/crocuskeel/objects/servers?Watch=4&WaitMs=1500")
+        store.request_received(watching)
+        self.assertEqual([410], watching.statuses)
+
+
 class _Exchange:
     def __init__(self, target):
         self.head = mock.Mock(method=b"GET", target=target, spec_set=[
             "method", "target"])
         self.ends = []
+        self.statuses = []
 
     def answer(self, status, headers, body):
-        self.ends.append(json.loads(body))
+        self.statuses.append(status)
+        self.ends.append(json.loads(body or b"null"))
 
     def abort(self):
         self.ends.append("cut")
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -3,9 +3,10 @@
 import collections
 
 from tools.soak import engine
+from tools.soak import record as records
 
-__all__ = ["DRAIN_S", "KINDS", "LEASE_S", "check_recovery", "check_request",
-           "check_run"]
+__all__ = ["DRAIN_S", "KINDS", "LEASE_S", "RESTORED", "check_recovery",
+           "check_request", "check_run"]
 
 KINDS = ("top", "low", "safe", "unsafe")
 STREAMS = ("top", "low")
@@ -14,6 +15,10 @@
 # Time until a leaving server gets no new requests, and until a
 # configuration is in force (APPLY_S), s.
 DRAIN_S = 3.0
+# Hosts have seen a change of the store this long after it, s.
+LISTED_S = 1.0
+# Name of the fault in which the store comes back from an older copy.
+RESTORED = "store restored"
 # The duration of the lease in the hosts' settings, s.
 LEASE_S = 3.0
 APPLY_S = 3.0
@@ -162,12 +167,24 @@
         if left_at is None or at <= left_at + DRAIN_S:
             continue
         ip = record.sent[rid].ip
-        if record.is_undisturbed(left_at, at, ip, "store", "store " + ip, sid):
+        if record.is_undisturbed(left_at, at, ip, "store " + ip, sid) and (
+                not _may_not_have_seen(record, left_at, at)):
             errors.append(f"{rid}: reached {sid} {at - left_at:.1f} s after "
                           "it left")
     return errors
 
 
+def _may_not_have_seen(record, left_at, until):
+    """Return whether the store kept hosts from seeing that a server left.
+
+    A host that has seen it is bound by that, whatever the store's copy says.
+    """
+    return any(
+        start <= until and end + records.AFTEREFFECT_S >= left_at
+        for start, end, place, name in record.faults if place == "store"
+        and (name != RESTORED or start <= left_at + LISTED_S))
+
+
 def _check_versions(record):
     """A host never returns to a version older than one it served by."""
     errors = []
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -5,6 +5,7 @@
 undisturbed for long enough to check its guarantees.
 """
 
+from tools.soak import checks
 from tools.soak import engine as engines
 
 __all__ = ["FAULTS", "PLANNED_WORK", "choose_kinds", "do_planned_work",
@@ -13,6 +14,10 @@
 GRACE_S = 8.0
 KINDS_PER_RUN = 3
 SEVERED_SHARE = 0.7
+# Runs of these seeds have restores of the store.
+RESTORE_SEEDS = range(1100, 1200)
+# How often another restore of the store follows one.
+REPEAT_SHARE = 0.3
 
 
 def choose_kinds(rng, seed):
@@ -25,7 +30,10 @@
     for first_seed, added in ADDED_KINDS:
         if seed >= first_seed:
             available += added
-    return rng.sample(available, KINDS_PER_RUN)
+    kinds = rng.sample(available, KINDS_PER_RUN)
+    if seed in RESTORE_SEEDS and _restore not in kinds:
+        kinds[0] = _restore
+    return kinds
 
 
 def inject_fault(soak):
@@ -141,6 +149,16 @@
     soak.call_later(2.5, soak.store.set_silent, False)
 
 
+def _restore(soak):
+    """The store is away and comes back from a copy, at times twice."""
+    away_s = soak.rng.uniform(0.3, 3.0)
+    soak.note_fault("store", checks.RESTORED, away_s)
+    soak.store.set_down(True)
+    soak.call_later(away_s, soak.restore_store, soak.rng.uniform(0.0, 10.0))
+    if soak.rng.random() < REPEAT_SHARE:
+        soak.call_later(away_s + soak.rng.uniform(0.3, 2.0), _restore, soak)
+
+
 def _slow_store(soak):
     soak.note_fault("store", "store slow", 2.0)
     soak.store.delay_s = 0.3
@@ -289,4 +307,5 @@
 # Kinds that were added later, with the first seed that draws them.
 ADDED_KINDS = (
     (200, (_reborn, _other_writer)), (400, (_silent_store,)),
-    (500, (_need,)), (600, (_leave_unlisted, _rest)), (1000, (_sever,)))
+    (500, (_need,)), (600, (_leave_unlisted, _rest)), (1000, (_sever,)),
+    (1100, (_restore,)))
--- a/tools/soak/record.py
+++ b/tools/soak/record.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-__all__ = ["Record", "SentRequest", "new_record"]
+__all__ = ["AFTEREFFECT_S", "Record", "SentRequest", "new_record"]
 
 # How long the effects of a fault last after its end, s: hosts drop out of
 # a list after 1.3 s, and a silent connection is detected only after some
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -33,6 +33,8 @@
 # Delay from the end of a request to its check, for its servers to stop, s.
 CHECK_DELAY_S = 1.1
 KEY = b"key"
+# Interval at which servers write their entries, s.
+HEARTBEAT_S = 1.2
 # Ordered engines never start, so that the holder repeats its orders.
 AUTOSCALE = {"Min": 1, "Max": 20, "BootTimeoutS": 0.5, "SpotPrice": 0.2,
              "ZonePrices": {"zone-0": 1.0, "zone-1": 1.0}}
@@ -131,6 +133,27 @@
             if sid in self.engines and sid not in self.record.departed:
                 self._register(sid)
 
+    def restore_store(self, age_s):
+        """End an outage of the store with a copy of ``age_s`` ago.
+
+        Servers and the operator write again what the copy lacks. Entries of
+        servers that have ended expire.
+        """
+        self.store.return_from_copy(age_s)
+        self.store.set_down(False)
+        self.call_later(self.rng.uniform(0.0, 1.0), self._write_config)
+        for sid in self.engines:
+            if sid not in self.record.departed:
+                self.call_later(self.rng.uniform(0.0, HEARTBEAT_S),
+                                self.reregister, (sid,))
+        self.call_later(3 * HEARTBEAT_S, self._expire_ended)
+
+    def _expire_ended(self):
+        for kind, sid in list(self.store.objects):
+            if kind == "servers" and (sid in self.record.departed
+                                      or sid in self.record.ended):
+                self.store.remove(kind, sid)
+
     def any_engine(self):
         """Return the id of a random server that has not left."""
         return self.rng.choice([sid for sid in self.engines
@@ -187,6 +210,10 @@
     def configure(self):
         """Write the next version of the configuration."""
         self.version += 1
+        self._write_config()
+        self.versions.append((self.version, self.reactor.seconds()))
+
+    def _write_config(self):
         routes = [_route(kind) for kind in checks.KINDS]
         routes += [_route(f"v{number}") for number
                    in (self.version, self.version - 1) if number > 0]
@@ -198,7 +225,6 @@
             "Version": self.version, "Routes": routes,
             "Services": services, "Tenants": [
                 {"Name": "hire", "ApiKeys": [KEY.decode()]}]})
-        self.versions.append((self.version, self.reactor.seconds()))
 
     def _settled(self):
         """Return the last version that must be in force by now."""
--- a/tools/soak/store.py
+++ b/tools/soak/store.py
@@ -9,20 +9,23 @@
 __all__ = ["Store"]
 
 PREFIX = "/crocuskeel/objects/"
-JSON = [(b"Content-Type", b"application/json")]
+JSON = (b"Content-Type", b"application/json")
 
 
 class Store:
     """Answers the calls of hosts, with 503 to all while it is ``down``.
 
-    ``delay_s`` is added to each answer. With ``drops_answers`` writes are
-    done but not answered. While it is ``silent``, it accepts calls and
-    never answers them.
+    ``era`` rises when it comes back from an older copy. ``delay_s`` is added
+    to each answer. With ``drops_answers`` writes are done but not answered.
+    While it is ``silent``, it accepts calls and never answers them.
     """
 
     def __init__(self, reactor):
         self.reactor = reactor
         self.revision = 1
+        self.era = 1
+        # (time, revision, kind, object, removed) of all changes.
+        self.log = []
         self.objects = {}
         self.watches = []
         # (revision, kind, object, removed) since history_from.
@@ -73,7 +76,25 @@
             self.revision += 1
             self._record_change(kind, obj, True)
 
+    def return_from_copy(self, age_s):
+        """Come back from a copy of ``age_s`` ago; what followed is lost."""
+        taken_at = self.reactor.seconds() - age_s
+        self.log = [row for row in self.log if row[0] <= taken_at]
+        self.objects = {}
+        for _, _, kind, obj, removed in self.log:
+            self.objects[kind, obj["Meta"]["Name"]] = obj
+            if removed:
+                del self.objects[kind, obj["Meta"]["Name"]]
+        self.history = [row[1:] for row in self.log]
+        self.revision = self.log[-1][1] if self.log else 1
+        # The history from before the copy is there again.
+        self.history_from = 0
+        self.era += 1
+        self._abort_watches()
+
     def _record_change(self, kind, obj, removed):
+        self.log.append((self.reactor.seconds(), self.revision, kind, obj,
+                         removed))
         self.history.append((self.revision, kind, obj, removed))
         if self.down or self.silent:
             return
@@ -97,8 +118,8 @@
 
     def _watch(self, exchange, kind, since):
         """Answer a watch with the changes since then, or keep it open."""
-        if since < self.history_from:
-            exchange.answer(410, [], b"")
+        if since < self.history_from or since > self.revision:
+            exchange.answer(410, self._headers(), b"")
             return
         rows = [{"Object": obj, "Removed": removed}
                 for revision, object_kind, obj, removed in self.history
@@ -129,7 +150,7 @@
         if self.silent:
             return
         if self.down:
-            exchange.answer(503, [], b"")
+            exchange.answer(503, self._headers(), b"")
             return
         url = urllib.parse.urlsplit(exchange.head.target.decode())
         kind, _, name = url.path.removeprefix(PREFIX).partition("/")
@@ -141,7 +162,8 @@
         name = name or body["Meta"]["Name"]
         current = self.objects.get((kind, name))
         if self._conflicts(exchange.head.method, body, current):
-            exchange.answer(409, JSON, json.dumps(current).encode())
+            exchange.answer(409, self._headers(),
+                            json.dumps(current).encode())
             return
         self.put(kind, name, body["Spec"])
         if self.drops_answers:
@@ -161,7 +183,7 @@
         if name:
             found = self.objects.get((kind, name))
             if found is None:
-                exchange.answer(404, [], b"")
+                exchange.answer(404, self._headers(), b"")
             else:
                 self._answer(exchange, found)
             return
@@ -185,5 +207,8 @@
 
     def _answer(self, exchange, page):
         body = json.dumps(page).encode()
-        self.reactor.callLater(self.delay_s, exchange.answer, 200, JSON,
-                               body)
+        self.reactor.callLater(self.delay_s, exchange.answer, 200,
+                               self._headers(), body)
+
+    def _headers(self):
+        return [JSON, (b"Store-Era", b"%d" % self.era)]
