A write sent before a restore of the store proves no lease; begin anew

(1) An acquisition, or the renewal of a lapsed holder, then succeeds although another host had acquired the lease since the copy was taken: two hosts act at once. (2) It replaces the record by an older one whose counts were never decided, and the next holder reported them: two counts of a window.

Now a write whose answer shows a newer era than its condition counts only if the lease was valid without it; otherwise the host waits for a whole span. A holder that finds a record of a former era begins with the current window, as the first of all does, and takes over no counts: the windows that the record holds as decided may be those of a late write. That replaces the rule that left out windows up to when the new era was seen, and is simpler.

--- a/crocuskeel/core/duties/reporting.py
+++ b/crocuskeel/core/duties/reporting.py
@@ -6,16 +6,16 @@
 often.
 
 If the store was restored from an older copy, the object doesn't show what was
-decided since. A window that an earlier holder may have decided is left out
-then: a missing report can be made up for, a second one with other counts
-can't be taken back.
+decided since, and a write that was sent before may have replaced it. The next
+holder then begins with the current window, as the first one does: a missing
+report can be made up for, a second one with other counts can't be taken back.
 """
 
 from crocuskeel.core.duties import counting
 from crocuskeel.core.duties import handover as handovers
 from crocuskeel.core.duties import model
 
-__all__ = ["answered", "decide", "due", "leave_out"]
+__all__ = ["answered", "decide", "due"]
 
 # A window is decided this long after its end, s: the first token of a
 # stream arrives after tens of milliseconds, the response to a call after
@@ -26,24 +26,6 @@
 RETRY_LIMIT_S = 60.0
 
 
-def leave_out(duties, report_s, wall):
-    """Give up the windows that may have been decided up to ``wall``.
-
-    Those whose counts the record contains are reported. Returns the others.
-    """
-    book = duties.handover
-    if book.done is None:
-        return []
-    last = max([book.done, *book.decided])
-    newest = _newest_decidable(report_s, wall)
-    book.done = max(book.done, newest)
-    return list(range(last + 1, newest + 1))
-
-
-def _newest_decidable(report_s, wall):
-    return int((wall - SETTLE_S) // report_s) - 1
-
-
 def decide(duties, report_s, wall):
     """Decide the windows that have ended; return their numbers.
 
@@ -52,10 +34,11 @@
     current = int(wall // report_s)
     book = duties.handover
     if book.done is None:
-        # This is the first holder of all: reports begin with this window.
+        # This is the first holder of all, or the first one that knows nothing
+        # of the earlier ones: reports begin with this window.
         book.done = current - 1
     last = max([book.done, *book.decided])
-    newest = _newest_decidable(report_s, wall)
+    newest = int((wall - SETTLE_S) // report_s) - 1
     first = max(last + 1, newest - counting.WINDOWS_KEPT)
     ended = range(first, newest + 1)
     for window in ended:
--- a/crocuskeel/core/entry/duty_lease.py
+++ b/crocuskeel/core/entry/duty_lease.py
@@ -8,10 +8,8 @@
 that in normal operation only the holder calls the store.
 """
 
-from crocuskeel.core.duties import clock
 from crocuskeel.core.duties import counting
 from crocuskeel.core.duties import handover as handovers
-from crocuskeel.core.duties import reporting
 from crocuskeel.core.duties import state as states
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import fleet
@@ -37,8 +35,6 @@
 # A host that has just started waits this long to learn who holds the
 # lease, s: other hosts send two datagrams in that time.
 DISCOVERY_S = 1.0
-# Hosts' estimates of the agreed wall clock time differ by less than this, s.
-CLOCK_MARGIN_S = 0.5
 # A step that comes later than this after the previous one indicates a
 # pause, s: steps are 0.3 s apart, and a slow host delays them by less.
 JUMP_S = 1.0
@@ -160,31 +156,15 @@
         return [effects.LogEvent("bad_record", {"why": str(exc)})]
     for name, boot, rows in tables:
         counting.merge(duties.tables.setdefault((name, boot), {}), rows)
-    if lease.record_era == revisions.era(lease.version):
-        return []
-    return _leave_out_windows(host, now)
-
-
-def _leave_out_windows(host, now):
-    """Leave out windows that were decided after the store's copy was taken.
-
-    Until this host saw the new era, another one may have decided some. The
-    next write contains the result before any later one counts as of the new
-    era.
-    """
-    duties = host.duties
-    candidate = duties.lease_state
-    wall = clock.wall_time(duties.offsets, now)
-    if wall is None:
-        # This host was paused: begin with the current window, as the first
-        # holder of all does.
-        duties.handover = handovers.HandoverState()
-        return []
-    seen_at = wall - (now - candidate.era_seen_at) + CLOCK_MARGIN_S
-    windows = reporting.leave_out(duties, host.cfg.report_window_s, seen_at)
-    candidate.lease.record = lease_record(duties)
-    return [effects.LogEvent("windows_left_out", {
-        "windows": windows, "era": candidate.era})]
+    if lease.record_era < revisions.era(lease.version):
+        # Other holders may have decided more, or otherwise, before the store
+        # was restored. The next write is of the new era.
+        duties.handover.done = None
+        duties.handover.decided = {}
+        lease.record = lease_record(duties)
+        return [effects.LogEvent("reports_begin_anew", {
+            "era": revisions.era(lease.version)})]
+    return []
 
 
 def _update_leader(duties, now):
--- a/crocuskeel/core/leadership/lease.py
+++ b/crocuskeel/core/leadership/lease.py
@@ -100,7 +100,6 @@
     if era <= state.era:
         return
     state.era = era
-    state.era_seen_at = now
     lease = state.lease
     if lease.holding and revisions.era(lease.version) < era:
         lease.write_uncertain = True
@@ -208,8 +207,7 @@
         stored = _decode(event.body)
     note_era(state, revisions.era(event.version), now)
     valid = is_valid(state, now)
-    restored = lease.holding and revisions.era(
-        event.version) > revisions.era(lease.version)
+    restored = _is_of_former_era(lease, event.version)
     is_own = lease.nonce and stored.nonce == lease.nonce
     if (is_own and stored.renewals in lease.sent
             and (valid or not restored)):
@@ -295,6 +293,9 @@
     if event.nonce != lease.nonce:
         return []
     if event.status is Status.WRITTEN:
+        if _is_of_former_era(lease, event.version) and not is_valid(
+                state, now):
+            return _discard_write(state, event.version, now)
         return _confirm(state, event.version, event.number, now)
     if event.status is Status.UNAVAILABLE:
         return []
@@ -306,6 +307,27 @@
     return []
 
 
+def _is_of_former_era(lease, version):
+    """Return whether the store was restored since the known version."""
+    return revisions.era(version) > revisions.era(lease.version)
+
+
+def _discard_write(state, version, now):
+    """Wait for a span after a write that was done after a restore.
+
+    Its number was valid again, though another process had acquired the lease
+    since the copy was taken.
+    """
+    effs = []
+    if state.lease.holding:
+        effs = _lose(state, "lease_lost", now)
+    lease = state.lease
+    lease.nonce = ""
+    lease.seen_version = version
+    lease.seen_at = now
+    return effs
+
+
 def _confirm(state, version, number, now):
     lease = state.lease
     lease.version = version
--- a/crocuskeel/core/leadership/state.py
+++ b/crocuskeel/core/leadership/state.py
@@ -97,7 +97,7 @@
     ``rng`` is a ``random.Random`` that no other process shares, as nonces
     are drawn from it. The lease is not acquired before
     ``cooldown_until``. ``era`` is the newest era of the store that this
-    process knows, since ``era_seen_at``.
+    process knows.
     """
 
     cfg: Config
@@ -107,4 +107,3 @@
     cooldown_until: float = NEVER
     stopping: bool = False
     era: int = -1
-    era_seen_at: float = NEVER
--- a/tests/leadership/test_restored_lease.py
+++ b/tests/leadership/test_restored_lease.py
@@ -85,6 +85,15 @@
             self.assertEqual([], [each for each in found if isinstance(
                 each, effects.WriteLease)])
 
+    def test_renewal_of_a_lapsed_lease_is_not_relied_on_after_a_restore(self):
+        # Guards against two holders: the number of the late write is valid
+        # again, and another host acquired the lease before the restore.
+        for valid, now in ((True, NOW + 1.5), (False, LAPSED)):
+            self.state = holder()
+            write = leases.step(self.state, NOW + 1.1)[-1]
+            written(self.state, write.number, at(2, 7), now)
+            self.assertEqual(valid, leases.is_valid(self.state, now))
+
     def test_lapsed_holder_reads_the_object_before_it_writes(self):
         # Guards against a renewal at a number that is valid again, of a
         # holder that was paused while another one acquired the lease.
@@ -127,6 +136,23 @@
         renewal = leases.step(self.state, LAPSED)[-1]
         self.assertEqual(2, era_of(renewal))
 
+    def test_acquisition_that_is_done_after_a_restore_is_not_used(self):
+        # Guards against two holders, as above; also if its answer is lost.
+        self._read(at(1, 5), NOW)
+        write = self._read(at(1, 5), LAPSED)[-1]
+        written(self.state, write.number, at(2, 6), LAPSED)
+        self.assertFalse(self.state.lease.holding)
+        for later, acquires in ((0.1, False), (3.7, True)):
+            found = self._read(at(2, 6), LAPSED + later, holder="x", era=1,
+                               nonce=write.nonce, renewals=write.number)
+            self.assertEqual(acquires, bool(found))
+        self.state = test_lease.candidate()
+        self._read(at(1, 5), NOW)
+        write = self._read(at(1, 5), LAPSED)[-1]
+        self._read(at(2, 6), LAPSED, holder="x", era=1, nonce=write.nonce,
+                   renewals=write.number)
+        self.assertFalse(self.state.lease.holding)
+
     def test_tokens_rise_over_a_restore(self):
         first = holder().lease.fence
         self._read(at(2, 3), NOW, era=1)
