--- a/crocuskeel/core/entry/draining.py
+++ b/crocuskeel/core/entry/draining.py
@@ -8,10 +8,9 @@
 """
 
 from crocuskeel.core.entry import effects
-from crocuskeel.core.entry import restores
 
-__all__ = ["is_draining", "merge", "note_listed", "note_removed",
-           "note_response", "remove_unlisted", "rows"]
+__all__ = ["is_draining", "merge", "note_listed", "note_response",
+           "remove_unlisted", "rows"]
 
 # A draining server that is no longer listed is kept for this long, s: its
 # entry may have expired and come back.
@@ -31,16 +30,15 @@
     return out
 
 
-def note_listed(host, server, now):
-    """Record that the store lists a server as draining."""
-    if server.draining:
-        host.leaving.setdefault(server.incarnation, (server.sid, now))
+def note_listed(host, servers, now):
+    """Record the draining ones of servers, as the store may forget it.
 
-
-def note_removed(host, server, now):
-    """Keep a draining server from its removal on; its entry may come back."""
-    if server.incarnation in host.leaving:
-        host.leaving[server.incarnation] = server.sid, now
+    Only after a restore of the store, as each record costs time with each
+    request.
+    """
+    for server in servers:
+        if server.draining:
+            host.leaving[server.incarnation] = server.sid, now
 
 
 def _mark_draining(host, sid, incarnation, now):
@@ -55,7 +53,7 @@
 
     So must one that may have left before the store was restored.
     """
-    if server.draining or restores.is_unconfirmed(host, server.sid):
+    if server.draining or server.sid in host.unconfirmed:
         return True
     return bool(host.leaving) and server.incarnation in host.leaving
 
--- a/crocuskeel/core/entry/registry.py
+++ b/crocuskeel/core/entry/registry.py
@@ -85,6 +85,8 @@
 def _apply(host, event, changed, removed, grace_ends, now):
     """Apply changes; ``grace_ends`` maps expired servers to drop times."""
     if restores.is_restore(host, event.revision):
+        draining.note_listed(
+            host, [state.server for state in host.servers.values()], now)
         changed = restores.current_entries(host, changed)
     host.servers_revision = max(host.servers_revision, event.revision)
     host.servers_behind_at = None
@@ -123,7 +125,6 @@
 
 def _add_or_update(host, server, event, addresses, now):
     host.lapsing.pop(server.sid, None)
-    draining.note_listed(host, server, now)
     known = host.servers.get(server.sid)
     if known is None:
         if not restores.returns_removed(host, server.sid, event, now):
@@ -218,8 +219,7 @@
 
 def _drop(host, sid, revision, now):
     """Delete a server that left, or whose entry didn't come back."""
-    draining.note_removed(host, host.servers[sid].server, now)
-    restores.note_removed(host, sid, revision, now)
+    restores.note_removed(host, host.servers[sid].server, revision, now)
     _delete(host, sid)
 
 
--- a/crocuskeel/core/entry/restores.py
+++ b/crocuskeel/core/entry/restores.py
@@ -6,12 +6,12 @@
 the time after which the store removes entries without heartbeats.
 """
 
+from crocuskeel.core.entry import draining
 from crocuskeel.core.entry import events
 from crocuskeel.core import revisions
 
 __all__ = ["current_entries", "forget_removed", "is_restore",
-           "is_unconfirmed", "note_changed", "note_removed",
-           "returns_removed"]
+           "note_changed", "note_removed", "returns_removed"]
 
 # The store removes an entry after three heartbeat intervals without one. One
 # more covers the time until hosts learn of it.
@@ -39,18 +39,19 @@
     return server.started_ms < known.server.started_ms
 
 
-def note_removed(host, sid, revision, now):
+def note_removed(host, server, revision, now):
     """Record that a server's entry was removed and it is used no more."""
-    host.removed[sid] = revision, now
-    host.unconfirmed.pop(sid, None)
+    host.removed[server.sid] = server, revision, now
+    host.unconfirmed.pop(server.sid, None)
 
 
 def returns_removed(host, sid, event, now):
     """Return whether an entry may be back only by a restore, and note that."""
-    removed = host.removed.pop(sid, None)
-    if removed is None or revisions.era(event.revision) <= revisions.era(
-            removed[0]):
+    former, revision, _ = host.removed.pop(sid, (None, 0, 0.0))
+    if former is None or revisions.era(event.revision) <= revisions.era(
+            revision):
         return False
+    draining.note_listed(host, (former,), now)
     host.unconfirmed[sid] = now + EXPIRY_HEARTBEATS * host.cfg.heartbeat_s
     return True
 
@@ -64,14 +65,9 @@
         host.unconfirmed.pop(sid, None)
 
 
-def is_unconfirmed(host, sid):
-    """Return whether a listed server may have left before the restore."""
-    return sid in host.unconfirmed
-
-
 def forget_removed(host, now):
     """Forget removed servers, and use those that outlived an expiry."""
-    for sid, (_, at) in list(host.removed.items()):
+    for sid, (_, _, at) in list(host.removed.items()):
         if at < now - RETENTION_S:
             del host.removed[sid]
     for sid, until in list(host.unconfirmed.items()):
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -190,8 +190,8 @@
     rings: dict = dataclasses.field(default_factory=dict)
     # Ids of servers that are kept for a while after their entries lapsed.
     lapsing: dict = dataclasses.field(default_factory=dict)
-    # Ids of removed servers: (revision of the list, when), and of servers
-    # that a restored copy lists again: until when they may be gone.
+    # By id: removed servers, as (server, revision of the list, when), and
+    # until when servers that a restored copy lists again may be gone.
     removed: dict = dataclasses.field(default_factory=dict)
     unconfirmed: dict = dataclasses.field(default_factory=dict)
     # By incarnation of a server: the rate limit that it set.
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -134,25 +134,21 @@
                 self._register(sid)
 
     def restore_store(self, age_s):
-        """End an outage of the store with a copy of ``age_s`` ago.
+        """End an outage with a copy of ``age_s`` ago; what lacks is rewritten.
 
-        Servers and the operator write again what the copy lacks. Entries of
-        servers that have ended expire.
+        Entries of servers that have ended expire.
         """
         self.store.return_from_copy(age_s)
         self.store.set_down(False)
         self.call_later(self.rng.uniform(0.0, 1.0), self._write_config)
         for sid in self.engines:
-            if sid not in self.record.departed:
-                self.call_later(self.rng.uniform(0.0, HEARTBEAT_S),
-                                self.reregister, (sid,))
+            self.call_later(self.rng.uniform(0.0, HEARTBEAT_S),
+                            self.reregister, (sid,))
         self.call_later(3 * HEARTBEAT_S, self._expire_ended)
 
     def _expire_ended(self):
-        for kind, sid in list(self.store.objects):
-            if kind == "servers" and (sid in self.record.departed
-                                      or sid in self.record.ended):
-                self.store.remove(kind, sid)
+        for sid in (*self.record.departed, *self.record.ended):
+            self.store.remove("servers", sid)
 
     def any_engine(self):
         """Return the id of a random server that has not left."""
