Check the era, revisions and the version that the store sends

Read through once more: an era of more digits than a datagram's integer holds would have ended the host's states with an overflow, a revision that is no integer the coroutine that watches (again after a second, and again), and a configuration whose Version is text would have failed when it was compared with the next. An invalid era counts as none; the other two are a failed call and an invalid object, as other bad input is.

test_invalid_eras_are_ignored, test_revision_that_is_no_integer_is_an_error and test_invalid_configuration_does_not_block_the_next (two rows) failed before. Tests for the lease's calls across eras and for hosts of the former version hold on the former code, too.

--- a/crocuskeel/core/revisions.py
+++ b/crocuskeel/core/revisions.py
@@ -6,10 +6,12 @@
 grow. Without restores, or without eras, it equals the number.
 """
 
-__all__ = ["combine", "era", "in_era_of", "number"]
+__all__ = ["MAX_ERA", "combine", "era", "in_era_of", "number"]
 
 # Enough for 400 changes a second over 87 years.
 NUMBER_BITS = 40
+# Revisions fit signed 64-bit integers, as datagrams hold them.
+MAX_ERA = (1 << 63 - NUMBER_BITS) - 1
 
 
 def combine(era, number):
--- a/crocuskeel/platform/objects.py
+++ b/crocuskeel/platform/objects.py
@@ -39,7 +39,7 @@
     try:
         spec = obj["Spec"]
         return model.Catalog(
-            revision=obj["Meta"]["Rev"], version=spec["Version"],
+            revision=obj["Meta"]["Rev"], version=_version(spec),
             routes=_routes(spec.get("Routes") or ()),
             services={row["Name"]: service(row)
                       for row in spec.get("Services") or ()},
@@ -50,6 +50,12 @@
             f"invalid configuration: {exc!r}") from exc
 
 
+def _version(spec):
+    if not _is_count(spec["Version"]):
+        raise ValueError("Version is no count")
+    return spec["Version"]
+
+
 def _routes(rows):
     found = {}
     for row in rows:
--- a/crocuskeel/platform/store.py
+++ b/crocuskeel/platform/store.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import operator
 import urllib.parse
 
 from crocuskeel.core import revisions
@@ -26,6 +27,7 @@
 # Header of every answer: a number that rises when the store is restored from
 # a copy. Compared in lower case.
 ERA_HEADER = b"store-era"
+MAX_ERA_DIGITS = 10
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -166,7 +168,7 @@
         try:
             # Invalid UTF-8 in one object must not hide the others.
             page = json.loads(reply.body.decode("utf-8", "replace"))
-            page["AsOf"] + 0
+            operator.index(page["AsOf"])
         except (ValueError, KeyError, TypeError, RecursionError) as exc:
             raise exceptions.StoreError(
                 0, f"{operation} {kind}: {exc!r}") from exc
@@ -191,10 +193,12 @@
 
 
 def _era(reply, default):
-    """Return the era in an answer, or ``default`` if it has none."""
+    """Return the era in an answer, or ``default`` if it has no valid one."""
     for name, value in reply.headers:
-        if name.lower() == ERA_HEADER and value.isdigit():
-            return int(value)
+        if (name.lower() == ERA_HEADER and value.isdigit()
+                and len(value) <= MAX_ERA_DIGITS):
+            era = int(value)
+            return era if era <= revisions.MAX_ERA else default
     return default
 
 
@@ -204,7 +208,7 @@
         raise exceptions.StoreError(reply.status, operation)
     try:
         found = json.loads(reply.body)
-        found["Meta"]["Rev"] + 0
+        operator.index(found["Meta"]["Rev"])
     except (ValueError, KeyError, TypeError) as exc:
         raise exceptions.StoreError(0, f"{operation}: {exc!r}") from exc
     return found
--- a/tests/platform/store_server.py
+++ b/tests/platform/store_server.py
@@ -153,6 +153,7 @@
 
     def __init__(self, clock, seed, name="me"):
         self.clock = clock
+        self.crashes = []
         self.host = entry.new_host(entry.Settings(), random.Random(seed))
         self.feed(events.Started(support.peer(name)))
 
@@ -160,4 +161,5 @@
         entry.reduce(self.host, event, self.clock.seconds())
 
     def log(self, event, fields):
-        pass
+        if event == "follower_died":
+            self.crashes.append(fields)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,6 +4,7 @@
 import unittest
 from unittest import mock
 
+from crocuskeel.core import revisions
 from crocuskeel.gateway import calls
 from crocuskeel.platform import exceptions
 from crocuskeel.platform import store as stores
@@ -50,6 +51,68 @@
             self.assertIsInstance(error, exceptions.StoreError)
 
 
+class EraTest(unittest.TestCase):
+    """The era in the answers, and revisions of the lease's calls."""
+
+    def _run(self, begin, status, body, *headers):
+        """Return the store, the calls made, and the result or error."""
+        store = stores.new_store(None, ("10.0.0.1", 80))
+        store.note_era(2)
+        requests = []
+
+        def call(reactor, address, method, target, timeout_s, body=b""):
+            requests.append((method, json.loads(body or b"null")))
+            return defer.succeed(calls.Reply(
+                status, json.dumps(reply).encode(), headers))
+
+        reply = body
+        results = []
+        with mock.patch.object(calls, "call", call):
+            done = defer.Deferred.fromCoroutine(begin(store))
+            done.addBoth(results.append)
+        return store, requests, results[0]
+
+    def test_invalid_eras_are_ignored(self):
+        # Guards against revisions that no datagram can hold.
+        for value in (b"", b"-3", b"3.5", b"9" * 9, b"9" * 5000):
+            store, _, listing = self._run(
+                lambda store: store.list("servers"), 200,
+                {"Items": [], "AsOf": 7}, (b"Store-Era", value))
+            self.assertEqual((2, revisions.combine(2, 7)),
+                             (store.era, listing.revision))
+
+    def test_revision_that_is_no_integer_is_an_error(self):
+        for value in (7.5, "7", None):
+            _, _, result = self._run(
+                lambda store: store.list("servers"), 200,
+                {"Items": [], "AsOf": value})
+            self.assertIsInstance(result.value, exceptions.StoreError)
+
+    def test_write_to_a_revision_of_a_former_era_is_not_sent(self):
+        # Guards against a number that the restored store has given out
+        # again, for another object.
+        for era, sent in ((1, []), (2, [(b"PUT", {"Meta": {
+                "Name": "duties", "Rev": 5}, "Spec": {}})])):
+            _, requests, result = self._run(
+                lambda store: store.write(
+                    "leases", "duties", {}, revisions.combine(era, 5)),
+                200, {"Meta": {"Rev": 6}})
+            self.assertEqual(sent, requests)
+            self.assertEqual(
+                revisions.combine(2, 6) if sent else None, result)
+
+    def test_missing_object_has_a_revision_of_the_era(self):
+        _, _, result = self._run(
+            lambda store: store.read("leases", "duties"), 404, {},
+            (b"store-era", b"3"))
+        self.assertEqual((revisions.combine(3, 0), None), result)
+        _, requests, _ = self._run(
+            lambda store: store.write(
+                "leases", "duties", {}, revisions.combine(2, 0)),
+            201, {"Meta": {"Rev": 6}})
+        self.assertEqual(b"POST", requests[0][0])
+
+
 class ListTest(unittest.TestCase):
     """Lists and changes that contain malformed rows."""
 
--- a/tests/platform/test_store_restored.py
+++ b/tests/platform/test_store_restored.py
@@ -36,6 +36,10 @@
         self.hosts = [self._start_host(seed) for seed in range(HOSTS)]
         self._advance(1.0)
 
+    def tearDown(self):
+        self.assertEqual([], [
+            crash for gateway in self.gateways for crash in gateway.crashes])
+
     def _start_host(self, seed):
         watcher = self._new_watcher(seed)
         watcher.start()
@@ -115,6 +119,27 @@
         for host in (*self.hosts, other.gateway.host):
             self.assertNotIn("s1", self._usable(host))
 
+    def test_host_of_the_former_version_gets_numbers_without_eras(self):
+        # Guards against a host that takes a revision with an era for newer
+        # than all that the store tells it later.
+        reader = self._new_watcher(7)
+        reader.start()
+        self._advance(1.0)
+        number = self.store.revision
+        known = reader.snapshot(number, number, True)
+        self.assertEqual((None, number, []), (
+            known["config"], known["since"], known["servers"]))
+        self._restore(self.store.copy())
+        self._advance(1.0)
+        restored = reader.snapshot(0, number, True)
+        self.assertNotIn("since", restored)
+        self.assertEqual(2, len(restored["servers"]))
+        self.assertLessEqual(restored["revision"], self.store.revision)
+        self.assertNotIn("era", restored)
+        fetching = self._new_watcher(8)
+        fetching.apply_snapshot(restored)
+        self.assertEqual(restored["revision"], fetching.revision)
+
     def test_draining_server_that_the_copy_lists_as_ready(self):
         # Guards against requests to a server that has said that it leaves.
         copy = self.store.copy()
--- a/tests/platform/test_store_watcher.py
+++ b/tests/platform/test_store_watcher.py
@@ -213,7 +213,8 @@
 
     def test_invalid_configuration_does_not_block_the_next(self):
         for invalid in ({"Limits": [1]},
-                        {"Routes": [{"Name": "r", "Host": 5}]}):
+                        {"Routes": [{"Name": "r", "Host": 5}]},
+                        {"Version": "8"}, {"Version": None}):
             self.setUp()
             self.store.answer("config", stores.Changes(
                 ((_config(7, **invalid), False),), 7))
