Test: random orders of restores, changes and leavings

No host goes back, stays behind 2 s after the last change, or uses a server that has left. The settings' heartbeat interval has a check.

--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -18,6 +18,7 @@
 Limits.Cores=2
 Platform.Addr=10.200.1.7:8223
 Bounds.BudgetSlack=52
+HeartbeatMs=900
 Something.New=1
 """
 
@@ -31,6 +32,7 @@
         self.assertEqual(("10.1.0.40", 7340), found.gossip)
         self.assertEqual(1.0, found.cores)
         self.assertEqual(52.0, found.settings.repeat_slack)
+        self.assertEqual(0.9, found.settings.heartbeat_s)
         self.assertEqual(2, len(found.seeds))
 
     def test_all_errors_are_reported_together(self):
--- a/tests/platform/test_store_restored.py
+++ b/tests/platform/test_store_restored.py
@@ -1,5 +1,6 @@
 """Hosts that read a store which comes back from an older copy of itself."""
 
+import random
 import unittest
 from unittest import mock
 
@@ -54,11 +55,11 @@
 
     def _write_config(self):
         self.version += 1
-        self._write_version(self.version)
+        self._write_config_again()
 
-    def _write_version(self, version):
+    def _write_config_again(self):
         self.store.write("config", "main", {
-            "Version": version, "Routes": []})
+            "Version": self.version, "Routes": []})
 
     def _write_server(self, sid, state="ready", seq=1):
         self.store.write("servers", sid, {
@@ -180,6 +181,52 @@
         self._advance(1.0)
         self.assertNotIn("s3", self._usable(self.hosts[0]))
 
+    def test_random_sequences_of_restores_and_changes(self):
+        # Guards against any order of restores, changes and leavings in which
+        # a host goes back, stays behind, or uses a server that has left.
+        for seed in range(30):
+            with self.subTest(seed=seed):
+                self.doCleanups()
+                self.setUp()
+                self._run_random_events(random.Random(seed))
+
+    def _run_random_events(self, rng):
+        copies = [self.store.copy()]
+        left = set()
+        for _ in range(rng.randint(6, 12)):
+            match rng.randrange(5):
+                case 0:
+                    self._write_config()
+                case 1:
+                    sid = f"s{10 + len(copies)}"
+                    self._write_server(sid)
+                    self._advance(0.5)
+                    copies.append(self.store.copy())
+                    self._write_server(sid, "draining")
+                    self._advance(0.5)
+                    left.add(sid)
+                    if rng.random() < 0.5:
+                        self.store.write("servers", sid, None)
+                case 2:
+                    self.store.cut()
+                case _:
+                    self._restore(rng.choice(copies[-6:]),
+                                  rng.uniform(0.3, 3.0))
+                    for number in range(rng.choice((0, 40))):
+                        self.store.write("other", "x", {"n": number})
+                    if rng.random() < 0.5:
+                        self._write_config_again()
+            before = self._versions()
+            for _ in range(rng.randint(1, 8)):
+                self._advance(0.3)
+                for host in self.hosts:
+                    self.assertEqual(set(), left & set(self._usable(host)))
+            self.assertLessEqual(before, self._versions())
+            copies.append(self.store.copy())
+        self._write_config()
+        self._advance(APPLY_S)
+        self.assertEqual([self.version] * HOSTS, self._versions())
+
     def test_hosts_register_again_and_list_each_other(self):
         # Guards against a host that no host knows that starts later: the
         # copy is from before its registration.
