--- a/crocuskeel/core/entry/registry.py
+++ b/crocuskeel/core/entry/registry.py
@@ -15,6 +15,7 @@
 from crocuskeel.core.entry import restarting
 from crocuskeel.core.entry import restores
 from crocuskeel.core.entry import state as states
+from crocuskeel.core import revisions
 
 __all__ = ["catalog_seen", "drop_expired", "grace_periods",
            "is_newer_catalog", "servers_changed", "servers_listed",
@@ -120,7 +121,8 @@
         host.servers[sid].lapses_at = grace_ends[sid]
         host.lapsing[sid] = None
     return [effects.LogEvent("server_removed", {
-        "server": sid, "revision": revision, "lapse": sid in grace_ends})]
+        "server": sid, "revision": revisions.number(revision),
+        "lapse": sid in grace_ends})]
 
 
 def _add_or_update(host, server, event, addresses, now):
