--- a/crocuskeel/ops/descriptions.py
+++ b/crocuskeel/ops/descriptions.py
@@ -58,6 +58,8 @@
     "host_superseded": "host {host} was replaced by a newer incarnation",
     "lease_acquired": "control: lease acquired, fence {fence}",
     "lease_lapsed": "control: lease lapsed, fence {fence}",
+    "lease_resumed": (
+        "control: lease written again in a restored store, fence {fence}"),
     "log": "{level}: {message}",
     "member_alive": "membership: {host} is alive",
     "member_dead": "membership: {host} is dead",
