Log each suspicion of a crash, its confirmation and its refutation

The hosts' output couldn't tell a request that isn't recognised from one whose crashes aren't noticed or are forgotten: no line named a digest. crash_suspected, crash_confirmed (by which sign, here or from which host) and crash_refuted do, and broken and quarantined name the digest. No decision changes.

test_log_tells_each_suspicion_and_what_became_of_it; entry tests pass.

--- a/crocuskeel/core/entry/attempts.py
+++ b/crocuskeel/core/entry/attempts.py
@@ -88,20 +88,23 @@
     if attempt is None:
         return []
     target = host.servers.get(attempt.sid)
-    _record_success(host, target, attempt, now)
+    out = _record_success(host, target, attempt, now)
     ending.finish(host, pending)
-    return [ending.log_line("served", pending.request,
-                            turn=attempt.attempt_number,
-                            server=attempt.sid,
-                            took_s=round(now - pending.arrived_at, 3),
-                            pause_s=round(pending.pause_s, 3),
-                            gap_s=pending.route.gap_s)]
+    out.append(
+        ending.log_line("served", pending.request,
+                        turn=attempt.attempt_number,
+                        server=attempt.sid,
+                        took_s=round(now - pending.arrived_at, 3),
+                        pause_s=round(pending.pause_s, 3),
+                        gap_s=pending.route.gap_s))
+    return out
 
 
 def _record_success(host, target, attempt, now):
-    quarantine.note_completed(host, attempt.incarnation, attempt.sent_at)
     if target is not None:
         health.record_success(target, now)
+    return quarantine.note_completed(
+        host, attempt.incarnation, attempt.sent_at)
 
 
 def answered(host, event, now):
@@ -134,8 +137,8 @@
         return ending.give_up(host, pending, "resume was refused", now)
     if target is not None:
         server_load.note_load(target, event.load, now)
-    _record_success(host, target, attempt, now)
-    out = ending.cancel_others(host, pending, attempt)
+    out = _record_success(host, target, attempt, now)
+    out += ending.cancel_others(host, pending, attempt)
     out.append(effects.ForwardResponse(pending.key, attempt.attempt_number))
     out.append(
         ending.log_line("served", pending.request, turn=attempt.attempt_number,
@@ -151,17 +154,17 @@
     if attempt is None:
         return []
     ending.close_attempt(host, pending, attempt)
-    _record_failure(host, pending, attempt, event, now)
-    line = ending.log_line("broken", pending.request,
+    out = [ending.log_line("broken", pending.request,
                            turn=attempt.attempt_number,
                            server=attempt.sid, outcome=event.outcome.value,
-                           detail=event.detail,
-                           passing=pending.forwarded_attempt is not None)
+                           detail=event.detail, digest=pending.request.digest,
+                           passing=pending.forwarded_attempt is not None)]
+    out += _record_failure(host, pending, attempt, event, now)
     if ending.active_attempts(pending):
-        return [line]
+        return out
     if _may_retry(host, pending, event.outcome, now):
-        return [line] + sending.send(host, pending, now)
-    return [line] + ending.give_up(host, pending, event.outcome.value, now)
+        return out + sending.send(host, pending, now)
+    return out + ending.give_up(host, pending, event.outcome.value, now)
 
 
 def _may_retry(host, pending, outcome, now):
@@ -174,14 +177,15 @@
 
 
 def _record_failure(host, pending, attempt, event, now):
-    """Update the state of the request and its server after a failure."""
+    """Update the state of the request and its server; return effects."""
     target = host.servers.get(attempt.sid)
-    digest = pending.request.digest
+    out = []
     match event.outcome:
         case model.Outcome.UNREACHABLE | model.Outcome.REFUSED:
             pending.servers_used -= 1
             attempt.uncached_tokens = -1
-            quarantine.record_server_down(host, attempt.sid, now)
+            out = quarantine.record_server_down(
+                host, attempt.sid, event.outcome.value, now)
             if event.outcome is model.Outcome.REFUSED:
                 host.refused_servers.add(attempt.sid)
             if target is not None:
@@ -200,9 +204,11 @@
             if pending.route.kind is not model.Kind.STREAM:
                 usage.count_begun(host, pending, attempt.sent_at)
             if event.disconnected:
-                quarantine.note_disconnect(host, digest, attempt, now)
+                out = quarantine.note_disconnect(
+                    host, pending.request.digest, attempt, now)
             if target is not None:
                 health.record_connection_failure(target, now)
+    return out
 
 
 def _back_off(target, now):
--- a/crocuskeel/core/entry/peers.py
+++ b/crocuskeel/core/entry/peers.py
@@ -63,7 +63,8 @@
     serving.merge(host, event.serving_demand, now)
     duties.peer_state_received(host, event, now)
     for digest, incarnation in event.crashes:
-        quarantine.record_crash(host, digest, incarnation, now)
+        out += quarantine.record_crash(
+            host, digest, incarnation, peer.name, now)
     _apply_loads(host, event, now)
     _apply_serving_hosts(host, event, now)
     out += ratelimits.merge(host, event.rate_limits, now)
@@ -75,14 +76,15 @@
 def handle_peer_loads(host, event, now):
     """Handle load changes that another serving host reports."""
     _apply_load_rows(host, event.name, event.loads, now)
+    out = []
     for sid in event.refused:
-        quarantine.record_server_down(host, sid, now)
+        out += quarantine.record_server_down(host, sid, event.name, now)
         state = host.servers.get(sid)
         # A host that is cut off from a server sees it refuse connections,
         # too. A host with requests there detects a crash by itself.
         if state is not None and not state.own_attempts:
             health.record_connection_failure(state, now)
-    return []
+    return out
 
 
 def _apply_loads(host, event, now):
--- a/crocuskeel/core/entry/quarantine.py
+++ b/crocuskeel/core/entry/quarantine.py
@@ -9,8 +9,12 @@
 
 A server that restarts keeps its id, so crashes are counted by its
 incarnation.
+
+The functions that record something return effects, which log it.
 """
 
+from crocuskeel.core.entry import effects
+
 __all__ = ["is_quarantined", "note_completed", "note_disconnect",
            "recent_crashes", "record_crash", "record_server_down",
            "time_left_s"]
@@ -34,19 +38,24 @@
     together = {row[3] for row in host.disconnects
                 if row[2] == attempt.incarnation
                 and row[0] > now - CRASH_SPREAD_S}
+    out = [_line("crash_suspected", digest, attempt.incarnation)]
     if len(together) > 1:
-        record_server_down(host, attempt.sid, now)
+        out += record_server_down(host, attempt.sid, "together", now)
+    return out
 
 
-def record_server_down(host, sid, now):
+def record_server_down(host, sid, sign, now):
     """Treat the connections recently lost at a server as due to a crash.
 
     The server can't be reached, another host reports that it refuses
-    connections, its entry vanished without notice, or it reports a restart.
+    connections, its entry vanished without notice, or it reports a restart;
+    ``sign`` says which, for the log.
     """
+    out = []
     for at, torn_sid, incarnation, digest in host.disconnects:
         if torn_sid == sid and at > now - CRASH_CONFIRM_S:
-            record_crash(host, digest, incarnation, now)
+            out += record_crash(host, digest, incarnation, sign, now)
+    return out
 
 
 def note_completed(host, incarnation, since):
@@ -55,18 +64,35 @@
     Connections lost there since then were not due to a crash, which would
     have ended that request as well.
     """
+    refuted = {row[3] for row in host.disconnects
+               if row[2] == incarnation and row[0] >= since}
     host.disconnects = [row for row in host.disconnects
                         if row[2] != incarnation or row[0] < since]
-    for incarnations in host.crashes.values():
+    for digest, incarnations in host.crashes.items():
         if incarnation in incarnations and incarnations[incarnation] >= since:
             del incarnations[incarnation]
+            refuted.add(digest)
+    return [_line("crash_refuted", digest, incarnation)
+            for digest in sorted(refuted)]
 
 
-def record_crash(host, digest, incarnation, now):
+def record_crash(host, digest, incarnation, sign, now):
     """Record that a server crashed under a request, here or elsewhere."""
     if digest not in host.crashes and len(host.crashes) >= MAX_DIGESTS:
         host.crashes.pop(next(iter(host.crashes)))
-    host.crashes.setdefault(digest, {})[incarnation] = now
+    incarnations = host.crashes.setdefault(digest, {})
+    is_known = incarnation in incarnations
+    incarnations[incarnation] = now
+    if is_known:
+        return []
+    return [_line("crash_confirmed", digest, incarnation, sign=sign,
+                  crashes=len(incarnations),
+                  quarantined=is_quarantined(host, digest, now))]
+
+
+def _line(event, digest, incarnation, **fields):
+    return effects.LogEvent(
+        event, {"digest": digest, "incarnation": incarnation, **fields})
 
 
 def is_quarantined(host, digest, now):
--- a/crocuskeel/core/entry/registry.py
+++ b/crocuskeel/core/entry/registry.py
@@ -113,16 +113,18 @@
 def _remove(host, sid, grace_ends, revision, now):
     if sid not in host.servers:
         return []
+    out = []
     if not draining.is_draining(host, host.servers[sid].server):
-        quarantine.record_server_down(host, sid, now)
+        out = quarantine.record_server_down(host, sid, "removed", now)
     if sid not in grace_ends:
         _drop(host, sid, revision, now)
     elif host.servers[sid].lapses_at is None:
         host.servers[sid].lapses_at = grace_ends[sid]
         host.lapsing[sid] = None
-    return [effects.LogEvent("server_removed", {
+    out.append(effects.LogEvent("server_removed", {
         "server": sid, "revision": revisions.number(revision),
-        "lapse": sid in grace_ends})]
+        "lapse": sid in grace_ends}))
+    return out
 
 
 def _add_or_update(host, server, event, addresses, now):
--- a/crocuskeel/core/entry/requests.py
+++ b/crocuskeel/core/entry/requests.py
@@ -54,6 +54,7 @@
     return [effects.Answer(event.key, ending.UNAVAILABLE, "quarantined",
                            retry_delay_s),
             ending.log_line("quarantined", event.request,
+                            digest=event.request.digest,
                             ends_in_s=round(retry_delay_s, 1))]
 
 
--- a/crocuskeel/core/entry/restarting.py
+++ b/crocuskeel/core/entry/restarting.py
@@ -38,7 +38,7 @@
 
 def reset_server(host, server, now):
     """Discard what was recorded about the former process of a server."""
-    quarantine.record_server_down(host, server.sid, now)
+    out = quarantine.record_server_down(host, server.sid, "restart", now)
     former = host.servers[server.sid]
     state = states.new_server(server, now)
     # Requests in progress count until they end.
@@ -47,9 +47,10 @@
     state.memory_tokens = former.memory_tokens
     state.busy_since = now if former.own_attempts else 0.0
     host.servers[server.sid] = state
-    return [effects.LogEvent("server_restarted", {
+    out.append(effects.LogEvent("server_restarted", {
         "server": server.sid, "born": server.started_ms,
-        "mine": len(former.own_attempts)})]
+        "mine": len(former.own_attempts)}))
+    return out
 
 
 def end_orphaned_attempts(host, servers, now):
--- a/tests/entry/test_requests.py
+++ b/tests/entry/test_requests.py
@@ -379,3 +379,27 @@
                 key, 0, model.Outcome.DISCONNECTED, "reset", True), 1.0)
         out = driver.feed(events.RequestReceived(4, support.request()))
         self.assertEqual(1, len(support.effects_of(out, effects.SendRequest)))
+
+    def test_log_tells_each_suspicion_and_what_became_of_it(self):
+        # Without these lines a request that is not recognised, one whose
+        # crashes are not noticed and one that is forgotten look alike.
+        driver = support.Driver(UNSAFE, servers=[
+            support.server(f"s{n}") for n in range(4)])
+        found = []
+        for key, digest in ((1, "a"), (2, "b")):
+            driver.feed(events.RequestReceived(
+                key, support.request(digest=digest)))
+        (attempt,) = driver.host.pending[1].attempts
+        found += driver.feed(events.AttemptFailed(
+            1, 0, model.Outcome.DISCONNECTED, "reset", True))
+        found += driver.feed(events.ServersChanged((), (attempt.sid,), 9), 1.0)
+        found += driver.feed(events.PeerStateReceived(
+            support.peer(), True, False, 10, 9, (("c", "s9/1"),)))
+        self.assertEqual(
+            [("crash_suspected", "a", attempt.incarnation, None),
+             ("crash_confirmed", "a", attempt.incarnation, "removed"),
+             ("crash_confirmed", "c", "s9/1", "host-1")],
+            [(line.event, line.fields["digest"], line.fields["incarnation"],
+              line.fields.get("sign"))
+             for line in support.effects_of(found, effects.LogEvent)
+             if line.event.startswith("crash_")])
