Failing test: an engine that closes its connection within its answer

In 7 of 18 rows, all with a clean close (FIN) after the head, the attempt isn't reported as a lost connection, so nothing remembers that the engine may have crashed under the request.

test_malformed_answer_is_no_end_of_the_connection (the other side: a server that spoils its answers hasn't crashed) holds on this code.

--- a/tests/gateway/test_servers.py
+++ b/tests/gateway/test_servers.py
@@ -141,6 +141,44 @@
                     expected, self._receive(data, end, stream=True))
                 self.assertEqual(sent, self.caller.sent)
 
+    def test_end_of_the_connection_is_reported_in_whatever_form(self):
+        # An engine that crashes may close its connections within an answer:
+        # such a crash went unnoticed, and its request crashed the others.
+        chunked = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+        sized = OK + b"Content-Length: 90\r\n\r\n"
+        unframed = OK + b"\r\n"
+        half = b"id: 1\r\nda"
+        parts = (
+            ("before the head", b""), ("within the head", OK),
+            ("after the head, chunked", chunked),
+            ("after the head, with a length", sized),
+            ("after the head, without a length", unframed),
+            ("within an event, chunked", chunked + b"9\r\n" + half),
+            ("within an event, with a length", sized + half),
+            ("within an event, without a length", unframed + half),
+            ("between events, chunked",
+             chunked + b"%x\r\n%s\r\n" % (len(EVENTS), EVENTS)),
+        )
+        for name, data in parts:
+            for end in (RESET, DONE):
+                with self.subTest(name, end=end):
+                    self._receive(data, end, stream=True)
+                    self.assertTrue(self.gateway.events[-1].disconnected)
+
+    def test_malformed_answer_is_no_end_of_the_connection(self):
+        # A server that spoils its answers has not crashed.
+        chunked = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+        rows = (
+            b"\x00\x01\x02\r\n\r\n", b"HTTP/1.1 200 OK\r\n:\r\n\r\n",
+            chunked + b"zz\r\n", chunked + b"5\r\nid: 1\r\n0\r\n\r\n",
+            OK + b"Verdict: foreign\r\n\r\n",
+        )
+        for data in rows:
+            for end in (None, DONE):
+                with self.subTest(data, end=end):
+                    self._receive(data, end, stream=True)
+                    self.assertFalse(self.gateway.events[-1].disconnected)
+
     def test_resumed_stream_must_not_repeat_events(self):
         # If an engine starts over, the caller would receive the beginning of
         # its answer twice.
