An engine that closes its connection within its answer may have crashed

Cause: a host judged whether an engine's connection had ended by how the answer came out. Where it was closed cleanly after the head, the HTTP parser reports an incomplete body (outcome garbled), and a stream that is framed by its connection ends within an event (garbled as well). Only outcome broken was taken for a lost connection, so the crash was not noticed and nothing counted.

The connection itself now says that it ended before this side closed it. That holds in whatever form the answer ends, as it doesn't look at the answer. Outcomes, and with them what callers get, stay; an answer that is spoilt on a connection that lives is still no sign of a crash.

--- a/crocuskeel/gateway/connections.py
+++ b/crocuskeel/gateway/connections.py
@@ -53,7 +53,10 @@
 
 
 class Connection(protocol.Protocol):
-    """A request and its answer; ``close`` ends all calls of the handler."""
+    """A request and its answer; ``close`` ends all calls of the handler.
+
+    ``lost``: the connection ended before this side closed it.
+    """
 
     def __init__(self, handler, is_expired=None):
         self.handler = handler
@@ -61,6 +64,7 @@
         self.connector = None
         self.h11 = h11.Connection(h11.CLIENT)
         self.has_head = False
+        self.lost = False
         self.closed = False
 
     def connectionMade(self):
@@ -86,6 +90,7 @@
     def connectionLost(self, reason):
         if self.closed:
             return
+        self.lost = True
         # A clean close ends an answer without a length; after a reset its
         # end is lost.
         if reason.check(error.ConnectionDone) and self.has_head:
--- a/crocuskeel/gateway/servers.py
+++ b/crocuskeel/gateway/servers.py
@@ -61,8 +61,7 @@
 
     def failed(self, failure, detail):
         """Report a failed connection."""
-        self._report(OUTCOMES[failure], detail,
-                     disconnected=failure is connections.Failure.DISCONNECTED)
+        self._report(OUTCOMES[failure], detail)
 
     def head_received(self, status, headers):
         """Classify an answer by its head."""
@@ -173,10 +172,10 @@
         self.connection.close()
         self._report(outcome, detail)
 
-    def _report(self, outcome, detail, disconnected=False):
+    def _report(self, outcome, detail):
         self.gateway.feed(events.AttemptFailed(
             self.exchange.key, self.attempt_number, outcome, detail,
-            disconnected))
+            disconnected=self.connection.lost))
 
 
 def start_attempt(gateway, exchange, send):
