--- a/crocuskeel/core/entry/attempts.py
+++ b/crocuskeel/core/entry/attempts.py
@@ -1,12 +1,13 @@
 """Handles the results of attempts: responses, stream events, failures."""
 
+from crocuskeel.core.entry import crash_records
+from crocuskeel.core.entry import crashes
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import ending
 from crocuskeel.core.entry import health
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import pause_estimate
 from crocuskeel.core.entry import prefix_cache
-from crocuskeel.core.entry import quarantine
 from crocuskeel.core.entry import retry_budget
 from crocuskeel.core.entry import retrying
 from crocuskeel.core.entry import sending
@@ -24,6 +25,11 @@
 # The request reached no server that could run it.
 NOT_REACHED = (model.Outcome.UNREACHABLE, model.Outcome.REFUSED,
                model.Outcome.MISDIRECTED)
+SIGNS = {
+    model.Outcome.UNREACHABLE: crash_records.Sign.UNREACHABLE,
+    model.Outcome.REFUSED: crash_records.Sign.REFUSED,
+    model.Outcome.MISDIRECTED: crash_records.Sign.REPLACED,
+}
 
 
 def opened(host, event, now):
@@ -87,8 +93,7 @@
     pending, attempt = ending.find_attempt(host, event)
     if attempt is None:
         return []
-    target = host.servers.get(attempt.sid)
-    out = _record_success(host, target, attempt, now)
+    out = _record_success(host, pending, attempt, now)
     ending.finish(host, pending)
     out.append(
         ending.log_line("served", pending.request,
@@ -100,11 +105,11 @@
     return out
 
 
-def _record_success(host, target, attempt, now):
+def _record_success(host, pending, attempt, now):
+    target = host.servers.get(attempt.sid)
     if target is not None:
         health.record_success(target, now)
-    return quarantine.note_completed(
-        host, attempt.incarnation, attempt.sent_at)
+    return crashes.note_served(host, pending, attempt, now)
 
 
 def answered(host, event, now):
@@ -137,7 +142,7 @@
         return ending.give_up(host, pending, "resume was refused", now)
     if target is not None:
         server_load.note_load(target, event.load, now)
-    out = _record_success(host, target, attempt, now)
+    out = _record_success(host, pending, attempt, now)
     out += ending.cancel_others(host, pending, attempt)
     out.append(effects.ForwardResponse(pending.key, attempt.attempt_number))
     out.append(
@@ -184,8 +189,8 @@
         case model.Outcome.UNREACHABLE | model.Outcome.REFUSED:
             pending.servers_used -= 1
             attempt.uncached_tokens = -1
-            out = quarantine.record_server_down(
-                host, attempt.sid, event.outcome.value, now)
+            out = crashes.note_down(
+                host, attempt.sid, SIGNS[event.outcome], now)
             if event.outcome is model.Outcome.REFUSED:
                 host.refused_servers.add(attempt.sid)
             if target is not None:
@@ -194,6 +199,8 @@
         case model.Outcome.MISDIRECTED:
             attempt.uncached_tokens = -1
             pending.servers_used -= 1
+            out = crashes.note_down(
+                host, attempt.sid, SIGNS[event.outcome], now)
             if target is not None:
                 target.address_reused = True
         case model.Outcome.NOT_RUN:
@@ -204,8 +211,7 @@
             if pending.route.kind is not model.Kind.STREAM:
                 usage.count_begun(host, pending, attempt.sent_at)
             if event.disconnected:
-                out = quarantine.note_disconnect(
-                    host, pending.request.digest, attempt, now)
+                out = crashes.note_lost(host, pending, attempt, now)
             if target is not None:
                 health.record_connection_failure(target, now)
     return out
--- /dev/null
+++ b/crocuskeel/core/entry/crash_records.py
@@ -0,0 +1,128 @@
+"""What a host knows of crashes of servers and of lost attempts."""
+
+import collections
+import dataclasses
+import enum
+
+from crocuskeel.core import crash_causes
+
+__all__ = ["Crash", "CrashRecords", "HARD_SIGNS", "Interval", "Kind", "Loss",
+           "Report", "SOFT_SIGNS", "Sign"]
+
+
+class Sign(enum.StrEnum):
+    """How a host learned that a server was down."""
+
+    # All connections of this host to it ended at the same time.
+    TOGETHER = "together"
+    # It accepted no connection.
+    UNREACHABLE = "unreached"
+    # Its host refused a connection, to this host or to another one.
+    REFUSED = "refused"
+    # Its entry is gone, though it did not drain.
+    REMOVED = "removed"
+    # Its entry names another start.
+    RESTARTED = "restarted"
+    # Another server responds at its address, or registered with it.
+    REPLACED = "replaced"
+
+
+# With these the process is gone, and any loss there was due to that.
+HARD_SIGNS = frozenset((Sign.REFUSED, Sign.RESTARTED, Sign.REPLACED))
+# These a server may also give that is running.
+SOFT_SIGNS = frozenset((Sign.TOGETHER, Sign.UNREACHABLE))
+
+
+class Kind(enum.StrEnum):
+    """Kinds of reports to other hosts."""
+
+    LOST = "lost"
+    # The same, given up as its server was silent.
+    SILENT = "silent"
+    CRASHED = "crashed"
+    ALIVE = "alive"
+    SERVED = "served"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Interval:
+    """Times between which a server is known to have been running, s."""
+
+    since: float
+    until: float
+
+    def covers(self, at):
+        """Return whether the server was running at a time."""
+        return self.since <= at <= self.until
+
+
+@dataclasses.dataclass(slots=True)
+class Loss:
+    """An attempt that was lost at ``at``, of this host or of another one.
+
+    ``silent``: it was given up as its server was silent; no connection
+    ended. ``doubtful``: the server completed a response since then to a
+    request that it had begun before.
+    """
+
+    at: float
+    sid: str
+    incarnation: str
+    digest: str
+    own: bool = True
+    silent: bool = False
+    doubtful: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Crash:
+    """A crash: ``lost`` maps the digests in progress to when they were lost.
+
+    ``sign`` is the first one by which it was known.
+    """
+
+    sign: Sign
+    lost: dict = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """A fact for other hosts, as of ``at``.
+
+    Fields that a kind does not use are empty. ``span_s`` is how long before
+    ``at`` an ALIVE server is known to have been running, infinite if it gets
+    another id with each start.
+    """
+
+    kind: Kind
+    at: float
+    digest: str = ""
+    sid: str = ""
+    incarnation: str = ""
+    sign: Sign | None = None
+    span_s: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class CrashRecords:
+    """``crashes``, ``ended`` and ``alive`` are by incarnation of a server.
+
+    ``ended`` holds the (hard sign, time) of a process that is gone, ``alive``
+    the Interval that refuted a crash, ``served`` the time of the latest whole
+    response to a digest. ``causes`` is None when it has to be computed anew.
+    ``reports`` holds own and heard ones as (until when to repeat it, Report);
+    ``unsent`` own ones not yet sent to any host; ``told`` when others were
+    last told that a digest was served.
+    """
+
+    losses: list = dataclasses.field(default_factory=list)
+    crashes: dict = dataclasses.field(default_factory=dict)
+    ended: dict = dataclasses.field(default_factory=dict)
+    alive: dict = dataclasses.field(default_factory=dict)
+    served: collections.OrderedDict = dataclasses.field(
+        default_factory=collections.OrderedDict)
+    causes: crash_causes.Causes | None = crash_causes.NO_CAUSES
+    reports: collections.deque = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=512))
+    unsent: list = dataclasses.field(default_factory=list)
+    told: dict = dataclasses.field(default_factory=dict)
--- /dev/null
+++ b/crocuskeel/core/entry/crash_updates.py
@@ -0,0 +1,153 @@
+"""Changes of what a host knows of crashes, by own signs or others' reports.
+
+The functions that withdraw or add a crash return log lines, none if nothing
+has changed.
+"""
+
+import collections
+import math
+
+from crocuskeel.core.entry import crash_records as records
+from crocuskeel.core.entry import effects
+
+__all__ = ["add_loss", "clear", "drop_from_crash", "drop_losses", "line",
+           "lost_at", "record_crash", "refute", "served_before",
+           "undecided"]
+
+# A response proves that its server was running before the request was sent,
+# but for the time by which hosts may differ on when a connection ended, s.
+ALIVE_MARGIN_S = 0.1
+# A request that was served this recently before a loss is not its cause, s.
+SERVED_S = 10.0
+MAX_SERVED = 1024
+MAX_LOSSES = 512
+MAX_CRASHES = 256
+
+
+def add_loss(host, loss):
+    """Record a lost attempt."""
+    known = host.crash_records
+    known.losses.append(loss)
+    del known.losses[:-MAX_LOSSES]
+
+
+def record_crash(host, report, now):
+    """Record that a request was lost in a crash, unless it is known."""
+    known = host.crash_records
+    digest, incarnation = report.digest, report.incarnation
+    crash = known.crashes.get(incarnation)
+    if crash is not None and digest in crash.lost:
+        return []
+    if served_before(host, report) is not None:
+        return []
+    if crash is None:
+        _limit_crashes(known)
+        crash = records.Crash(report.sign)
+        known.crashes[incarnation] = crash
+    crash.lost[digest] = report.at
+    known.causes = None
+    return [line("crash_confirmed", digest, incarnation, sign=report.sign,
+                 after_s=round(now - report.at, 3),
+                 crashes=len(lost_at(host, digest)))]
+
+
+def served_before(host, report):
+    """Return when a request was served, if that clears it, or None."""
+    served_at = host.crash_records.served.get(report.digest, -math.inf)
+    return served_at if served_at > report.at - SERVED_S else None
+
+
+def _limit_crashes(known):
+    """Make room for a crash: drop the oldest without a repeated request."""
+    if len(known.crashes) < MAX_CRASHES:
+        return
+    counts = collections.Counter(
+        digest for crash in known.crashes.values() for digest in crash.lost)
+    dropped = next(
+        (incarnation for incarnation, crash in known.crashes.items()
+         if all(counts[digest] == 1 for digest in crash.lost)),
+        next(iter(known.crashes)))
+    del known.crashes[dropped]
+
+
+def refute(host, report):
+    """Withdraw the losses and crashes that a server's response refutes."""
+    known = host.crash_records
+    incarnation = report.incarnation
+    alive = records.Interval(
+        report.at - report.span_s, report.at - ALIVE_MARGIN_S)
+    refuted = drop_losses(known, lambda loss: (
+        loss.incarnation == incarnation and alive.covers(loss.at)))
+    crash = known.crashes.get(incarnation)
+    if crash is not None:
+        refuted |= drop_from_crash(known, incarnation, [
+            digest for digest, at in crash.lost.items() if alive.covers(at)])
+    if incarnation in known.ended and alive.covers(
+            known.ended[incarnation][1]):
+        del known.ended[incarnation]
+    if not refuted:
+        return []
+    known.alive[incarnation] = alive
+    return [line("crash_refuted", digest, incarnation, by="response")
+            for digest in sorted(refuted)]
+
+
+def drop_losses(known, is_dropped):
+    """Drop losses by a predicate; return their digests."""
+    dropped = {loss.digest for loss in known.losses if is_dropped(loss)}
+    if dropped:
+        known.losses = [loss for loss in known.losses
+                        if not is_dropped(loss)]
+    return dropped
+
+
+def drop_from_crash(known, incarnation, digests):
+    """Drop digests from a crash; return them as a set."""
+    crash = known.crashes[incarnation]
+    for digest in digests:
+        del crash.lost[digest]
+        known.causes = None
+    if not crash.lost:
+        del known.crashes[incarnation]
+    return set(digests)
+
+
+def clear(host, report):
+    """Record that a request was served, and forget its crashes."""
+    known = host.crash_records
+    digest = report.digest
+    if not digest:
+        return []
+    known.served[digest] = report.at
+    known.served.move_to_end(digest)
+    if len(known.served) > MAX_SERVED:
+        known.served.popitem(last=False)
+    was_lost = drop_losses(known, lambda loss: loss.digest == digest)
+    crashes = lost_at(host, digest)
+    for incarnation in crashes:
+        drop_from_crash(known, incarnation, (digest,))
+    if not was_lost and not crashes:
+        return []
+    return [effects.LogEvent("crash_cleared", {
+        "digest": digest, "crashes": len(crashes)})]
+
+
+def lost_at(host, digest):
+    """Return when a request was lost in crashes, by incarnation."""
+    return {incarnation: crash.lost[digest] for incarnation, crash
+            in host.crash_records.crashes.items() if digest in crash.lost}
+
+
+def undecided(host, digest):
+    """Return when a request was lost at servers that may have crashed.
+
+    By incarnation, the latest time.
+    """
+    return {loss.incarnation: loss.at for loss in host.crash_records.losses
+            if loss.digest == digest and not (loss.silent or loss.doubtful)}
+
+
+def line(event, digest, incarnation, **fields):
+    """Return a log line about a request and a server."""
+    return effects.LogEvent(
+        event, {"digest": digest, "incarnation": incarnation, **fields})
--- /dev/null
+++ b/crocuskeel/core/entry/crashes.py
@@ -0,0 +1,234 @@
+"""Crashes of servers, inferred from lost attempts and from later signs.
+
+A lost attempt alone doesn't tell a crash from an answer that got lost. The
+server is shown to be down by the signs of ``crash_records.Sign``, and to have
+been running all the while by a response to a request that was sent after the
+loss. A loss stays undecided until one or the other is seen, here or at another
+host, or until the store would have removed the entry of a crashed server.
+
+A server that restarts may keep its id, so crashes are counted by its
+incarnation.
+"""
+
+import math
+
+from crocuskeel.core.entry import crash_records as records
+from crocuskeel.core.entry import crash_updates as updates
+from crocuskeel.core.entry import draining
+from crocuskeel.core.entry import fleet
+
+__all__ = ["forget", "note_down", "note_lost", "note_response", "note_served",
+           "report_to_others", "sign_of_end"]
+
+# A crash ends all connections of a server within this time, s.
+CRASH_SPREAD_S = 0.3
+# No server restarts within this time, s.
+MIN_RESTART_S = 1.0
+# The store removes an entry after three heartbeat intervals without one; one
+# more covers its delivery. A connection to the store that is silent is found
+# within STORE_SILENCE_S.
+EXPIRY_HEARTBEATS = 4
+STORE_SILENCE_S = 3.0
+# Undecided losses and crashes are kept for this long, s.
+LOSS_RETENTION_S = 60.0
+CRASH_RETENTION_S = 600.0
+# A report is repeated to other hosts for this long, s: a datagram may be lost.
+REPORT_S = 2.0
+# With these the server's requests in progress are lost as well. After a
+# restart some may be the new process's (restarting.end_orphaned_attempts).
+GONE_SIGNS = (records.Sign.REMOVED, records.Sign.REPLACED)
+
+
+def note_lost(host, pending, attempt, now, silent=False):
+    """Record that an attempt was lost; return effects.
+
+    ``silent``: it was given up as its server gave no sign of life.
+    """
+    digest = pending.request.digest
+    state = host.servers.get(attempt.sid)
+    if not digest or state is None or draining.is_draining(
+            host, state.server):
+        # A server that leaves ends its connections at some time.
+        return []
+    out = []
+    if not silent:
+        out += _note_alive(host, attempt, MIN_RESTART_S, now)
+    loss = records.Loss(now, attempt.sid, attempt.incarnation, digest,
+                        silent=silent)
+    updates.add_loss(host, loss)
+    report_to_others(host, records.Report(
+        records.Kind.SILENT if silent else records.Kind.LOST, now, digest,
+        attempt.sid, attempt.incarnation), now)
+    out.append(updates.line("crash_suspected", digest, attempt.incarnation,
+                            silent=silent))
+    sign = sign_of_end(host, loss, now)
+    if sign is not None:
+        out += note_down(host, attempt.sid, sign, now)
+    return out
+
+
+def sign_of_end(host, loss, now):
+    """Return the sign by which a loss shows that its server ended, or None."""
+    known = host.crash_records
+    if loss.incarnation in known.ended:
+        return known.ended[loss.incarnation][0]
+    if loss.silent or not loss.own or host.servers[loss.sid].own_attempts:
+        return None
+    digests = {other.digest for other in known.losses
+               if other.own and other.incarnation == loss.incarnation
+               and not other.silent and other.at > now - CRASH_SPREAD_S}
+    return records.Sign.TOGETHER if len(digests) > 1 else None
+
+
+def note_down(host, sid, sign, now):
+    """Record a sign that a server is down; return effects.
+
+    The attempts lost there are taken to be due to that, as are those in
+    progress if the sign shows that it is gone.
+    """
+    known = host.crash_records
+    state = host.servers.get(sid)
+    if sign in records.HARD_SIGNS and state is not None:
+        known.ended[state.server.incarnation] = sign, now
+    found = [loss for loss in known.losses if loss.sid == sid
+             and not (loss.doubtful and sign in records.SOFT_SIGNS)]
+    if found:
+        known.losses = [loss for loss in known.losses if loss not in found]
+    if state is not None and sign in GONE_SIGNS:
+        found += _attempts_in_progress(host, state, now)
+    out = []
+    for loss in found:
+        report = records.Report(
+            records.Kind.CRASHED, loss.at, loss.digest, loss.sid,
+            loss.incarnation, sign)
+        lines = updates.record_crash(host, report, now)
+        if lines:
+            report_to_others(host, report, now)
+        out += lines
+    return out
+
+
+def _attempts_in_progress(host, state, now):
+    """Return the attempts in progress at a server as if lost now."""
+    found = []
+    for key, attempt_number in state.own_attempts:
+        digest = host.pending[key].request.digest
+        attempt = host.pending[key].attempts[attempt_number]
+        if digest and attempt.incarnation == state.server.incarnation:
+            found.append(records.Loss(
+                now, attempt.sid, attempt.incarnation, digest))
+    return found
+
+
+def note_response(host, attempt, now):
+    """Record that a server responded to an attempt; return effects.
+
+    It was running until the attempt was sent, so losses there before that
+    were due to no crash.
+    """
+    span_s = math.inf
+    state = host.servers.get(attempt.sid)
+    if state is not None and state.server.started_ms is not None:
+        # It may have restarted under its id without this host knowing.
+        span_s = MIN_RESTART_S
+    return _note_alive(host, attempt, span_s, now)
+
+
+def _note_alive(host, attempt, span_s, now):
+    """Record that a server was running for ``span_s`` before an attempt."""
+    known = host.crash_records
+    if not (known.losses or known.crashes or known.ended):
+        return []
+    report = records.Report(
+        records.Kind.ALIVE, attempt.sent_at, incarnation=attempt.incarnation,
+        span_s=span_s)
+    out = updates.refute(host, report)
+    if out:
+        report_to_others(host, report, now)
+    return out
+
+
+def note_served(host, pending, attempt, now):
+    """Record the whole response to a request; return effects.
+
+    It crashes no server. Losses at its server since it was sent are doubtful:
+    the response may have been sent before them and read late.
+    """
+    out = _doubt(host, attempt)
+    report = records.Report(
+        records.Kind.SERVED, now, pending.request.digest)
+    lines = updates.clear(host, report)
+    if lines:
+        report_to_others(host, report, now)
+    return out + lines
+
+
+def _doubt(host, attempt):
+    known = host.crash_records
+    incarnation = attempt.incarnation
+    out = []
+    for loss in known.losses:
+        if (loss.incarnation == incarnation and not loss.doubtful
+                and loss.at >= attempt.sent_at):
+            loss.doubtful = True
+            out.append(updates.line("crash_doubted", loss.digest, incarnation))
+    crash = known.crashes.get(incarnation)
+    if crash is not None and crash.sign in records.SOFT_SIGNS:
+        refuted = updates.drop_from_crash(known, incarnation, [
+            digest for digest, at in crash.lost.items()
+            if at >= attempt.sent_at])
+        out += [updates.line("crash_refuted", digest, incarnation,
+                             by="earlier request")
+                for digest in sorted(refuted)]
+    return out
+
+
+def forget(host, now):
+    """Drop what is old, and losses at servers that outlived an expiry."""
+    known = host.crash_records
+    out = _drop_decided(host, now) if known.losses else []
+    for incarnation, crash in list(known.crashes.items()):
+        updates.drop_from_crash(known, incarnation, [
+            digest for digest, at in crash.lost.items()
+            if at < now - CRASH_RETENTION_S])
+    _drop_old(known.ended, lambda row: row[1] < now - LOSS_RETENTION_S)
+    _drop_old(known.alive, lambda row: row.until < now - LOSS_RETENTION_S)
+    _drop_old(known.told, lambda at: at < now - REPORT_S)
+    while known.reports and known.reports[0][0] < now:
+        known.reports.popleft()
+    return out
+
+
+def _drop_old(rows, is_old):
+    for key in [key for key, row in rows.items() if is_old(row)]:
+        del rows[key]
+
+
+def _drop_decided(host, now):
+    known = host.crash_records
+    informed_at = now - fleet.store_data_age_s(host, now)
+    outlived = [loss for loss in known.losses
+                if _outlived_expiry(host, loss, informed_at)]
+    known.losses = [loss for loss in known.losses if loss not in outlived
+                    and loss.at >= now - LOSS_RETENTION_S]
+    return [updates.line("crash_refuted", loss.digest, loss.incarnation,
+                         by="entry") for loss in outlived]
+
+
+def _outlived_expiry(host, loss, informed_at):
+    """Return whether the store would have removed a crashed server by then.
+
+    A store that was restored from a copy lists a crashed server anew.
+    """
+    state = host.servers.get(loss.sid)
+    if (state is None or state.lapses_at is not None
+            or state.server.incarnation != loss.incarnation):
+        return False
+    expiry_s = EXPIRY_HEARTBEATS * host.cfg.heartbeat_s + STORE_SILENCE_S
+    return informed_at > max(loss.at, host.store_restored_at) + expiry_s
+
+
+def report_to_others(host, report, now):
+    """Have a report sent to other hosts, now and in the next states."""
+    host.crash_records.reports.append((now + REPORT_S, report))
+    host.crash_records.unsent.append(report)
--- a/crocuskeel/core/entry/events.py
+++ b/crocuskeel/core/entry/events.py
@@ -225,9 +225,11 @@
     how many hosts that serve callers are needed. ``rate_limits`` and
     ``servers_leaving`` are as in PeerHintsReceived.
 
-    ``crashes`` holds (digest, incarnation) for each request during which
-    a server crashed; ``loads`` is as in PeerLoadsReceived, and ``parts``
-    holds the (server id, part, tokens) that it recently sent to servers.
+    ``crash_reports`` holds rows of crash_reports, None from a host that
+    runs the former version. That one sends ``crashes`` instead, which holds
+    (digest, incarnation) for each request during which a server crashed.
+    ``loads`` is as in PeerLoadsReceived, and ``parts`` holds the (server id,
+    part, tokens) that the host recently sent to servers.
     """
 
     peer: model.Peer
@@ -247,6 +249,7 @@
     rate_limits: tuple = ()
     servers_leaving: tuple = ()
     catalog_version: int | None = None
+    crash_reports: tuple | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -271,6 +274,14 @@
     refused: tuple = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashReportsReceived:
+    """What host ``name`` just learned of crashes: rows of crash_reports."""
+
+    name: str
+    reports: tuple
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerHintsReceived:
     """Hints from servers' responses as reported by host ``name``.
--- a/crocuskeel/core/entry/gossip.py
+++ b/crocuskeel/core/entry/gossip.py
@@ -9,6 +9,8 @@
 import math
 
 from crocuskeel.core.duties import clock
+from crocuskeel.core.entry import crash_records
+from crocuskeel.core.entry import crash_reports
 from crocuskeel.core.entry import draining
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import events
@@ -22,9 +24,6 @@
 __all__ = ["broadcast_change", "broadcast_hints", "broadcast_lease", "reply",
            "schedule_load_update", "send_load_update", "send_state"]
 
-# Crashes are included in the state for this long, s: a datagram may be
-# lost.
-CRASH_REPEAT_S = 2.0
 # Limit of rows in one datagram, which holds 64 kB: a row with streams takes
 # up to 100 bytes.
 MAX_ROWS = 400
@@ -150,10 +149,22 @@
     refusing, host.refused_servers = tuple(host.refused_servers), set()
     rows = tuple(_load_row(host.servers[sid], now) for sid in changed
                  if sid in host.servers)
+    out = _send_crash_reports(host, now)
     if host.self_peer is None or not (rows or refusing):
-        return []
+        return out
     update = events.PeerLoadsReceived(host.self_peer.name, rows, refusing)
-    return [effects.SendToPeer(peer, update) for peer in _contacts(host, now)]
+    return out + [effects.SendToPeer(peer, update)
+                  for peer in _contacts(host, now)]
+
+
+def _send_crash_reports(host, now):
+    reports = crash_reports.take_unsent(host)
+    if host.self_peer is None or not reports:
+        return []
+    update = events.CrashReportsReceived(
+        host.self_peer.name, crash_reports.rows(reports, now))
+    return [effects.SendToPeer(peer, update) for peer in _contacts(host, now)
+            if host.peers[peer.name].takes_crash_reports]
 
 
 def reply(host, known, now):
@@ -193,13 +204,15 @@
 def _state(host, now, with_loads):
     """Return this host's state, ``with_loads`` and prompt parts or not."""
     reads = fleet.reads_store(host, now) and host.store_down_since is None
+    reports = (crash_reports.recent(host, now)
+               + quarantine.standing_reports(host))
     return events.PeerStateReceived(
         peer=host.self_peer, ready=fleet.is_ready(host),
         leaving=host.stop_at is not None,
         catalog_revision=host.catalog.revision if host.catalog else 0,
         catalog_version=host.catalog.version if host.catalog else 0,
         servers_revision=host.servers_revision,
-        crashes=quarantine.recent_crashes(host, now, CRASH_REPEAT_S),
+        crashes=_former_crashes(reports),
         loads=_load_rows(host, now) if with_loads else (),
         parts=_recent_parts(host, now) if with_loads else (),
         reads_store=reads and host.servers_loaded,
@@ -208,9 +221,16 @@
         serving_demand=serving.advertised(host, now),
         rate_limits=_sample_rows(host, ratelimits.rows(host, now)),
         servers_leaving=_sample_rows(host, draining.rows(host)),
+        crash_reports=crash_reports.rows(reports, now),
         **_duty_fields(host, now))
 
 
+def _former_crashes(reports):
+    """Return the (digest, incarnation) of crashes, for the former version."""
+    return tuple((report.digest, report.incarnation) for report in reports
+                 if report.kind is crash_records.Kind.CRASHED)
+
+
 def _duty_fields(host, now):
     duties = host.duties
     if duties is None:
--- a/crocuskeel/core/entry/peers.py
+++ b/crocuskeel/core/entry/peers.py
@@ -1,5 +1,8 @@
 """Handlers of what other hosts send: their state, load and data versions."""
 
+from crocuskeel.core.entry import crash_records
+from crocuskeel.core.entry import crash_reports
+from crocuskeel.core.entry import crashes
 from crocuskeel.core.entry import draining
 from crocuskeel.core.entry import duties
 from crocuskeel.core.entry import effects
@@ -8,14 +11,14 @@
 from crocuskeel.core.entry import health
 from crocuskeel.core.entry import prefill_pauses
 from crocuskeel.core.entry import prefix_cache
-from crocuskeel.core.entry import quarantine
 from crocuskeel.core.entry import ratelimits
 from crocuskeel.core.entry import server_load
 from crocuskeel.core.entry import serving
 from crocuskeel.core.entry import state as states
 from crocuskeel.core import revisions
 
-__all__ = ["handle_peer_list", "handle_peer_loads", "handle_peer_state"]
+__all__ = ["handle_crash_reports", "handle_peer_list", "handle_peer_loads",
+           "handle_peer_state"]
 
 # Minimum interval between fetches of newer data from a peer, s.
 FETCH_INTERVAL_S = 0.25
@@ -62,9 +65,9 @@
         host.informed_at, now - event.store_data_age_s - fleet.HOP_DELAY_S)
     serving.merge(host, event.serving_demand, now)
     duties.peer_state_received(host, event, now)
-    for digest, incarnation in event.crashes:
-        out += quarantine.record_crash(
-            host, digest, incarnation, peer.name, now)
+    known.takes_crash_reports = event.crash_reports is not None
+    out += crash_reports.merge(
+        host, peer.name, _crash_rows(event), now)
     _apply_loads(host, event, now)
     _apply_serving_hosts(host, event, now)
     out += ratelimits.merge(host, event.rate_limits, now)
@@ -78,7 +81,7 @@
     _apply_load_rows(host, event.name, event.loads, now)
     out = []
     for sid in event.refused:
-        out += quarantine.record_server_down(host, sid, event.name, now)
+        out += crashes.note_down(host, sid, crash_records.Sign.REFUSED, now)
         state = host.servers.get(sid)
         # A host that is cut off from a server sees it refuse connections,
         # too. A host with requests there detects a crash by itself.
@@ -87,6 +90,20 @@
     return out
 
 
+def handle_crash_reports(host, event, now):
+    """Handle reports on crashes from another host."""
+    return crash_reports.merge(host, event.name, event.reports, now)
+
+
+def _crash_rows(event):
+    """Return the reports of a state, also of the former version's."""
+    if event.crash_reports is not None:
+        return event.crash_reports
+    return tuple((str(crash_records.Kind.CRASHED), 0, digest, "", incarnation,
+                  str(crash_records.Sign.REFUSED), 0)
+                 for digest, incarnation in event.crashes)
+
+
 def _apply_loads(host, event, now):
     """Record what another host has in progress at each server."""
     _apply_load_rows(host, event.peer.name, event.loads, now)
--- a/crocuskeel/core/entry/quarantine.py
+++ b/crocuskeel/core/entry/quarantine.py
@@ -1,98 +1,38 @@
 """Quarantine of requests that crash the servers that run them.
 
-Such a request is retried through any host and would crash one server
-after another. A crash is attributed to a request if its connection was
-lost and its server is found to be down: the server can't be reached, or
-several connections to it were lost together. The request is refused once
-it crashed two servers, or one server twice; a harmless request would have
-to be in progress during two crashes to be refused.
-
-A server that restarts keeps its id, so crashes are counted by its
-incarnation.
-
-The functions that record something return effects, which log it.
+Such a request is sent again by its caller, to any host, and would crash one
+server after another. It is refused once it is shown to be the cause of two
+crashes (:mod:`crocuskeel.core.crash_causes`), and for a shorter time if others
+were beside it in the same crashes. After that it runs again, one at a time:
+a whole response clears it, a further crash tells which of several is the
+cause. While it is undecided whether servers crashed under a request, it
+doesn't run at a third one.
 """
 
-from crocuskeel.core.entry import effects
-
-__all__ = ["is_quarantined", "note_completed", "note_disconnect",
-           "recent_crashes", "record_crash", "record_server_down",
-           "time_left_s"]
-
-# A crash ends all connections of a server within this time, s.
-CRASH_SPREAD_S = 0.3
-# For how long a lost connection may still be attributed to a crash, s: the
-# entry of a crashed server lapses within three of its heartbeats of 1.2 s.
-CRASH_CONFIRM_S = 4.0
-# Crashes under one request after which it is refused.
-CRASH_LIMIT = 2
-QUARANTINE_S = 60.0
-MAX_DIGESTS = 256
-
-
-def note_disconnect(host, digest, attempt, now):
-    """Record that a server ended the connection of a request."""
-    host.disconnects = [row for row in host.disconnects
-                        if row[0] > now - CRASH_CONFIRM_S]
-    host.disconnects.append((now, attempt.sid, attempt.incarnation, digest))
-    together = {row[3] for row in host.disconnects
-                if row[2] == attempt.incarnation
-                and row[0] > now - CRASH_SPREAD_S}
-    out = [_line("crash_suspected", digest, attempt.incarnation)]
-    if len(together) > 1:
-        out += record_server_down(host, attempt.sid, "together", now)
-    return out
-
-
-def record_server_down(host, sid, sign, now):
-    """Treat the connections recently lost at a server as due to a crash.
-
-    The server can't be reached, another host reports that it refuses
-    connections, its entry vanished without notice, or it reports a restart;
-    ``sign`` says which, for the log.
-    """
-    out = []
-    for at, torn_sid, incarnation, digest in host.disconnects:
-        if torn_sid == sid and at > now - CRASH_CONFIRM_S:
-            out += record_crash(host, digest, incarnation, sign, now)
-    return out
-
-
-def note_completed(host, incarnation, since):
-    """Record that a server completed a request that began at ``since``.
-
-    Connections lost there since then were not due to a crash, which would
-    have ended that request as well.
-    """
-    refuted = {row[3] for row in host.disconnects
-               if row[2] == incarnation and row[0] >= since}
-    host.disconnects = [row for row in host.disconnects
-                        if row[2] != incarnation or row[0] < since]
-    for digest, incarnations in host.crashes.items():
-        if incarnation in incarnations and incarnations[incarnation] >= since:
-            del incarnations[incarnation]
-            refuted.add(digest)
-    return [_line("crash_refuted", digest, incarnation)
-            for digest in sorted(refuted)]
-
-
-def record_crash(host, digest, incarnation, sign, now):
-    """Record that a server crashed under a request, here or elsewhere."""
-    if digest not in host.crashes and len(host.crashes) >= MAX_DIGESTS:
-        host.crashes.pop(next(iter(host.crashes)))
-    incarnations = host.crashes.setdefault(digest, {})
-    is_known = incarnation in incarnations
-    incarnations[incarnation] = now
-    if is_known:
-        return []
-    return [_line("crash_confirmed", digest, incarnation, sign=sign,
-                  crashes=len(incarnations),
-                  quarantined=is_quarantined(host, digest, now))]
-
-
-def _line(event, digest, incarnation, **fields):
-    return effects.LogEvent(
-        event, {"digest": digest, "incarnation": incarnation, **fields})
+from crocuskeel.core import crash_causes
+from crocuskeel.core.entry import crash_records as records
+from crocuskeel.core.entry import crash_updates as updates
+from crocuskeel.core.entry import ending
+from crocuskeel.core.entry import routing
+
+__all__ = ["is_quarantined", "must_wait", "retry_delay_s",
+           "standing_reports"]
+
+# Quarantine after the second crash, s, of a cause and of one of several that
+# may be it; each further crash doubles it.
+CULPRIT_S = 60.0
+SUSPECT_S = 10.0
+MAX_QUARANTINE_S = 600.0
+# By up to this share of it longer on some hosts, in an order that differs by
+# request: if all ended it at once, each would run the request.
+SPREAD = 0.5
+# A request waits once this many servers may have crashed under it, at one less
+# if one of them did, or if it was lost there within RECENT_S: what became of
+# these is known soon.
+MAX_UNDECIDED = 3
+RECENT_S = 0.8
+# Limit of these reports in one datagram.
+MAX_REPORTS = 60
 
 
 def is_quarantined(host, digest, now):
@@ -101,20 +41,77 @@
 
 
 def time_left_s(host, digest, now):
-    """Return the time left of a request's quarantine, s."""
-    times = sorted(host.crashes.get(digest, {}).values(), reverse=True)
-    if len(times) < CRASH_LIMIT:
-        return 0.0
-    return max(0.0, times[CRASH_LIMIT - 1] + QUARANTINE_S - now)
+    """Return the time left of a request's quarantine on this host, s."""
+    since, span_s = _quarantine(host, digest)
+    if span_s:
+        span_s *= 1 + SPREAD * routing.unit_hash(host.self_peer.name, digest)
+    return max(0.0, since + span_s - now)
 
 
-def recent_crashes(host, now, span_s):
-    """Return the (digest, incarnation) of crashes in the last ``span_s``.
+def retry_delay_s(host, digest, now):
+    """Return when the caller of a quarantined request may send it again, s.
 
-    The most recent ones are left out, as the server may yet complete a
-    request and so prove that it has not crashed.
+    That is when the first hosts run it again.
+    """
+    since, span_s = _quarantine(host, digest)
+    return (max(0.0, since + span_s - now)
+            or time_left_s(host, digest, now))
+
+
+def _quarantine(host, digest):
+    """Return the start of a request's quarantine and its duration, s."""
+    causes = _causes(host)
+    if digest in causes.culprits:
+        count, span_s = causes.culprits[digest], CULPRIT_S
+    elif digest in causes.suspects:
+        count, span_s = causes.suspects[digest], SUSPECT_S
+    else:
+        return 0.0, 0.0
+    span_s *= 2 ** (count - crash_causes.MIN_CRASHES)
+    return (max(updates.lost_at(host, digest).values()),
+            min(span_s, MAX_QUARANTINE_S))
+
+
+def must_wait(host, pending, now):
+    """Return whether a request must not run until more is known."""
+    digest = pending.request.digest
+    undecided = updates.undecided(host, digest)
+    if undecided:
+        crashed = len(updates.lost_at(host, digest))
+        recent = sum(at > now - RECENT_S for at in undecided.values())
+        if (crashed + len(undecided) >= MAX_UNDECIDED - bool(crashed)
+                or recent >= MAX_UNDECIDED - 1):
+            return True
+    return _may_be_cause(host, digest) and any(
+        _may_be_cause(host, other.request.digest)
+        and ending.active_attempts(other)
+        for other in host.pending.values() if other is not pending)
+
+
+def standing_reports(host):
+    """Return reports on the crashes of requests that may be their cause.
+
+    A host that has just started, or was cut off, learns of them by these.
     """
-    return tuple((digest, incarnation)
-                 for digest, incarnations in host.crashes.items()
-                 for incarnation, at in incarnations.items()
-                 if now - span_s < at <= now - CRASH_SPREAD_S)
+    causes = _causes(host)
+    if not (causes.culprits or causes.suspects):
+        return ()
+    rows = [records.Report(records.Kind.CRASHED, at, digest,
+                           incarnation=incarnation, sign=crash.sign)
+            for incarnation, crash in host.crash_records.crashes.items()
+            for digest, at in crash.lost.items()
+            if _may_be_cause(host, digest)]
+    return tuple(rows[-MAX_REPORTS:])
+
+
+def _may_be_cause(host, digest):
+    causes = _causes(host)
+    return digest in causes.suspects or digest in causes.culprits
+
+
+def _causes(host):
+    known = host.crash_records
+    if known.causes is None:
+        known.causes = crash_causes.attribute(
+            crash.lost for crash in known.crashes.values())
+    return known.causes
--- a/crocuskeel/core/entry/reducer.py
+++ b/crocuskeel/core/entry/reducer.py
@@ -3,6 +3,7 @@
 from crocuskeel.core.duties import model as duties_model
 from crocuskeel.core.entry import attempts
 from crocuskeel.core.entry import backoff
+from crocuskeel.core.entry import crashes
 from crocuskeel.core.entry import draining
 from crocuskeel.core.entry import duties
 from crocuskeel.core.entry import duty_lease
@@ -40,7 +41,8 @@
     draining.remove_unlisted(host, now)
     restores.forget_removed(host, now)
     backoff.forget(host, now)
-    return (registry.drop_expired(host, now) + gossip.send_state(host, now)
+    return (registry.drop_expired(host, now) + crashes.forget(host, now)
+            + gossip.send_state(host, now)
             + duties.step(host, event.wall, now)
             + lifecycle.step(host, now))
 
@@ -71,6 +73,7 @@
     events.PeerStateReceived: peers.handle_peer_state,
     events.LoadsDue: gossip.send_load_update,
     events.PeerLoadsReceived: peers.handle_peer_loads,
+    events.CrashReportsReceived: peers.handle_crash_reports,
     events.DutyAnswered: duties.answered,
     duties_model.Usage: usage.received,
     lease_events.LeaseRead: duty_lease.lease_read,
@@ -88,6 +91,7 @@
     if handler is None:
         raise exceptions.UnknownEvent(type(event).__name__)
     out = handler(host, event, now)
-    if host.changed_loads or host.refused_servers:
+    if (host.changed_loads or host.refused_servers
+            or host.crash_records.unsent):
         out += gossip.schedule_load_update(host, now)
     return out
--- a/crocuskeel/core/entry/registry.py
+++ b/crocuskeel/core/entry/registry.py
@@ -8,10 +8,11 @@
 
 import math
 
+from crocuskeel.core.entry import crash_records
+from crocuskeel.core.entry import crashes
 from crocuskeel.core.entry import draining
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import gossip
-from crocuskeel.core.entry import quarantine
 from crocuskeel.core.entry import restarting
 from crocuskeel.core.entry import restores
 from crocuskeel.core.entry import state as states
@@ -89,6 +90,7 @@
         draining.note_listed(
             host, [state.server for state in host.servers.values()], now)
         changed = restores.current_entries(host, changed)
+        host.store_restored_at = now
     host.servers_revision = max(host.servers_revision, event.revision)
     host.servers_behind_at = None
     out = []
@@ -114,10 +116,8 @@
     if sid not in host.servers:
         return []
     out = []
-    if not draining.is_draining(host, host.servers[sid].server):
-        out = quarantine.record_server_down(host, sid, "removed", now)
     if sid not in grace_ends:
-        _drop(host, sid, revision, now)
+        out = _drop(host, sid, revision, now)
     elif host.servers[sid].lapses_at is None:
         host.servers[sid].lapses_at = grace_ends[sid]
         host.lapsing[sid] = None
@@ -131,14 +131,16 @@
     host.lapsing.pop(server.sid, None)
     known = host.servers.get(server.sid)
     if known is None:
+        out = []
         if not restores.returns_removed(host, server.sid, event, now):
-            _mark_former_owners(host, server, addresses)
+            out = _mark_former_owners(host, server, addresses, now)
         state = states.new_server(server, now)
         host.servers[server.sid] = state
         addresses.setdefault(server.address, []).append(state)
-        return [effects.LogEvent("server_added", {
+        out.append(effects.LogEvent("server_added", {
             "server": server.sid, "service": server.service,
-            "draining": server.draining})]
+            "draining": server.draining}))
+        return out
     restores.note_changed(host, server.sid, event)
     former = known.server
     if restarting.is_restart(former, server):
@@ -153,16 +155,20 @@
         "server": server.sid, "draining": server.draining})]
 
 
-def _mark_former_owners(host, server, addresses):
+def _mark_former_owners(host, server, addresses, now):
     """Mark servers whose address now belongs to a new server.
 
     Entries of services that are not configured are ignored: they are no
     servers of this system and may name any address.
     """
     if host.catalog and server.service not in host.catalog.services:
-        return
+        return []
+    out = []
     for state in addresses.get(server.address, ()):
         state.address_reused = True
+        out += crashes.note_down(
+            host, state.server.sid, crash_records.Sign.REPLACED, now)
+    return out
 
 
 def _by_address(host):
@@ -223,8 +229,12 @@
 
 def _drop(host, sid, revision, now):
     """Delete a server that left, or whose entry didn't come back."""
+    out = []
+    if not draining.is_draining(host, host.servers[sid].server):
+        out = crashes.note_down(host, sid, crash_records.Sign.REMOVED, now)
     restores.note_removed(host, host.servers[sid].server, revision, now)
     _delete(host, sid)
+    return out
 
 
 def _delete(host, sid):
@@ -245,12 +255,13 @@
     """Drop servers that did not register again in the grace period."""
     overdue = [state.server.sid for state in _expired_servers(host)
                if state.lapses_at <= now]
+    out = []
     for sid in overdue:
-        _drop(host, sid, host.servers_revision, now)
+        out += _drop(host, sid, host.servers_revision, now)
+        out.append(effects.LogEvent("server_gone", {"server": sid}))
     if overdue:
         _rebuild_index(host)
-    return [effects.LogEvent("server_gone", {"server": sid})
-            for sid in overdue]
+    return out
 
 
 def store_lost(host, event, now):
--- a/crocuskeel/core/entry/requests.py
+++ b/crocuskeel/core/entry/requests.py
@@ -1,6 +1,7 @@
 """Handles the arrival, timers and cancellation of a caller's request."""
 
 from crocuskeel.core.entry import class_minimums
+from crocuskeel.core.entry import crashes
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import ending
 from crocuskeel.core.entry import health
@@ -50,7 +51,7 @@
     The retry delay may exceed the caller's time limit: a retry before the
     quarantine ends would only be refused again.
     """
-    retry_delay_s = quarantine.time_left_s(host, event.request.digest, now)
+    retry_delay_s = quarantine.retry_delay_s(host, event.request.digest, now)
     return [effects.Answer(event.key, ending.UNAVAILABLE, "quarantined",
                            retry_delay_s),
             ending.log_line("quarantined", event.request,
@@ -91,7 +92,11 @@
 
 
 def _time_out(host, pending, now):
-    out = ending.cancel_all(host, pending)
+    out = []
+    for attempt in ending.active_attempts(pending):
+        if not attempt.opened:
+            out += crashes.note_lost(host, pending, attempt, now, silent=True)
+    out += ending.cancel_all(host, pending)
     return out + ending.give_up(host, pending, "time is up", now)
 
 
@@ -120,7 +125,8 @@
     if not silent or not retrying.may_send_again(host, pending, now):
         return [effects.SetRequestTimer(pending.key,
                                         retrying.next_check(pending, now))]
-    out = ending.cancel_all(host, pending)
+    out = crashes.note_lost(host, pending, attempt, now, silent=True)
+    out += ending.cancel_all(host, pending)
     out.append(
         ending.log_line("moved", pending.request, turn=attempt.attempt_number,
                         server=attempt.sid,
--- a/crocuskeel/core/entry/response_hints.py
+++ b/crocuskeel/core/entry/response_hints.py
@@ -1,6 +1,7 @@
 """Hints in response headers: rate limit, draining, and time to back off."""
 
 from crocuskeel.core.entry import backoff
+from crocuskeel.core.entry import crashes
 from crocuskeel.core.entry import draining
 from crocuskeel.core.entry import ending
 from crocuskeel.core.entry import gossip
@@ -22,7 +23,7 @@
         out += gossip.broadcast_hints(host, now)
     if received.backoff_s is not None:
         out += backoff.note_backoff(host, attempt, received.backoff_s, now)
-    return out
+    return out + crashes.note_response(host, attempt, now)
 
 
 def handle_peer_hints(host, event, now):
--- a/crocuskeel/core/entry/restarting.py
+++ b/crocuskeel/core/entry/restarting.py
@@ -7,10 +7,11 @@
 """
 
 from crocuskeel.core.entry import attempts
+from crocuskeel.core.entry import crash_records
+from crocuskeel.core.entry import crashes
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import model
-from crocuskeel.core.entry import quarantine
 from crocuskeel.core.entry import state as states
 
 __all__ = ["end_orphaned_attempts", "is_restart", "reset_server",
@@ -38,7 +39,8 @@
 
 def reset_server(host, server, now):
     """Discard what was recorded about the former process of a server."""
-    out = quarantine.record_server_down(host, server.sid, "restart", now)
+    out = crashes.note_down(
+        host, server.sid, crash_records.Sign.RESTARTED, now)
     former = host.servers[server.sid]
     state = states.new_server(server, now)
     # Requests in progress count until they end.
@@ -61,8 +63,8 @@
             out.append(effects.Cancel(pending.key, attempt.attempt_number))
             out += attempts.broken(host, events.AttemptFailed(
                 pending.key, attempt.attempt_number,
-                model.Outcome.DISCONNECTED,
-                "server restarted"), now)
+                model.Outcome.DISCONNECTED, "server restarted",
+                disconnected=True), now)
     return out
 
 
--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -10,6 +10,7 @@
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import prefill_pauses
 from crocuskeel.core.entry import prefix_cache
+from crocuskeel.core.entry import quarantine
 from crocuskeel.core.entry import ratelimits
 from crocuskeel.core.entry import retry_budget
 from crocuskeel.core.entry import retrying
@@ -25,6 +26,14 @@
     left = pending.deadline_at - now
     if left < retrying.MIN_SEND_S:
         return ending.give_up(host, pending, "time is up", now)
+    digest = pending.request.digest
+    if quarantine.is_quarantined(host, digest, now):
+        return ending.give_up(host, pending, "quarantined", now,
+                              quarantine.retry_delay_s(host, digest, now))
+    if quarantine.must_wait(host, pending, now):
+        if now < admission.queue_until(pending):
+            return _hold(host, pending, now)
+        return ending.give_up(host, pending, "crash suspected", now)
     pending.candidates = candidates.pick(host, pending)
     pending.rank = admission.rank(host, pending, now)
     prefix_cache.note_fetchable(
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -7,6 +7,7 @@
 
 from crocuskeel.core.duties import capacity
 from crocuskeel.core.duties import state
+from crocuskeel.core.entry import crash_records as records
 from crocuskeel.core.entry import loads
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import routing
@@ -170,6 +171,8 @@
     catalog_version: int | None = None
     servers_revision: int = 0
     reads_store: bool = False
+    # Whether its program understands reports on crashes.
+    takes_crash_reports: bool = False
     last_sent_at: float = 0.0
     # When a third host last reported this one as ready.
     confirmed_ready_at: float = 0.0
@@ -221,10 +224,11 @@
     # By service: times of requests and of repeats within the window.
     arrivals: dict = dataclasses.field(default_factory=dict)
     repeats: dict = dataclasses.field(default_factory=dict)
-    # Quarantine: disconnected attempts that are not yet known to be due to
-    # a crash, and crashes by request digest.
-    disconnects: list = dataclasses.field(default_factory=list)
-    crashes: dict = dataclasses.field(default_factory=dict)
+    # Lost attempts and crashes of servers, for the quarantine.
+    crash_records: records.CrashRecords = dataclasses.field(
+        default_factory=records.CrashRecords)
+    # When this host learned that the store was restored from a copy.
+    store_restored_at: float = -math.inf
     store_down_since: float | None = None
     store_up_since: float | None = None
     next_fetch_at: float = 0.0
--- a/crocuskeel/gateway/gossip.py
+++ b/crocuskeel/gateway/gossip.py
@@ -9,6 +9,7 @@
 import dataclasses
 
 from crocuskeel.core import duties
+from crocuskeel.core.entry import crash_records
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import serving
@@ -18,13 +19,18 @@
 
 __all__ = ["Gossip", "decode", "encode", "encode_previous"]
 
-# First field of a datagram with counts, and of one with hints of servers; the
-# first field of other datagrams is a host's name or peer.
+# First field of a datagram with counts, of one with hints of servers, and of
+# one with reports on crashes; the first field of other datagrams is a host's
+# name or peer.
 USAGE_MARK = 0
 HINTS_MARK = 1
+CRASHES_MARK = 2
 # Number of fields of a state after its peer: previous and current version.
 PREVIOUS_FIELDS = 10
 STATE_FIELDS = 13
+# Fields that were added to that since, as of a host that doesn't send them:
+# rate limits, draining servers, versions, reports on crashes.
+ADDED_DEFAULTS = ((), (), (), None)
 
 
 def encode(event):
@@ -36,6 +42,8 @@
     if isinstance(event, events.PeerHintsReceived):
         return msgpack.packb((HINTS_MARK, event.name, event.rate_limits,
                               event.servers_leaving))
+    if isinstance(event, events.CrashReportsReceived):
+        return msgpack.packb((CRASHES_MARK, event.name, event.reports))
     return msgpack.packb((
         *_previous_fields(event), event.wall,
         (revisions.number(event.leader.version), event.leader.host,
@@ -43,7 +51,7 @@
         (event.serving_demand.serving_hosts, event.serving_demand.measured_at),
         event.rate_limits,
         event.servers_leaving,
-        _versions(event)))
+        _versions(event), event.crash_reports))
 
 
 def _versions(event):
@@ -57,9 +65,11 @@
 def encode_previous(event):
     """Return the datagram in the format of the previous version, or None.
 
-    That version has no duties, and so no counts, and no rate limits.
+    That version has no duties, and so no counts, and no rate limits nor
+    reports on crashes.
     """
-    if isinstance(event, duties.Usage | events.PeerHintsReceived):
+    if isinstance(event, duties.Usage | events.PeerHintsReceived
+                  | events.CrashReportsReceived):
         return None
     if isinstance(event, events.PeerStateReceived):
         return msgpack.packb(_previous_fields(event))
@@ -101,6 +111,9 @@
             name, limits, leaving = rest
             return events.PeerHintsReceived(
                 name, _rate_limits(limits), _servers_leaving(leaving))
+        if first == CRASHES_MARK:
+            name, reports = rest
+            return events.CrashReportsReceived(name, _crash_reports(reports))
         if isinstance(first, str):
             loads, refused = rest
             return events.PeerLoadsReceived(first, loads, refused)
@@ -119,9 +132,11 @@
     if len(previous) != PREVIOUS_FIELDS:
         raise ValueError(f"state has {len(rest)} fields")
     # A state of the version without rate limits ends here, one of the
-    # version without eras after the next two fields.
-    limits, leaving, versions = (
-        *rest[STATE_FIELDS:], (), (), ())[:3]
+    # version without eras after the next two fields, one of the version
+    # without reports on crashes after the next one.
+    added = rest[STATE_FIELDS:][:len(ADDED_DEFAULTS)]
+    limits, leaving, versions, reports = (
+        *added, *ADDED_DEFAULTS[len(added):])
     state = events.PeerStateReceived(sender, *previous, wall,
                                      duties.Leader(*leader),
                                      serving.ServingDemand(*wanted),
@@ -132,7 +147,8 @@
     catalog_version, servers_revision, leader_version, fence = map(
         _integer, versions)
     return dataclasses.replace(
-        state, catalog_version=catalog_version,
+        state, crash_reports=_crash_reports(reports),
+        catalog_version=catalog_version,
         servers_revision=servers_revision, leader=dataclasses.replace(
             state.leader, version=leader_version, fence=fence))
 
@@ -153,6 +169,18 @@
     return rows
 
 
+def _crash_reports(rows):
+    """Check rows of core.entry.crash_reports; None stands for no field."""
+    for kind, age_ms, digest, sid, incarnation, sign, span_ms in rows or ():
+        crash_records.Kind(kind)
+        if sign:
+            crash_records.Sign(sign)
+        if min(age_ms, span_ms or 0) < 0 or not all(
+                isinstance(text, str) for text in (digest, sid, incarnation)):
+            raise ValueError(f"invalid report {kind!r} on {incarnation!r}")
+    return rows
+
+
 def _servers_leaving(rows):
     """Check rows of (server id, incarnation)."""
     for sid, incarnation in rows:
--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -4,7 +4,7 @@
 
 from crocuskeel.core.entry import model
 
-__all__ = ["Caller", "new_request"]
+__all__ = ["Caller", "new_request", "send_identical", "send_poison"]
 
 ROUTE_HOST = "desk"
 # How long callers cache the resolved host addresses, s.
@@ -13,8 +13,11 @@
 OUTPUT_SLACK = 1.5
 
 
-def new_request(rid, kind, subject, left_s, event_tokens):
-    """Return a caller's request of a kind and a subject."""
+def new_request(rid, kind, subject, left_s, event_tokens, digest=""):
+    """Return a caller's request of a kind and a subject.
+
+    ``digest`` is the same for identical requests; default is the id.
+    """
     prompt = None
     if kind.kind == "stream":
         parts = ((f"{kind.name}-{subject}", kind.shared),
@@ -23,7 +26,7 @@
             parts, kind.shared + kind.own,
             int(kind.events * event_tokens * OUTPUT_SLACK))
     return model.Request(rid, "POST", ROUTE_HOST, f"/{kind.name}/1", "",
-                         left_s, prompt, rid)
+                         left_s, prompt, digest or rid)
 
 
 @dataclasses.dataclass(slots=True)
@@ -48,6 +51,9 @@
     outcome: str = ""
     host: object = None
     key: int | None = None
+    # Shared by identical requests; empty if there is only one.
+    digest: str = ""
+    crashes_servers: bool = False
 
     def send(self):
         """Send the request to one of the known hosts."""
@@ -59,7 +65,7 @@
         self.host = self.world.host_for_caller()
         request = new_request(
             f"{self.rid}-{self.attempts}", self.kind, self.subject, left_s,
-            self.world.deployment.engines.event_tokens)
+            self.world.deployment.engines.event_tokens, self.digest)
         self.key = None if self.host is None else self.host.receive_request(
             self, request)
         if self.key is None and not self.outcome:
@@ -115,4 +121,26 @@
     def _finish(self, outcome):
         if not self.outcome:
             self.outcome = outcome
-            self.world.tally.record_outcome(self)
+            if self.digest:
+                self.world.identical[self.digest].append(self)
+            if not self.crashes_servers:
+                self.world.tally.record_outcome(self)
+
+
+def send_identical(world, digest):
+    """Send a request of the first kind that others send as well."""
+    _send(world, digest, False)
+
+
+def send_poison(world, digest):
+    """Send a request that crashes the servers that run it."""
+    _send(world, digest, True)
+
+
+def _send(world, digest, crashes_servers):
+    kind = world.deployment.kinds[0]
+    world.last_number += 1
+    caller = Caller(world, f"r{world.last_number}", kind, 0, world.clock.now,
+                    digest=digest, crashes_servers=crashes_servers)
+    world.clock.after(kind.limit_ms / 1e3, caller.time_out)
+    caller.send()
--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -25,7 +25,8 @@
     of prompt tokens still to prefill; until ``ready_at`` cached parts are
     being transferred from another engine. ``events`` is the number of
     events to send; ``generated_tokens`` and ``events_sent`` are counts of
-    what was generated and sent so far.
+    what was generated and sent so far. ``crashes_server``: the server
+    crashes as it begins to run it.
     """
 
     listener: object
@@ -37,6 +38,7 @@
     events_sent: int = 0
     finished: bool = False
     ready_at: float = 0.0
+    crashes_server: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,7 +61,8 @@
     that backoff. ``arrivals`` lists all requests that arrived; ``told`` maps
     each host to its first response with a rate limit, ``told_leaving`` to
     the first with the leaving flag; ``rests`` holds (time, host, s) of the
-    refusals.
+    refusals. ``on_crash(run)`` is called when a run crashes it; a share
+    ``lost_share`` of its responses breaks off at the first event.
     """
 
     def __init__(self, clock, sid, cfg):
@@ -78,6 +81,9 @@
         self.told = {}
         self.told_leaving = {}
         self.rests = []
+        self.on_crash = None
+        self.lost_share = 0.0
+        self.rng = None
 
     def hints(self):
         """Return the hints on its capacity that its responses carry."""
@@ -107,6 +113,13 @@
         self.unresponsive = unresponsive
         self._schedule_work()
 
+    def _loses_answer(self):
+        return self.lost_share > 0 and self.rng.random() < self.lost_share
+
+    def _break_off(self, run):
+        self._remove(run)
+        run.listener.broken(run)
+
     def _remove(self, run):
         run.finished = True
         if run in self.running:
@@ -236,6 +249,9 @@
         self.step_timer = None
         for run in list(self.running):
             if run.unread_tokens <= 0 and not run.finished:
+                if run.crashes_server:
+                    self.on_crash(run)
+                    return
                 run.generated_tokens += steps
                 self._emit_events(run)
         if prefilling is not None and not prefilling.finished:
@@ -248,6 +264,9 @@
         if events <= run.events_sent:
             return
         run.events_sent = events
+        if events == 1 and self._loses_answer():
+            self._break_off(run)
+            return
         if events == 1:
             run.listener.opened(run)
         else:
@@ -296,6 +315,12 @@
 
     def _finish(self, run):
         if not run.finished and not self.unresponsive:
+            if run.crashes_server:
+                self.on_crash(run)
+                return
             self._remove(run)
             self._schedule_work()
+            if self._loses_answer():
+                run.listener.broken(run)
+                return
             run.listener.ended(run)
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -1,6 +1,8 @@
 """Faults to inject into a run; each is undone after its duration."""
 
-__all__ = ["FAULTS"]
+from emulator import callers
+
+__all__ = ["FAULTS", "crash_engine"]
 
 # Delay from a server's crash to the expiry of its entry, and to the start
 # of its replacement under a new id, s.
@@ -25,9 +27,69 @@
 
 def _crash(world, fault):
     for server in _pick_engines(world, fault):
-        server.crash()
-        world.clock.after(ENTRY_EXPIRY_S, world.remove_server, server.sid)
-        world.clock.after(REPLACEMENT_DELAY_S, world.add_engine)
+        crash_engine(world, server)
+
+
+def crash_engine(world, server):
+    """Crash an engine; a replacement registers under a new id."""
+    server.crash()
+    world.clock.after(ENTRY_EXPIRY_S, world.remove_server, server.sid)
+    world.clock.after(REPLACEMENT_DELAY_S, world.add_engine)
+
+
+def _poison(world, fault):
+    """A caller sends the same crashing request ``times`` times a second.
+
+    Each time it sends ``count`` copies at once.
+    """
+    world.last_number += 1
+    _send_poison(world, fault, f"poison-{world.last_number}",
+                 world.clock.now + fault.for_s)
+
+
+def _send_poison(world, fault, digest, until):
+    if world.clock.now >= until:
+        return
+    for _ in range(fault.count):
+        callers.send_poison(world, digest)
+    world.clock.after(1 / fault.times, _send_poison, world, fault, digest,
+                      until)
+
+
+def _lose_answers(world, fault):
+    """Engines break off a share ``times`` of their responses."""
+    for server in _pick_engines(world, fault):
+        server.lost_share = fault.times
+        world.clock.after(fault.for_s, _end_losing, server)
+
+
+def _end_losing(server):
+    server.lost_share = 0.0
+
+
+def _lose_datagrams(world, fault):
+    """A share ``times`` of the datagrams between hosts is lost."""
+    world.datagram_loss = fault.times
+    world.clock.after(fault.for_s, _end_loss, world)
+
+
+def _end_loss(world):
+    world.datagram_loss = 0.0
+
+
+def _repeat_request(world, fault):
+    """Many callers send one identical request, ``times`` times a second."""
+    world.last_number += 1
+    _send_identical(world, fault, f"same-{world.last_number}",
+                    world.clock.now + fault.for_s)
+
+
+def _send_identical(world, fault, digest, until):
+    if world.clock.now >= until:
+        return
+    callers.send_identical(world, digest)
+    world.clock.after(1 / fault.times, _send_identical, world, fault, digest,
+                      until)
 
 
 def _hang(world, fault):
@@ -117,4 +179,6 @@
 FAULTS = {"burst": _burst, "crash": _crash, "dark": _hang, "slow": _slow_down,
           "limit": _limit, "leave": _leave, "rest": _ask_backoff,
           "drain": _drain, "kill": _kill_hosts, "part": _partition,
-          "hot": _skew, "restore": _restore}
+          "hot": _skew, "restore": _restore, "poison": _poison,
+          "lose": _lose_answers, "lossy": _lose_datagrams,
+          "same": _repeat_request}
--- a/emulator/hosts.py
+++ b/emulator/hosts.py
@@ -41,6 +41,7 @@
         self.key = key
         self.attempt_number = attempt_number
         self.server = server
+        self.digest = host.pending[key].request.digest
 
     def opened(self, run):
         """Report the first event of a stream."""
@@ -212,7 +213,8 @@
         return
     kind = pending.caller.kind
     prompt = pending.request.prompt
-    run = engines.Run(listener, prompt, kind.events, effect.priority)
+    run = engines.Run(listener, prompt, kind.events, effect.priority,
+                      crashes_server=pending.caller.crashes_servers)
     if effect.resume:
         run.events -= pending.caller.events
     pending.runs[effect.attempt_number] = server, run
@@ -283,7 +285,8 @@
 
 def _send_to_peer(host, effect):
     other = host.world.hosts.get(effect.peer.name)
-    if other is not None and host.world.are_connected(host, other):
+    if (other is not None and host.world.are_connected(host, other)
+            and not host.world.loses_datagram()):
         host.world.clock.after(
             host.world.network_delay_s, other.receive_broadcast, effect.event)
 
--- a/emulator/run.py
+++ b/emulator/run.py
@@ -1,6 +1,8 @@
 """One simulation run of a deployment with a seed."""
 
+import collections
 import dataclasses
+import functools
 import random
 
 from crocuskeel.core.entry import events
@@ -59,6 +61,12 @@
                       for name in self.names}
         # Names of the hosts that are partitioned from the others.
         self.partitioned = set()
+        # Share of the datagrams between hosts that is lost.
+        self.datagram_loss = 0.0
+        # By digest: the ended callers of identical requests, and when such a
+        # request crashed servers.
+        self.identical = collections.defaultdict(list)
+        self.crash_times = collections.defaultdict(list)
         self.subject_weights = {}
         self.known_addresses = []
         self.addresses_expire_at = 0.0
@@ -84,11 +92,24 @@
     def _add_server(self, service, server_class, cfg, *args):
         self.last_number += 1
         sid = f"s{self.last_number:04}"
-        self.servers[sid] = server_class(self.clock, sid, cfg, *args)
+        server = server_class(self.clock, sid, cfg, *args)
+        server.rng = self.rng
+        server.on_crash = functools.partial(self._crashed, server)
+        self.servers[sid] = server
         self.entries[sid] = model.Server(
             sid, service, (sid, 80), "a", cfg.slots, False)
         self._send_server_change((self.entries[sid],), ())
 
+    def _crashed(self, server, run):
+        self.crash_times[run.listener.digest].append(
+            self.clock.now - self.tally.began)
+        faults.crash_engine(self, server)
+
+    def loses_datagram(self):
+        """Draw whether a datagram between hosts is lost."""
+        return (self.datagram_loss > 0
+                and self.rng.random() < self.datagram_loss)
+
     def drain(self, sid):
         """Mark a server as draining."""
         self.entries[sid] = dataclasses.replace(
--- a/tests/entry/support.py
+++ b/tests/entry/support.py
@@ -90,12 +90,12 @@
     LOADS to that of the next load update.
     """
 
-    def __init__(self, *routes, servers=(), **settings):
+    def __init__(self, *routes, servers=(), name="me", **settings):
         self.now = NOW
         self.timers = {}
         self.host = entry.new_host(
             entry.Settings(**settings), random.Random(1))
-        self.feed(events.Started(peer("me")))
+        self.feed(events.Started(peer(name)))
         if routes:
             self.feed(events.CatalogRead(catalog(*routes)))
         if servers:
--- a/tests/gateway/test_upgrade.py
+++ b/tests/gateway/test_upgrade.py
@@ -70,7 +70,7 @@
         # Hosts of the version with duties and without rate limits were
         # considered dead during an upgrade.
         fields = msgpack.unpackb(gossip.encode(STATE), use_list=False)
-        for count in (1, 2, 3):
+        for count in (1, 2, 3, 4):
             self.assertEqual(
                 STATE, gossip.decode(msgpack.packb(fields[:-count])))
 
@@ -85,10 +85,37 @@
         datagram = self._sent_datagram(state)
         self.assertEqual(state, gossip.decode(datagram))
         fields = msgpack.unpackb(datagram, use_list=False)
-        former = gossip.decode(msgpack.packb(fields[:-1]))
+        former = gossip.decode(msgpack.packb(fields[:-2]))
         self.assertEqual((None, 4, STATE.leader), (
             former.catalog_version, former.servers_revision, former.leader))
 
+    def test_crash_reports_have_one_format_alone_and_in_states(self):
+        rows = (("lost", 30, "d", "s1", "s1/7", "", 0),
+                ("crashed", 0, "d", "", "s1/7", "refused", 0),
+                ("alive", 9, "", "", "s1/7", "", None))
+        state = dataclasses.replace(STATE, catalog_version=24)
+        for event in (events.CrashReportsReceived("h1", rows),
+                      dataclasses.replace(state, crash_reports=rows),
+                      dataclasses.replace(state, crash_reports=())):
+            self.assertEqual(event, gossip.decode(self._sent_datagram(event)))
+        fields = msgpack.unpackb(gossip.encode(dataclasses.replace(
+            state, crash_reports=rows)), use_list=False)
+        # Hosts of the version without reports were considered dead.
+        self.assertEqual(state, gossip.decode(msgpack.packb(fields[:-1])))
+        self._receive(gossip.encode_previous(
+            events.PeerStateReceived(support.peer("h0"), True, False, 3, 4)))
+        self.assertIsNone(
+            self._sent_datagram(events.CrashReportsReceived("h1", rows)))
+
+    def test_invalid_crash_reports_are_rejected(self):
+        valid = ("crashed", 30, "d", "s1", "s1/7", "refused", 0)
+        for position, value in ((0, "new"), (1, -1), (1, "x"), (2, None),
+                                (3, 7), (4, None), (5, "guessed"), (6, -5)):
+            row = (*valid[:position], value, *valid[position + 1:])
+            with self.subTest(row=row), self.assertRaises(ValueError):
+                gossip.decode(gossip.encode(
+                    events.CrashReportsReceived("h1", (row,))))
+
     def test_hints_have_one_format_alone_and_in_states(self):
         rows = (("s1/7", 1.5, 30), ("s2/None", None, 0))
         leave = (("s3", "s3/9"),)
