Soak: requests that crash servers in six forms, beside harmless identical ones

The soak's poison request had one form, a reset before the answer, and nobody looked at what ran beside it.

--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -16,8 +16,9 @@
 CLOUD = "127.0.0.1:9"
 
 
-def _sent(kind, reply, rid="r1", at=100.0, version=1, settled=1):
-    request = callers.Request(rid, kind, f"/{kind}/1", (), b"body")
+def _sent(kind, reply, rid="r1", at=100.0, version=1, settled=1,
+          body=b"body"):
+    request = callers.Request(rid, kind, f"/{kind}/1", (), body)
     return records.SentRequest(
         request, IP, 1, at, version, settled, at + 1, reply)
 
@@ -265,6 +266,21 @@
         record.crashes.append((b"poison", 102.0))
         self.assertNotEqual([], checks.check_run(record))
 
+    def test_identical_request_is_quarantined_after_it_was_served(self):
+        quarantined = callers.Reply(503, b'{"error": "quarantined"}', 60.0)
+        for served_at, excused, errors in (
+                (99.5, False, 1), (101.5, False, 0), (99.5, True, 0)):
+            record = records.new_record()
+            for rid, reply, at in (
+                    ("r1", callers.Reply(200), served_at),
+                    ("r2", quarantined, 102.0)):
+                record.sent[rid] = _sent(
+                    "safe", reply, rid, at, body=checks.IDENTICAL)
+            if excused:
+                record.add_fault(IP, "kill", 101.5, 1.0)
+            with self.subTest(served_at=served_at, excused=excused):
+                self.assertEqual(errors, len(checks.check_run(record)))
+
     def test_no_recovery(self):
         good, bad = callers.Reply(200), callers.Reply(503)
         self.assertEqual([], checks.check_recovery([good] * 9 + [bad]))
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -1,12 +1,13 @@
 """The guarantees checked against what callers and servers observed."""
 
 import collections
+import math
 
 from tools.soak import engine
 from tools.soak import record as records
 
-__all__ = ["DRAIN_S", "KINDS", "LEASE_S", "RESTORED", "check_recovery",
-           "check_request", "check_run"]
+__all__ = ["DRAIN_S", "IDENTICAL", "KINDS", "LEASE_S", "RESTORED",
+           "check_recovery", "check_request", "check_run"]
 
 KINDS = ("top", "low", "safe", "unsafe")
 STREAMS = ("top", "low")
@@ -39,6 +40,11 @@
 # All hosts know a request that crashed three servers after this, s. If it
 # is sent to several hosts within a few ms, it may crash more before that.
 POISON_KNOWN_S = 1.0
+# Bodies with this prefix are sent by many callers and crash no server. Once
+# one was served, hosts know so after this, s.
+IDENTICAL = b"identical"
+SERVED_KNOWN_S = 1.0
+QUARANTINED = b"quarantined"
 # RATE_STABLE_S after a server first sent a rate limit, it may get at most
 # RATE_TOLERANCE times what that allows in RATE_SPAN_S, plus
 # RATE_EXTRA_REQUESTS. Only requests of hosts that received the limit at
@@ -155,6 +161,7 @@
     return (_check_departed(record) + _check_versions(record)
             + _check_starvation(record)
             + _check_tiers(record) + _check_poison(record)
+            + _check_identical(record)
             + _check_rates(record) + _check_leaving(record)
             + _check_backoffs(record))
 
@@ -273,6 +280,25 @@
             if len(rows) > 3 and rows[-1] > rows[2] + POISON_KNOWN_S]
 
 
+def _check_identical(record):
+    """A request that was served is not quarantined, whatever ran beside it."""
+    served_at = {}
+    errors = []
+    for sent in sorted(record.sent.values(), key=lambda sent: sent.ended_at):
+        body = sent.request.body
+        if not body.startswith(IDENTICAL):
+            continue
+        if sent.reply.status == 200:
+            served_at.setdefault(body, sent.ended_at)
+        known_at = served_at.get(body, math.inf) + SERVED_KNOWN_S
+        if QUARANTINED in sent.reply.body and sent.at > known_at and (
+                record.is_undisturbed(sent.at - SERVED_KNOWN_S, sent.ended_at,
+                                      sent.ip)):
+            errors.append(f"{sent.request.rid}: {body.decode()} was served "
+                          "and then quarantined")
+    return errors
+
+
 def _served_shares(record):
     served = collections.Counter()
     total = collections.Counter()
--- a/tools/soak/engine.py
+++ b/tools/soak/engine.py
@@ -1,11 +1,13 @@
 """A stub of a backend server: streams and calls, with injected faults."""
 
+import dataclasses
 import math
 
 from crocuskeel.gateway import callers
 from crocuskeel.gateway import loop
 
-__all__ = ["BASE_FAULT_SHARES", "EVENTS", "Engine", "POISON"]
+__all__ = ["BASE_FAULT_SHARES", "CRASH_FORMS", "CrashForm", "EVENTS",
+           "Engine", "POISON", "RESET"]
 
 # A stream takes 1.8 s, so that work that continues for a disconnected
 # caller is still in progress when the request is checked.
@@ -17,11 +19,34 @@
 # Faults that servers always have, as shares of requests. A run of ten
 # seconds must see each of them, or it does not test their handling.
 BASE_FAULT_SHARES = {"lost": 0.03, "torn": 0.03, "full": 0.03, "error": 0.02}
-# A body with this prefix crashes the server that runs it.
+# A body with this prefix crashes the server that runs it, in the form that its
+# second part names.
 POISON = b"poison"
 RID = b"x-crocuskeel-request-id"
 
 
+@dataclasses.dataclass(frozen=True)
+class CrashForm:
+    """How the connections of a crashing server end.
+
+    The request that crashes it has got ``sent`` of its answer by then, None
+    if not even its head. The connections are closed or, with ``resets``,
+    reset; with ``goes_dark`` they stay open without a sign of life.
+    """
+
+    sent: bytes | None = None
+    resets: bool = False
+    goes_dark: bool = False
+
+
+RESET = CrashForm(resets=True)
+CRASH_FORMS = {
+    b"reset": RESET, b"closed": CrashForm(), b"head": CrashForm(b""),
+    b"event": CrashForm(b"id: 1\nda"),
+    b"cut": CrashForm(b"id: 1\nda", resets=True),
+    b"dark": CrashForm(goes_dark=True)}
+
+
 class Engine:
     """Runs requests and adds them to the record of the run.
 
@@ -73,12 +98,15 @@
         self.port = self.reactor.listenTCP(
             self.address[1], self.listener, 50, self.address[0])
 
-    def crash(self):
-        """Abort all connections and stop listening."""
+    def crash(self, form=RESET):
+        """End all connections in the given form and stop listening."""
         self.is_down = True
         self.port.stopListening()
         for conn in list(self.listener.open_connections):
-            conn.transport.abortConnection()
+            if form.resets:
+                conn.transport.abortConnection()
+            elif not form.goes_dark:
+                conn.transport.loseConnection()
 
     def limits(self):
         """Return the limits on the requests of hosts."""
@@ -118,7 +146,7 @@
             self.record.failed_by_server.add(rid)
             self.record.crashes.append(
                 (exchange.body, self.reactor.seconds()))
-            self.on_poison()
+            self._crash_under(exchange, rid)
             return
         if self._draw_fault("lost"):
             self.record.failed_by_server.add(rid)
@@ -136,6 +164,15 @@
         else:
             self.reactor.callLater(CALL_S, self._answer, exchange, rid)
 
+    def _crash_under(self, exchange, rid):
+        name = exchange.body.split(b":")[1:2]
+        form = CRASH_FORMS[name[0]] if name else RESET
+        if form.sent is not None:
+            exchange.begin_answer(200, self._headers(rid))
+        if form.sent:
+            exchange.send_data(form.sent)
+        self.on_poison(form)
+
     def _draw_fault(self, fault):
         return self.rng.random() < self.faults.get(fault, 0.0)
 
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -16,6 +16,8 @@
 SEVERED_SHARE = 0.7
 # Runs of these seeds have restores of the store.
 RESTORE_SEEDS = range(1100, 1200)
+# Runs of these seeds have requests that crash servers in each form.
+CRASH_SEEDS = range(1200, 1300)
 # How often another restore of the store follows one.
 REPEAT_SHARE = 0.3
 
@@ -33,6 +35,8 @@
     kinds = rng.sample(available, KINDS_PER_RUN)
     if seed in RESTORE_SEEDS and _restore not in kinds:
         kinds[0] = _restore
+    if seed in CRASH_SEEDS and _poison_in_each_form not in kinds:
+        kinds[0] = _poison_in_each_form
     return kinds
 
 
@@ -116,7 +120,21 @@
     kind = soak.rng.choice(("safe", "unsafe"))
     soak.note_fault("plan", "poison request", 4.0)
     for number in range(8):
-        soak.call_later(0.5 * number, soak.send_poison, kind, body)
+        soak.call_later(0.5 * number, soak.send_body, kind, body)
+
+
+def _poison_in_each_form(soak):
+    # Servers crash in one of several forms. Harmless requests that are
+    # identical to each other run beside those that crash them.
+    form = soak.rng.choice(sorted(engines.CRASH_FORMS))
+    kind = soak.rng.choice(checks.KINDS)
+    soak.note_fault("plan", "poison request", 4.0)
+    for number in range(12):
+        soak.call_later(0.3 * number, soak.send_body, kind, b"%s:%s:%d" % (
+            engines.POISON, form, soak.last_number))
+    for number in range(24):
+        soak.call_later(0.2 * number, soak.send_body, kind, b"%s %d" % (
+            checks.IDENTICAL, soak.last_number))
 
 
 def _leave(soak):
@@ -308,4 +326,4 @@
 ADDED_KINDS = (
     (200, (_reborn, _other_writer)), (400, (_silent_store,)),
     (500, (_need,)), (600, (_leave_unlisted, _rest)), (1000, (_sever,)),
-    (1100, (_restore,)))
+    (1100, (_restore,)), (1200, (_poison_in_each_form,)))
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -177,7 +177,10 @@
                 if side.other is not None:
                     side.other.transport.abortConnection()
 
-    def close(self):
-        """Stop listening and reset the open connections."""
+    def close(self, after_s=0.0):
+        """Stop listening; reset the open connections ``after_s`` later."""
         self.port.stopListening()
-        self.reset()
+        if after_s:
+            self.reactor.callLater(after_s, self.reset)
+        else:
+            self.reset()
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -32,6 +32,8 @@
 ABANDON_SHARE = 0.05
 # Delay from the end of a request to its check, for its servers to stop, s.
 CHECK_DELAY_S = 1.1
+# Connections of a server that is gone and did not reset them last this long.
+DARK_S = 3.0
 KEY = b"key"
 # Interval at which servers write their entries, s.
 HEARTBEAT_S = 1.2
@@ -56,16 +58,14 @@
         self.idle_callers = {}
         self.stopping = set()
         self.version = 0
-        # (version, time at which the store accepted it)
-        self.versions = []
+        self.versions = []  # (version, when the store accepted it)
         self.last_number = 0
         self.unfinished = 0
         self.load_factor = 1.0
         self.violations = []
         self.recovery_replies = []
         self.began_at = reactor.seconds()
-        # Resolved host addresses, as callers cache them.
-        self.known_ips = []
+        self.known_ips = []  # as callers have resolved them
         self.net = f"127.{10 + seed % NETWORK_COUNT}"
         self.server_ip = f"{self.net}.2.1"
         port = reactor.listenTCP(0, self.store.listener, 50, "127.0.0.1")
@@ -109,7 +109,7 @@
         sid = f"s-{self.last_number}"
         engine = engines.Engine(
             self.reactor, self.rng, sid, service, self.record,
-            lambda: self.crash(sid))
+            lambda form: self.crash(sid, form))
         port = engine.listen(self.server_ip)
         self.engines[sid] = engine
         self.links[sid] = self._link((self.server_ip, port))
@@ -161,12 +161,12 @@
         self.store.remove("servers", sid)
         self.record.departed[sid] = self.reactor.seconds()
 
-    def end_engine(self, sid):
+    def end_engine(self, sid, form=engines.RESET):
         """Stop a server; return its service."""
         engine = self.engines.pop(sid)
         self.record.ended[sid] = self.reactor.seconds()
-        engine.crash()
-        self.links[sid].close()
+        engine.crash(form)
+        self.links[sid].close(0.0 if form.resets else DARK_S)
         return engine.service
 
     def end_departed(self, sid):
@@ -180,12 +180,12 @@
             self.leave(sid)
             self.end_engine(sid)
 
-    def crash(self, sid):
+    def crash(self, sid, form=engines.RESET):
         """Crash a server; a replacement starts a second later."""
         if sid not in self.engines:
             return
         self.note_fault(sid, "server crash", 2.5)
-        service = self.end_engine(sid)
+        service = self.end_engine(sid, form)
         self.call_later(1.5, self.store.remove, "servers", sid)
         self.call_later(1.0, self.add_engine, service)
 
@@ -254,8 +254,8 @@
             abandon_after_s = self.rng.uniform(0.02, 0.3)
         return self._new_request(kind, None, abandon_after_s)
 
-    def send_poison(self, kind, body):
-        """Send a request that crashes the servers that run it."""
+    def send_body(self, kind, body):
+        """Send a request with a body that others may have, too."""
         self.unfinished += 1
         ip = self.rng.choice(self.known_ips or self.fleet.ips)
         defer.Deferred.fromCoroutine(self.send_to(
@@ -385,7 +385,7 @@
 
 
 async def _check_recovery(soak, faults_end_at):
-    """Wait until all faults have ended, then send the last requests."""
+    """Send the last requests once all faults have ended."""
     while soak.reactor.seconds() < faults_end_at or soak.unfinished:
         await soak.sleep(0.2)
     for _ in range(RECOVERY_REQUESTS):
