Hosts that tell each other of a crash and of its refutation settle

Cause: a host kept only the latest interval in which a server had been running. A report of a crash from before that interval, repeated by a host that had taken it for new, was new again; the refutation that followed was new, too.

--- a/crocuskeel/core/entry/crash_records.py
+++ b/crocuskeel/core/entry/crash_records.py
@@ -6,15 +6,13 @@
 
 from crocuskeel.core import crash_causes
 
-__all__ = ["Crash", "CrashRecords", "HARD_SIGNS", "Interval", "Kind", "Loss",
-           "Report", "SOFT_SIGNS", "Sign"]
+__all__ = ["Crash", "CrashRecords", "HARD_SIGNS", "Kind", "Loss", "Report",
+           "Sign"]
 
 
 class Sign(enum.StrEnum):
     """How a host learned that a server was down."""
 
-    # All connections of this host to it ended at the same time.
-    TOGETHER = "together"
     # It accepted no connection.
     UNREACHABLE = "unreached"
     # Its host refused a connection, to this host or to another one.
@@ -29,8 +27,6 @@
 
 # With these the process is gone, and any loss there was due to that.
 HARD_SIGNS = frozenset((Sign.REFUSED, Sign.RESTARTED, Sign.REPLACED))
-# These a server may also give that is running.
-SOFT_SIGNS = frozenset((Sign.TOGETHER, Sign.UNREACHABLE))
 
 
 class Kind(enum.StrEnum):
@@ -44,18 +40,6 @@
     SERVED = "served"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Interval:
-    """Times between which a server is known to have been running, s."""
-
-    since: float
-    until: float
-
-    def covers(self, at):
-        """Return whether the server was running at a time."""
-        return self.since <= at <= self.until
-
-
 @dataclasses.dataclass(slots=True)
 class Loss:
     """An attempt that was lost at ``at``, of this host or of another one.
@@ -69,7 +53,6 @@
     sid: str
     incarnation: str
     digest: str
-    own: bool = True
     silent: bool = False
     doubtful: bool = False
 
@@ -105,11 +88,12 @@
 
 @dataclasses.dataclass(slots=True)
 class CrashRecords:
-    """``crashes``, ``ended`` and ``alive`` are by incarnation of a server.
+    """``crashes`` and ``ended`` are by incarnation of a server.
 
-    ``ended`` holds the (hard sign, time) of a process that is gone, ``alive``
-    the Interval that refuted a crash, ``served`` the time of the latest whole
-    response to a digest. ``causes`` is None when it has to be computed anew.
+    ``ended`` holds the (hard sign, time) of a process that is gone.
+    ``refuted`` maps (incarnation, digest) to the time of the latest loss that
+    turned out to be due to no crash, ``served`` a digest to the time of the
+    latest whole response. ``causes`` is None when it has to be computed anew.
     ``reports`` holds own and heard ones as (until when to repeat it, Report);
     ``unsent`` own ones not yet sent to any host; ``told`` when others were
     last told that a digest was served.
@@ -118,7 +102,7 @@
     losses: list = dataclasses.field(default_factory=list)
     crashes: dict = dataclasses.field(default_factory=dict)
     ended: dict = dataclasses.field(default_factory=dict)
-    alive: dict = dataclasses.field(default_factory=dict)
+    refuted: dict = dataclasses.field(default_factory=dict)
     served: collections.OrderedDict = dataclasses.field(
         default_factory=collections.OrderedDict)
     causes: crash_causes.Causes | None = crash_causes.NO_CAUSES
--- a/crocuskeel/core/entry/crash_reports.py
+++ b/crocuskeel/core/entry/crash_reports.py
@@ -79,13 +79,10 @@
             or _is_excluded(host, report, now)):
         return None
     loss = records.Loss(
-        report.at, report.sid, report.incarnation, report.digest, own=False,
+        report.at, report.sid, report.incarnation, report.digest,
         silent=report.kind is records.Kind.SILENT)
     updates.add_loss(host, loss)
-    sign = crashes.sign_of_end(host, loss, now)
-    if sign is None:
-        return []
-    return crashes.note_down(host, report.sid, sign, now)
+    return crashes.confirm_if_ended(host, loss, now)
 
 
 def _merge_crash(host, report, now):
@@ -111,8 +108,9 @@
     Others are told if this host has served the request.
     """
     known = host.crash_records
-    alive = known.alive.get(report.incarnation)
-    if alive is not None and alive.covers(report.at):
+    refuted_at = known.refuted.get((report.incarnation, report.digest),
+                                   -math.inf)
+    if report.at < refuted_at + MIN_NEWER_S:
         return True
     served_at = updates.served_before(host, report)
     if served_at is None:
--- a/crocuskeel/core/entry/crash_updates.py
+++ b/crocuskeel/core/entry/crash_updates.py
@@ -12,7 +12,7 @@
 
 __all__ = ["add_loss", "clear", "drop_from_crash", "drop_losses", "line",
            "lost_at", "record_crash", "refute", "served_before",
-           "undecided"]
+           "undecided", "withdraw"]
 
 # A response proves that its server was running before the request was sent,
 # but for the time by which hosts may differ on when a connection ended, s.
@@ -20,6 +20,7 @@
 # A request that was served this recently before a loss is not its cause, s.
 SERVED_S = 10.0
 MAX_SERVED = 1024
+MAX_REFUTED = 1024
 MAX_LOSSES = 512
 MAX_CRASHES = 256
 
@@ -74,42 +75,57 @@
     """Withdraw the losses and crashes that a server's response refutes."""
     known = host.crash_records
     incarnation = report.incarnation
-    alive = records.Interval(
-        report.at - report.span_s, report.at - ALIVE_MARGIN_S)
-    refuted = drop_losses(known, lambda loss: (
-        loss.incarnation == incarnation and alive.covers(loss.at)))
+    since, until = report.at - report.span_s, report.at - ALIVE_MARGIN_S
+    refuted = {loss.digest: loss.at for loss in known.losses
+               if loss.incarnation == incarnation
+               and since <= loss.at <= until}
     crash = known.crashes.get(incarnation)
     if crash is not None:
-        refuted |= drop_from_crash(known, incarnation, [
-            digest for digest, at in crash.lost.items() if alive.covers(at)])
-    if incarnation in known.ended and alive.covers(
-            known.ended[incarnation][1]):
+        refuted |= {digest: at for digest, at in crash.lost.items()
+                    if since <= at <= until}
+    if incarnation in known.ended and (
+            since <= known.ended[incarnation][1] <= until):
         del known.ended[incarnation]
-    if not refuted:
-        return []
-    known.alive[incarnation] = alive
-    return [line("crash_refuted", digest, incarnation, by="response")
+    return withdraw(known, incarnation, refuted, "response")
+
+
+def withdraw(known, incarnation, refuted, reason):
+    """Withdraw what digests were lost in a crash that was none.
+
+    ``refuted`` maps them to when they were lost. They are remembered, as
+    other hosts may report them again.
+    """
+    drop_losses(known, lambda loss: (
+        loss.incarnation == incarnation
+        and loss.at <= refuted.get(loss.digest, -math.inf)))
+    if incarnation in known.crashes:
+        drop_from_crash(known, incarnation, [
+            digest for digest, at in known.crashes[incarnation].lost.items()
+            if at <= refuted.get(digest, -math.inf)])
+    for digest, at in refuted.items():
+        known.refuted[incarnation, digest] = at
+    while len(known.refuted) > MAX_REFUTED:
+        del known.refuted[next(iter(known.refuted))]
+    return [line("crash_refuted", digest, incarnation, by=reason)
             for digest in sorted(refuted)]
 
 
 def drop_losses(known, is_dropped):
-    """Drop losses by a predicate; return their digests."""
-    dropped = {loss.digest for loss in known.losses if is_dropped(loss)}
-    if dropped:
-        known.losses = [loss for loss in known.losses
-                        if not is_dropped(loss)]
-    return dropped
+    """Drop losses by a predicate; return whether there were any."""
+    kept = [loss for loss in known.losses if not is_dropped(loss)]
+    has_dropped = len(kept) < len(known.losses)
+    known.losses = kept
+    return has_dropped
 
 
 def drop_from_crash(known, incarnation, digests):
-    """Drop digests from a crash; return them as a set."""
+    """Drop digests from a crash."""
     crash = known.crashes[incarnation]
     for digest in digests:
         del crash.lost[digest]
         known.causes = None
     if not crash.lost:
         del known.crashes[incarnation]
-    return set(digests)
 
 
 def clear(host, report):
--- a/crocuskeel/core/entry/crashes.py
+++ b/crocuskeel/core/entry/crashes.py
@@ -17,11 +17,9 @@
 from crocuskeel.core.entry import draining
 from crocuskeel.core.entry import fleet
 
-__all__ = ["forget", "note_down", "note_lost", "note_response", "note_served",
-           "report_to_others", "sign_of_end"]
+__all__ = ["confirm_if_ended", "forget", "note_down", "note_lost",
+           "note_response", "note_served", "report_to_others"]
 
-# A crash ends all connections of a server within this time, s.
-CRASH_SPREAD_S = 0.3
 # No server restarts within this time, s.
 MIN_RESTART_S = 1.0
 # The store removes an entry after three heartbeat intervals without one; one
@@ -34,9 +32,11 @@
 CRASH_RETENTION_S = 600.0
 # A report is repeated to other hosts for this long, s: a datagram may be lost.
 REPORT_S = 2.0
-# With these the server's requests in progress are lost as well. After a
-# restart some may be the new process's (restarting.end_orphaned_attempts).
-GONE_SIGNS = (records.Sign.REMOVED, records.Sign.REPLACED)
+# With these the server's requests in progress are lost as well, though their
+# connections may stay silent. After a restart some may be the new process's
+# (restarting.end_orphaned_attempts).
+GONE_SIGNS = (records.Sign.REFUSED, records.Sign.REMOVED,
+              records.Sign.REPLACED)
 
 
 def note_lost(host, pending, attempt, now, silent=False):
@@ -61,23 +61,13 @@
         attempt.sid, attempt.incarnation), now)
     out.append(updates.line("crash_suspected", digest, attempt.incarnation,
                             silent=silent))
-    sign = sign_of_end(host, loss, now)
-    if sign is not None:
-        out += note_down(host, attempt.sid, sign, now)
-    return out
+    return out + confirm_if_ended(host, loss, now)
 
 
-def sign_of_end(host, loss, now):
-    """Return the sign by which a loss shows that its server ended, or None."""
-    known = host.crash_records
-    if loss.incarnation in known.ended:
-        return known.ended[loss.incarnation][0]
-    if loss.silent or not loss.own or host.servers[loss.sid].own_attempts:
-        return None
-    digests = {other.digest for other in known.losses
-               if other.own and other.incarnation == loss.incarnation
-               and not other.silent and other.at > now - CRASH_SPREAD_S}
-    return records.Sign.TOGETHER if len(digests) > 1 else None
+def confirm_if_ended(host, loss, now):
+    """Confirm the crash of a loss whose server is known to be gone."""
+    sign, _ = host.crash_records.ended.get(loss.incarnation, (None, 0.0))
+    return [] if sign is None else note_down(host, loss.sid, sign, now)
 
 
 def note_down(host, sid, sign, now):
@@ -91,7 +81,7 @@
     if sign in records.HARD_SIGNS and state is not None:
         known.ended[state.server.incarnation] = sign, now
     found = [loss for loss in known.losses if loss.sid == sid
-             and not (loss.doubtful and sign in records.SOFT_SIGNS)]
+             and not (loss.doubtful and sign is records.Sign.UNREACHABLE)]
     if found:
         known.losses = [loss for loss in known.losses if loss not in found]
     if state is not None and sign in GONE_SIGNS:
@@ -173,13 +163,10 @@
             loss.doubtful = True
             out.append(updates.line("crash_doubted", loss.digest, incarnation))
     crash = known.crashes.get(incarnation)
-    if crash is not None and crash.sign in records.SOFT_SIGNS:
-        refuted = updates.drop_from_crash(known, incarnation, [
-            digest for digest, at in crash.lost.items()
-            if at >= attempt.sent_at])
-        out += [updates.line("crash_refuted", digest, incarnation,
-                             by="earlier request")
-                for digest in sorted(refuted)]
+    if crash is not None and crash.sign is records.Sign.UNREACHABLE:
+        out += updates.withdraw(known, incarnation, {
+            digest: at for digest, at in crash.lost.items()
+            if at >= attempt.sent_at}, "earlier request")
     return out
 
 
@@ -192,7 +179,7 @@
             digest for digest, at in crash.lost.items()
             if at < now - CRASH_RETENTION_S])
     _drop_old(known.ended, lambda row: row[1] < now - LOSS_RETENTION_S)
-    _drop_old(known.alive, lambda row: row.until < now - LOSS_RETENTION_S)
+    _drop_old(known.refuted, lambda at: at < now - CRASH_RETENTION_S)
     _drop_old(known.told, lambda at: at < now - REPORT_S)
     while known.reports and known.reports[0][0] < now:
         known.reports.popleft()
--- a/crocuskeel/core/entry/quarantine.py
+++ b/crocuskeel/core/entry/quarantine.py
@@ -13,19 +13,14 @@
 from crocuskeel.core.entry import crash_records as records
 from crocuskeel.core.entry import crash_updates as updates
 from crocuskeel.core.entry import ending
-from crocuskeel.core.entry import routing
 
-__all__ = ["is_quarantined", "must_wait", "retry_delay_s",
-           "standing_reports"]
+__all__ = ["is_quarantined", "must_wait", "standing_reports", "time_left_s"]
 
 # Quarantine after the second crash, s, of a cause and of one of several that
 # may be it; each further crash doubles it.
 CULPRIT_S = 60.0
-SUSPECT_S = 10.0
+SUSPECT_S = 3.0
 MAX_QUARANTINE_S = 600.0
-# By up to this share of it longer on some hosts, in an order that differs by
-# request: if all ended it at once, each would run the request.
-SPREAD = 0.5
 # A request waits once this many servers may have crashed under it, at one less
 # if one of them did, or if it was lost there within RECENT_S: what became of
 # these is known soon.
@@ -41,35 +36,17 @@
 
 
 def time_left_s(host, digest, now):
-    """Return the time left of a request's quarantine on this host, s."""
-    since, span_s = _quarantine(host, digest)
-    if span_s:
-        span_s *= 1 + SPREAD * routing.unit_hash(host.self_peer.name, digest)
-    return max(0.0, since + span_s - now)
-
-
-def retry_delay_s(host, digest, now):
-    """Return when the caller of a quarantined request may send it again, s.
-
-    That is when the first hosts run it again.
-    """
-    since, span_s = _quarantine(host, digest)
-    return (max(0.0, since + span_s - now)
-            or time_left_s(host, digest, now))
-
-
-def _quarantine(host, digest):
-    """Return the start of a request's quarantine and its duration, s."""
+    """Return the time left of a request's quarantine, s."""
     causes = _causes(host)
     if digest in causes.culprits:
         count, span_s = causes.culprits[digest], CULPRIT_S
     elif digest in causes.suspects:
         count, span_s = causes.suspects[digest], SUSPECT_S
     else:
-        return 0.0, 0.0
+        return 0.0
     span_s *= 2 ** (count - crash_causes.MIN_CRASHES)
-    return (max(updates.lost_at(host, digest).values()),
-            min(span_s, MAX_QUARANTINE_S))
+    last_at = max(updates.lost_at(host, digest).values())
+    return max(0.0, last_at + min(span_s, MAX_QUARANTINE_S) - now)
 
 
 def must_wait(host, pending, now):
--- a/crocuskeel/core/entry/requests.py
+++ b/crocuskeel/core/entry/requests.py
@@ -51,7 +51,7 @@
     The retry delay may exceed the caller's time limit: a retry before the
     quarantine ends would only be refused again.
     """
-    retry_delay_s = quarantine.retry_delay_s(host, event.request.digest, now)
+    retry_delay_s = quarantine.time_left_s(host, event.request.digest, now)
     return [effects.Answer(event.key, ending.UNAVAILABLE, "quarantined",
                            retry_delay_s),
             ending.log_line("quarantined", event.request,
--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -29,7 +29,7 @@
     digest = pending.request.digest
     if quarantine.is_quarantined(host, digest, now):
         return ending.give_up(host, pending, "quarantined", now,
-                              quarantine.retry_delay_s(host, digest, now))
+                              quarantine.time_left_s(host, digest, now))
     if quarantine.must_wait(host, pending, now):
         if now < admission.queue_until(pending):
             return _hold(host, pending, now)
