A request that crashes engines is known by its workspace, whatever the key

The digest covered the Authorization header, and it was computed before the key was resolved. It covers method, path and body now, and the host adds the workspace: another workspace's request with the same body stays another one.

test_keys_of_a_workspace_are_one_caller, test_digest_identifies_repeated_requests (the new row) failed before; test_restart.py and the tests of today look the digest up by its full form, their checks stay.

Also: rows of a kind or sign that a later version adds are left out of a state, not the state with them (its host would count as dead): test_crash_reports_of_a_later_version_are_left_out. The rows of test_invalid_crash_reports_are_rejected that named such values name invalid types.

--- a/crocuskeel/core/entry/attempts.py
+++ b/crocuskeel/core/entry/attempts.py
@@ -162,7 +162,7 @@
     out = [ending.log_line("broken", pending.request,
                            turn=attempt.attempt_number,
                            server=attempt.sid, outcome=event.outcome.value,
-                           detail=event.detail, digest=pending.request.digest,
+                           detail=event.detail, digest=pending.digest,
                            passing=pending.forwarded_attempt is not None)]
     out += _record_failure(host, pending, attempt, event, now)
     if ending.active_attempts(pending):
--- a/crocuskeel/core/entry/crashes.py
+++ b/crocuskeel/core/entry/crashes.py
@@ -44,7 +44,7 @@
 
     ``silent``: it was given up as its server gave no sign of life.
     """
-    digest = pending.request.digest
+    digest = pending.digest
     state = host.servers.get(attempt.sid)
     if not digest or state is None or draining.is_draining(
             host, state.server):
@@ -102,7 +102,7 @@
     """Return the attempts in progress at a server as if lost now."""
     found = []
     for key, attempt_number in state.own_attempts:
-        digest = host.pending[key].request.digest
+        digest = host.pending[key].digest
         attempt = host.pending[key].attempts[attempt_number]
         if digest and attempt.incarnation == state.server.incarnation:
             found.append(records.Loss(
@@ -146,7 +146,7 @@
     """
     out = _doubt(host, attempt)
     report = records.Report(
-        records.Kind.SERVED, now, pending.request.digest)
+        records.Kind.SERVED, now, pending.digest)
     lines = updates.clear(host, report)
     if lines:
         report_to_others(host, report, now)
--- a/crocuskeel/core/entry/model.py
+++ b/crocuskeel/core/entry/model.py
@@ -51,8 +51,9 @@
 class Request:
     """A request as sent once by a caller.
 
-    ``digest`` identifies method, path and body. ``deadline_s`` is how
-    long the caller waits from the request's arrival, or None.
+    ``digest`` identifies method, path and body, not the ``api_key``.
+    ``deadline_s`` is how long the caller waits from the request's arrival,
+    or None.
     """
 
     rid: str
--- a/crocuskeel/core/entry/quarantine.py
+++ b/crocuskeel/core/entry/quarantine.py
@@ -14,7 +14,8 @@
 from crocuskeel.core.entry import crash_updates as updates
 from crocuskeel.core.entry import ending
 
-__all__ = ["is_quarantined", "must_wait", "standing_reports", "time_left_s"]
+__all__ = ["digest_of", "is_quarantined", "must_wait", "standing_reports",
+           "time_left_s"]
 
 # Quarantine after the second crash, s, of a cause and of one of several that
 # may be it; each further crash doubles it.
@@ -30,6 +31,15 @@
 MAX_REPORTS = 60
 
 
+def digest_of(request, workspace):
+    """Return what identifies a request that its caller sends again.
+
+    A workspace has several keys, and another workspace's request may differ
+    in what this host doesn't see.
+    """
+    return f"{request.digest}.{workspace}" if request.digest else ""
+
+
 def is_quarantined(host, digest, now):
     """Return whether a request is quarantined."""
     return time_left_s(host, digest, now) > 0
@@ -51,7 +61,7 @@
 
 def must_wait(host, pending, now):
     """Return whether a request must not run until more is known."""
-    digest = pending.request.digest
+    digest = pending.digest
     undecided = updates.undecided(host, digest)
     if undecided:
         crashed = len(updates.lost_at(host, digest))
@@ -60,7 +70,7 @@
                 or recent >= MAX_UNDECIDED - 1):
             return True
     return _may_be_cause(host, digest) and any(
-        _may_be_cause(host, other.request.digest)
+        _may_be_cause(host, other.digest)
         and ending.active_attempts(other)
         for other in host.pending.values() if other is not pending)
 
--- a/crocuskeel/core/entry/requests.py
+++ b/crocuskeel/core/entry/requests.py
@@ -39,34 +39,36 @@
                                 version=host.catalog.version,
                                 version_age_s=round(
                                     now - host.catalog_applied_at, 3))]
-    if quarantine.is_quarantined(host, request.digest, now):
-        return _quarantined(host, event, now)
-    pending = _register(host, event, resolved.unwrap(), now)
+    destination = resolved.unwrap()
+    digest = quarantine.digest_of(request, destination.workspace)
+    if quarantine.is_quarantined(host, digest, now):
+        return _quarantined(host, event, digest, now)
+    pending = _register(host, event, destination, digest, now)
     return sending.send(host, pending, now)
 
 
-def _quarantined(host, event, now):
+def _quarantined(host, event, digest, now):
     """Refuse a request that crashes servers until its quarantine ends.
 
     The retry delay may exceed the caller's time limit: a retry before the
     quarantine ends would only be refused again.
     """
-    retry_delay_s = quarantine.time_left_s(host, event.request.digest, now)
+    retry_delay_s = quarantine.time_left_s(host, digest, now)
     return [effects.Answer(event.key, ending.UNAVAILABLE, "quarantined",
                            retry_delay_s),
             ending.log_line("quarantined", event.request,
-                            digest=event.request.digest,
+                            digest=digest,
                             ends_in_s=round(retry_delay_s, 1))]
 
 
-def _register(host, event, destination, now):
+def _register(host, event, destination, digest, now):
     request = event.request
     left = DEFAULT_DEADLINE_S
     if request.deadline_s is not None:
         left = request.deadline_s
     left = min(left, destination.route.timeout_s)
     pending = states.RequestState(
-        key=event.key, request=request, route=destination.route,
+        key=event.key, request=request, digest=digest, route=destination.route,
         service=destination.service, workspace=destination.workspace,
         priority=destination.priority, arrived_at=now,
         deadline_at=now + left - TIMEOUT_ANSWER_LEAD_S)
--- a/crocuskeel/core/entry/retrying.py
+++ b/crocuskeel/core/entry/retrying.py
@@ -53,7 +53,7 @@
         return False
     if _servers_used(host, pending) >= pending.route.max_servers:
         return False
-    if (quarantine.is_quarantined(host, pending.request.digest, now)
+    if (quarantine.is_quarantined(host, pending.digest, now)
             or quarantine.must_wait(host, pending, now)):
         return False
     tried = {attempt.sid for attempt in pending.attempts}
--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -26,10 +26,9 @@
     left = pending.deadline_at - now
     if left < retrying.MIN_SEND_S:
         return ending.give_up(host, pending, "time is up", now)
-    digest = pending.request.digest
-    if quarantine.is_quarantined(host, digest, now):
-        return ending.give_up(host, pending, "quarantined", now,
-                              quarantine.time_left_s(host, digest, now))
+    quarantine_s = quarantine.time_left_s(host, pending.digest, now)
+    if quarantine_s:
+        return ending.give_up(host, pending, "quarantined", now, quarantine_s)
     if quarantine.must_wait(host, pending, now):
         if now < admission.queue_until(pending):
             return _hold(host, pending, now)
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -81,6 +81,8 @@
     priority: int
     arrived_at: float
     deadline_at: float
+    # Identifies identical requests of one workspace, see quarantine.digest_of.
+    digest: str = ""
     attempts: list = dataclasses.field(default_factory=list)
     # Number of servers that may have run it, and of attempts to reach one.
     servers_used: int = 0
--- a/crocuskeel/gateway/gossip.py
+++ b/crocuskeel/gateway/gossip.py
@@ -31,6 +31,8 @@
 # Fields that were added to that since, as of a host that doesn't send them:
 # rate limits, draining servers, versions, reports on crashes.
 ADDED_DEFAULTS = ((), (), (), None)
+KINDS = frozenset(map(str, crash_records.Kind))
+SIGNS = frozenset(map(str, crash_records.Sign)) | {""}
 
 
 def encode(event):
@@ -170,15 +172,18 @@
 
 
 def _crash_reports(rows):
-    """Check rows of core.entry.crash_reports; None stands for no field."""
-    for kind, age_ms, digest, sid, incarnation, sign, span_ms in rows or ():
-        crash_records.Kind(kind)
-        if sign:
-            crash_records.Sign(sign)
+    """Check rows of core.entry.crash_reports; None stands for no field.
+
+    Rows of a kind or with a sign that a later version adds are left out.
+    """
+    if rows is None:
+        return None
+    for kind, age_ms, digest, sid, incarnation, sign, span_ms in rows:
         if min(age_ms, span_ms or 0) < 0 or not all(
-                isinstance(text, str) for text in (digest, sid, incarnation)):
+                isinstance(text, str)
+                for text in (kind, digest, sid, incarnation, sign)):
             raise ValueError(f"invalid report {kind!r} on {incarnation!r}")
-    return rows
+    return tuple(row for row in rows if row[0] in KINDS and row[5] in SIGNS)
 
 
 def _servers_leaving(rows):
--- a/crocuskeel/platform/headers.py
+++ b/crocuskeel/platform/headers.py
@@ -108,8 +108,7 @@
 def _digest(head, body):
     """Return the digest that identifies requests that crash servers."""
     digest = hashlib.blake2b(digest_size=8)
-    for part in (head.method, head.target,
-                 head.get(b"authorization") or b"", body):
+    for part in (head.method, head.target, body):
         digest.update(b"%d:" % len(part))
         digest.update(part)
     return digest.hexdigest()
--- a/tests/entry/crash_driver.py
+++ b/tests/entry/crash_driver.py
@@ -80,7 +80,12 @@
 
     def is_quarantined(self, digest):
         """Return whether a request is quarantined."""
-        return quarantine.is_quarantined(self.host, digest, self.now)
+        return self.quarantine_s(digest) > 0
+
+    def quarantine_s(self, digest):
+        """Return the time left of a request's quarantine, s."""
+        return quarantine.time_left_s(
+            self.host, support.full_digest(digest), self.now)
 
     def state(self):
         """Return the state that this host sends."""
--- a/tests/entry/support.py
+++ b/tests/entry/support.py
@@ -6,6 +6,7 @@
 from crocuskeel.core.entry import effects as entry_effects
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import model
+from crocuskeel.core.entry import quarantine
 from crocuskeel.core.entry import state as states
 from tests import liveness
 
@@ -67,6 +68,11 @@
                          prompt, digest)
 
 
+def full_digest(digest="d1"):
+    """Return the digest by which a host knows a caller's request."""
+    return quarantine.digest_of(request(digest=digest), "hire")
+
+
 def prompt(part="shared", shared=13_000, own=3_000):
     """Return a prompt of a shared part and a part of its own."""
     return model.Prompt(((part, shared), ("own", own)),
@@ -120,7 +126,8 @@
     def _check_liveness(self):
         """Check that each request has a timer, at its deadline at last."""
         waiting = {key: {key} for key in self.host.pending}
-        if self.host.changed_loads or self.host.refused_servers:
+        if (self.host.changed_loads or self.host.refused_servers
+                or self.host.crash_records.unsent):
             waiting["changed loads"] = {LOADS}
         late = {key for key, pending in self.host.pending.items()
                 if self.timers.get(key, 0.0) > pending.deadline_at}
--- a/tests/entry/test_crash_reports.py
+++ b/tests/entry/test_crash_reports.py
@@ -101,7 +101,8 @@
         for _ in range(3):
             one.feed(events.PeerStateReceived(
                 support.peer("old"), True, False, 10, 5,
-                (("p", "s1/None"), ("p", "s2/None"))), 0.3)
+                tuple((support.full_digest("p"), incarnation)
+                      for incarnation in ("s1/None", "s2/None"))), 0.3)
         self.assertTrue(one.is_quarantined("p"))
         self.assertEqual(
             {crash_records.Sign.REFUSED},
--- a/tests/entry/test_quarantine.py
+++ b/tests/entry/test_quarantine.py
@@ -1,5 +1,6 @@
 """Requests that crash the servers that run them, and those beside them."""
 
+import dataclasses
 import unittest
 
 from crocuskeel.core.entry import effects
@@ -140,8 +141,8 @@
         found += driver.feed(events.PeerStateReceived(
             support.peer(), True, False, 10, 9, (("c", "s9/1"),)))
         self.assertEqual(
-            [("crash_suspected", "a", attempt.incarnation, None),
-             ("crash_confirmed", "a", attempt.incarnation, "removed"),
+            [("crash_suspected", "a.hire", attempt.incarnation, None),
+             ("crash_confirmed", "a.hire", attempt.incarnation, "removed"),
              ("crash_confirmed", "c", "s9/1", "host-1")],
             [(line.event, line.fields["digest"], line.fields["incarnation"],
               line.fields.get("peer") or line.fields.get("sign"))
@@ -200,6 +201,31 @@
         self.assertTrue(fleet.is_quarantined("p"))
 
 
+class CallerTest(unittest.TestCase):
+    """Whose request it is that crashes servers."""
+
+    def _send(self, fleet, api_key):
+        fleet.last_key += 1
+        out = fleet.feed(events.RequestReceived(
+            fleet.last_key, dataclasses.replace(
+                support.request(digest="p"), api_key=api_key)))
+        return bool(support.effects_of(out, effects.SendRequest))
+
+    def test_keys_of_a_workspace_are_one_caller(self):
+        # A caller that used four keys by turns crashed eight engines.
+        fleet = crash_driver.CrashDriver()
+        catalog = support.catalog(UNSAFE, revision=11)
+        fleet.feed(events.CatalogRead(dataclasses.replace(
+            catalog, api_keys={
+                **catalog.api_keys,
+                "key-2": model.Workspace("hire", None),
+                "key-3": model.Workspace("sales", None)})))
+        fleet.crash("s1", "p")
+        fleet.crash("s2", "p")
+        self.assertFalse(self._send(fleet, "key-2"))
+        self.assertTrue(self._send(fleet, "key-3"))
+
+
 class QuarantineTimeTest(unittest.TestCase):
     """How long a request waits, and is quarantined."""
 
@@ -229,11 +255,11 @@
         fleet = crash_driver.CrashDriver()
         fleet.crash("s1", "p")
         fleet.crash("s2", "p")
-        first = quarantine.time_left_s(fleet.host, "p", fleet.now)
+        first = fleet.quarantine_s("p")
         fleet.now += 100.0
         fleet.crash("s3", "p")
         self.assertAlmostEqual(
-            2 * first, quarantine.time_left_s(fleet.host, "p", fleet.now),
+            2 * first, fleet.quarantine_s("p"),
             delta=1.0)
 
 
--- a/tests/entry/test_restart.py
+++ b/tests/entry/test_restart.py
@@ -143,7 +143,7 @@
                 (_engine(attempt.sid, born=born),), (), 5 + turn), 1.0)
             self.driver.host.servers["e1"].suspect_until = 1e9
         self.assertTrue(quarantine.is_quarantined(
-            self.driver.host, "d1", self.driver.now))
+            self.driver.host, support.full_digest("d1"), self.driver.now))
 
 
 if __name__ == "__main__":
--- a/tests/gateway/test_upgrade.py
+++ b/tests/gateway/test_upgrade.py
@@ -107,10 +107,19 @@
         self.assertIsNone(
             self._sent_datagram(events.CrashReportsReceived("h1", rows)))
 
+    def test_crash_reports_of_a_later_version_are_left_out(self):
+        # A state that is refused makes its host count as dead.
+        known = ("crashed", 30, "d", "s1", "s1/7", "refused", 0)
+        rows = (("new", *known[1:]), known, (*known[:5], "guessed", 0))
+        self.assertEqual(
+            events.CrashReportsReceived("h1", (known,)),
+            gossip.decode(gossip.encode(
+                events.CrashReportsReceived("h1", rows))))
+
     def test_invalid_crash_reports_are_rejected(self):
         valid = ("crashed", 30, "d", "s1", "s1/7", "refused", 0)
-        for position, value in ((0, "new"), (1, -1), (1, "x"), (2, None),
-                                (3, 7), (4, None), (5, "guessed"), (6, -5)):
+        for position, value in ((0, 7), (1, -1), (1, "x"), (2, None),
+                                (3, 7), (4, None), (5, None), (6, -5)):
             row = (*valid[:position], value, *valid[position + 1:])
             with self.subTest(row=row), self.assertRaises(ValueError):
                 gossip.decode(gossip.encode(
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -151,3 +151,10 @@
         self.assertEqual(read(head, b"x").digest, read(again, b"x").digest)
         self.assertNotEqual(read(head, b"x").digest,
                             read(head, b"y").digest)
+        # A caller may use another key of its workspace each time.
+        other_key = header_codec.Head(
+            ((b"Authorization", b"Bearer other"), *(
+                row for row in SENT if row[0] != b"Authorization"), *FORGED),
+            b"POST", b"/a/1")
+        self.assertEqual(read(head, b"x").digest,
+                         read(other_key, b"x").digest)
