The product's own face finds the cause of crashes by the same rule

core/quarantine took the one request that was on two crashed servers for their cause and knew no cause where two were; core/crash_causes, which the hosts on the platform use, finds one where it was in more crashes than any beside it. There is one rule now; how hosts learn of crashes stays apart, as one face has load reports and dispatchers and the other has neither.

--- a/crocuskeel/core/quarantine/incidents.py
+++ b/crocuskeel/core/quarantine/incidents.py
@@ -4,10 +4,11 @@
 suspects at once. A load report with a new boot id, or no report for a
 while, shows a crash. A report with the same boot id shows that only a
 connection broke. A suspect is quarantined if it crashes a server that it
-had to itself, or if it is the only request that ran on two crashed
-servers.
+had to itself, or if it is the cause of two crashes
+(:mod:`crocuskeel.core.crash_causes`).
 """
 
+from crocuskeel.core import crash_causes
 from crocuskeel.core.quarantine import state
 
 __all__ = ["attempt_done", "attempt_lost", "has_undecided_loss",
@@ -121,14 +122,13 @@
     if incident.exclusive:
         return incident.exclusive
     # Copies of one request may be running on two servers before the first
-    # loss is reported. Then the common fingerprint is taken as the cause
-    # without risking a third server.
-    crashes = [known for known in daemon.quarantine.incidents
-               if known.crashed and known is not incident]
-    common = [fingerprint for fingerprint in incident.fingerprints
-              if any(fingerprint in known.fingerprints
-                     for known in crashes)]
-    return common[0] if len(common) == 1 else ""
+    # loss is reported. Then it is taken as the cause without risking a third
+    # server.
+    causes = crash_causes.attribute(
+        known.fingerprints for known in daemon.quarantine.incidents
+        if known.crashed)
+    return next((fingerprint for fingerprint in incident.fingerprints
+                 if fingerprint in causes.culprits), "")
 
 
 def _not_crashed(daemon, incident, now):
