Crash reports of a host fit beside its requests; attempts given up are not told

Cause: what hosts tell each other of crashes was bounded by the size of a datagram, 100 rows of 80 bytes in each of about 106 states and updates that a host of this fleet sends a second. The slowest links have 5 Mbit/s. Under overload each attempt that was given up was told as a loss, refuted by the server's next response and told again; a crash of 26 engines adds a row for each request in progress at each host, which the others repeat. The links of small hosts were full, load updates came late, and hosts sent requests to engines without room, which gave up more of them.

The logs of all hosts to 24 s: 7 requests refused as quarantined, 48,000 refutations of losses, most of them heard. So it isn't the refusal of suspects.

Change: an attempt that was given up at a silent server is told only once that is shown to be down; refutations are told only of what was told. A datagram has 16 rows: first those on requests that were lost more than once, as they may be a cause, then the host's own, then what it repeats.

Tests of crashes, quarantine and of the emulator's crashing requests pass unchanged.

--- a/crocuskeel/core/entry/crash_records.py
+++ b/crocuskeel/core/entry/crash_records.py
@@ -6,8 +6,8 @@
 
 from crocuskeel.core import crash_causes
 
-__all__ = ["Crash", "CrashRecords", "HARD_SIGNS", "Kind", "Loss", "Report",
-           "Sign"]
+__all__ = ["Crash", "CrashRecords", "HARD_SIGNS", "Kind", "Loss",
+           "QueuedReport", "Report", "Sign"]
 
 
 class Sign(enum.StrEnum):
@@ -33,7 +33,7 @@
     """Kinds of reports to other hosts."""
 
     LOST = "lost"
-    # The same, given up as its server was silent.
+    # The same, given up as its server was silent; sent by former versions.
     SILENT = "silent"
     CRASHED = "crashed"
     ALIVE = "alive"
@@ -86,6 +86,15 @@
     span_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueuedReport:
+    """A report of this host, or of another one, to repeat until ``until``."""
+
+    until: float
+    report: Report
+    is_own: bool = True
+
+
 @dataclasses.dataclass(slots=True)
 class CrashRecords:
     """``crashes`` and ``ended`` are by incarnation of a server.
@@ -94,9 +103,8 @@
     ``refuted`` maps (incarnation, digest) to the time of the latest loss that
     turned out to be due to no crash, ``served`` a digest to the time of the
     latest whole response. ``causes`` is None when it has to be computed anew.
-    ``reports`` holds own and heard ones as (until when to repeat it, Report);
-    ``unsent`` own ones not yet sent to any host; ``told`` when others were
-    last told that a digest was served.
+    ``reports`` holds the QueuedReports, ``unsent`` own ones not yet sent to
+    any host; ``told`` when others were last told that a digest was served.
     """
 
     losses: list = dataclasses.field(default_factory=list)
--- a/crocuskeel/core/entry/crash_reports.py
+++ b/crocuskeel/core/entry/crash_reports.py
@@ -5,10 +5,17 @@
 that an ALIVE server is known to have been running, None for always. A host
 keeps the time at which it first heard of a fact, so that hosts don't renew it
 for each other.
+
+When many servers crash at once, each host has a report for each request that
+was in progress. They are bounded by what the link of a small host carries
+beside its requests: those on requests that were lost more than once come
+first, as they may be a cause, then the host's own.
 """
 
+import heapq
 import math
 
+from crocuskeel.core import crash_causes
 from crocuskeel.core.entry import crash_records as records
 from crocuskeel.core.entry import crash_updates as updates
 from crocuskeel.core.entry import crashes
@@ -19,7 +26,7 @@
 # Reports of other hosts are repeated for this long, s: in two states.
 RELAY_S = 0.65
 # Limit of rows in one datagram; each takes up to 80 bytes.
-MAX_ROWS = 100
+MAX_ROWS = 16
 # A later time of a fact that is known counts as news from this on, s: clocks
 # and delays make the times of one fact differ between hosts.
 MIN_NEWER_S = 1.0
@@ -44,17 +51,26 @@
 
 
 def recent(host, now):
-    """Return the reports to repeat in this host's state, newest first."""
-    found = [report for until, report in reversed(host.crash_records.reports)
-             if until > now]
-    return tuple(found[:MAX_ROWS])
+    """Return the reports to repeat in this host's state."""
+    return _first(host, [entry for entry in host.crash_records.reports
+                         if entry.until > now])
 
 
 def take_unsent(host):
     """Return the own reports that were not yet sent, and mark them sent."""
     known = host.crash_records
     unsent, known.unsent = known.unsent, []
-    return tuple(unsent[-MAX_ROWS:])
+    return _first(host, unsent)
+
+
+def _first(host, entries):
+    """Return the reports that one datagram holds, by importance."""
+    if len(entries) > MAX_ROWS:
+        counts = updates.loss_counts(host)
+        entries = heapq.nlargest(MAX_ROWS, entries, key=lambda entry: (
+            counts[entry.report.digest] >= crash_causes.MIN_CRASHES,
+            entry.is_own, entry.report.at))
+    return tuple(entry.report for entry in entries)
 
 
 def merge(host, name, received, now):
@@ -64,7 +80,8 @@
         report = _report(row, now)
         found = MERGERS[report.kind](host, report, now)
         if found is not None:
-            host.crash_records.reports.append((now + RELAY_S, report))
+            host.crash_records.reports.append(
+                records.QueuedReport(now + RELAY_S, report, is_own=False))
             out += [effects.LogEvent(each.event, {**each.fields, "peer": name})
                     for each in found]
     return out
--- a/crocuskeel/core/entry/crash_updates.py
+++ b/crocuskeel/core/entry/crash_updates.py
@@ -11,8 +11,8 @@
 from crocuskeel.core.entry import effects
 
 __all__ = ["add_loss", "clear", "drop_from_crash", "drop_losses", "line",
-           "lost_at", "record_crash", "refute", "served_before",
-           "undecided", "withdraw"]
+           "loss_counts", "lost_at", "record_crash", "refute",
+           "served_before", "undecided", "withdraw"]
 
 # A response proves that its server was running before the request was sent,
 # but for the time by which hosts may differ on when a connection ended, s.
@@ -163,6 +163,15 @@
             if loss.digest == digest and not (loss.silent or loss.doubtful)}
 
 
+def loss_counts(host):
+    """Return how often each request was lost, as a Counter by digest."""
+    known = host.crash_records
+    counts = collections.Counter(
+        digest for crash in known.crashes.values() for digest in crash.lost)
+    counts.update(loss.digest for loss in known.losses if not loss.silent)
+    return counts
+
+
 def line(event, digest, incarnation, **fields):
     """Return a log line about a request and a server."""
     return effects.LogEvent(
--- a/crocuskeel/core/entry/crashes.py
+++ b/crocuskeel/core/entry/crashes.py
@@ -42,7 +42,9 @@
 def note_lost(host, pending, attempt, now, silent=False):
     """Record that an attempt was lost; return effects.
 
-    ``silent``: it was given up as its server gave no sign of life.
+    ``silent``: it was given up as its server gave no sign of life. Other
+    hosts are told once the server is shown to be down: under overload many
+    attempts are given up whose server is well.
     """
     digest = pending.digest
     state = host.servers.get(attempt.sid)
@@ -56,9 +58,10 @@
     loss = records.Loss(now, attempt.sid, attempt.incarnation, digest,
                         silent=silent)
     updates.add_loss(host, loss)
-    report_to_others(host, records.Report(
-        records.Kind.SILENT if silent else records.Kind.LOST, now, digest,
-        attempt.sid, attempt.incarnation), now)
+    if not silent:
+        report_to_others(host, records.Report(
+            records.Kind.LOST, now, digest, attempt.sid,
+            attempt.incarnation), now)
     out.append(updates.line("crash_suspected", digest, attempt.incarnation,
                             silent=silent))
     return out + confirm_if_ended(host, loss, now)
@@ -132,12 +135,19 @@
     report = records.Report(
         records.Kind.ALIVE, attempt.sent_at, incarnation=attempt.incarnation,
         span_s=span_s)
+    was_told = attempt.incarnation in known.crashes or _has_told_of(
+        known, lambda loss: loss.incarnation == attempt.incarnation)
     out = updates.refute(host, report)
-    if out:
+    if out and was_told:
         report_to_others(host, report, now)
     return out
 
 
+def _has_told_of(known, is_meant):
+    """Return whether others were told of a loss, by a predicate."""
+    return any(is_meant(loss) and not loss.silent for loss in known.losses)
+
+
 def note_served(host, pending, attempt, now):
     """Record the whole response to a request; return effects.
 
@@ -147,8 +157,10 @@
     out = _doubt(host, attempt)
     report = records.Report(
         records.Kind.SERVED, now, pending.digest)
+    was_told = bool(updates.lost_at(host, pending.digest)) or _has_told_of(
+        host.crash_records, lambda loss: loss.digest == pending.digest)
     lines = updates.clear(host, report)
-    if lines:
+    if lines and was_told:
         report_to_others(host, report, now)
     return out + lines
 
@@ -181,7 +193,7 @@
     _drop_old(known.ended, lambda row: row[1] < now - LOSS_RETENTION_S)
     _drop_old(known.refuted, lambda at: at < now - CRASH_RETENTION_S)
     _drop_old(known.told, lambda at: at < now - REPORT_S)
-    while known.reports and known.reports[0][0] < now:
+    while known.reports and known.reports[0].until < now:
         known.reports.popleft()
     return out
 
@@ -217,5 +229,6 @@
 
 def report_to_others(host, report, now):
     """Have a report sent to other hosts, now and in the next states."""
-    host.crash_records.reports.append((now + REPORT_S, report))
-    host.crash_records.unsent.append(report)
+    queued = records.QueuedReport(now + REPORT_S, report)
+    host.crash_records.reports.append(queued)
+    host.crash_records.unsent.append(queued)
--- a/crocuskeel/core/entry/quarantine.py
+++ b/crocuskeel/core/entry/quarantine.py
@@ -9,6 +9,8 @@
 doesn't run at a third one.
 """
 
+import heapq
+
 from crocuskeel.core import crash_causes
 from crocuskeel.core.entry import crash_records as records
 from crocuskeel.core.entry import crash_updates as updates
@@ -28,7 +30,7 @@
 MAX_UNDECIDED = 3
 RECENT_S = 0.8
 # Limit of these reports in one datagram.
-MAX_REPORTS = 60
+MAX_REPORTS = 16
 
 
 def digest_of(request, workspace):
@@ -88,7 +90,8 @@
             for incarnation, crash in host.crash_records.crashes.items()
             for digest, at in crash.lost.items()
             if _may_be_cause(host, digest)]
-    return tuple(rows[-MAX_REPORTS:])
+    return tuple(heapq.nlargest(MAX_REPORTS, rows, key=lambda report: (
+        report.digest in causes.culprits, report.at)))
 
 
 def _may_be_cause(host, digest):
--- a/tests/entry/test_crash_reports.py
+++ b/tests/entry/test_crash_reports.py
@@ -6,6 +6,7 @@
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import quarantine
+from crocuskeel.gateway import gossip
 from tests.entry import crash_driver
 from tests.entry import support
 
@@ -119,5 +120,70 @@
         self.assertLessEqual(len(one.host.crash_records.crashes), 256)
 
 
+class TrafficTest(unittest.TestCase):
+    """Reports don't crowd out what hosts tell each other of their loads.
+
+    When many servers crashed or were slow at once, hosts told each other so
+    much of it that the links of small hosts were full: load updates came
+    late, and hosts sent requests to servers that had no room.
+    """
+
+    # The slowest link has 5 Mbit/s. A host of 73 sends 106 states and updates
+    # a second, which may take a third of that.
+    MAX_BYTES = 2_000
+
+    def _fleet(self):
+        fleet = crash_driver.CrashDriver(count=40)
+        self.other = crash_driver.CrashDriver(name="h1")
+        for each in (fleet, self.other):
+            each.feed(events.PeersListed(
+                (support.peer("me"), support.peer("h1"))))
+        fleet.feed(self.other.state())
+        return fleet
+
+    def _give_up(self, fleet, key):
+        fleet.now = fleet.host.pending[key].deadline_at
+        fleet.feed(events.TimerFired(key))
+        fleet.feed(self.other.state())
+
+    def _rows(self, fleet):
+        return fleet.state().crash_reports
+
+    def test_wave_of_crashes_fits_a_small_link(self):
+        fleet = self._fleet()
+        for number in range(40):
+            for other in range(5):
+                fleet.lose(f"{number}.{other}", f"s{number}")
+        for number in range(40):
+            fleet.remove(f"s{number}")
+        self.assertLess(len(gossip.encode(fleet.state())), self.MAX_BYTES)
+        (update,) = [effect.event for effect in support.effects_of(
+            fleet.feed(events.LoadsDue()), effects.SendToPeer)
+            if type(effect.event) is events.CrashReportsReceived]
+        self.assertLess(len(gossip.encode(update)), self.MAX_BYTES)
+
+    def test_request_that_was_lost_twice_is_told_first(self):
+        fleet = self._fleet()
+        for sid in ("s0", "s1"):
+            fleet.lose("p", sid)
+        for number in range(2, 40):
+            for other in range(5):
+                fleet.lose(f"{number}.{other}", f"s{number}")
+        told = {(row[2], row[3]) for row in self._rows(fleet)}
+        digest = support.full_digest("p")
+        self.assertLessEqual({(digest, "s0"), (digest, "s1")}, told)
+
+    def test_attempt_that_was_given_up_is_told_once_its_server_is_gone(self):
+        # Under overload hosts give up many attempts at servers that are well.
+        fleet = self._fleet()
+        self._give_up(fleet, fleet.send("p", "s1"))
+        self.assertEqual((), self._rows(fleet))
+        fleet.answer(fleet.send("i", "s1"), after=0.1)
+        self.assertEqual((), self._rows(fleet))
+        self._give_up(fleet, fleet.send("p", "s2"))
+        fleet.remove("s2")
+        self.assertEqual({"crashed"}, {row[0] for row in self._rows(fleet)})
+
+
 if __name__ == "__main__":
     unittest.main()
