A host that learns of newer settings from an answer always sets its retry timer

What callers saw: by a simulation, requests that are parked and then refused by one host, until a peer happens to send it a message that names a newer generation.

Cause: a host may be sent settings that it no longer waits for: it asked twice, caught up by the first answer, and the second one, read seconds later, names a newer generation. That set behind_since and began a load, but no retry timer, unlike the other ways to learn of one. If a part was then lost, the host held work with neither a call in flight nor a timer.

Change: _record_newer itself sets the timer when the host falls behind, for all ways alike. The new test fails before.

--- a/crocuskeel/core/follower/handlers.py
+++ b/crocuskeel/core/follower/handlers.py
@@ -51,9 +51,8 @@
     # Each peer that is ahead is asked once. The first one may have lost
     # the platform and know the generation only from other hosts.
     state.asked_peers.add(event.sender)
-    _record_newer(state, event.generation, now)
     return [effects.Send(event.sender, messages.SettingsAsk(have)),
-            effects.SetTimer(_RETRY, RETRY_S)]
+            *_record_newer(state, event.generation, now)]
 
 
 def handle(daemon, event, now):
@@ -86,10 +85,16 @@
 
 
 def _record_newer(state, generation, now):
+    """Record that a newer generation exists; return effects.
+
+    The retry timer runs for as long as this host is behind.
+    """
     state.newest_known_generation = max(
         state.newest_known_generation, generation)
-    if state.behind_since is None:
-        state.behind_since = now
+    if state.behind_since is not None:
+        return []
+    state.behind_since = now
+    return [effects.SetTimer(_RETRY, RETRY_S)]
 
 
 # The head object.
@@ -151,8 +156,7 @@
         # Read from a lagging replica of the store: generations never go
         # back.
         return out
-    _record_newer(state, head.generation, now)
-    out.append(effects.SetTimer(_RETRY, RETRY_S))
+    out += _record_newer(state, head.generation, now)
     return out + loading.start_load(daemon, head, "")
 
 
@@ -171,13 +175,12 @@
     state = daemon.follower
     held = states.held_generation(daemon)
     if request.have > held:
-        _record_newer(state, request.have, now)
+        out = _record_newer(state, request.have, now)
         if state.asked_holder:
             # One holder is enough, since each answer carries the head.
-            return []
+            return out
         state.asked_holder = sender
-        return [effects.Send(sender, messages.SettingsAsk(held)),
-                effects.SetTimer(_RETRY, RETRY_S)]
+        return [effects.Send(sender, messages.SettingsAsk(held)), *out]
     if request.have == held:
         return adoption.adopt_if_confirmed(daemon, True)
     return _answer_peer(state, sender, request)
@@ -203,12 +206,12 @@
         head = storage.decode_head(answer.head)
     except conf.PartCorrupt:
         return []
-    _record_newer(daemon.follower, head.generation, now)
+    out = _record_newer(daemon.follower, head.generation, now)
     numbers = range(answer.base + 1, head.generation + 1)
     digests = [storage.find_delta_digest(head, number) for number in numbers]
     received = [conf.Part(digest, blob)
                 for digest, blob in zip(digests, answer.deltas) if digest]
-    return loading.start_load(daemon, head, sender, received)
+    return out + loading.start_load(daemon, head, sender, received)
 
 
 def _held_part(state, digest):
--- a/tests/follower/test_liveness.py
+++ b/tests/follower/test_liveness.py
@@ -6,6 +6,9 @@
 from unittest import mock
 
 from crocuskeel import conf
+from crocuskeel.conf import storage
+from crocuskeel.core import events
+from crocuskeel.core import messages
 from tests.follower import fleet as fleets
 
 SEEDS = range(12)
@@ -26,10 +29,30 @@
             with self.subTest(seed=seed):
                 self._run(random.Random(seed))
 
-    def _run(self, rng):
+    def test_an_answer_that_nobody_waits_for_starts_the_retry_timer(self):
+        # The host was asked twice and has caught up by the first answer. A
+        # part lost after the second one left it refusing until a peer spoke.
+        fleet = fleets.Fleet(HOSTS)
+        fleet.commit(conf.document_edits(
+            conf.empty_tree(), fleets.DOCUMENT))
+        fleet.start(*HOSTS)
+        fleet.run(8.0)
+        fleet.cut = {(name, "*") for name in HOSTS}
+        fleet.commit([conf.Edit(("classes", "booking", "tier"), 2)])
+        fleet.run(fleet.now + 8)
+        name = next(name for name, daemon in fleet.hosts.items()
+                    if daemon.follower.behind_since is None)
+        answer = messages.SettingsAnswer(
+            2, 1, storage.encode_head(fleet.head), ())
+        fleet.feed(name, events.Received("h1", 1, answer, 1))
+        self.assertIn((name, ("follower", "retry")), fleet.timers)
+
+    def setUp(self):
         patch = mock.patch("crocuskeel.core.membership.live", fleets.live)
         patch.start()
         self.addCleanup(patch.stop)
+
+    def _run(self, rng):
         fleet = fleets.Fleet(HOSTS)
         fleet.commit(conf.document_edits(
             conf.empty_tree(), fleets.DOCUMENT))
