A host that has restarted puts no older generation in force than it had

Cause: a generation comes into force once two hosts hold it, but a host that had lost its memory took the first one that a peer offered. If both holders restart before a third was told, nobody who remembers is asked.

Fix: core/follower/recovery.py. After a start nothing comes into force until the host knows the newest generation that may have been in force there: by a read of the head, or, as two hosts held that one, by the word of all other hosts. One that has not recovered itself can't give it; a host that has read the head since answers for a dead one, and one that leaves hands over first. Answers name the process that asked, and messages of an earlier process of a peer are ignored.

--- a/crocuskeel/core/follower/adoption.py
+++ b/crocuskeel/core/follower/adoption.py
@@ -3,9 +3,9 @@
 If a host adopted a generation that no other host holds and restarted
 during a platform outage, it would take the older generation from its
 peers, and its callers would see settings go back. So a generation waits
-until one live peer holds it too, which takes one round trip. A host
-without live peers does not wait. One case is not covered: all holders
-restart during an outage before any other host was told.
+until one live peer holds it too, which takes one round trip. After a
+restart it also waits until this host knows that it had no newer one in
+force (:mod:`recovery`). A host that is alone waits for no peer.
 """
 
 from crocuskeel.core import effects
@@ -52,8 +52,9 @@
     ``held_by_peer``: a peer is known to hold it or a newer one.
     """
     state = daemon.follower
-    alone = membership.live(daemon) in ((daemon.identity.host,), ())
-    if state.held is None or not (held_by_peer or alone):
+    if state.held is None or not (held_by_peer or _is_alone(daemon)):
+        return []
+    if state.floor is None or state.held.generation < state.floor:
         return []
     state.tree, state.held = state.held, None
     if state.newest_known_generation <= state.tree.generation:
@@ -63,3 +64,15 @@
     number = state.tree.generation
     return [effects.Record("settings_adopted", "", (("to", number),)),
             effects.Measure("settings.generation", number, "g")]
+
+
+def _is_alone(daemon):
+    """Return whether there is no other host.
+
+    A host that is only cut off from the others would put in force what
+    none of them knows of after its restart. The host list still has them.
+    """
+    if membership.live(daemon) not in ((daemon.identity.host,), ()):
+        return False
+    listed = daemon.follower.listed
+    return not (daemon.identity.seeds if listed is None else listed)
--- a/crocuskeel/core/follower/handlers.py
+++ b/crocuskeel/core/follower/handlers.py
@@ -15,6 +15,7 @@
 from crocuskeel.core.follower import adoption
 from crocuskeel.core.follower import loading
 from crocuskeel.core.follower import parking
+from crocuskeel.core.follower import recovery
 from crocuskeel.core.follower import state as states
 from crocuskeel.core import membership
 from crocuskeel.core import messages
@@ -42,6 +43,8 @@
     state = daemon.follower
     if event.sender == daemon.identity.host:
         return []
+    if not recovery.note_contact(state, event, now):
+        return []
     state.heard_at = now
     have = states.held_generation(daemon)
     if state.held is not None and event.generation >= have:
@@ -59,31 +62,62 @@
     """Handle one event; return effects."""
     match event:
         case events.Started():
-            return _read_head(daemon)
+            recovery.start(daemon, now)
+            return [*_read_head(daemon, now),
+                    effects.SetTimer(_RETRY, RETRY_S)]
         case events.TimerFired(key=key) if key == _READ:
-            return _read_head(daemon)
+            return _read_head(daemon, now)
         case events.TimerFired(key=key) if key == _RETRY:
             return _retry(daemon, now)
         case events.StoreAnswered(op=("follower", "head")):
             return _head_answered(daemon, event, now)
         case events.StoreAnswered(op=("follower", "part", digest)):
             return _part_answered(daemon, event, digest, now)
-        case events.Received(message=messages.SettingsAsk() as request):
+        case events.Received():
+            return _message_received(daemon, event, now)
+        case events.HostListSeen(entries=entries):
+            _host_list_seen(daemon, entries)
+        case events.DrainAsked():
+            return recovery.farewell(daemon)
+    return []
+
+
+def _message_received(daemon, event, now):
+    if _is_of_former_process(daemon, event):
+        return []
+    match event.message:
+        case messages.SettingsAsk() as request:
             return _settings_requested(daemon, event.sender, request, now)
-        case events.Received(message=messages.SettingsAnswer() as answer):
+        case messages.SettingsAnswer() as answer:
             return _settings_received(daemon, event.sender, answer, now)
-        case events.Received(message=messages.PartAsk(digest=digest)):
+        case messages.PartAsk(digest=digest):
             part = _held_part(daemon.follower, digest)
             blob = part.blob if part is not None else b""
             return [effects.Send(event.sender,
                                  messages.PartAnswer(digest, blob))]
-        case events.Received(message=messages.PartAnswer() as answer):
+        case messages.PartAnswer() as answer:
             if not answer.data:
                 return []
             return loading.part_received(daemon, answer.digest, answer.data)
+        case messages.SettingsVouchAsk() as request:
+            return [effects.Send(event.sender, recovery.vouch(
+                daemon, event.sender, request))]
+        case messages.SettingsVouch() as answer:
+            return _vouch_received(daemon, event.sender, answer, now)
     return []
 
 
+def _is_of_former_process(daemon, event):
+    contact = daemon.follower.contacts.get(event.sender)
+    return contact is not None and event.incarnation < contact.incarnation
+
+
+def _host_list_seen(daemon, entries):
+    daemon.follower.listed = frozenset(
+        entry.host for entry in entries
+        if entry.host != daemon.identity.host and entry.status == "alive")
+
+
 def _record_newer(state, generation, now):
     """Record that a newer generation exists; return effects.
 
@@ -105,8 +139,9 @@
         "settings/watch", live)[:WATCHERS]
 
 
-def _read_head(daemon):
+def _read_head(daemon, now):
     state = daemon.follower
+    state.head_reads.append(now)
     timer = effects.SetTimer(_READ, _read_after(daemon))
     if state.version and _is_watcher(daemon):
         return [effects.StoreWatch(_HEAD, storage.HEAD_KEY, state.version,
@@ -124,38 +159,48 @@
 
 def _head_answered(daemon, event, now):
     state = daemon.follower
+    if not state.head_reads:
+        # It answers a read of an earlier process.
+        return []
+    # Answers may overtake each other; the oldest read is the safe one.
+    read_at = state.head_reads.pop(0)
     match event.status:
         case events.StoreStatus.UNCHANGED:
             state.heard_at = now
-            return _renew_watch(daemon)
+            recovery.note_head_read(daemon, read_at)
+            return _renew_watch(daemon, now)
         case events.StoreStatus.NOT_FOUND:
             state.heard_at = now
-            return [effects.SetTimer(_READ, RETRY_S)]
+            recovery.note_head_read(daemon, read_at)
+            return [*recovery.recover(daemon, 0, "platform"),
+                    effects.SetTimer(_READ, RETRY_S)]
         case events.StoreStatus.FOUND:
             state.heard_at = now
-            return _head_found(daemon, event, now)
-    return []
+            return _head_found(daemon, event, read_at, now)
+    return recovery.ask(daemon)
 
 
-def _renew_watch(daemon):
+def _renew_watch(daemon, now):
     # A pending watch counts as one call, so it is renewed immediately.
     # A plain read waits for its timer.
-    return _read_head(daemon) if _is_watcher(daemon) else []
+    return _read_head(daemon, now) if _is_watcher(daemon) else []
 
 
-def _head_found(daemon, event, now):
+def _head_found(daemon, event, read_at, now):
     state = daemon.follower
-    state.version = max(state.version, event.version)
     try:
         head = storage.decode_head(event.body)
     except conf.PartCorrupt as exc:
         return [effects.Record("settings_corrupt", "",
                                (("fault", str(exc)),))]
-    out = _renew_watch(daemon)
+    state.version = max(state.version, event.version)
+    recovery.note_head_read(daemon, read_at)
+    out = recovery.recover(daemon, head.generation, "platform")
+    out += _renew_watch(daemon, now)
     if head.generation <= states.held_generation(daemon):
         # Read from a lagging replica of the store: generations never go
         # back.
-        return out
+        return out + adoption.adopt_if_confirmed(daemon, False)
     out += _record_newer(state, head.generation, now)
     return out + loading.start_load(daemon, head, "")
 
@@ -214,6 +259,18 @@
     return out + loading.start_load(daemon, head, sender, received)
 
 
+def _vouch_received(daemon, sender, answer, now):
+    state = daemon.follower
+    held = states.held_generation(daemon)
+    out = recovery.record_vouch(daemon, sender, answer)
+    if answer.floor > held:
+        out += _record_newer(state, answer.floor, now)
+        if answer.held > held:
+            out.append(effects.Send(sender, messages.SettingsAsk(held)))
+    return out + adoption.adopt_if_confirmed(
+        daemon, recovery.is_confirmed(daemon))
+
+
 def _held_part(state, digest):
     if digest in state.deltas:
         return state.deltas[digest]
@@ -230,13 +287,14 @@
 
 def _retry(daemon, now):
     state = daemon.follower
-    if state.behind_since is None:
+    if state.behind_since is None and states.is_recovered(daemon):
         return []
-    if now - state.behind_since >= states.MAX_PARK_S:
+    if (state.behind_since is not None
+            and now - state.behind_since >= states.MAX_PARK_S):
         parking.release(state)
     state.asked_peers.clear()
     state.asked_holder = ""
-    out = [effects.SetTimer(_RETRY, RETRY_S)]
+    out = [effects.SetTimer(_RETRY, RETRY_S), *recovery.retry(daemon)]
     if state.held is not None:
         # No peer has confirmed that it holds the generation. Announce it
         # again, or adopt it once membership has no live peers.
@@ -246,6 +304,7 @@
     if load is None:
         if state.newest_known_generation <= states.held_generation(daemon):
             return out
+        state.head_reads.append(now)
         return out + [effects.StoreGet(_HEAD, storage.HEAD_KEY),
                       *_ask_random_peer(daemon)]
     load.requested.clear()
--- a/crocuskeel/core/follower/loading.py
+++ b/crocuskeel/core/follower/loading.py
@@ -22,12 +22,12 @@
 def start_load(daemon, head, source, received=()):
     """Start to load the generation of ``head``; return effects.
 
-    ``received`` are parts that came with the head. A load in progress
-    for the same or a newer generation continues instead, and takes the
-    parts over.
+    ``source`` is a peer that holds it, or "" for the platform. ``received``
+    are parts that came with the head. A load in progress for the same or a
+    newer generation continues instead, and takes the parts over.
     """
     state = daemon.follower
-    if head.generation <= states.held_generation(daemon):
+    if state.leaving or head.generation <= states.held_generation(daemon):
         return []
     state.newest_known_generation = max(
         state.newest_known_generation, head.generation)
@@ -37,6 +37,8 @@
         if state.load is not None:
             load.parts.update(state.load.parts)
         state.load = load
+    if source and head.generation == load.head.generation:
+        load.holders[source] = state.contacts[source].incarnation
     for part in received:
         load.parts[part.digest] = part
     return continue_load(daemon)
@@ -140,7 +142,15 @@
               ("batch", load.head.batch_id))
     out = [effects.Record("settings_held", "", fields)]
     out += adoption.announce(daemon, load.source)
-    return out + adoption.adopt_if_confirmed(daemon, bool(load.source))
+    return out + adoption.adopt_if_confirmed(
+        daemon, _is_held_by_peer(state, load))
+
+
+def _is_held_by_peer(state, load):
+    # A peer that has restarted since it said so may have lost it.
+    return any(state.contacts[host].incarnation == incarnation
+               for host, incarnation in load.holders.items()
+               if host in state.contacts)
 
 
 def _keep_deltas(state, load):
--- a/crocuskeel/core/follower/state.py
+++ b/crocuskeel/core/follower/state.py
@@ -5,9 +5,11 @@
 
 from crocuskeel import conf
 from crocuskeel.conf import storage
+from crocuskeel.core import messages
 
-__all__ = ["FollowerState", "Load", "caller", "generation",
-           "held_generation", "new_state", "policy", "ready"]
+__all__ = ["Contact", "FollowerState", "Load", "caller", "generation",
+           "held_generation", "is_recovered", "new_state", "policy",
+           "ready"]
 
 # How long arrivals wait for a newer generation before they are refused.
 MAX_PARK_S = 2.0
@@ -17,18 +19,35 @@
 class Load:
     """A newer generation that is being fetched.
 
-    ``source`` is the name of a peer, or "" for the platform. ``parts``
+    ``source`` is the name of a peer, or "" for the platform. ``holders``
+    maps peers that said that they hold it to their incarnations. ``parts``
     maps digests to fetched parts; ``requested`` holds the digests of
     requested ones. ``use_index`` is set if the deltas can't be applied.
     """
 
     head: storage.Head
     source: str
+    holders: dict[str, int] = dataclasses.field(default_factory=dict)
     parts: dict[str, conf.Part] = dataclasses.field(default_factory=dict)
     requested: set[str] = dataclasses.field(default_factory=set)
     use_index: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class Contact:
+    """A peer that was heard from.
+
+    ``incarnation`` is its newest one, ``heard_at`` when a message of it
+    arrived. ``vouch`` is its answer to this host's request. ``has_left``:
+    it leaves, and this host knows of all generations that it knows of.
+    """
+
+    incarnation: int
+    heard_at: float
+    vouch: messages.SettingsVouch | None = None
+    has_left: bool = False
+
+
 @dataclasses.dataclass(slots=True)
 class FollowerState:
     """The settings of this host.
@@ -44,6 +63,15 @@
     ``asked_peers`` were asked for a newer generation; ``asked_holder``
     is one that reported holding it. ``parked`` holds arrivals by rid
     until this host is current; ``released`` holds those to handle next.
+
+    ``floor`` is the oldest generation that may come into force, None
+    after a start until it is known (:mod:`recovery`). ``contacts`` are the
+    peers by name, ``asked_vouches`` those asked to vouch since the last
+    retry, and ``round_id`` identifies this process to them. ``listed`` are
+    the other hosts of the host list, None before it was read.
+    ``head_reads`` are the times at which unanswered reads of the head were
+    sent, ``head_read_at`` is that of the last answered one. ``leaving`` is
+    set once this host leaves and takes part in no newer generation.
     """
 
     tree: typing.Any = None
@@ -61,6 +89,14 @@
     parked: dict[str, typing.Any] = dataclasses.field(
         default_factory=dict)
     released: list = dataclasses.field(default_factory=list)
+    floor: int | None = None
+    contacts: dict[str, Contact] = dataclasses.field(default_factory=dict)
+    asked_vouches: set[str] = dataclasses.field(default_factory=set)
+    round_id: int = 0
+    listed: frozenset[str] | None = None
+    head_reads: list[float] = dataclasses.field(default_factory=list)
+    head_read_at: float | None = None
+    leaving: bool = False
 
 
 def new_state(tree=None):
@@ -68,6 +104,7 @@
     state = FollowerState(tree=tree)
     if tree is not None:
         state.newest_known_generation = tree.generation
+        state.floor = tree.generation
     return state
 
 
@@ -83,6 +120,11 @@
     return held.generation if held is not None else generation(daemon)
 
 
+def is_recovered(daemon):
+    """Return whether this host knows what it may put in force."""
+    return daemon.follower.floor is not None
+
+
 def policy(daemon, workspace, class_name):
     """Return the resolved ``conf.ClassPolicy`` of a class, or None."""
     if daemon.follower.tree is None:
--- a/crocuskeel/core/membership/state.py
+++ b/crocuskeel/core/membership/state.py
@@ -6,7 +6,7 @@
 
 __all__ = ["ALIVE", "DEAD", "LEAVING", "SUSPECT", "Member",
            "MembershipState", "PendingProbe", "Relay", "all_members",
-           "has_left", "invalidate_caches", "is_live", "live",
+           "died_at", "has_left", "invalidate_caches", "is_live", "live",
            "member_info", "new_state", "peers", "set_load"]
 
 ALIVE = "alive"
@@ -158,6 +158,14 @@
             and member.update.status != DEAD)
 
 
+def died_at(daemon, host):
+    """Return when a host was declared dead here, None unless it is dead."""
+    member = daemon.membership.members.get(host)
+    if member is None or member.update.status != DEAD:
+        return None
+    return member.died_at
+
+
 def has_left(daemon, host):
     """Return whether a dead host had announced that it leaves."""
     member = daemon.membership.members.get(host)
--- a/crocuskeel/core/messages.py
+++ b/crocuskeel/core/messages.py
@@ -7,13 +7,21 @@
 
 import dataclasses
 
+from crocuskeel.core.settings_messages import PartAnswer
+from crocuskeel.core.settings_messages import PartAsk
+from crocuskeel.core.settings_messages import SettingsAnswer
+from crocuskeel.core.settings_messages import SettingsAsk
+from crocuskeel.core.settings_messages import SettingsVouch
+from crocuskeel.core.settings_messages import SettingsVouchAsk
+
 __all__ = [
     "Backend", "ClaimAnswer", "ClaimAsk", "ClaimSettle", "CrashSeen",
     "Enqueue", "Grant", "HostListAsk", "HostListNews", "MemberUpdate",
     "Message", "NotDispatcher", "PartAnswer", "PartAsk", "Probe",
     "ProbeAck", "ProbeVia", "Progress", "Progressed", "Refusal",
     "Released", "ReplayAsk", "ReplayChunk", "Reregister", "ReregisterAsk",
-    "Running", "SettingsAnswer", "SettingsAsk", "Withdraw",
+    "Running", "SettingsAnswer", "SettingsAsk", "SettingsVouch",
+    "SettingsVouchAsk", "Withdraw",
 ]
 
 _message = dataclasses.dataclass(frozen=True, slots=True)
@@ -313,45 +321,6 @@
     updates: tuple[MemberUpdate, ...] = ()
 
 
-# Settings.
-
-@_message
-class SettingsAsk:
-    """Ask a peer for the changes from ``have`` to its generation."""
-
-    have: int
-
-
-@_message
-class SettingsAnswer:
-    """A peer's generation, with the stored objects to reach it.
-
-    ``head`` is the stored head object; ``deltas`` are the stored delta
-    objects from ``base`` + 1 on, in order, or empty if the requester is
-    too far behind; it then requests the parts named by the head one by one.
-    """
-
-    generation: int
-    base: int = 0
-    head: bytes = b""
-    deltas: tuple[bytes, ...] = ()
-
-
-@_message
-class PartAsk:
-    """Ask a peer for one content-addressed part."""
-
-    digest: str
-
-
-@_message
-class PartAnswer:
-    """One content-addressed part; ``data`` is empty if not stored here."""
-
-    digest: str
-    data: bytes = b""
-
-
 # Host list.
 
 @_message
@@ -396,5 +365,6 @@
     | Refusal | NotDispatcher | ReregisterAsk | CrashSeen | ClaimAsk
     | ClaimAnswer | ClaimSettle | ReplayAsk | ReplayChunk | Probe
     | ProbeAck | ProbeVia | SettingsAsk | SettingsAnswer | PartAsk
-    | PartAnswer | HostListAsk | HostListNews
+    | PartAnswer | HostListAsk | HostListNews | SettingsVouchAsk
+    | SettingsVouch
 )
--- a/crocuskeel/core/reducer.py
+++ b/crocuskeel/core/reducer.py
@@ -30,7 +30,8 @@
     events.DrainAsked: _ALL_COMPONENTS,
     events.PeerUp: (follower, dispatch, claims, frontend),
     events.PeerDown: (follower, dispatch, claims, frontend),
-    events.HostListSeen: (membership, backends, dispatch, frontend),
+    events.HostListSeen: (membership, follower, backends, dispatch,
+                          frontend),
     events.HostListFailed: (membership, backends),
     events.StoreAnswered: (follower, claims),
     events.RequestArrived: (frontend,),
@@ -64,6 +65,8 @@
     messages.SettingsAnswer: (follower,),
     messages.PartAsk: (follower,),
     messages.PartAnswer: (follower,),
+    messages.SettingsVouchAsk: (follower,),
+    messages.SettingsVouch: (follower,),
     messages.HostListAsk: (backends,),
     messages.HostListNews: (backends, dispatch),
 }
--- a/crocuskeel/ctl/overview.py
+++ b/crocuskeel/ctl/overview.py
@@ -12,6 +12,7 @@
 __all__ = ["drain", "status"]
 
 _TIERS = (1, 2, 3)
+_MAX_NAMES = 3
 
 
 async def status(session, args):
@@ -130,7 +131,15 @@
 def _host_state(row):
     if row["draining"]:
         return "draining"
-    return row["status"] if row["ready"] else "not ready"
+    if row["ready"]:
+        return row["status"]
+    if row.get("recovered", True):
+        return "not ready"
+    names = row["waits_for"]
+    others = [f"{len(names) - _MAX_NAMES} more"] if (
+        len(names) > _MAX_NAMES) else []
+    awaited = ", ".join(("platform", *names[:_MAX_NAMES], *others))
+    return f"not ready, waits for {awaited}"
 
 
 def _cell_row(row):
--- a/crocuskeel/ops/descriptions.py
+++ b/crocuskeel/ops/descriptions.py
@@ -12,6 +12,7 @@
     "door_dead", "drain_started", "host_superseded", "log",
     "member_dead", "member_left", "member_suspect",
     "settings_adopted", "settings_corrupt", "settings_held",
+    "settings_recovered", "settings_unconfirmed",
     "suspicion_refuted",
 })
 # Kinds that concern one engine or cell.
@@ -92,6 +93,10 @@
     "settings_corrupt": "settings could not be read: {fault}",
     "settings_held": "settings generation {held} is complete, waiting until "
                      "a peer has it too",
+    "settings_recovered": "settings generation {floor} or a newer one may "
+                          "come into force, by the {source}",
+    "settings_unconfirmed": "no settings after a restart: waits for the "
+                            "platform or for {count} hosts, {hosts}",
     "settings_rejected": "batch of {author} rejected: {reason}",
     "shed": "dispatcher refused the request: {reason}, {waited_s} s after "
             "arrival",
--- a/crocuskeel/ops/overview.py
+++ b/crocuskeel/ops/overview.py
@@ -74,6 +74,9 @@
     """The state of the host that answers the request.
 
     ``newest`` is the highest settings generation that it knows of.
+    ``recovered`` is False while it doesn't know, after a restart, which
+    settings it may put in force; ``waits_for`` are the hosts that would
+    have to tell it, if the platform doesn't.
     """
 
     host: str
@@ -83,6 +86,8 @@
     ready: bool
     draining: bool
     requests: int
+    recovered: bool = True
+    waits_for: tuple[str, ...] = ()
 
 
 @_frozen
@@ -121,6 +126,8 @@
         ready=follower.ready(daemon, now),
         draining=daemon.frontend.drain_started_at is not None,
         requests=len(daemon.frontend.requests),
+        recovered=follower.is_recovered(daemon),
+        waits_for=follower.waits_for(daemon),
     )
 
 
--- a/models/settings.pml
+++ b/models/settings.pml
@@ -1,21 +1,16 @@
 /*
- * The commit of settings, and their way to the hosts.
+ * The commit of settings; followers.pml has their way to the hosts.
  *
  * Operators commit batches by a conditional update of the head. A write's
  * answer may be lost before or after its effect, and a write may take
  * effect late. Operators send a batch again, as anew, after its end.
- * Followers hold nothing over a restart; they take the head from the
- * platform while it is up, else the newest from their peer.
  *
  * Invariants, as assertions:
  *   - a batch takes effect at most once;
  *   - an accepted batch is never lost from the head's content;
- *   - a batch reported as not applied never takes effect;
- *   - what a follower judges by never goes back, over restarts too.
+ *   - a batch reported as not applied never takes effect.
  *
- * This file has the operators' commits; followers.pml is the same with
- * FOLLOWING defined and has the hosts that follow. Each of these takes one
- * mechanism out:
+ * Each of these takes one mechanism out:
  *   BROKEN_NO_READBACK  the head is not searched for the batch's id
  *   BROKEN_NO_WINDOW    a batch older than the window is taken as new
  *   BROKEN_BLIND_WRITE  the head's update is not conditional
@@ -23,18 +18,11 @@
  *   BROKEN_DENY_FIRST   a second attempt forgets that of the first
  */
 
-/*
- * The product of commits and followers is too large, so each run has one
- * of them whole: without FOLLOWING, commits alone; with it, the followers
- * of a head that moves on.
- */
 #define WINDOW 2
 #define BATCHES 4
 #define TRIES 2
 #define SENDS 2
-#define RESTARTS 2
 #define ANY_HEAD 255
-#define FOLLOWERS 2
 #define BIT(id) (1 << (id))
 
 /* The platform: the head, and whether it can be reached. */
@@ -47,7 +35,6 @@
 byte effects[BATCHES];
 byte accepted = 0;
 bool said_no[BATCHES];
-byte judged[FOLLOWERS];
 
 /* Writes that will take effect late, one at most for an operator. */
 bool late[2];
@@ -55,12 +42,6 @@
 byte late_content[2];
 byte late_id[2];
 
-/* Followers. */
-byte held[FOLLOWERS];
-byte in_force[FOLLOWERS];
-bool ready[FOLLOWERS];
-byte restarts = 0;
-
 inline update_head(read_generation, read_content, id, written) {
 	written = (read_generation == generation);
 #ifdef BROKEN_BLIND_WRITE
@@ -188,14 +169,6 @@
 	od
 }
 
-/* Accepted batches, where only their arrival at followers matters. */
-proctype Others() {
-	do
-	:: generation < BATCHES -> generation++
-	:: generation == BATCHES -> break
-	od
-}
-
 /* Delivers late writes and takes the platform away and back. */
 proctype Platform() {
 	bool written;
@@ -221,49 +194,10 @@
 	od
 }
 
-proctype Follower(byte me) {
-	byte peer = 1 - me;
-end:
-	do
-	:: d_step { up && held[me] < generation ->
-		held[me] = generation;
-		ready[me] = true }
-	:: d_step { !ready[me] && up -> ready[me] = true }
-#ifdef BROKEN_TAKE_ANY
-	:: d_step { ready[peer] && held[peer] != held[me] ->
-#else
-	:: d_step { ready[peer] && held[peer] > held[me] ->
-#endif
-		held[me] = held[peer];
-		ready[me] = true }
-	/* One peer's copy outlives this host's restart in an outage. */
-#ifdef BROKEN_FORCE_ALONE
-	:: d_step { ready[me] && in_force[me] != held[me] ->
-#else
-	:: d_step { ready[me] && in_force[me] != held[me] &&
-		ready[peer] && held[peer] >= held[me] ->
-#endif
-		in_force[me] = held[me];
-		assert(in_force[me] >= judged[me]);
-		judged[me] = in_force[me] }
-	:: d_step { ready[me] && restarts < RESTARTS ->
-		restarts++;
-		held[me] = 0;
-		in_force[me] = 0;
-		ready[me] = false }
-	od
-}
-
 init {
 	atomic {
-#ifdef FOLLOWING
-		run Follower(0);
-		run Follower(1);
-		run Others();
-#else
 		run Operator(0, 1, 1);
 		run Operator(1, 2, 3);
-#endif
 		run Platform()
 	}
 }
--- a/tests/follower/fleet.py
+++ b/tests/follower/fleet.py
@@ -28,11 +28,15 @@
 
     ``cut`` holds pairs of hosts (or a host and "platform") that can't
     reach each other; "*" stands for all others. ``log`` holds the
-    recorded timeline events.
+    recorded timeline events. ``delay()`` returns how long a message or an
+    answer takes, s. Each start of a host is a new incarnation; messages
+    to an earlier one are delivered.
     """
 
-    def __init__(self, names):
+    def __init__(self, names, delay=lambda: DELAY_S):
         self.names = tuple(names)
+        self.delay = delay
+        self.incarnations = {}
         self.now = 0.0
         self.queue = []
         self.count = itertools.count()
@@ -51,6 +55,7 @@
     def start(self, *names):
         """Start daemons with no settings."""
         for name in names:
+            self.incarnations[name] = self.incarnations.get(name, 0) + 1
             self.hosts[name] = _daemon(name, self)
             self.feed(name, events.Started())
 
@@ -58,15 +63,19 @@
         """Deliver a message of another component, as a probe is one."""
         if self._can_reach(sender, receiver):
             self.feed(receiver, events.Received(
-                sender, 1, messages.HostListAsk(-1),
+                sender, self.incarnations[sender], messages.HostListAsk(-1),
                 follower.generation(self.hosts[sender])))
 
     def restart(self, name):
         """Replace a daemon by one with no settings."""
+        self.stop(name)
+        self.start(name)
+
+    def stop(self, name):
+        """Stop a daemon; its timers and calls end with it."""
         del self.hosts[name]
         for key in [each for each in self.timers if each[0] == name]:
             del self.timers[key]
-        self.start(name)
 
     def commit(self, edits):
         """Commit a batch, as an operator's command does."""
@@ -103,6 +112,8 @@
         waiting = {"head": {("follower", "read")}}
         if state.behind_since is not None or state.load or state.parked:
             waiting["newer generation"] = {("follower", "retry")}
+        if state.floor is None:
+            waiting["recovery"] = {("follower", "retry")}
         liveness.check(f"follower {name}", waiting, wakeups)
 
     def arrive(self, name, rid):
@@ -146,13 +157,13 @@
 
     def _send(self, name, host, message):
         sender = self.hosts[name]
-        event = events.Received(name, 1, message,
+        event = events.Received(name, self.incarnations[name], message,
                                 follower.generation(sender))
 
         def deliver():
             if host in self.hosts and self._can_reach(name, host):
                 self.feed(host, event)
-        self.later(DELAY_S, deliver)
+        self.later(self.delay(), deliver)
 
     def _set_timer(self, name, key, after_s):
         token = object()
@@ -168,14 +179,20 @@
         self.calls += 1
         status = events.StoreStatus
         wait = getattr(effect, "timeout_s", 0.0)
+        caller = self.hosts[name]
         if not self._can_reach(name, "platform"):
             answer = events.StoreAnswered(effect.op, status.UNAVAILABLE)
-            self.later(DELAY_S, lambda: self.feed(name, answer))
+            self.later(self.delay(),
+                       lambda: self._answer(name, caller, answer))
         else:
-            self.later(DELAY_S, lambda: self._found(
-                name, effect, self.now + wait))
+            self.later(self.delay(), lambda: self._found(
+                name, caller, effect, self.now + wait))
+
+    def _answer(self, name, caller, answer):
+        if self.hosts.get(name) is caller:
+            self.feed(name, answer)
 
-    def _found(self, name, effect, until):
+    def _found(self, name, caller, effect, until):
         status = events.StoreStatus
         version, body = self.objects.get(effect.path, (0, None))
         if self.stale_head and effect.path == storage.HEAD_KEY:
@@ -184,14 +201,15 @@
         if body is None:
             answer = events.StoreAnswered(effect.op, status.NOT_FOUND)
         elif waits and self.now < until:
-            self.later(0.05, lambda: self._found(name, effect, until))
+            self.later(0.05, lambda: self._found(
+                name, caller, effect, until))
             return
         elif waits:
             answer = events.StoreAnswered(effect.op, status.UNCHANGED)
         else:
             answer = events.StoreAnswered(
                 effect.op, status.FOUND, version, body)
-        self.feed(name, answer)
+        self._answer(name, caller, answer)
 
 
 def handle_arrival(daemon, event, now, handled):
@@ -208,7 +226,8 @@
 
 
 def _daemon(name, fleet):
-    me = core_state.Identity("d", name, "a", "r", "", 0, 0, 1)
+    me = core_state.Identity("d", name, "a", "r", "", 0, 0,
+                             fleet.incarnations[name])
     members = types.SimpleNamespace()
     daemon = core_state.Daemon(
         me, core_state.Limits(), random.Random(name),
--- a/tests/ops/test_overview.py
+++ b/tests/ops/test_overview.py
@@ -18,6 +18,21 @@
 }
 
 
+class RestartedHostTest(unittest.TestCase):
+    """A host that has restarted says for whom it waits."""
+
+    def test_a_host_that_has_not_recovered_names_the_missing(self):
+        me = states.Identity("d", "h1", "a", "r", "127.0.0.1", 1, 2, 1)
+        daemon = factory.new_daemon(me)
+        reducer.reduce(daemon, events.Started(), 0.0)
+        update = messages.MemberUpdate("h2", 1, "alive", "127.0.0.1", 1, 2)
+        reducer.reduce(daemon, events.Received(
+            "h2", 1, messages.Probe(1, (update,))), 0.1)
+        own = overview.brief(daemon, 0.2).own
+        self.assertFalse(own.recovered)
+        self.assertEqual(("h2",), own.waits_for)
+
+
 class StatusTest(unittest.TestCase):
     """The counts of hosts, cells and engines are consistent."""
 
--- a/tests/platform/test_store_watcher.py
+++ b/tests/platform/test_store_watcher.py
@@ -287,6 +287,15 @@
         self.assertEqual(8, self.host.catalog.revision)
         self.assertEqual(["s1"], list(self.host.servers))
 
+    def test_host_that_started_in_an_outage_takes_the_newest_it_hears(self):
+        # Within one start it never goes back; what it had before that start
+        # it can't know, and a peer may have an older configuration.
+        started = store_watcher.new_watcher(self.clock, _Gateway(), _Store())
+        for number in (3, 2, 8, 3):
+            started.apply_snapshot({"config": _config(number), "servers": [],
+                                    "revision": number})
+        self.assertEqual(8, started.gateway.host.catalog.revision)
+
     def test_snapshot_holds_only_changed_servers(self):
         # 300 hosts with 3,000 servers didn't complete their start: for each
         # server that registered, each host fetched and parsed the whole list,
