Recovery after a restart: only what an ablation shows to matter

By ablation (each mechanism taken out, tests of the follower run): a message of a peer's earlier process need not be ignored where it names the generation in force there, as any host that recovers later learns of that one; so only what it says that it holds is. An answer confirms what it names when it arrives; the kept ones need not. Without the live hosts that peers name, no test failed: a host that has just started knows few of the others, and that has a test now.

--- a/bench/recovery_figures.py
+++ b/bench/recovery_figures.py
@@ -73,10 +73,8 @@
 
     def adopt_if_two_domains(daemon, held_by_peer):
         fleet, me = daemon.membership.fleet, daemon.identity.host
-        held_by_peer = held_by_peer and (
-            fleet.domains.get(fleet.sender) != fleet.domains[me]
-            or recovery.is_confirmed(daemon))
-        return adopt(daemon, held_by_peer)
+        is_elsewhere = fleet.domains.get(fleet.sender) != fleet.domains[me]
+        return adopt(daemon, held_by_peer and is_elsewhere)
 
     return (mock.patch.object(recovery, "missing", missing_of_two_domains),
             mock.patch.object(adoption, "adopt_if_confirmed",
--- a/crocuskeel/core/follower/handlers.py
+++ b/crocuskeel/core/follower/handlers.py
@@ -43,8 +43,7 @@
     state = daemon.follower
     if event.sender == daemon.identity.host:
         return []
-    if not recovery.note_contact(state, event, now):
-        return []
+    recovery.note_contact(state, event, now)
     state.heard_at = now
     have = states.held_generation(daemon)
     if state.held is not None and event.generation >= have:
@@ -83,7 +82,7 @@
 
 
 def _message_received(daemon, event, now):
-    if _is_of_former_process(daemon, event):
+    if recovery.is_of_former_process(daemon.follower, event):
         return []
     match event.message:
         case messages.SettingsAsk() as request:
@@ -107,11 +106,6 @@
     return []
 
 
-def _is_of_former_process(daemon, event):
-    contact = daemon.follower.contacts.get(event.sender)
-    return contact is not None and event.incarnation < contact.incarnation
-
-
 def _host_list_seen(daemon, entries):
     daemon.follower.listed = frozenset(
         entry.host for entry in entries
@@ -267,8 +261,7 @@
         out += _record_newer(state, answer.floor, now)
         if answer.held > held:
             out.append(effects.Send(sender, messages.SettingsAsk(held)))
-    return out + adoption.adopt_if_confirmed(
-        daemon, recovery.is_confirmed(daemon))
+    return out + adoption.adopt_if_confirmed(daemon, answer.held >= held)
 
 
 def _held_part(state, digest):
--- a/crocuskeel/core/follower/recovery.py
+++ b/crocuskeel/core/follower/recovery.py
@@ -11,13 +11,11 @@
 * Neither can a dead host. A peer does it instead if it has read the head
   since then, or was told by the host when that left.
 * An answer to an earlier process of this host doesn't count, nor does a
-  confirmation by an earlier process of a peer (:func:`note_contact`).
+  confirmation by an earlier process of a peer.
 
 Else the host waits for the platform.
 """
 
-import dataclasses
-
 import xxhash
 
 from crocuskeel.core import effects
@@ -25,9 +23,9 @@
 from crocuskeel.core import membership
 from crocuskeel.core import messages
 
-__all__ = ["ask", "farewell", "is_confirmed", "missing", "note_contact",
-           "note_head_read", "record_vouch", "recover", "retry", "start",
-           "vouch", "waits_for"]
+__all__ = ["ask", "farewell", "is_of_former_process", "missing",
+           "note_contact", "note_head_read", "record_vouch", "recover",
+           "retry", "start", "vouch", "waits_for"]
 
 # Hosts asked first. Each that vouches makes room for as many more: one that
 # can't ends the growth, as its answer is needed anyway.
@@ -41,28 +39,24 @@
 
 
 def note_contact(state, event, now):
-    """Record who sent a message; return whether it may be handled.
-
-    A message of a peer's earlier process may tell of a generation that the
-    peer has lost since.
-    """
+    """Record that a peer sent a message, and its incarnation."""
     contact = state.contacts.get(event.sender)
     if contact is None:
         contact = states.Contact(event.incarnation, now)
         state.contacts[event.sender] = contact
-    if event.incarnation < contact.incarnation:
-        return False
     if event.incarnation > contact.incarnation:
-        _note_restart(contact, event.incarnation)
+        contact.incarnation = event.incarnation
+        contact.has_left = False
     contact.heard_at = now
-    return True
 
 
-def _note_restart(contact, incarnation):
-    contact.incarnation = incarnation
-    contact.has_left = False
-    if contact.vouch is not None:
-        contact.vouch = dataclasses.replace(contact.vouch, held=0)
+def is_of_former_process(state, event):
+    """Return whether a peer has restarted since it sent a message.
+
+    It may have lost by now what the message says that it holds.
+    """
+    contact = state.contacts.get(event.sender)
+    return contact is not None and event.incarnation < contact.incarnation
 
 
 # Reads of the head.
@@ -203,13 +197,6 @@
     return tuple(missing(daemon))
 
 
-def is_confirmed(daemon):
-    """Return whether a host that vouched holds what this host holds."""
-    held = states.held_generation(daemon)
-    return any(each.held >= held
-               for each in _vouches(daemon.follower).values())
-
-
 # Requests.
 
 def ask(daemon):
--- a/tests/follower/test_recovery.py
+++ b/tests/follower/test_recovery.py
@@ -93,6 +93,21 @@
         self.talk(fleet, 6)
         self.assertEqual(0, fleet.generations()["h0"])
 
+    def test_a_host_that_knows_one_peer_waits_for_those_it_names(self):
+        """A host that has just started knows few of the others."""
+        fleet = self.started(3)
+        self.change_seen_by(fleet, "h0", "h2")
+        patch = mock.patch(
+            "crocuskeel.core.membership.live",
+            lambda daemon: ("h0", "h1") if daemon.identity.host == "h0"
+            else fleet.names)
+        patch.start()
+        self.addCleanup(patch.stop)
+        fleet.restart("h0")
+        fleet.restart("h2")
+        self.talk(fleet, 6)
+        self.assertEqual(0, fleet.generations()["h0"])
+
     def test_a_host_that_waits_says_for_whom(self):
         fleet = self.started(3)
         self.change_seen_by(fleet, "h0", "h1")
