Tests of two mechanisms of the recovery that no test asked for

By ablation nothing failed without them: a host that leaves takes part in no newer generation, and a head that can't be decoded doesn't count as read when a host answers for a dead one. Both tests fail with the mechanism taken out.

--- a/tests/follower/test_recovery.py
+++ b/tests/follower/test_recovery.py
@@ -234,6 +234,34 @@
         self.talk(fleet, 6)
         self.assertEqual(0, fleet.generations()["h0"])
 
+    def test_a_damaged_head_does_not_answer_for_a_dead_host(self):
+        """A peer reads the head after a death and can't decode it."""
+        fleet = self.started(3)
+        fleet.cut = {("h2", "platform")}
+        fleet.run(fleet.now + 8)
+        self.change_seen_by(fleet, "h0", "h1")
+        fleet.kill("h1")
+        version, _ = fleet.objects[storage.HEAD_KEY]
+        fleet.objects[storage.HEAD_KEY] = version, b"damaged"
+        fleet.cut.discard(("h2", "platform"))
+        fleet.cut.add(("h0", "h2"))
+        fleet.run(fleet.now + 20)
+        self.begin_outage(fleet)
+        fleet.restart("h0")
+        self.talk(fleet, 6)
+        self.assertEqual(0, fleet.generations()["h0"])
+
+    def test_a_host_that_leaves_confirms_no_change_after_that(self):
+        """Others no longer wait for it, and would not learn of the change."""
+        fleet = self.started(3)
+        fleet.feed("h1", events.DrainAsked())
+        fleet.run(fleet.now + 0.1)
+        fleet.cut = {("h2", "*")}
+        fleet.commit(support.edit(2))
+        fleet.run(fleet.now + 10)
+        fleet.exchange("h1", "h0")
+        self.assertEqual(1, fleet.generations()["h0"])
+
     def test_a_host_that_leaves_hands_over_what_it_knows(self):
         """The other holder of a change leaves as planned, in the outage."""
         fleet = self.started(3)
