--- a/crocuskeel/core/follower/recovery.py
+++ b/crocuskeel/core/follower/recovery.py
@@ -218,19 +218,19 @@
     if states.is_recovered(daemon):
         return []
     state.asked_vouches.clear()
-    waits_for = missing(daemon)
-    _drop_outdated(daemon, waits_for)
+    awaited = missing(daemon)
+    _drop_outdated(daemon, awaited)
     record = effects.Record("settings_unconfirmed", "", (
-        ("count", len(waits_for)),
-        ("hosts", ", ".join(waits_for[:MAX_LOGGED_HOSTS]))))
+        ("count", len(awaited)),
+        ("hosts", ", ".join(awaited[:MAX_LOGGED_HOSTS]))))
     return [record, *ask(daemon)]
 
 
-def _drop_outdated(daemon, waits_for):
+def _drop_outdated(daemon, awaited):
     # A host that named a missing one may know by now that it is gone.
     state = daemon.follower
     named_by = sorted(
         host for host, each in _vouches(state).items()
-        if not set(waits_for).isdisjoint((*each.live, *each.absent)))
+        if not set(awaited).isdisjoint((*each.live, *each.absent)))
     for host in daemon.rng.sample(named_by, min(FANOUT, len(named_by))):
         state.contacts[host].vouch = None
