A host that died while an answer to a restarted one was under way is waited for

Two hosts had generation 9 in force; one restarted, and died before it had recovered, the other one restarted. The third answered while the first was live, and named no live hosts, as their digest was that of the request; when the answer was read, the first was dead and on nobody's list.

Fix: the host that asks keeps whom it saw as live when it asked, and waits for them unless somebody answers for them. The new test fails before.

--- a/crocuskeel/core/follower/recovery.py
+++ b/crocuskeel/core/follower/recovery.py
@@ -23,7 +23,7 @@
 from crocuskeel.core import membership
 from crocuskeel.core import messages
 
-__all__ = ["ask", "farewell", "is_of_former_process", "missing",
+__all__ = ["ask", "farewell", "is_of_former_process", "live_digest", "missing",
            "note_contact", "note_head_read", "record_vouch", "recover",
            "retry", "start", "vouch", "waits_for"]
 
@@ -76,6 +76,7 @@
     if states.is_recovered(daemon):
         return []
     state.floor = floor
+    state.candidates.clear()
     state.asked_vouches.clear()
     return [effects.Record("settings_recovered", "", (
         ("floor", floor), ("source", source)))]
@@ -114,7 +115,7 @@
     others = {host for host in state.contacts
               if host not in live and host != sender}
     gone = {host for host in others if _is_gone(daemon, host)}
-    is_same = _digest(daemon, sender) == request.live_digest
+    is_same = live_digest(daemon, sender) == request.live_digest
     floor = _floor(daemon)
     if gone:
         # They may have held what this host only knows to exist.
@@ -130,7 +131,8 @@
     return max(daemon.follower.floor or 0, states.held_generation(daemon))
 
 
-def _digest(daemon, peer):
+def live_digest(daemon, peer):
+    """Return the digest of the live hosts, this one and a peer."""
     # Either host may not list itself or the other one as live.
     hosts = {*membership.live(daemon), daemon.identity.host, peer}
     return xxhash.xxh3_64_intdigest("\0".join(sorted(hosts)).encode())
@@ -180,12 +182,13 @@
     """Return the hosts without whose word this host has to wait, sorted."""
     state = daemon.follower
     vouches = _vouches(state)
-    absent, gone, needed = set(), set(), set(membership.live(daemon))
+    # A host may have died since it was live here, or where an answer to
+    # this host was sent.
+    named, gone = set(state.candidates), set()
     for each in vouches.values():
-        absent.update(each.absent)
+        named.update(each.absent, each.live)
         gone.update(each.gone)
-        needed.update(each.live)
-    needed |= absent - gone
+    needed = (named - gone).union(membership.live(daemon))
     needed.discard(daemon.identity.host)
     return sorted(needed.difference(vouches))
 
@@ -208,8 +211,9 @@
              if host not in state.asked_vouches]
     chosen = daemon.rng.sample(names, min(FANOUT, len(names)))
     state.asked_vouches.update(chosen)
+    state.candidates.update(membership.live(daemon))
     return [effects.Send(host, messages.SettingsVouchAsk(
-        state.round_id, _digest(daemon, host))) for host in chosen]
+        state.round_id, live_digest(daemon, host))) for host in chosen]
 
 
 def retry(daemon):
--- a/crocuskeel/core/follower/state.py
+++ b/crocuskeel/core/follower/state.py
@@ -66,12 +66,13 @@
 
     ``floor`` is the oldest generation that may come into force, None
     after a start until it is known (:mod:`recovery`). ``contacts`` are the
-    peers by name, ``asked_vouches`` those asked to vouch since the last
-    retry, and ``round_id`` identifies this process to them. ``listed`` are
-    the other hosts of the host list, None before it was read.
-    ``head_reads`` are the times at which unanswered reads of the head were
-    sent, ``head_read_at`` is that of the last answered one. ``leaving`` is
-    set once this host leaves and takes part in no newer generation.
+    peers by name, ``candidates`` those that were live when any was asked to
+    vouch, ``asked_vouches`` those asked since the last retry. ``round_id``
+    identifies this process to them. ``listed`` are the other hosts of the
+    host list, None before it was read. ``head_reads`` are the times at
+    which unanswered reads of the head were sent, ``head_read_at`` is that
+    of the last answered one. ``leaving`` is set once this host leaves and
+    takes part in no newer generation.
     """
 
     tree: typing.Any = None
@@ -91,6 +92,7 @@
     released: list = dataclasses.field(default_factory=list)
     floor: int | None = None
     contacts: dict[str, Contact] = dataclasses.field(default_factory=dict)
+    candidates: set[str] = dataclasses.field(default_factory=set)
     asked_vouches: set[str] = dataclasses.field(default_factory=set)
     round_id: int = 0
     listed: frozenset[str] | None = None
--- a/tests/follower/test_recovery.py
+++ b/tests/follower/test_recovery.py
@@ -190,6 +190,24 @@
         self.talk(fleet, 6)
         self.assertEqual(0, fleet.generations()["h0"])
 
+    def test_a_host_that_dies_after_an_answer_was_sent_is_waited_for(self):
+        """The sender of the answer still knew it as live, and named it not.
+
+        It had a change with the host that restarts, and can't tell.
+        """
+        fleet = self.started(3)
+        self.change_seen_by(fleet, "h0", "h1")
+        fleet.cut |= {("h0", "h1"), ("h0", "h2")}
+        fleet.restart("h0")
+        fleet.run(fleet.now + 1.5)
+        request = messages.SettingsVouchAsk(
+            fleet.hosts["h0"].follower.round_id,
+            recovery.live_digest(fleet.hosts["h0"], "h2"))
+        answer = recovery.vouch(fleet.hosts["h2"], "h0", request)
+        fleet.kill("h1")
+        fleet.feed("h0", events.Received("h2", 1, answer, 1))
+        self.assertFalse(follower.is_recovered(fleet.hosts["h0"]))
+
     def test_a_host_that_died_before_the_outage_is_not_waited_for(self):
         fleet = self.started(9)
         fleet.kill("h1")
--- a/tests/follower/test_schedules.py
+++ b/tests/follower/test_schedules.py
@@ -5,7 +5,7 @@
 
 from tests.follower import recovery_support as support
 
-SEEDS = range(30)
+SEEDS = (*range(30), 101)
 MAX_LATE_S = 3.0
 
 
