--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -4,7 +4,7 @@
 
 from crocuskeel.core.entry import model
 
-__all__ = ["Caller", "new_request", "send_identical", "send_poison"]
+__all__ = ["Caller", "new_request", "start"]
 
 ROUTE_HOST = "desk"
 # How long callers cache the resolved host addresses, s.
@@ -127,20 +127,10 @@
                 self.world.tally.record_outcome(self)
 
 
-def send_identical(world, digest):
-    """Send a request of the first kind that others send as well."""
-    _send(world, digest, False)
-
-
-def send_poison(world, digest):
-    """Send a request that crashes the servers that run it."""
-    _send(world, digest, True)
-
-
-def _send(world, digest, crashes_servers):
-    kind = world.deployment.kinds[0]
+def start(world, kind, subject, **fields):
+    """Have a new caller send its request; ``fields`` are Caller's."""
     world.last_number += 1
-    caller = Caller(world, f"r{world.last_number}", kind, 0, world.clock.now,
-                    digest=digest, crashes_servers=crashes_servers)
+    caller = Caller(world, f"r{world.last_number}", kind, subject,
+                    world.clock.now, **fields)
     world.clock.after(kind.limit_ms / 1e3, caller.time_out)
     caller.send()
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -43,17 +43,19 @@
     Each time it sends ``count`` copies at once.
     """
     world.last_number += 1
-    _send_poison(world, fault, f"poison-{world.last_number}",
-                 world.clock.now + fault.for_s)
+    _send_repeatedly(world, fault, f"poison-{world.last_number}", True,
+                     world.clock.now + fault.for_s)
 
 
-def _send_poison(world, fault, digest, until):
+def _send_repeatedly(world, fault, digest, crashes_servers, until):
     if world.clock.now >= until:
         return
+    kind = world.deployment.kinds[0]
     for _ in range(fault.count):
-        callers.send_poison(world, digest)
-    world.clock.after(1 / fault.times, _send_poison, world, fault, digest,
-                      until)
+        callers.start(world, kind, 0, digest=digest,
+                      crashes_servers=crashes_servers)
+    world.clock.after(1 / fault.times, _send_repeatedly, world, fault, digest,
+                      crashes_servers, until)
 
 
 def _lose_answers(world, fault):
@@ -78,18 +80,13 @@
 
 
 def _repeat_request(world, fault):
-    """Many callers send one identical request, ``times`` times a second."""
-    world.last_number += 1
-    _send_identical(world, fault, f"same-{world.last_number}",
-                    world.clock.now + fault.for_s)
-
+    """Many callers send one identical request, ``times`` times a second.
 
-def _send_identical(world, fault, digest, until):
-    if world.clock.now >= until:
-        return
-    callers.send_identical(world, digest)
-    world.clock.after(1 / fault.times, _send_identical, world, fault, digest,
-                      until)
+    Each time ``count`` of them do at once.
+    """
+    world.last_number += 1
+    _send_repeatedly(world, fault, f"same-{world.last_number}", False,
+                     world.clock.now + fault.for_s)
 
 
 def _hang(world, fault):
--- a/emulator/run.py
+++ b/emulator/run.py
@@ -223,12 +223,7 @@
         if self.clock.now >= self.tally.began + self.deployment.seconds:
             return
         self._schedule_caller(kind)
-        self.last_number += 1
-        caller = callers.Caller(
-            self, f"r{self.last_number}", kind, self._draw_subject(kind),
-            self.clock.now)
-        self.clock.after(kind.limit_ms / 1e3, caller.time_out)
-        caller.send()
+        callers.start(self, kind, self._draw_subject(kind))
 
     def _draw_subject(self, kind):
         if (self.hot_subject is not None
