A host that waits after a restart says for whom once, not each second

Seen with real daemons (five entry hosts, the stand-in platform away, two hosts killed and restarted at once): each wrote the same line into its log and its ring of events each second, which pushes out the events before it in an outage of some minutes. Now it writes one whenever the hosts change. The test of the line fails before.

--- a/crocuskeel/core/follower/recovery.py
+++ b/crocuskeel/core/follower/recovery.py
@@ -224,10 +224,17 @@
     state.asked_vouches.clear()
     awaited = missing(daemon)
     _drop_outdated(daemon, awaited)
-    record = effects.Record("settings_unconfirmed", "", (
+    return _record_awaited(state, awaited) + ask(daemon)
+
+
+def _record_awaited(state, awaited):
+    # An outage may last for hours; the time line has each change once.
+    if awaited == state.recorded_awaited:
+        return []
+    state.recorded_awaited = awaited
+    return [effects.Record("settings_unconfirmed", "", (
         ("count", len(awaited)),
-        ("hosts", ", ".join(awaited[:MAX_LOGGED_HOSTS]))))
-    return [record, *ask(daemon)]
+        ("hosts", ", ".join(awaited[:MAX_LOGGED_HOSTS]))))]
 
 
 def _drop_outdated(daemon, awaited):
--- a/crocuskeel/core/follower/state.py
+++ b/crocuskeel/core/follower/state.py
@@ -67,7 +67,8 @@
     ``floor`` is the oldest generation that may come into force, None
     after a start until it is known (:mod:`recovery`). ``contacts`` are the
     peers by name, ``candidates`` those that were live when any was asked to
-    vouch, ``asked_vouches`` those asked since the last retry. ``round_id``
+    vouch, ``asked_vouches`` those asked since the last retry, and
+    ``recorded_awaited`` those that the time line last named. ``round_id``
     identifies this process to them. ``listed`` are the other hosts of the
     host list, None before it was read. ``head_reads`` are the times at
     which unanswered reads of the head were sent, ``head_read_at`` is that
@@ -94,6 +95,7 @@
     contacts: dict[str, Contact] = dataclasses.field(default_factory=dict)
     candidates: set[str] = dataclasses.field(default_factory=set)
     asked_vouches: set[str] = dataclasses.field(default_factory=set)
+    recorded_awaited: list[str] | None = None
     round_id: int = 0
     listed: frozenset[str] | None = None
     head_reads: list[float] = dataclasses.field(default_factory=list)
--- a/tests/follower/test_recovery.py
+++ b/tests/follower/test_recovery.py
@@ -118,6 +118,9 @@
                    if name == "h0" and effect.kind == "settings_unconfirmed"]
         self.assertEqual({"count": 1, "hosts": "h1"},
                          dict(records[-1].fields))
+        fleet.run(fleet.now + 30)
+        self.assertLess(len([effect for _, name, effect in fleet.log
+                             if effect.kind == "settings_unconfirmed"]), 8)
 
 
 class LateMessageTest(support.RecoveryCase):
