--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -103,10 +103,15 @@
         self.start(number)
 
     def stop(self):
-        """Kill all processes that this fleet started."""
-        for number, process in self.processes.items():
+        """Kill all processes that this fleet started.
+
+        All are killed before any is waited for: if one does not exit in
+        time, the others don't stay behind at their addresses.
+        """
+        for number in self.processes:
             self.signal(number, "SIGCONT")
             self.signal(number, "SIGKILL")
+        for process in self.processes.values():
             process.wait(timeout=10)
 
 
