Test: several requests that crash engines, each of them late (known red)

test_each_of_several_crashes_few_engines_after_its_third plays, in the emulator, two and three requests that crash engines, sent by several callers at once, on 6 and 30 hosts. The bound is the users': no more than three engines crash under one request later than 3 s after its third.

--- a/tests/emulator/test_poison.py
+++ b/tests/emulator/test_poison.py
@@ -48,6 +48,21 @@
     "answers lost": (deployments.Fault(
         "lose", 2.0, 14.0, count=6, times=0.4),),
 }
+# Several requests crash engines at a time: (hosts, engines, faults, seed).
+SEVERAL = {
+    "two, by two callers at once": (6, 6, 0, tuple(
+        deployments.Fault("poison", 3.0, 20.0, count=2, times=1.0)
+        for _ in range(2))),
+    "three, by six callers at once": (6, 6, 0, tuple(
+        deployments.Fault("poison", 3.0 + 0.05 * number, 20.0, count=6,
+                          times=1.0 - 0.1 * number) for number in range(3))),
+    "two, by two callers at once, 30 hosts": (30, 15, 5, tuple(
+        deployments.Fault("poison", 3.0, 20.0, count=2, times=1.0)
+        for _ in range(2))),
+    "two, often, 30 hosts": (30, 15, 0, tuple(
+        deployments.Fault("poison", 3.0, 20.0, times=6.0)
+        for _ in range(2))),
+}
 
 
 def _crash_count(case, seed):
@@ -61,11 +76,11 @@
                for times in world.crash_times.values())
 
 
-def _simulate(faults, seed):
+def _simulate(faults, seed, hosts=5, engines=6, seconds=18.0):
     return run.played(deployments.Deployment(
-        name="poison", hosts=5, seconds=18.0, way_ms=1.0,
+        name="poison", hosts=hosts, seconds=seconds, way_ms=1.0,
         plain=deployments.Plain(), kinds=(CHAT, CALL), faults=faults,
-        engines=deployments.Engines(count=6, slots=32)), seed)
+        engines=deployments.Engines(count=engines, slots=32)), seed)
 
 
 def _refused_identical(world):
@@ -86,6 +101,14 @@
                     self.assertLessEqual(
                         _late_crashes(world), MAX_LATE_CRASHES)
 
+    def test_each_of_several_crashes_few_engines_after_its_third(self):
+        # Hosts could not tell several apart, refused them for the same time
+        # and then all let one run.
+        for name, (hosts, engines, seed, faults) in SEVERAL.items():
+            world = _simulate(faults, seed, hosts, engines, 26.0)
+            with self.subTest(name, times=world.crash_times):
+                self.assertLessEqual(_late_crashes(world), MAX_LATE_CRASHES)
+
     def test_it_crashes_many_without_the_quarantine(self):
         with mock.patch.object(quarantine, "CULPRIT_S", 0.0), (
                 mock.patch.object(quarantine, "SUSPECT_S", 0.0)), (
