Platform: a misdirected request (421) is no answer of its server

Cause: a 421 of the platform's engines also carries X-Crocuskeel-Not-Run, and that was looked at first. So it was a refusal by the server that was meant: the hosts' logs have outcome not_run, detail 421. A refusal proves that its server runs. Ruled out: that 421 itself is taken for a response. Without the other header it never was, which is what the tests had.

Now the status comes first. A 421 then is a sign that the server is gone, its address is used no more, and it costs no attempt of the route.

Evidence: test_misdirected_request_is_no_answer_of_its_server failed before in two of its three rows.

--- a/crocuskeel/platform/headers.py
+++ b/crocuskeel/platform/headers.py
@@ -141,10 +141,11 @@
 
 
 def _classify(request, head):
-    if head.get(_NOT_RUN) is not None:
-        return header_codec.Verdict.NOT_RUN
+    # It also says that the request was not run.
     if head.status == MISDIRECTED:
         return header_codec.Verdict.MISDIRECTED
+    if head.get(_NOT_RUN) is not None:
+        return header_codec.Verdict.NOT_RUN
     rid = head.get(_REQUEST_ID)
     if rid is not None and rid.decode("latin-1") != request.rid:
         return header_codec.Verdict.WRONG_REQUEST
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -136,6 +136,16 @@
                 self.assertEqual(expected,
                                  self._classify(*rows, status=status))
 
+    def test_misdirected_request_is_no_answer_of_its_server(self):
+        # It counted as a refusal by the server before, which proved that
+        # that one was running: a crash was taken back on all hosts.
+        for rows in ((), ((b"X-Crocuskeel-Not-Run", b"1"),),
+                     ((b"X-Crocuskeel-Request-Id", b"9c41"),
+                      (b"X-Crocuskeel-Not-Run", b"misdirected"))):
+            with self.subTest(rows):
+                self.assertEqual("misdirected",
+                                 self._classify(*rows, status=421))
+
     def test_invalid_deadline_is_rejected(self):
         head = header_codec.Head(((b"X-Crocuskeel-Deadline-Ms", b"soon"),),
                                  b"GET", b"/")
