Quarantine: a request that may crash servers runs once in the fleet

Cause: suspects ran one at a time within a host only, and the end of a refusal is the same moment on all hosts, since all date a crash alike.

Now a host claims the trial of such a request from all others (a new kind of crash report, left out by hosts of the former version), waits 0.2 s, so that of two claims made without knowledge of each other both are known to both hosts, and runs it unless another claim precedes by the hash of request and host. A claim lapses after 1 s and is renewed while the request runs. In a fleet where each host sends to a part of the others the wait is 0.8 s. A host that hears nobody doesn't wait. The request that claims is held until it may run.

On the code before, as many hosts run the request as get a copy.

--- a/bench/idle.py
+++ b/bench/idle.py
@@ -100,7 +100,7 @@
         others = [name for name in self.serving_hosts if name != "me"]
         if len(others) == len(self.serving_hosts):
             return others[:gossip.CONTACT_COUNT]
-        peer_count = min(len(others), gossip.MAX_FANOUT)
+        peer_count = min(len(others), fleet.MAX_FANOUT)
         non_serving = max(0, len(self.names) - len(others))
         contacts = 0.5 * gossip.CONTACT_COUNT * non_serving / len(
             self.serving_hosts)
--- a/crocuskeel/core/entry/crash_records.py
+++ b/crocuskeel/core/entry/crash_records.py
@@ -38,6 +38,8 @@
     CRASHED = "crashed"
     ALIVE = "alive"
     SERVED = "served"
+    # A host is about to run a request that may crash servers, or runs it.
+    TRIAL = "trial"
 
 
 @dataclasses.dataclass(slots=True)
@@ -74,7 +76,7 @@
 
     Fields that a kind does not use are empty. ``span_s`` is how long before
     ``at`` an ALIVE server is known to have been running, infinite if it gets
-    another id with each start.
+    another id with each start. ``sid`` of a TRIAL is the host's name.
     """
 
     kind: Kind
@@ -105,6 +107,7 @@
     latest whole response. ``causes`` is None when it has to be computed anew.
     ``reports`` holds the QueuedReports, ``unsent`` own ones not yet sent to
     any host; ``told`` when others were last told that a digest was served.
+    ``trials`` maps a digest to trials.Claim by host.
     """
 
     losses: list = dataclasses.field(default_factory=list)
@@ -118,3 +121,4 @@
         default_factory=lambda: collections.deque(maxlen=512))
     unsent: list = dataclasses.field(default_factory=list)
     told: dict = dataclasses.field(default_factory=dict)
+    trials: dict = dataclasses.field(default_factory=dict)
--- a/crocuskeel/core/entry/crash_reports.py
+++ b/crocuskeel/core/entry/crash_reports.py
@@ -20,6 +20,7 @@
 from crocuskeel.core.entry import crash_updates as updates
 from crocuskeel.core.entry import crashes
 from crocuskeel.core.entry import effects
+from crocuskeel.core.entry import trials
 
 __all__ = ["merge", "recent", "rows", "take_unsent"]
 
@@ -154,4 +155,5 @@
            records.Kind.SILENT: _merge_loss,
            records.Kind.CRASHED: _merge_crash,
            records.Kind.ALIVE: _merge_alive,
-           records.Kind.SERVED: _merge_served}
+           records.Kind.SERVED: _merge_served,
+           records.Kind.TRIAL: trials.merge}
--- a/crocuskeel/core/entry/fleet.py
+++ b/crocuskeel/core/entry/fleet.py
@@ -10,11 +10,16 @@
 from crocuskeel.core.entry import routing
 from crocuskeel.core.entry import serving
 
-__all__ = ["HOP_DELAY_S", "PEER_TIMEOUT_S", "caller_addresses",
-           "invalidate_serving_hosts", "is_large", "is_peer_ready", "is_ready",
-           "is_serving_host", "reads_store", "serving_hosts",
-           "store_data_age_s"]
-
+__all__ = ["HOP_DELAY_S", "MAX_FANOUT", "PEER_TIMEOUT_S", "STATE_INTERVAL_S",
+           "caller_addresses", "invalidate_serving_hosts", "is_large",
+           "is_peer_ready", "is_ready", "is_serving_host", "reads_store",
+           "serving_hosts", "store_data_age_s"]
+
+# Interval at which hosts send their state, s.
+STATE_INTERVAL_S = 0.3
+# Up to this many other serving hosts form a full mesh; with more, each sends
+# to this many, chosen at random each time.
+MAX_FANOUT = 12
 # A host that was silent for this long is not named to callers, s: four
 # of its datagrams are missing.
 PEER_TIMEOUT_S = 1.3
--- a/crocuskeel/core/entry/gossip.py
+++ b/crocuskeel/core/entry/gossip.py
@@ -39,9 +39,6 @@
 # Prompt parts sent to engines are included in the state for this long, s:
 # in two datagrams.
 PARTS_REPEAT_S = 0.6
-# Up to this many other serving hosts form a full mesh; with more, each sends
-# to this many, chosen at random each time.
-MAX_FANOUT = 12
 # Number of serving hosts that a non-serving host sends its state to, and
 # the interval, s.
 CONTACT_COUNT = 3
@@ -134,7 +131,7 @@
     others every 30 ms would send and receive 800 datagrams a second each.
     """
     others = len(fleet.serving_hosts(host, now)) - 1
-    return LOAD_UPDATE_INTERVAL_S * max(1.0, others / MAX_FANOUT)
+    return LOAD_UPDATE_INTERVAL_S * max(1.0, others / fleet.MAX_FANOUT)
 
 
 def send_load_update(host, event, now):
@@ -185,8 +182,8 @@
         others.sort(key=lambda peer: routing.cached_unit_hash(
             host.self_peer.name, peer.name))
         return others[:CONTACT_COUNT]
-    if len(others) > MAX_FANOUT:
-        return host.rng.sample(others, MAX_FANOUT)
+    if len(others) > fleet.MAX_FANOUT:
+        return host.rng.sample(others, fleet.MAX_FANOUT)
     return others
 
 
@@ -265,7 +262,7 @@
     holds, and reached no host; it is 9 kB with the limit.
     """
     since = now - server_load.REPORT_HEARD_S
-    if len(fleet.serving_hosts(host, now)) > MAX_FANOUT + 1:
+    if len(fleet.serving_hosts(host, now)) > fleet.MAX_FANOUT + 1:
         since = math.inf
     reported = [state for state in map(host.servers.get, host.active_servers)
                 if state.own_attempts or state.last_seen_at > since]
--- a/crocuskeel/core/entry/quarantine.py
+++ b/crocuskeel/core/entry/quarantine.py
@@ -3,10 +3,10 @@
 Such a request is sent again by its caller, to any host, and would crash one
 server after another. It is refused once it is shown to be the cause of two
 crashes (:mod:`crocuskeel.core.crash_causes`), and for a shorter time if others
-were beside it in the same crashes. After that it runs again, one at a time:
-a whole response clears it, a further crash tells which of several is the
-cause. While it is undecided whether servers crashed under a request, it
-doesn't run at a third one.
+were beside it in the same crashes. After that it runs again, one at a time
+(:mod:`crocuskeel.core.entry.trials`): a whole response clears it, a further
+crash tells which of several is the cause. While it is undecided whether
+servers crashed under a request, it doesn't run at a third one.
 """
 
 import heapq
@@ -16,8 +16,8 @@
 from crocuskeel.core.entry import crash_updates as updates
 from crocuskeel.core.entry import ending
 
-__all__ = ["digest_of", "is_quarantined", "must_wait", "standing_reports",
-           "time_left_s"]
+__all__ = ["digest_of", "is_quarantined", "may_be_cause", "must_wait",
+           "standing_reports", "time_left_s"]
 
 # Quarantine after the second crash, s, of a cause and of one of several that
 # may be it; each further crash doubles it.
@@ -71,8 +71,8 @@
         if (crashed + len(undecided) >= MAX_UNDECIDED - bool(crashed)
                 or recent >= MAX_UNDECIDED - 1):
             return True
-    return _may_be_cause(host, digest) and any(
-        _may_be_cause(host, other.digest)
+    return may_be_cause(host, digest) and any(
+        may_be_cause(host, other.digest)
         and ending.active_attempts(other)
         for other in host.pending.values() if other is not pending)
 
@@ -89,12 +89,13 @@
                            incarnation=incarnation, sign=crash.sign)
             for incarnation, crash in host.crash_records.crashes.items()
             for digest, at in crash.lost.items()
-            if _may_be_cause(host, digest)]
+            if may_be_cause(host, digest)]
     return tuple(heapq.nlargest(MAX_REPORTS, rows, key=lambda report: (
         report.digest in causes.culprits, report.at)))
 
 
-def _may_be_cause(host, digest):
+def may_be_cause(host, digest):
+    """Return whether a request may have caused several crashes."""
     causes = _causes(host)
     return digest in causes.suspects or digest in causes.culprits
 
--- a/crocuskeel/core/entry/reducer.py
+++ b/crocuskeel/core/entry/reducer.py
@@ -17,6 +17,7 @@
 from crocuskeel.core.entry import response_hints
 from crocuskeel.core.entry import restores
 from crocuskeel.core.entry import server_load
+from crocuskeel.core.entry import trials
 from crocuskeel.core.entry import usage
 from crocuskeel.core import exceptions
 from crocuskeel.core.leadership import events as lease_events
@@ -41,6 +42,7 @@
     draining.remove_unlisted(host, now)
     restores.forget_removed(host, now)
     backoff.forget(host, now)
+    trials.renew(host, now)
     return (registry.drop_expired(host, now) + crashes.forget(host, now)
             + gossip.send_state(host, now)
             + duties.step(host, event.wall, now)
--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -17,6 +17,7 @@
 from crocuskeel.core.entry import server_choice
 from crocuskeel.core.entry import server_load
 from crocuskeel.core.entry import state as states
+from crocuskeel.core.entry import trials
 
 __all__ = ["send"]
 
@@ -29,8 +30,10 @@
     quarantine_s = quarantine.time_left_s(host, pending.digest, now)
     if quarantine_s:
         return ending.give_up(host, pending, "quarantined", now, quarantine_s)
-    if quarantine.must_wait(host, pending, now):
-        if now < admission.queue_until(pending):
+    if quarantine.must_wait(host, pending, now) or not trials.may_begin(
+            host, pending, now):
+        if now < max(admission.queue_until(pending),
+                     trials.hold_until(host, pending.digest, now)):
             return _hold(host, pending, now)
         return ending.give_up(host, pending, "crash suspected", now)
     pending.candidates = candidates.pick(host, pending)
@@ -54,7 +57,8 @@
         pending.workspace, pending.route.kind is model.Kind.STREAM,
         resume=pending.forwarded_attempt is not None,
         fetch_from=source.server.address if source else None)
-    return [order, _sent_line(host, pending, target, attempt, source, now),
+    return [order, *trials.begun_lines(host, pending.digest),
+            _sent_line(host, pending, target, attempt, source, now),
             effects.SetRequestTimer(pending.key,
                                     retrying.next_check(pending, now))]
 
--- a/crocuskeel/gateway/loop.py
+++ b/crocuskeel/gateway/loop.py
@@ -14,7 +14,7 @@
 
 # Interval at which hosts send their state, s: a host that dies is removed from
 # callers' lists after four of them.
-TICK_INTERVAL_S = 0.3
+TICK_INTERVAL_S = fleet.STATE_INTERVAL_S
 JSON_HEADER = (b"Content-Type", b"application/json")
 
 
--- a/tests/emulator/test_poison.py
+++ b/tests/emulator/test_poison.py
@@ -120,7 +120,7 @@
     def test_it_crashes_more_without_each_mechanism(self):
         rows = (
             ("waiting", "MAX_UNDECIDED", 99, "all hosts at once"),
-            ("suspects one at a time", "_may_be_cause",
+            ("suspects one at a time", "may_be_cause",
              lambda host, digest: False, "hosts restarted"))
         for name, attribute, value, case in rows:
             before = sum(_crash_count(case, seed) for seed in range(3))
