Crash causes: a request excused but for one crash runs once in the fleet

Cause: it was in three crashes; the other one counts as the cause of two of them and so excuses it there. The third one was confirmed 3.6 s after the loss. Until then its copies waited on all hosts, as three servers may have crashed under it. Then one crash was left, it counted as harmless, and all copies ran at once. Ruled out: that the crash was taken back; the log has no refutation.

Now such a request (in several crashes, of which the causes explain all but one) isn't refused but runs as suspects do, once in the fleet: a whole response clears it, a crash convicts it.

--- a/crocuskeel/core/crash_causes.py
+++ b/crocuskeel/core/crash_causes.py
@@ -25,11 +25,13 @@
     """Requests and their numbers of crashes.
 
     ``culprits`` are causes. ``suspects`` were together in several crashes,
-    any of them may be their cause.
+    any of them may be their cause. ``partly_excused`` were in several, of
+    which the culprits explain all but one.
     """
 
     culprits: dict
     suspects: dict
+    partly_excused: dict = dataclasses.field(default_factory=dict)
 
 
 NO_CAUSES = Causes({}, {})
@@ -38,13 +40,17 @@
 def attribute(crashes):
     """Return the Causes of crashes, given as sets of requests."""
     crashes = [set(requests) for requests in crashes]
+    repeated = _repeated(crashes)
     culprits = {}
     while True:
         counts = _repeated(crashes)
         found = _only_candidates(counts, crashes) or _most_frequent(
             counts, crashes)
         if not found:
-            return Causes(culprits, counts)
+            return Causes(culprits, counts, {
+                request: repeated[request] for requests in crashes
+                for request in requests & repeated.keys()
+                if request not in counts})
         culprits.update(found)
         crashes = [requests for requests in crashes
                    if requests.isdisjoint(found)]
--- a/crocuskeel/core/entry/quarantine.py
+++ b/crocuskeel/core/entry/quarantine.py
@@ -97,7 +97,8 @@
 def may_be_cause(host, digest):
     """Return whether a request may have caused several crashes."""
     causes = _causes(host)
-    return digest in causes.suspects or digest in causes.culprits
+    return (digest in causes.suspects or digest in causes.culprits
+            or digest in causes.partly_excused)
 
 
 def _causes(host):
--- a/tests/quarantine/test_crash_causes.py
+++ b/tests/quarantine/test_crash_causes.py
@@ -42,6 +42,18 @@
                 self.assertEqual((culprits, set(suspects)),
                                  _attribute(*crashes))
 
+    def test_request_that_a_cause_excuses_but_for_one_crash(self):
+        # It counted as harmless, and all copies that had waited ran at once.
+        for crashes, expected in (
+                (("pa", "pa", "p", "p", "a"), {"a": 3}),
+                (("pa", "pa", "p"), {}), (("pa", "p", "p", "a"), {"a": 2}),
+                (("p", "p", "a"), {})):
+            with self.subTest(crashes):
+                causes = crash_causes.attribute(map(set, crashes))
+                self.assertEqual({"p"}, causes.culprits.keys())
+                self.assertEqual({}, causes.suspects)
+                self.assertEqual(expected, causes.partly_excused)
+
     def test_harmless_request_in_the_crashes_of_two_excuses_neither(self):
         # It was in more crashes than either cause, and both ran on.
         culprits, suspects = _attribute("ai", "ai", "bi", "bi")
