--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -54,6 +54,8 @@
     # Shared by identical requests; empty if there is only one.
     digest: str = ""
     crashes_servers: bool = False
+    # The host of its first attempt until that has ended, else empty.
+    first_host: str = ""
 
     def send(self):
         """Send the request to one of the known hosts."""
@@ -63,6 +65,8 @@
             return
         self.attempts += 1
         self.host = self.world.host_for_caller()
+        if self.attempts == 1 and self.host is not None:
+            self.first_host = self.host.name
         request = new_request(
             f"{self.rid}-{self.attempts}", self.kind, self.subject, left_s,
             self.world.deployment.engines.event_tokens, self.digest)
@@ -75,6 +79,7 @@
         """End the request: its time limit has passed."""
         if self.outcome:
             return
+        self._end_first_attempt(False)
         self._finish("gave up")
         if self.host is not None and self.key is not None:
             self.host.caller_disconnected(self.key)
@@ -94,12 +99,14 @@
         """Handle the end of a complete response."""
         if self.first_event_at is None:
             self.first_event_at = self.world.clock.now
+        self._end_first_attempt(True)
         on_time = (self.first_event_at - self.at <= self.kind.goal_ms / 1e3
                    and self.longest_gap_s <= self.kind.gap_ms / 1e3)
         self._finish("on time" if on_time else "late")
 
     def request_refused(self, status, retry_s):
         """Handle an error response; a 503 may be retried after a delay."""
+        self._end_first_attempt(False)
         if status == 503 and self.attempts <= self.kind.retries:
             self._retry_after(retry_s or 0.0)
             return
@@ -107,8 +114,15 @@
 
     def connection_lost(self):
         """Handle the loss of the connection."""
+        self._end_first_attempt(False)
         self._finish("failed")
 
+    def _end_first_attempt(self, is_served):
+        if self.first_host:
+            self.world.first_attempts.append(
+                (self.at, self.first_host, is_served))
+            self.first_host = ""
+
     def _retry_after(self, delay_s):
         if self.world.clock.now + delay_s >= self._deadline():
             self._finish("refused")
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -1,6 +1,7 @@
 """Faults to inject into a run; each is undone after its duration."""
 
 from emulator import callers
+from emulator import hosts
 
 __all__ = ["FAULTS", "crash_engine"]
 
@@ -163,6 +164,24 @@
     world.clock.after(fault.for_s, world.partitioned.clear)
 
 
+def _cut_off(effect):
+    def inject(world, fault):
+        """Cut ``count`` hosts off from all servers, chosen at random.
+
+        ``times`` is the share of the servers that they lose.
+        """
+        names = world.rng.sample(world.names, min(
+            fault.count, len(world.names)))
+        lost = world.rng.sample(
+            list(world.entries), round(fault.times * len(world.entries)))
+        for name in names:
+            world.hosts[name].cut_off(effect, lost)
+            world.clock.after(fault.for_s, world.hosts[name].reconnect)
+        world.cuts.append((world.clock.now, world.clock.now + fault.for_s,
+                           frozenset(names)))
+    return inject
+
+
 def _skew(world, fault):
     """One subject of each kind gets most of the requests."""
     world.hot_subject = 0
@@ -178,4 +197,8 @@
           "drain": _drain, "kill": _kill_hosts, "part": _partition,
           "hot": _skew, "restore": _restore, "poison": _poison,
           "lose": _lose_answers, "lossy": _lose_datagrams,
-          "same": _repeat_request}
+          "same": _repeat_request,
+          "cut_refused": _cut_off(hosts.Cut.REFUSED),
+          "cut_reset": _cut_off(hosts.Cut.RESET),
+          "cut_silent": _cut_off(hosts.Cut.SILENT),
+          "cut_timeout": _cut_off(hosts.Cut.TIMEOUT)}
--- a/emulator/hosts.py
+++ b/emulator/hosts.py
@@ -1,6 +1,7 @@
 """An entry host: the product's reducer with a simulated network."""
 
 import dataclasses
+import enum
 import random
 
 from crocuskeel.core import entry
@@ -10,9 +11,23 @@
 from crocuskeel.core.entry import model
 from emulator import engine as engines
 
-__all__ = ["EntryHost"]
+__all__ = ["Cut", "EntryHost"]
 
 TICK_S = 0.3
+# An attempt to connect is given up after this, s.
+CONNECT_TIMEOUT_S = 0.3
+
+
+class Cut(enum.Enum):
+    """What a host's connections to servers do while it is cut off."""
+
+    # New ones are refused, or time out; open ones live on.
+    REFUSED = "refused"
+    TIMEOUT = "timeout"
+    # All are reset.
+    RESET = "reset"
+    # All stay open and carry nothing.
+    SILENT = "silent"
 
 
 def _peer(name, boot=1):
@@ -42,6 +57,7 @@
         self.attempt_number = attempt_number
         self.server = server
         self.digest = host.pending[key].request.digest
+        self.silenced = False
 
     def opened(self, run):
         """Report the first event of a stream."""
@@ -95,6 +111,10 @@
                 hints))
 
     def _send_event(self, event):
+        if self.host.cut is Cut.SILENT and self.server.sid in self.host.lost:
+            self.silenced = True
+        if self.silenced:
+            return
         self.host.world.clock.after(
             self.host.world.network_delay_s, self.host.receive_event,
             self.host.boot, event)
@@ -111,6 +131,25 @@
         self.core = None
         self.pending = {}
         self.last_key = 0
+        # What its connections to the servers ``lost`` do, None if they work.
+        self.cut = None
+        self.lost = frozenset()
+
+    def cut_off(self, cut, sids):
+        """Cut this host off from servers."""
+        self.cut, self.lost = cut, frozenset(sids)
+        if cut is not Cut.RESET:
+            return
+        for pending in list(self.pending.values()):
+            for server, run in list(pending.runs.values()):
+                if server.sid in self.lost and not run.finished:
+                    server.cancel(run)
+                    run.finished = True
+                    run.listener.broken(run)
+
+    def reconnect(self):
+        """End a cut; connections that lost data stay silent."""
+        self.cut = None
 
     def start(self):
         """Start with the current configuration and list of servers."""
@@ -211,6 +250,9 @@
     if server is None or server.down:
         listener.fail(model.Outcome.REFUSED)
         return
+    if host.cut is not None and server.sid in host.lost:
+        _fail_cut_off(host, listener)
+        return
     kind = pending.caller.kind
     prompt = pending.request.prompt
     run = engines.Run(listener, prompt, kind.events, effect.priority,
@@ -229,6 +271,18 @@
         source)
 
 
+def _fail_cut_off(host, listener):
+    """Carry out an attempt at a server that the host is cut off from."""
+    match host.cut:
+        case Cut.REFUSED:
+            listener.fail(model.Outcome.REFUSED)
+        case Cut.RESET:
+            listener.broken(None)
+        case Cut.TIMEOUT:
+            host.world.clock.after(CONNECT_TIMEOUT_S, listener.fail,
+                                   model.Outcome.UNREACHABLE)
+
+
 def _arrive(listener, run, source):
     if run.finished:
         return
--- a/emulator/run.py
+++ b/emulator/run.py
@@ -59,6 +59,10 @@
         self.names = [f"h{number}" for number in range(deployment.hosts)]
         self.hosts = {name: hosts.EntryHost(self, name, f"{seed}-{name}")
                       for name in self.names}
+        # Cuts of hosts from servers: (since, until, names of the hosts), and
+        # first attempts of callers: (sent at, name of the host, served).
+        self.cuts = []
+        self.first_attempts = []
         # Names of the hosts that are partitioned from the others.
         self.partitioned = set()
         # Share of the datagrams between hosts that is lost.
