Hosts that reach no server of a service relay its requests

Each request tried up to four servers, 0.3 s each, and got 503 after 0.7 to 1.2 s, with other hosts beside that served all.

Cause: a host judged each server by itself and never its own path.

Now it is taken to be cut off from a service if attempts failed at two of its servers (or all, of a service with fewer) and none has answered an attempt sent since; or if two don't answer for 1 s while other hosts hear from them. Events of open streams don't show the path, as these may live on. From then on its requests go to another host, which is not cut off: as the caller sent them, with the time and the number of servers that are left, and a header by which there is no second hop. What that host answers for itself keeps its meaning: 503 and 4xx have not run, 502 and 504 may have. A relay counts for the route's servers in full, for the retry budget and the usage once. The host asks one server a second for its health and sends directly again once one answers. If all hosts are cut off, nobody relays, as before.

Tests that cut a state's last fields off count one more.

--- a/crocuskeel/core/entry/attempts.py
+++ b/crocuskeel/core/entry/attempts.py
@@ -8,6 +8,7 @@
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import pause_estimate
 from crocuskeel.core.entry import prefix_cache
+from crocuskeel.core.entry import reachability
 from crocuskeel.core.entry import retry_budget
 from crocuskeel.core.entry import retrying
 from crocuskeel.core.entry import sending
@@ -44,7 +45,7 @@
         ending.mark_load_changed(host, pending, target)
         server_load.note_load(target, event.load, now)
     pending.may_have_run = True
-    usage.count_begun(host, pending, now)
+    _count_begun(host, pending, attempt, now)
     attempt.opened = True
     pending.forwarded_attempt = attempt.attempt_number
     pending.last_event_at = now
@@ -60,6 +61,11 @@
     return out
 
 
+def _count_begun(host, pending, attempt, at):
+    if not attempt.relayed:
+        usage.count_begun(host, pending, at)
+
+
 def _record_first_event(target, attempt, now):
     tokens = attempt.uncached_tokens + sum(target.own_attempts.values())
     expected = 0.05 + tokens / prefix_cache.PREFILL_TOKENS_PER_S
@@ -120,7 +126,7 @@
     target = host.servers.get(attempt.sid)
     ending.close_attempt(host, pending, attempt)
     pending.may_have_run = True
-    usage.count_begun(host, pending, attempt.sent_at)
+    _count_begun(host, pending, attempt, attempt.sent_at)
     if event.status < SERVER_ERROR:
         return _forward(host, pending, attempt, target, event, now)
     if target is not None:
@@ -167,22 +173,26 @@
     out += _record_failure(host, pending, attempt, event, now)
     if ending.active_attempts(pending):
         return out
-    if _may_retry(host, pending, event.outcome, now):
+    if _may_retry(host, pending, attempt, event.outcome, now):
         return out + sending.send(host, pending, now)
     return out + ending.give_up(host, pending, event.outcome.value, now)
 
 
-def _may_retry(host, pending, outcome, now):
-    if outcome in NOT_REACHED:
+def _may_retry(host, pending, attempt, outcome, now):
+    if outcome in NOT_REACHED or (
+            attempt.relayed and outcome is model.Outcome.NOT_RUN):
         return pending.connect_attempts < MAX_CONNECT_ATTEMPTS
     if outcome is model.Outcome.NOT_RUN and not pending.may_have_run:
-        return (pending.servers_used < pending.route.max_servers
+        return (pending.servers_used < pending.max_servers
                 and retry_budget.may_retry(host, pending.service, now))
     return retrying.may_send_again(host, pending, now)
 
 
 def _record_failure(host, pending, attempt, event, now):
     """Update the state of the request and its server; return effects."""
+    if attempt.relayed:
+        _record_relay_failure(pending, attempt, event.outcome)
+        return []
     target = host.servers.get(attempt.sid)
     out = []
     match event.outcome:
@@ -196,11 +206,13 @@
             if target is not None:
                 target.unreachable = True
                 health.record_connection_failure(target, now)
+            out += reachability.note_failure(host, pending, attempt, now)
         case model.Outcome.MISDIRECTED:
             attempt.uncached_tokens = -1
             pending.servers_used -= 1
             out = crashes.note_down(
                 host, attempt.sid, SIGNS[event.outcome], now)
+            out += reachability.note_answer(host, pending, attempt)
             if target is not None:
                 target.address_reused = True
         case model.Outcome.NOT_RUN:
@@ -209,14 +221,23 @@
         case _:
             pending.may_have_run = True
             if pending.route.kind is not model.Kind.STREAM:
-                usage.count_begun(host, pending, attempt.sent_at)
+                _count_begun(host, pending, attempt, attempt.sent_at)
             if event.disconnected:
                 out = crashes.note_lost(host, pending, attempt, now)
+                out += reachability.note_failure(host, pending, attempt, now)
             if target is not None:
                 health.record_connection_failure(target, now)
     return out
 
 
+def _record_relay_failure(pending, attempt, outcome):
+    if outcome in NOT_REACHED or outcome is model.Outcome.NOT_RUN:
+        pending.servers_used -= attempt.servers
+        attempt.uncached_tokens = -1
+    else:
+        pending.may_have_run = True
+
+
 def _back_off(target, now):
     """Back off from a server that sheds load, whatever its known load."""
     target.last_seen_at = now
--- a/crocuskeel/core/entry/effects.py
+++ b/crocuskeel/core/entry/effects.py
@@ -5,7 +5,8 @@
 from crocuskeel.core.entry import model
 
 __all__ = ["AbortStream", "Answer", "Cancel", "CloseListener", "Exit",
-           "FetchCatalog", "ForwardResponse", "LogEvent", "ScheduleLoadsDue",
+           "FetchCatalog", "ForwardResponse", "LogEvent", "ProbeServer",
+           "ScheduleLoadsDue",
            "SendDuty", "SendRequest", "SendToPeer", "SetRequestTimer"]
 
 
@@ -16,7 +17,8 @@
     ``budget_s`` is the remaining time, which is passed on to the server.
     ``resume``: continue after the last event that the caller received.
     ``fetch_from`` is the address of an engine that holds shared parts of
-    the prompt, or None.
+    the prompt, or None. ``relay_servers``: ``server`` is another host, which
+    may send the request to so many servers; None if it is a server.
     """
 
     key: int
@@ -28,6 +30,15 @@
     stream: bool
     resume: bool = False
     fetch_from: tuple | None = None
+    relay_servers: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeServer:
+    """Ask a server for its health; deliver ServerProbed if it answers."""
+
+    server: model.Server
+    path: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/crocuskeel/core/entry/events.py
+++ b/crocuskeel/core/entry/events.py
@@ -16,6 +16,7 @@
     "AttemptFailed", "CallerDisconnected", "CatalogRead", "DutyAnswered",
     "HintsReceived", "LoadsDue", "PeerHintsReceived", "PeerLoadsReceived",
     "PeerStateReceived", "PeersListed", "RequestReceived", "ResponseReceived",
+    "ServerProbed",
     "ServersChanged", "ServersListed", "SettingsRead", "Started", "StopAsked",
     "StoreAvailable", "StoreEraSeen", "StoreReadingStopped",
     "StoreUnavailable", "StreamEnded", "StreamOpened", "StreamProgressed",
@@ -229,7 +230,8 @@
     runs the former version. That one sends ``crashes`` instead, which holds
     (digest, incarnation) for each request during which a server crashed.
     ``loads`` is as in PeerLoadsReceived, and ``parts`` holds the (server id,
-    part, tokens) that the host recently sent to servers.
+    part, tokens) that the host recently sent to servers. ``cut_off`` names the
+    services that it is cut off from.
     """
 
     peer: model.Peer
@@ -250,6 +252,7 @@
     servers_leaving: tuple = ()
     catalog_version: int | None = None
     crash_reports: tuple | None = None
+    cut_off: tuple = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -296,6 +299,13 @@
     servers_leaving: tuple = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerProbed:
+    """A server of a service answered a probe, whatever it said."""
+
+    service: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DutyAnswered:
     """A duty's call ended; ``call`` is that of effects.SendDuty."""
--- a/crocuskeel/core/entry/gossip.py
+++ b/crocuskeel/core/entry/gossip.py
@@ -17,6 +17,7 @@
 from crocuskeel.core.entry import fleet
 from crocuskeel.core.entry import quarantine
 from crocuskeel.core.entry import ratelimits
+from crocuskeel.core.entry import reachability
 from crocuskeel.core.entry import routing
 from crocuskeel.core.entry import server_load
 from crocuskeel.core.entry import serving
@@ -219,6 +220,7 @@
         rate_limits=_sample_rows(host, ratelimits.rows(host, now)),
         servers_leaving=_sample_rows(host, draining.rows(host)),
         crash_reports=crash_reports.rows(reports, now),
+        cut_off=reachability.cut_off_services(host),
         **_duty_fields(host, now))
 
 
--- a/crocuskeel/core/entry/model.py
+++ b/crocuskeel/core/entry/model.py
@@ -53,7 +53,8 @@
 
     ``digest`` identifies method, path and body, not the ``api_key``.
     ``deadline_s`` is how long the caller waits from the request's arrival,
-    or None.
+    or None. ``max_servers`` is the number of servers that it may be sent to
+    if another host relayed it, otherwise None.
     """
 
     rid: str
@@ -64,6 +65,7 @@
     deadline_s: float | None = None
     prompt: Prompt | None = None
     digest: str = ""
+    max_servers: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,13 +132,15 @@
 class Service:
     """A service; ``max_connections`` per server, 0 if unlimited.
 
-    ``scaling`` is None where no engines can be ordered.
+    ``scaling`` is None where no engines can be ordered. ``health_path`` is
+    where a server tells its health.
     """
 
     name: str
     max_connections: int
     engine: EngineSpec | None
     scaling: Scaling | None = None
+    health_path: str = "/"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/crocuskeel/core/entry/peers.py
+++ b/crocuskeel/core/entry/peers.py
@@ -61,6 +61,7 @@
         known.servers_revision = revisions.in_era_of(
             host.servers_revision, event.servers_revision)
     known.reads_store = event.reads_store
+    known.cut_off = frozenset(event.cut_off)
     host.informed_at = max(
         host.informed_at, now - event.store_data_age_s - fleet.HOP_DELAY_S)
     serving.merge(host, event.serving_demand, now)
--- a/crocuskeel/core/entry/reducer.py
+++ b/crocuskeel/core/entry/reducer.py
@@ -12,6 +12,7 @@
 from crocuskeel.core.entry import lifecycle
 from crocuskeel.core.entry import peers
 from crocuskeel.core.entry import ratelimits
+from crocuskeel.core.entry import reachability
 from crocuskeel.core.entry import registry
 from crocuskeel.core.entry import requests
 from crocuskeel.core.entry import response_hints
@@ -44,6 +45,7 @@
     backoff.forget(host, now)
     trials.renew(host, now)
     return (registry.drop_expired(host, now) + crashes.forget(host, now)
+            + reachability.step(host, now)
             + gossip.send_state(host, now)
             + duties.step(host, event.wall, now)
             + lifecycle.step(host, now))
@@ -77,6 +79,7 @@
     events.PeerLoadsReceived: peers.handle_peer_loads,
     events.CrashReportsReceived: peers.handle_crash_reports,
     events.DutyAnswered: duties.answered,
+    events.ServerProbed: reachability.probed,
     duties_model.Usage: usage.received,
     lease_events.LeaseRead: duty_lease.lease_read,
     lease_events.LeaseWritten: duty_lease.lease_written,
--- a/crocuskeel/core/entry/requests.py
+++ b/crocuskeel/core/entry/requests.py
@@ -7,6 +7,7 @@
 from crocuskeel.core.entry import health
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import quarantine
+from crocuskeel.core.entry import reachability
 from crocuskeel.core.entry import retry_budget
 from crocuskeel.core.entry import retrying
 from crocuskeel.core.entry import routing
@@ -67,13 +68,19 @@
     if request.deadline_s is not None:
         left = request.deadline_s
     left = min(left, destination.route.timeout_s)
+    max_servers = destination.route.max_servers
+    if request.max_servers is not None:
+        max_servers = min(max_servers, request.max_servers)
     pending = states.RequestState(
         key=event.key, request=request, digest=digest, route=destination.route,
         service=destination.service, workspace=destination.workspace,
         priority=destination.priority, arrived_at=now,
-        deadline_at=now + left - TIMEOUT_ANSWER_LEAD_S)
+        deadline_at=now + left - TIMEOUT_ANSWER_LEAD_S,
+        max_servers=max_servers)
     host.pending[event.key] = pending
-    retry_budget.note_request(host, destination.service, now)
+    if request.max_servers is None:
+        # Otherwise the host that relays it has counted it.
+        retry_budget.note_request(host, destination.service, now)
     class_minimums.note_arrived(host, pending, now)
     return pending
 
@@ -123,7 +130,8 @@
         limit_s = retrying.stall_limit_s(pending) - 0.001
         silent = now - pending.last_event_at >= limit_s
     else:
-        silent = target is None or server_load.is_silent(target, now)
+        silent = (target is None or server_load.is_silent(target, now)
+                  or reachability.is_cut_off(host, pending.service))
     if not silent or not retrying.may_send_again(host, pending, now):
         return [effects.SetRequestTimer(pending.key,
                                         retrying.next_check(pending, now))]
--- a/crocuskeel/core/entry/response_hints.py
+++ b/crocuskeel/core/entry/response_hints.py
@@ -6,6 +6,7 @@
 from crocuskeel.core.entry import ending
 from crocuskeel.core.entry import gossip
 from crocuskeel.core.entry import ratelimits
+from crocuskeel.core.entry import reachability
 
 __all__ = ["handle_peer_hints", "handle_response_hints"]
 
@@ -16,6 +17,7 @@
     if attempt is None:
         return []
     received = event.hints
+    reached = reachability.note_answer(host, pending, attempt)
     out = ratelimits.note_response(host, attempt, received.rate_limit, now)
     if received.leaving:
         out += draining.note_response(host, attempt, now)
@@ -23,7 +25,7 @@
         out += gossip.broadcast_hints(host, now)
     if received.backoff_s is not None:
         out += backoff.note_backoff(host, attempt, received.backoff_s, now)
-    return out + crashes.note_response(host, attempt, now)
+    return out + reached + crashes.note_response(host, attempt, now)
 
 
 def handle_peer_hints(host, event, now):
--- a/crocuskeel/core/entry/retrying.py
+++ b/crocuskeel/core/entry/retrying.py
@@ -3,6 +3,7 @@
 from crocuskeel.core.entry import draining
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import quarantine
+from crocuskeel.core.entry import reachability
 from crocuskeel.core.entry import retry_budget
 from crocuskeel.core.entry import server_choice
 
@@ -51,13 +52,14 @@
         return False
     if pending.deadline_at - now < MIN_SEND_S:
         return False
-    if _servers_used(host, pending) >= pending.route.max_servers:
+    if _servers_used(host, pending) >= pending.max_servers:
         return False
     if (quarantine.is_quarantined(host, pending.digest, now)
             or quarantine.must_wait(host, pending, now)):
         return False
     tried = {attempt.sid for attempt in pending.attempts}
-    if not _has_untried_server(host, pending.service, tried, now):
+    if not (_has_untried_server(host, pending.service, tried, now)
+            or reachability.may_relay(host, pending, now)):
         return False
     return retry_budget.may_retry(host, pending.service, now)
 
--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -12,6 +12,7 @@
 from crocuskeel.core.entry import prefix_cache
 from crocuskeel.core.entry import quarantine
 from crocuskeel.core.entry import ratelimits
+from crocuskeel.core.entry import reachability
 from crocuskeel.core.entry import retry_budget
 from crocuskeel.core.entry import retrying
 from crocuskeel.core.entry import server_choice
@@ -30,6 +31,10 @@
     quarantine_s = quarantine.time_left_s(host, pending.digest, now)
     if quarantine_s:
         return ending.give_up(host, pending, "quarantined", now, quarantine_s)
+    if reachability.is_cut_off(host, pending.service):
+        out = _relay(host, pending, left, now)
+        if out:
+            return out
     if quarantine.must_wait(host, pending, now) or not trials.may_begin(
             host, pending, now):
         if now < max(admission.queue_until(pending),
@@ -63,6 +68,42 @@
                                     retrying.next_check(pending, now))]
 
 
+def _relay(host, pending, left, now):
+    """Send a request to another host, which reaches its servers.
+
+    Returns no effects if none does: it is sent to a server then.
+    """
+    peer = reachability.relay_host(host, pending, now)
+    if peer is None:
+        if (pending.request.max_servers is None
+                and not any(each.relayed for each in pending.attempts)):
+            return []
+        return ending.give_up(host, pending, "cut off", now)
+    attempt = states.Attempt(
+        len(pending.attempts), peer.name, "", now, relayed=True,
+        servers=max(1, pending.max_servers - pending.servers_used))
+    if pending.servers_used:
+        retry_budget.note_retry(host, pending.service, now)
+    host.held.discard(pending.key)
+    class_minimums.note_sent(host, pending, now)
+    pending.attempts.append(attempt)
+    pending.servers_used += attempt.servers
+    pending.connect_attempts += 1
+    ip, _, port = peer.public_address.rpartition(":")
+    other = model.Server(peer.name, pending.service, (ip, int(port)),
+                         peer.domain, 0, False)
+    order = effects.SendRequest(
+        pending.key, attempt.attempt_number, other, left, pending.priority,
+        pending.workspace, pending.route.kind is model.Kind.STREAM,
+        resume=pending.forwarded_attempt is not None,
+        relay_servers=attempt.servers)
+    line = ending.log_line(
+        "relayed", pending.request, turn=attempt.attempt_number,
+        peer=peer.name, service=pending.service, left_s=round(left, 2))
+    return [order, line, effects.SetRequestTimer(
+        pending.key, retrying.next_check(pending, now))]
+
+
 def _sent_line(host, pending, target, attempt, source, now):
     """Return the log line of an attempt, with the inputs of the choice."""
     report_age_s = min(99, now - target.reported_at)
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -64,6 +64,10 @@
     fetched_tokens: int = 0
     # Upper bound of the tokens that it occupies in its engine's memory.
     memory_tokens: int = 0
+    # The number of servers that may run the request by it, more than one if
+    # another host relays it; ``sid`` is that host's name then.
+    servers: int = 1
+    relayed: bool = False
     # The first event has arrived; pauses are measured from then on.
     opened: bool = False
     ended: bool = False
@@ -81,6 +85,8 @@
     priority: int
     arrived_at: float
     deadline_at: float
+    # The maximum number of servers that it may be sent to.
+    max_servers: int = 1
     # Identifies identical requests of one workspace, see quarantine.digest_of.
     digest: str = ""
     attempts: list = dataclasses.field(default_factory=list)
@@ -176,6 +182,8 @@
     # Whether its program understands reports on crashes.
     takes_crash_reports: bool = False
     last_sent_at: float = 0.0
+    # Names of the services that it is cut off from.
+    cut_off: frozenset = frozenset()
     # When a third host last reported this one as ready.
     confirmed_ready_at: float = 0.0
 
@@ -229,6 +237,8 @@
     # Lost attempts and crashes of servers, for the quarantine.
     crash_records: records.CrashRecords = dataclasses.field(
         default_factory=records.CrashRecords)
+    # By service: whether this host reaches its servers.
+    reach: dict = dataclasses.field(default_factory=dict)
     # When this host learned that the store was restored from a copy.
     store_restored_at: float = -math.inf
     store_down_since: float | None = None
--- a/crocuskeel/gateway/gossip.py
+++ b/crocuskeel/gateway/gossip.py
@@ -29,8 +29,9 @@
 PREVIOUS_FIELDS = 10
 STATE_FIELDS = 13
 # Fields that were added to that since, as of a host that doesn't send them:
-# rate limits, draining servers, versions, reports on crashes.
-ADDED_DEFAULTS = ((), (), (), None)
+# rate limits, draining servers, versions, reports on crashes, services that it
+# is cut off from.
+ADDED_DEFAULTS = ((), (), (), None, ())
 KINDS = frozenset(map(str, crash_records.Kind))
 SIGNS = frozenset(map(str, crash_records.Sign)) | {""}
 
@@ -53,7 +54,7 @@
         (event.serving_demand.serving_hosts, event.serving_demand.measured_at),
         event.rate_limits,
         event.servers_leaving,
-        _versions(event), event.crash_reports))
+        _versions(event), event.crash_reports, event.cut_off))
 
 
 def _versions(event):
@@ -135,9 +136,9 @@
         raise ValueError(f"state has {len(rest)} fields")
     # A state of the version without rate limits ends here, one of the
     # version without eras after the next two fields, one of the version
-    # without reports on crashes after the next one.
+    # without reports on crashes after the next one, and so on.
     added = rest[STATE_FIELDS:][:len(ADDED_DEFAULTS)]
-    limits, leaving, versions, reports = (
+    limits, leaving, versions, reports, cut_off = (
         *added, *ADDED_DEFAULTS[len(added):])
     state = events.PeerStateReceived(sender, *previous, wall,
                                      duties.Leader(*leader),
@@ -150,6 +151,7 @@
         _integer, versions)
     return dataclasses.replace(
         state, crash_reports=_crash_reports(reports),
+        cut_off=_services(cut_off),
         catalog_version=catalog_version,
         servers_revision=servers_revision, leader=dataclasses.replace(
             state.leader, version=leader_version, fence=fence))
@@ -186,6 +188,13 @@
     return tuple(row for row in rows if row[0] in KINDS and row[5] in SIGNS)
 
 
+def _services(names):
+    """Check names of services."""
+    if not all(isinstance(name, str) for name in names):
+        raise ValueError(f"invalid services {names!r}")
+    return names
+
+
 def _servers_leaving(rows):
     """Check rows of (server id, incarnation)."""
     for sid, incarnation in rows:
--- a/crocuskeel/gateway/header_codec.py
+++ b/crocuskeel/gateway/header_codec.py
@@ -51,7 +51,8 @@
     ``read_request(head, body)`` returns a model.Request, or raises ValueError
     with the reason for a response 400. ``server_headers(head, send,
     last_event_id)`` returns the headers of a request to a server, without the
-    framing. ``classify(request, head)`` returns a Verdict, ``load(head)``
+    framing. ``classify(request, head)`` returns a Verdict, and so does
+    ``classify_relayed`` for the answer of another host. ``load(head)`` returns
     (running, waiting, slots) or None, and ``hints(head)`` a model.Hints.
     ``stamped(head)`` returns whether an answer carries a server's stamp.
     ``answer_headers(head, keep_stamp)`` returns the headers of an answer to
@@ -61,6 +62,7 @@
     read_request: typing.Callable
     server_headers: typing.Callable
     classify: typing.Callable
+    classify_relayed: typing.Callable
     load: typing.Callable
     hints: typing.Callable
     stamped: typing.Callable
--- a/crocuskeel/gateway/loop.py
+++ b/crocuskeel/gateway/loop.py
@@ -8,6 +8,8 @@
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import fleet
 from crocuskeel.core.leadership import effects as lease_effects
+from crocuskeel.gateway import calls
+from crocuskeel.gateway import exceptions
 from crocuskeel.gateway import servers
 
 __all__ = ["Gateway", "new_gateway"]
@@ -15,6 +17,8 @@
 # Interval at which hosts send their state, s: a host that dies is removed from
 # callers' lists after four of them.
 TICK_INTERVAL_S = fleet.STATE_INTERVAL_S
+# A server that reports its health later than this counts as unreachable, s.
+PROBE_TIMEOUT_S = 0.8
 JSON_HEADER = (b"Content-Type", b"application/json")
 
 
@@ -169,6 +173,15 @@
     gateway.reactor.callLater(delay, gateway.feed, events.LoadsDue())
 
 
+def _probe_server(gateway, effect):
+    done = calls.call(
+        gateway.reactor, effect.server.address, b"GET",
+        effect.path.encode("latin-1"), PROBE_TIMEOUT_S)
+    done.addCallbacks(
+        lambda _: gateway.feed(events.ServerProbed(effect.server.service)),
+        lambda failure: failure.trap(exceptions.CallFailed))
+
+
 def _fetch_snapshot(gateway, effect):
     gateway.fetch_snapshot(effect.peer)
 
@@ -199,6 +212,7 @@
     effects.SendToPeer: _send_datagram,
     effects.ScheduleLoadsDue: _schedule_loads,
     effects.FetchCatalog: _fetch_snapshot,
+    effects.ProbeServer: _probe_server,
     effects.CloseListener: _stop_accepting,
     effects.Exit: _exit,
     effects.LogEvent: _log_event,
--- a/crocuskeel/gateway/servers.py
+++ b/crocuskeel/gateway/servers.py
@@ -66,8 +66,11 @@
     def head_received(self, status, headers):
         """Classify an answer by its head."""
         head = header_codec.Head(headers, status=status)
-        verdict = self.gateway.codec.classify(self.exchange.request, head)
-        if verdict in AUTHENTIC_VERDICTS:
+        codec = self.gateway.codec
+        relayed = self.send.relay_servers is not None
+        classify = codec.classify_relayed if relayed else codec.classify
+        verdict = classify(self.exchange.request, head)
+        if verdict in AUTHENTIC_VERDICTS and not relayed:
             self.gateway.feed(events.HintsReceived(
                 self.exchange.key, self.attempt_number,
                 self.gateway.codec.hints(head)))
--- a/crocuskeel/platform/headers.py
+++ b/crocuskeel/platform/headers.py
@@ -18,6 +18,9 @@
 # Address of the engine that holds the KV cache of a part of the prompt.
 KV_FETCH = b"Kv-Fetch"
 
+# From another host: the number of servers that the request may be sent to.
+RELAY = b"X-Crocuskeel-Relay-Servers"
+
 _REQUEST_ID = REQUEST_ID.lower()
 _SERVER_STAMP = SERVER_STAMP.lower()
 _NOT_RUN = b"x-crocuskeel-not-run"
@@ -45,7 +48,7 @@
     b"authorization", DEADLINE.lower(), EXPECT_SERVER.lower(),
     WORKSPACE.lower(), PRIORITY.lower(), b"x-crocuskeel-expect-version",
     b"x-crocuskeel-pin-ms", b"x-crocuskeel-hold",
-    b"x-crocuskeel-kv-backup", KV_FETCH.lower(), b"kv-from"))
+    b"x-crocuskeel-kv-backup", KV_FETCH.lower(), b"kv-from", RELAY.lower()))
 
 MISDIRECTED = 421
 REFUSALS = (429, 503)
@@ -56,7 +59,8 @@
     """Return the platform's HeaderCodec."""
     return header_codec.HeaderCodec(
         read_request=_read_request, server_headers=_server_headers,
-        classify=_classify, load=_server_load, hints=_server_hints,
+        classify=_classify, classify_relayed=_classify_relayed,
+        load=_server_load, hints=_server_hints,
         stamped=_is_stamped, answer_headers=_answer_headers)
 
 
@@ -68,7 +72,8 @@
         host=host.partition(":")[0].lower(),
         path=head.target.decode("latin-1"),
         api_key=_api_key(head), deadline_s=_deadline_s(head),
-        prompt=_prompt(head), digest=_digest(head, body))
+        prompt=_prompt(head), digest=_digest(head, body),
+        max_servers=_max_servers(head))
 
 
 def _api_key(head):
@@ -88,6 +93,11 @@
         raise ValueError(f"{DEADLINE.decode()}: not a number") from None
 
 
+def _max_servers(head):
+    text = (head.get(RELAY.lower()) or b"").decode("latin-1")
+    return max(1, int(text)) if text.isascii() and text.isdigit() else None
+
+
 def _prompt(head):
     tokens = (head.get(_TOKENS) or b"").decode("latin-1")
     counts = [part.strip() for part in tokens.split(",")]
@@ -123,6 +133,8 @@
 
 
 def _server_headers(head, send, last_event_id):
+    if send.relay_servers is not None:
+        return _relay_headers(head, send, last_event_id)
     excluded = HOP_BY_HOP | RESERVED
     if send.resume and last_event_id is not None:
         excluded = excluded | {LAST_EVENT.lower()}
@@ -140,6 +152,31 @@
     return headers
 
 
+def _relay_headers(head, send, last_event_id):
+    """Return the headers of a request to another host: the caller's own."""
+    excluded = HOP_BY_HOP | {DEADLINE.lower(), RELAY.lower()}
+    if send.resume and last_event_id is not None:
+        excluded = excluded | {LAST_EVENT.lower()}
+    headers = _filter_headers(head, excluded)
+    if send.resume and last_event_id is not None:
+        headers.append((LAST_EVENT, b"%d" % last_event_id))
+    headers.append((DEADLINE, b"%d" % int(send.budget_s * 1000)))
+    headers.append((RELAY, b"%d" % send.relay_servers))
+    return headers
+
+
+def _classify_relayed(request, head):
+    if _is_stamped(head) or head.get(_REQUEST_ID) is not None:
+        return _classify(request, head)
+    # The other host answers for itself: it has not run the request, unless
+    # it reports a failure.
+    if head.status in REFUSALS or 400 <= head.status < 500:
+        return header_codec.Verdict.NOT_RUN
+    if head.status >= 500:
+        return header_codec.Verdict.ANSWER
+    return header_codec.Verdict.MALFORMED
+
+
 def _classify(request, head):
     # It also says that the request was not run.
     if head.status == MISDIRECTED:
--- a/crocuskeel/platform/objects.py
+++ b/crocuskeel/platform/objects.py
@@ -93,7 +93,8 @@
         engine = model.EngineSpec(engine["Slots"], engine["KvTokens"],
                                   _fetch_token_s(engine))
     return model.Service(row["Name"], row.get("MaxConns", 0),
-                         engine or None, _scaling(row.get("Autoscale")))
+                         engine or None, _scaling(row.get("Autoscale")),
+                         row.get("HealthPath") or "/")
 
 
 def _scaling(row):
--- a/emulator/hosts.py
+++ b/emulator/hosts.py
@@ -10,6 +10,7 @@
 from crocuskeel.core.entry import fleet
 from crocuskeel.core.entry import model
 from emulator import engine as engines
+from emulator import relays
 
 __all__ = ["Cut", "EntryHost"]
 
@@ -62,13 +63,13 @@
     def opened(self, run):
         """Report the first event of a stream."""
         self._send_hints()
-        self._send_event(
+        self.send_event(
             events.StreamOpened(self.key, self.attempt_number,
                                 self.server.load()))
 
     def progressed(self, run):
         """Report a further event of a stream."""
-        self._send_event(
+        self.send_event(
             events.StreamProgressed(
                 self.key,
                 self.attempt_number))
@@ -76,15 +77,15 @@
     def ended(self, run):
         """Report the end of the response."""
         if run.prompt is not None:
-            self._send_event(events.StreamEnded(self.key, self.attempt_number))
+            self.send_event(events.StreamEnded(self.key, self.attempt_number))
             return
         self._send_hints()
-        self._send_event(events.ResponseReceived(
+        self.send_event(events.ResponseReceived(
             self.key, self.attempt_number, 200, self.server.load(), True))
 
     def broken(self, run):
         """Report a broken connection."""
-        self._send_event(events.AttemptFailed(
+        self.send_event(events.AttemptFailed(
             self.key, self.attempt_number, model.Outcome.DISCONNECTED, "reset",
             True))
 
@@ -92,7 +93,7 @@
         """Report a failure before the request was run."""
         if outcome is model.Outcome.NOT_RUN:
             self._send_hints()
-        self._send_event(
+        self.send_event(
             events.AttemptFailed(self.key, self.attempt_number, outcome))
 
     def _send_hints(self):
@@ -104,14 +105,16 @@
             self.server.told_leaving.setdefault(name, now)
         if hints.backoff_s is not None:
             self.server.rests.append((now, name, hints.backoff_s))
-        self._send_event(
+        self.send_event(
             events.HintsReceived(
                 self.key,
                 self.attempt_number,
                 hints))
 
-    def _send_event(self, event):
-        if self.host.cut is Cut.SILENT and self.server.sid in self.host.lost:
+    def send_event(self, event):
+        """Deliver an event, unless the connection has fallen silent."""
+        if (self.host.cut is Cut.SILENT and self.server is not None
+                and self.server.sid in self.host.lost):
             self.silenced = True
         if self.silenced:
             return
@@ -245,6 +248,9 @@
 
 def _send_request(host, effect):
     pending = host.pending[effect.key]
+    if effect.relay_servers is not None:
+        _relay_request(host, effect)
+        return
     server = host.world.servers.get(effect.server.sid)
     listener = _Listener(host, effect.key, effect.attempt_number, server)
     if server is None or server.down:
@@ -271,6 +277,28 @@
         source)
 
 
+def _relay_request(host, effect):
+    pending = host.pending[effect.key]
+    other = host.world.hosts[effect.server.sid]
+    listener = _Listener(host, effect.key, effect.attempt_number, None)
+    relay = relays.Relay(listener, pending.caller, other)
+    pending.runs[effect.attempt_number] = relay, relay
+    host.world.clock.after(
+        host.world.network_delay_s, relay.submit, dataclasses.replace(
+            pending.request, deadline_s=effect.budget_s,
+            max_servers=effect.relay_servers))
+
+
+def _probe_server(host, effect):
+    server = host.world.servers.get(effect.server.sid)
+    if server is None or server.down or (
+            host.cut is not None and effect.server.sid in host.lost):
+        return
+    host.world.clock.after(
+        2 * host.world.network_delay_s, host.receive_event, host.boot,
+        events.ServerProbed(effect.server.service))
+
+
 def _fail_cut_off(host, listener):
     """Carry out an attempt at a server that the host is cut off from."""
     match host.cut:
@@ -357,6 +385,7 @@
     effects.Answer: _refuse,
     effects.AbortStream: _abort_stream,
     effects.SetRequestTimer: _set_timer,
+    effects.ProbeServer: _probe_server,
     effects.SendToPeer: _send_to_peer,
     effects.ScheduleLoadsDue: _schedule_loads_due,
 }
--- a/tests/entry/crash_driver.py
+++ b/tests/entry/crash_driver.py
@@ -22,6 +22,11 @@
         self.last_key = 0
         self.revision = 10
 
+    def feed(self, event, after=0.0):
+        """Feed an event; attempts that fail are due to their servers."""
+        self.host.reach.clear()
+        return super().feed(event, after)
+
     def send(self, digest, sid=None):
         """Send a request, to ``sid`` if given; return its key or None."""
         self.last_key += 1
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -61,7 +61,8 @@
     return header_codec.HeaderCodec(
         read_request=read_request,
         server_headers=lambda head, send, last: [(b"Host", b"h")],
-        classify=classify, load=lambda head: None, hints=hints,
+        classify=classify, classify_relayed=classify,
+        load=lambda head: None, hints=hints,
         stamped=lambda head: True,
         answer_headers=lambda head, keep: [(b"X-Kept", b"1")])
 
--- a/tests/gateway/test_upgrade.py
+++ b/tests/gateway/test_upgrade.py
@@ -85,7 +85,7 @@
         datagram = self._sent_datagram(state)
         self.assertEqual(state, gossip.decode(datagram))
         fields = msgpack.unpackb(datagram, use_list=False)
-        former = gossip.decode(msgpack.packb(fields[:-2]))
+        former = gossip.decode(msgpack.packb(fields[:-3]))
         self.assertEqual((None, 4, STATE.leader), (
             former.catalog_version, former.servers_revision, former.leader))
 
@@ -101,12 +101,23 @@
         fields = msgpack.unpackb(gossip.encode(dataclasses.replace(
             state, crash_reports=rows)), use_list=False)
         # Hosts of the version without reports were considered dead.
-        self.assertEqual(state, gossip.decode(msgpack.packb(fields[:-1])))
+        self.assertEqual(state, gossip.decode(msgpack.packb(fields[:-2])))
         self._receive(gossip.encode_previous(
             events.PeerStateReceived(support.peer("h0"), True, False, 3, 4)))
         self.assertIsNone(
             self._sent_datagram(events.CrashReportsReceived("h1", rows)))
 
+    def test_state_without_services_that_are_cut_off_is_understood(self):
+        state = dataclasses.replace(
+            STATE, catalog_version=24, crash_reports=(), cut_off=("engines",))
+        datagram = gossip.encode(state)
+        self.assertEqual(state, gossip.decode(datagram))
+        fields = msgpack.unpackb(datagram, use_list=False)
+        self.assertEqual(dataclasses.replace(state, cut_off=()),
+                         gossip.decode(msgpack.packb(fields[:-1])))
+        with self.assertRaises(ValueError):
+            gossip.decode(msgpack.packb((*fields[:-1], (7,))))
+
     def test_crash_reports_of_a_later_version_are_left_out(self):
         # A state that is refused makes its host count as dead.
         known = ("crashed", 30, "d", "s1", "s1/7", "refused", 0)
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -136,6 +136,56 @@
                 self.assertEqual(expected,
                                  self._classify(*rows, status=status))
 
+    def _relay_headers(self, **kwargs):
+        send = effects.SendRequest(
+            1, 0, support.server("h1"), 1.5, 0, "hire", True,
+            relay_servers=2, **kwargs)
+        head = header_codec.Head(
+            (*SENT, (b"Authorization", b"Bearer key-1"),
+             (b"X-Crocuskeel-Relay-Servers", b"9"),
+             (b"Connection", b"close")), b"POST", b"/a/1")
+        return dict(self.codec.server_headers(head, send, 7))
+
+    def test_relayed_request_is_the_callers_own(self):
+        # Another host checks its key and adds what servers expect.
+        found = self._relay_headers()
+        self.assertEqual(
+            {**dict(SENT), b"Authorization": b"Bearer key-1",
+             b"X-Crocuskeel-Deadline-Ms": b"1500",
+             b"X-Crocuskeel-Relay-Servers": b"2"}, found)
+        self.assertEqual(
+            b"7", self._relay_headers(resume=True)[b"Last-Event-Id"])
+
+    def test_relayed_request_is_told_from_a_callers(self):
+        for value, expected in ((b"2", 2), (b"0", 1), (b"many", None),
+                                (b"-1", None), (b"", None)):
+            head = header_codec.Head(
+                (*SENT, (b"X-Crocuskeel-Relay-Servers", value)),
+                b"POST", b"/a/1")
+            with self.subTest(value):
+                request = self.codec.read_request(head, b"")
+                self.assertEqual(expected, request.max_servers)
+        # Servers don't get it.
+        send = effects.SendRequest(
+            1, 0, support.server("i-1"), 1.5, 0, "hire", False)
+        self.assertNotIn(b"X-Crocuskeel-Relay-Servers", dict(
+            self.codec.server_headers(head, send, None)))
+
+    def test_verdicts_on_relayed_answers(self):
+        rid = (b"X-Crocuskeel-Request-Id", b"9c41")
+        other = (b"X-Crocuskeel-Request-Id", b"ffff")
+        stamp = (b"X-Crocuskeel-Server-Stamp", b"3e1b")
+        request = model.Request("9c41", "POST", "h", "/")
+        for rows, status, expected in (
+                ((rid, stamp), 200, "answer"), ((rid, stamp), 503, "answer"),
+                ((rid,), 404, "answer"), ((other, stamp), 200, "foreign"),
+                ((), 200, "garbled"), ((), 503, "not_run"),
+                ((), 404, "not_run"), ((), 408, "not_run"),
+                ((), 502, "answer"), ((), 504, "answer")):
+            with self.subTest(rows=rows, status=status):
+                self.assertEqual(expected, self.codec.classify_relayed(
+                    request, header_codec.Head(rows, status=status)).value)
+
     def test_misdirected_request_is_no_answer_of_its_server(self):
         # It counted as a refusal by the server before, which proved that
         # that one was running: a crash was taken back on all hosts.
