Crashes: a request that a server cannot have begun is not in its crash

Cause: at a sign that a server is gone, all attempts in progress there count. But the store removes an entry after three heartbeat intervals without one, so the server ended two intervals ago or more, and began nothing since.

Now only attempts that were sent by then count, for this sign.

Evidence: test_request_that_a_server_cannot_have_begun_is_no_cause failed before. Ruled out: to take a crash by a refused connection back once others hear from the server.

--- a/crocuskeel/core/entry/crashes.py
+++ b/crocuskeel/core/entry/crashes.py
@@ -27,6 +27,9 @@
 # within STORE_SILENCE_S.
 EXPIRY_HEARTBEATS = 4
 STORE_SILENCE_S = 3.0
+# The store removes an entry after three heartbeat intervals without one. So a
+# server whose entry is removed now ended at least two intervals ago.
+MIN_EXPIRY_HEARTBEATS = 2
 # Undecided losses and crashes are kept for this long, s.
 LOSS_RETENTION_S = 60.0
 CRASH_RETENTION_S = 600.0
@@ -88,7 +91,10 @@
     if found:
         known.losses = [loss for loss in known.losses if loss not in found]
     if state is not None and sign in GONE_SIGNS:
-        found += _attempts_in_progress(host, state, now)
+        begun_by = now
+        if sign is records.Sign.REMOVED:
+            begun_by -= MIN_EXPIRY_HEARTBEATS * host.cfg.heartbeat_s
+        found += _attempts_in_progress(host, state, begun_by, now)
     out = []
     for loss in found:
         report = records.Report(
@@ -101,13 +107,17 @@
     return out
 
 
-def _attempts_in_progress(host, state, now):
-    """Return the attempts in progress at a server as if lost now."""
+def _attempts_in_progress(host, state, begun_by, now):
+    """Return the attempts in progress at a server as if lost now.
+
+    Only those sent by ``begun_by``: a server that had ended began no others.
+    """
     found = []
     for key, attempt_number in state.own_attempts:
         digest = host.pending[key].digest
         attempt = host.pending[key].attempts[attempt_number]
-        if digest and attempt.incarnation == state.server.incarnation:
+        if (digest and attempt.sent_at <= begun_by
+                and attempt.incarnation == state.server.incarnation):
             found.append(records.Loss(
                 now, attempt.sid, attempt.incarnation, digest))
     return found
--- a/tests/entry/test_crashes.py
+++ b/tests/entry/test_crashes.py
@@ -106,6 +106,15 @@
 class RunningServerTest(unittest.TestCase):
     """Servers that run break connections, too; that is no crash."""
 
+    def test_request_that_a_server_cannot_have_begun_is_no_cause(self):
+        # A host that was cut off had requests on the way to servers whose
+        # entries expired. They counted as in progress in their crashes.
+        fleet = crash_driver.CrashDriver()
+        for sid in ("s1", "s2"):
+            fleet.send("i", sid)
+            fleet.remove(sid, 0.2)
+        self.assertFalse(fleet.is_quarantined("i"))
+
     def test_entries_that_expired_in_an_outage_are_no_crash(self):
         # Entries of running servers expire while the store is away. Requests
         # that had lost an answer there were refused for a minute.
