Crashes: refused connections of a host that is cut off are no sign

A host tells others which servers refused its connections, and these take it for the end of the server: requests lost there count as in its crash, and hosts without requests there avoid it. A host that has lost its paths sees all servers refuse.

Now hosts pass over what one tells of a service that it says it is cut off from. test_refusals_seen_by_a_host_that_is_cut_off_are_no_sign failed before. What it tells before it has found out (within a second, as it needs failures at two servers) still counts until a server's answer refutes it.

--- a/crocuskeel/core/entry/peers.py
+++ b/crocuskeel/core/entry/peers.py
@@ -81,9 +81,13 @@
     """Handle load changes that another serving host reports."""
     _apply_load_rows(host, event.name, event.loads, now)
     out = []
+    sender = host.peers.get(event.name)
     for sid in event.refused:
-        out += crashes.note_down(host, sid, crash_records.Sign.REFUSED, now)
         state = host.servers.get(sid)
+        if (sender is not None and state is not None
+                and state.server.service in sender.cut_off):
+            continue
+        out += crashes.note_down(host, sid, crash_records.Sign.REFUSED, now)
         # A host that is cut off from a server sees it refuse connections,
         # too. A host with requests there detects a crash by itself.
         if state is not None and not state.own_attempts:
--- a/tests/entry/test_crashes.py
+++ b/tests/entry/test_crashes.py
@@ -115,6 +115,18 @@
             fleet.remove(sid, 0.2)
         self.assertFalse(fleet.is_quarantined("i"))
 
+    def test_refusals_seen_by_a_host_that_is_cut_off_are_no_sign(self):
+        fleet = crash_driver.CrashDriver()
+        peer = support.peer("host-1")
+        fleet.feed(events.PeersListed((peer,)))
+        fleet.feed(events.PeerStateReceived(
+            peer, True, False, 10, 5, catalog_version=10,
+            cut_off=("plain",)))
+        for sid in ("s1", "s2"):
+            fleet.lose("i", sid)
+            fleet.feed(events.PeerLoadsReceived("host-1", (), (sid,)))
+        self.assertFalse(fleet.is_quarantined("i"))
+
     def test_entries_that_expired_in_an_outage_are_no_crash(self):
         # Entries of running servers expire while the store is away. Requests
         # that had lost an answer there were refused for a minute.
