Soak: hosts that are cut off from all servers

The links in front of the servers find the host of a connection by the process that has its socket (all connect from one loopback address), and cut off one host at a time: new connections are reset, all are, or all stay open and carry nothing. The check has the users' bounds; requests at hosts with another fault, or while all others are cut off too, don't count. The stand-in of a server reports its health.

Tried first and dropped: an address of its own for each path, written into the store's answers.

--- /dev/null
+++ b/tests/soak/test_cut_checks.py
@@ -0,0 +1,59 @@
+"""The check of hosts that are cut off from servers, violated and kept."""
+
+import unittest
+
+from tools.soak import callers
+from tools.soak import cut_checks
+from tools.soak import record as records
+
+CUT, OTHER = "127.1.1.1", "127.1.1.2"
+KINDS = ("top", "unsafe")
+
+
+def _record(served, body=b"body", at=104.0, faults=()):
+    """Return a record of 40 requests, ``served`` of 20 at the cut host."""
+    record = records.new_record()
+    record.add_fault(CUT, cut_checks.CUT_OFF, 100.0, 6.0)
+    for place, name in faults:
+        record.add_fault(place, name, 103.0, 1.0)
+    for number in range(40):
+        ip = CUT if number < 20 else OTHER
+        status = 200 if number < served or number >= 20 else 503
+        request = callers.Request(
+            f"r{number}", KINDS[number % 2], "/top/1", (), body)
+        record.sent[request.rid] = records.SentRequest(
+            request, ip, 1, at, 1, 1, at + 0.1,
+            callers.Reply(status=status))
+    return record
+
+
+def _violations(record):
+    return cut_checks.check_cut_off(record, KINDS, b"identical")
+
+
+class CutOffCheckTest(unittest.TestCase):
+    """Ten and one in fifty requests may fail, or a third of them."""
+
+    def test_callers_of_the_cut_host_are_refused(self):
+        self.assertEqual(
+            ["hosts cut off from servers served 8 of 20, the others 20 of 20"],
+            _violations(_record(8)))
+
+    def test_no_violations(self):
+        rows = (
+            ("few fail", _record(10)),
+            ("the cut has just begun", _record(0, at=102.0)),
+            ("it is over", _record(0, at=106.5)),
+            ("requests that crash servers", _record(0, body=b"poison")),
+            ("identical requests", _record(0, body=b"identical 1")),
+            ("the host is killed", _record(0, faults=((CUT, "kill"),))),
+            ("nobody is connected", _record(
+                0, faults=((OTHER, cut_checks.CUT_OFF),))),
+        )
+        for name, record in rows:
+            with self.subTest(name):
+                self.assertEqual([], _violations(record))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -3,6 +3,7 @@
 import collections
 import math
 
+from tools.soak import cut_checks
 from tools.soak import engine
 from tools.soak import record as records
 
@@ -162,6 +163,7 @@
             + _check_starvation(record)
             + _check_tiers(record) + _check_poison(record)
             + _check_identical(record)
+            + cut_checks.check_cut_off(record, KINDS, IDENTICAL)
             + _check_rates(record) + _check_leaving(record)
             + _check_backoffs(record))
 
--- a/tools/soak/engine.py
+++ b/tools/soak/engine.py
@@ -23,6 +23,7 @@
 # second part names.
 POISON = b"poison"
 RID = b"x-crocuskeel-request-id"
+HEALTH_PATH = b"/health"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -120,7 +121,10 @@
         """Ignore a malformed request."""
 
     def request_received(self, exchange):
-        """Run a request."""
+        """Run a request, or report the health."""
+        if exchange.head.target == HEALTH_PATH:
+            exchange.answer(200, [], b"")
+            return
         rid = exchange.head.get(RID).decode()
         self.record.reached.append((rid, self.sid, self.reactor.seconds()))
         expected = exchange.head.get(b"x-crocuskeel-expect-instance")
@@ -208,7 +212,7 @@
         self.rate_limit = rate
 
     def _end_work(self, exchange):
-        rid = exchange.head.get(RID).decode()
+        rid = (exchange.head.get(RID) or b"").decode()
         self.record.working.discard((rid, self.sid))
 
     def _answer(self, exchange, rid):
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -6,6 +6,8 @@
 """
 
 from tools.soak import checks
+from tools.soak import cut_checks
+from tools.soak import cuts
 from tools.soak import engine as engines
 
 __all__ = ["FAULTS", "PLANNED_WORK", "choose_kinds", "do_planned_work",
@@ -14,6 +16,10 @@
 GRACE_S = 8.0
 KINDS_PER_RUN = 3
 SEVERED_SHARE = 0.7
+# How long a host is cut off from all servers, s.
+CUT_S = 6.0
+# Runs of these seeds have hosts that are cut off from all servers.
+CUT_SEEDS = range(1300, 1400)
 # Runs of these seeds have restores of the store.
 RESTORE_SEEDS = range(1100, 1200)
 # Runs of these seeds have requests that crash servers in each form.
@@ -37,6 +43,8 @@
         kinds[0] = _restore
     if seed in CRASH_SEEDS and _poison_in_each_form not in kinds:
         kinds[0] = _poison_in_each_form
+    if seed in CUT_SEEDS and _cut_off not in kinds:
+        kinds[0] = _cut_off
     return kinds
 
 
@@ -137,6 +145,18 @@
             checks.IDENTICAL, soak.last_number))
 
 
+def _cut_off(soak):
+    """Cut some hosts off from all servers, each in the same form."""
+    count = soak.rng.randrange(1, len(soak.fleet.ips))
+    form = soak.rng.choice(cuts.FORMS)
+    links = [soak.links[sid] for sid in soak.engines]
+    for ip in soak.rng.sample(soak.fleet.ips, count):
+        if ip not in soak.cuts.forms:
+            soak.note_fault(ip, cut_checks.CUT_OFF, CUT_S)
+            soak.cuts.cut(ip, form, links)
+            soak.call_later(CUT_S, soak.cuts.reconnect, ip)
+
+
 def _leave(soak):
     # Planned: a replacement starts first, and the server runs on for a while.
     sid = soak.any_engine()
@@ -326,4 +346,5 @@
 ADDED_KINDS = (
     (200, (_reborn, _other_writer)), (400, (_silent_store,)),
     (500, (_need,)), (600, (_leave_unlisted, _rest)), (1000, (_sever,)),
-    (1100, (_restore,)), (1200, (_poison_in_each_form,)))
+    (1100, (_restore,)), (1200, (_poison_in_each_form,)),
+    (1300, (_cut_off,)))
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -7,6 +7,7 @@
 
 import collections
 
+from tools.soak import cuts
 from twisted.internet import error
 from twisted.internet import protocol
 
@@ -30,7 +31,14 @@
     def connectionMade(self):
         self.link.sides.add(self)
         self.silenced = self.link.is_silent(self)
-        if self.from_client:
+        if not self.from_client:
+            return
+        form = self.link.form_of(self)
+        if form == cuts.Form.SILENT:
+            self.silenced = True
+        elif form is not None:
+            self.transport.abortConnection()
+        else:
             self.link.connect(self)
 
     def dataReceived(self, data):
@@ -46,6 +54,12 @@
         elif self.other is not None:
             self.other.transport.abortConnection()
 
+    def silence(self):
+        """Carry no more data in either direction."""
+        self.silenced = True
+        if self.other is not None:
+            self.other.silenced = True
+
     def pair_with(self, other):
         """Set the other side and forward the data received before."""
         self.other = other
@@ -116,9 +130,11 @@
 
     noisy = False
 
-    def __init__(self, reactor, target):
+    def __init__(self, reactor, target, form_of=lambda side: None):
         self.reactor = reactor
         self.target = target
+        # Returns in which form the host of a connection is cut off, or None.
+        self.form_of = form_of
         self.sides = set()
         self.delay_s = 0.0
         # Whether the data from the client, from the server is dropped.
@@ -155,9 +171,7 @@
         """
         for side in [each for each in self.sides if each.from_client]:
             if is_chosen():
-                side.silenced = True
-                if side.other is not None:
-                    side.other.silenced = True
+                side.silence()
 
     def reset(self):
         """Reset all open connections."""
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -8,6 +8,8 @@
 from tools.soak import callers
 from tools.soak import checks
 from tools.soak import cloud as clouds
+from tools.soak import configs
+from tools.soak import cuts
 from tools.soak import engine as engines
 from tools.soak import faults
 from tools.soak import fleet as fleets
@@ -37,9 +39,6 @@
 KEY = b"key"
 # Interval at which servers write their entries, s.
 HEARTBEAT_S = 1.2
-# Ordered engines never start, so that the holder repeats its orders.
-AUTOSCALE = {"Min": 1, "Max": 20, "BootTimeoutS": 0.5, "SpotPrice": 0.2,
-             "ZonePrices": {"zone-0": 1.0, "zone-1": 1.0}}
 
 
 class Soak:
@@ -75,6 +74,7 @@
         self.fleet = fleets.Fleet(
             folder, self.net, hosts,
             f"127.0.0.1:{cloud.getHost().port}")
+        self.cuts = cuts.Cuts(self.fleet)
 
     def begin(self):
         """Register the servers, write a configuration and start the hosts."""
@@ -87,8 +87,8 @@
             self.front_links[ip] = self._link((ip, fleets.PORTS["Front"]))
             self.fleet.start(number, self._address(self.store_links[ip]))
 
-    def _link(self, target):
-        link = proxy.Link(self.reactor, target)
+    def _link(self, target, *args):
+        link = proxy.Link(self.reactor, target, *args)
         link.listen(self.server_ip)
         return link
 
@@ -112,7 +112,8 @@
             lambda form: self.crash(sid, form))
         port = engine.listen(self.server_ip)
         self.engines[sid] = engine
-        self.links[sid] = self._link((self.server_ip, port))
+        self.links[sid] = self._link(
+            (self.server_ip, port), self.cuts.form_of)
         self._register(sid)
 
     def _register(self, sid):
@@ -210,17 +211,8 @@
         self.versions.append((self.version, self.reactor.seconds()))
 
     def _write_config(self):
-        routes = [_route(kind) for kind in checks.KINDS]
-        routes += [_route(f"v{number}") for number
-                   in (self.version, self.version - 1) if number > 0]
-        services = [{"Name": "plain", "MaxConns": 300},
-                    {"Name": "engines", "MaxConns": 300, "Engine": {
-                        "Slots": 32, "KvTokens": 400_000},
-                     "Autoscale": AUTOSCALE}]
-        self.store.put("config", "main", {
-            "Version": self.version, "Routes": routes,
-            "Services": services, "Tenants": [
-                {"Name": "hire", "ApiKeys": [KEY.decode()]}]})
+        self.store.put("config", "main", configs.new_config(
+            self.version, KEY.decode()))
 
     def _settled(self):
         """Return the last version that must be in force by now."""
@@ -342,17 +334,6 @@
         return done
 
 
-def _route(kind):
-    stream = kind in checks.STREAMS
-    return {"Name": kind, "Host": "desk", "Prefix": f"/{kind}/",
-            "Kind": ("stream" if stream else
-                     "unsafe" if kind == "unsafe" else "safe"),
-            "TimeoutMs": 4000, "GoalMs": 500, "Attempts": 2,
-            "Resumable": stream, "GapAimMs": 300,
-            "Priority": 2 if kind == "low" else 0,
-            "Service": "engines" if stream else "plain"}
-
-
 async def run_soak(soak, seconds):
     """Run load and faults for some seconds, then check the recovery."""
     clock = soak.reactor.seconds
