--- a/tools/soak/cuts.py
+++ b/tools/soak/cuts.py
@@ -4,6 +4,7 @@
 by the process that has the socket.
 """
 
+import enum
 import os
 
 __all__ = ["FORMS", "Cuts", "Form"]
@@ -13,7 +14,7 @@
 INODE_FIELD = 9
 
 
-class Form:
+class Form(enum.StrEnum):
     """What a cut does to the connections of a host."""
 
     # New ones are reset; open ones live on.
@@ -24,7 +25,7 @@
     SILENT = "silent"
 
 
-FORMS = (Form.NEW, Form.RESET, Form.SILENT)
+FORMS = tuple(Form)
 
 
 class Cuts:
