Relays: a refused relay doesn't end an attempt that is in progress

Found in the second reading: a repeatable request that waits at a silent server was relayed as well; once no other host took it on, it was answered 503 while its first attempt was still at work, so "not run" may have been untrue. It waits for that attempt now, as a request does that no server is left for.

test_refused_relay_does_not_end_an_attempt_in_progress failed before. The two writers of request headers share what a caller's headers become.

--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -78,6 +78,9 @@
         if (pending.request.max_servers is None
                 and not any(each.relayed for each in pending.attempts)):
             return []
+        if ending.active_attempts(pending):
+            return [effects.SetRequestTimer(
+                pending.key, retrying.next_check(pending, now))]
         return ending.give_up(host, pending, "cut off", now)
     attempt = states.Attempt(
         len(pending.attempts), peer.name, "", now, relayed=True,
--- a/crocuskeel/platform/headers.py
+++ b/crocuskeel/platform/headers.py
@@ -132,15 +132,19 @@
             and name.lower() not in hop_by_hop]
 
 
+def _own_headers(head, excluded, send, last_event_id):
+    """Return a request's own headers; a stream resumes after an event."""
+    if not send.resume or last_event_id is None:
+        return _filter_headers(head, excluded)
+    return [*_filter_headers(head, excluded | {LAST_EVENT.lower()}),
+            (LAST_EVENT, b"%d" % last_event_id)]
+
+
 def _server_headers(head, send, last_event_id):
     if send.relay_servers is not None:
         return _relay_headers(head, send, last_event_id)
-    excluded = HOP_BY_HOP | RESERVED
-    if send.resume and last_event_id is not None:
-        excluded = excluded | {LAST_EVENT.lower()}
-    headers = _filter_headers(head, excluded)
-    if send.resume and last_event_id is not None:
-        headers.append((LAST_EVENT, b"%d" % last_event_id))
+    headers = _own_headers(
+        head, HOP_BY_HOP | RESERVED, send, last_event_id)
     headers.append((DEADLINE, b"%d" % int(send.budget_s * 1000)))
     headers.append((EXPECT_SERVER, send.server.sid.encode()))
     if send.workspace:
@@ -154,12 +158,9 @@
 
 def _relay_headers(head, send, last_event_id):
     """Return the headers of a request to another host: the caller's own."""
-    excluded = HOP_BY_HOP | {DEADLINE.lower(), RELAY.lower()}
-    if send.resume and last_event_id is not None:
-        excluded = excluded | {LAST_EVENT.lower()}
-    headers = _filter_headers(head, excluded)
-    if send.resume and last_event_id is not None:
-        headers.append((LAST_EVENT, b"%d" % last_event_id))
+    headers = _own_headers(
+        head, HOP_BY_HOP | {DEADLINE.lower(), RELAY.lower()}, send,
+        last_event_id)
     headers.append((DEADLINE, b"%d" % int(send.budget_s * 1000)))
     headers.append((RELAY, b"%d" % send.relay_servers))
     return headers
--- a/tests/entry/test_reachability.py
+++ b/tests/entry/test_reachability.py
@@ -249,6 +249,20 @@
         self.assertEqual(1, order.relay_servers)
         self.assertIsNone(_order(driver.feed(events.TimerFired(key), 0.3)))
 
+    def test_refused_relay_does_not_end_an_attempt_in_progress(self):
+        driver = _Driver()
+        keys = [driver.send("/lookup/1", deadline_s=9.0)[0]
+                for _ in range(4)]
+        driver.now += reachability.SILENCE_S + 0.1
+        driver.hear_of("s0", "s1", "s2", "s3")
+        driver.feed(events.Ticked())
+        driver.feed(events.TimerFired(keys[0]))
+        for number in (1, 2):
+            driver.fail(keys[0], number, model.Outcome.NOT_RUN)
+            out = driver.feed(events.TimerFired(keys[0]), 0.1)
+        self.assertEqual([], _answers(out))
+        self.assertIn(keys[0], driver.host.pending)
+
     def test_caller_that_leaves_ends_the_relay(self):
         driver = _Driver()
         driver.cut_off()
