Relays: servers that have crashed are told from a path that has failed

Cause: failures at two servers were enough, and the probe that was sent with them came too late to say otherwise.

Now the host waits for that probe, 0.1 s, and holds requests meanwhile; if it is answered they are sent directly. test_servers_that_crashed_are_no_cut failed before.

--- a/crocuskeel/core/entry/reachability.py
+++ b/crocuskeel/core/entry/reachability.py
@@ -3,8 +3,8 @@
 A host can lose its paths to all servers while callers, the store and other
 hosts still reach it. It is taken to be cut off from a service if its attempts
 fail at several of its servers, and none has answered one that was sent since;
-or if several don't answer while other hosts hear from them. Requests are then
-relayed to another host that is not cut off. A host that is asks a server now
+or if several don't answer while other hosts hear from them, and a probe gets
+no answer either. Requests are then relayed to another host that is not cut off. A host that is asks a server now
 and then for its health, and sends to servers again once one answers.
 
 If all hosts are cut off, as when all servers are down, none relays.
@@ -18,8 +18,9 @@
 from crocuskeel.core.entry import ending
 from crocuskeel.core.entry import fleet
 
-__all__ = ["Reach", "cut_off_services", "is_cut_off", "may_relay",
-           "note_answer", "note_failure", "probed", "relay_host", "step"]
+__all__ = ["Reach", "cut_off_services", "is_cut_off", "is_in_doubt",
+           "may_relay", "note_answer", "note_failure", "probed",
+           "relay_host", "step"]
 
 # Attempts have to fail at so many servers, or at all of a service with fewer.
 MIN_SERVERS = 2
@@ -29,6 +30,8 @@
 # report to others takes a state's interval.
 SILENCE_S = 1.0
 HEARD_MARGIN_S = 2 * fleet.STATE_INTERVAL_S
+# A probe that is sent at the first doubt is answered within this time, s.
+PROBE_ANSWER_S = 0.1
 # Interval at which a host that is cut off asks a server for its health, s.
 PROBE_INTERVAL_S = 1.0
 
@@ -37,9 +40,9 @@
 class Reach:
     """What this host's attempts at the servers of a service showed.
 
-    ``answered_at`` is when the latest attempt was sent that got an answer,
-    ``failed`` maps a server to when its latest one was sent that failed.
-    ``cut_since`` is None while servers are taken to be reachable.
+    ``answered_at`` is when the latest attempt or probe was sent that got an
+    answer, ``failed`` maps a server to when its latest one was sent that
+    failed. ``cut_since`` is None while servers are taken to be reachable.
     """
 
     answered_at: float = -math.inf
@@ -48,17 +51,24 @@
     probed_at: float = -math.inf
 
 
-def is_cut_off(host, service):
+def is_cut_off(host, service, now):
     """Return whether this host is cut off from a service."""
     reach = host.reach.get(service)
-    return reach is not None and reach.cut_since is not None
+    return (reach is not None and reach.cut_since is not None
+            and now >= reach.cut_since)
 
 
-def cut_off_services(host):
+def is_in_doubt(host, service, now):
+    """Return whether a probe may show that this host is not cut off."""
+    reach = host.reach.get(service)
+    return (reach is not None and reach.cut_since is not None
+            and now < reach.cut_since)
+
+
+def cut_off_services(host, now):
     """Return the names of the services that this host is cut off from."""
-    return tuple(sorted(
-        service for service, reach in host.reach.items()
-        if reach.cut_since is not None))
+    return tuple(sorted(service for service in host.reach
+                        if is_cut_off(host, service, now)))
 
 
 def note_answer(host, pending, attempt):
@@ -70,7 +80,7 @@
     if reach.failed:
         reach.failed = {sid: at for sid, at in reach.failed.items()
                         if at > reach.answered_at}
-    if reach.cut_since is None or attempt.sent_at < reach.cut_since:
+    if reach.cut_since is None or attempt.sent_at < reach.probed_at:
         return []
     return _end_cut(host, pending.service)
 
@@ -93,7 +103,7 @@
     if reach.cut_since is not None or len(failed) < min(
             MIN_SERVERS, usable) or not failed:
         return []
-    reach.cut_since = now
+    reach.cut_since = now + PROBE_ANSWER_S
     return [effects.LogEvent("cut_off", {
         "service": service, "servers": sorted(failed)}),
         *_probe(host, service, reach, now)]
@@ -157,8 +167,10 @@
 
 def probed(host, event, now):
     """Handle the answer of a server that was asked for its health."""
-    return _end_cut(host, event.service) if is_cut_off(
-        host, event.service) else []
+    reach = host.reach.get(event.service)
+    if reach is None or reach.cut_since is None:
+        return []
+    return _end_cut(host, event.service)
 
 
 def relay_host(host, pending, now):
@@ -176,5 +188,5 @@
 
 def may_relay(host, pending, now):
     """Return whether a request is to be relayed, and can be."""
-    return (is_cut_off(host, pending.service)
+    return (is_cut_off(host, pending.service, now)
             and relay_host(host, pending, now) is not None)
--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -31,7 +31,11 @@
     quarantine_s = quarantine.time_left_s(host, pending.digest, now)
     if quarantine_s:
         return ending.give_up(host, pending, "quarantined", now, quarantine_s)
-    if reachability.is_cut_off(host, pending.service):
+    if (reachability.is_in_doubt(host, pending.service, now)
+            and not ending.active_attempts(pending)
+            and reachability.relay_host(host, pending, now) is not None):
+        return _hold(host, pending, now)
+    if reachability.is_cut_off(host, pending.service, now):
         out = _relay(host, pending, left, now)
         if out:
             return out
