Relays: attempts from before an answered probe don't show a failed path

Requests that had been sent into the cut still had no answer, and the probe that was answered didn't count against them.

Now an answered probe counts like an answered attempt. test_attempts_from_before_an_answered_probe_do_not_count failed before.

--- a/crocuskeel/core/entry/reachability.py
+++ b/crocuskeel/core/entry/reachability.py
@@ -170,6 +170,7 @@
     reach = host.reach.get(event.service)
     if reach is None or reach.cut_since is None:
         return []
+    reach.answered_at = max(reach.answered_at, reach.probed_at)
     return _end_cut(host, event.service)
 
 
--- a/tests/entry/test_reachability.py
+++ b/tests/entry/test_reachability.py
@@ -169,6 +169,19 @@
         order = _order(driver.feed(events.TimerFired(key), 0.03))
         self.assertIsNone(order.relay_servers)
 
+    def test_attempts_from_before_an_answered_probe_do_not_count(self):
+        # The host was cut off and reconnected with each tick.
+        driver = _Driver()
+        for _ in range(4):
+            driver.send("/lookup/1", deadline_s=9.0)
+        driver.now += reachability.SILENCE_S + 0.1
+        driver.hear_of("s0", "s1", "s2", "s3")
+        driver.feed(events.Ticked())
+        driver.feed(events.ServerProbed("plain"), 0.01)
+        driver.hear_of("s0", "s1", "s2", "s3")
+        driver.feed(events.Ticked(), 0.3)
+        self.assertFalse(driver.is_cut_off())
+
     def test_probe_that_is_answered_ends_it(self):
         driver = _Driver()
         (probe,) = support.effects_of(driver.cut_off(), effects.ProbeServer)
