Soak: hosts connect from their own addresses, and one host stays connected

Hosts now bind what they connect from to their own loopback address, by a launcher of the soak, and links tell them apart by it.

--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -146,12 +146,13 @@
 
 
 def _cut_off(soak):
-    """Cut some hosts off from all servers, each in the same form."""
+    """Cut some hosts off from all servers, in one form; one is left."""
     count = soak.rng.randrange(1, len(soak.fleet.ips))
     form = soak.rng.choice(cuts.FORMS)
     links = [soak.links[sid] for sid in soak.engines]
     for ip in soak.rng.sample(soak.fleet.ips, count):
-        if ip not in soak.cuts.forms:
+        others = set(soak.fleet.ips) - {ip}
+        if ip not in soak.cuts.forms and others - soak.cuts.forms.keys():
             soak.note_fault(ip, cut_checks.CUT_OFF, CUT_S)
             soak.cuts.cut(ip, form, links)
             soak.call_later(CUT_S, soak.cuts.reconnect, ip)
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -65,7 +65,7 @@
         path = self.write_settings(number)
         with open(self.folder / f"host-{number}.log", "ab") as log:
             self.processes[number] = subprocess.Popen(
-                [sys.executable, "-m", "crocuskeel.programs.entry",
+                [sys.executable, "-m", "tools.soak.host", self.ips[number],
                  "--settings", str(path)], stdout=log, stderr=log)
 
     def write_settings(self, number, slack=50):
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -74,7 +74,7 @@
         self.fleet = fleets.Fleet(
             folder, self.net, hosts,
             f"127.0.0.1:{cloud.getHost().port}")
-        self.cuts = cuts.Cuts(self.fleet)
+        self.cuts = cuts.Cuts()
 
     def begin(self):
         """Register the servers, write a configuration and start the hosts."""
