--- a/crocuskeel/core/entry/reachability.py
+++ b/crocuskeel/core/entry/reachability.py
@@ -3,9 +3,10 @@
 A host can lose its paths to all servers while callers, the store and other
 hosts still reach it. It is taken to be cut off from a service if its attempts
 fail at several of its servers, and none has answered one that was sent since;
-or if several don't answer while other hosts hear from them, and a probe gets
-no answer either. Requests are then relayed to another host that is not cut off. A host that is asks a server now
-and then for its health, and sends to servers again once one answers.
+or if several don't answer while other hosts hear from them; and if a probe
+gets no answer either. Requests are then relayed to another host that is not
+cut off. A host that is asks a server now and then for its health, and sends to
+servers again once one answers.
 
 If all hosts are cut off, as when all servers are down, none relays.
 """
