Relays: a request that no other host takes on is sent to a server

Cause: after a refused relay a request was refused without an attempt at a server. Now it is sent to one: the host may be wrong about its path. One that is relayed to a host that is cut off is refused as before.

The test of refused relays asks for the attempts at servers, and for the refusal after these as before.

--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -75,16 +75,16 @@
 def _relay(host, pending, left, now):
     """Send a request to another host, which reaches its servers.
 
-    Returns no effects if none does: it is sent to a server then.
+    Returns no effects if none does, or takes it on: it is sent to a server
+    then, as this host may be wrong about its path.
     """
     peer = reachability.relay_host(host, pending, now)
     if peer is None:
-        if (pending.request.max_servers is None
-                and not any(each.relayed for each in pending.attempts)):
-            return []
         if ending.active_attempts(pending):
             return [effects.SetRequestTimer(
                 pending.key, retrying.next_check(pending, now))]
+        if pending.request.max_servers is None:
+            return []
         return ending.give_up(host, pending, "cut off", now)
     attempt = states.Attempt(
         len(pending.attempts), peer.name, "", now, relayed=True,
--- a/tests/entry/test_reachability.py
+++ b/tests/entry/test_reachability.py
@@ -250,7 +250,11 @@
         key, first = driver.send()
         second = _order(driver.fail(key, 0, model.Outcome.NOT_RUN))
         self.assertEqual({"h0", "h1"}, {first.server.sid, second.server.sid})
-        (answer,) = _answers(driver.fail(key, 1, model.Outcome.NOT_RUN))
+        third = _order(driver.fail(key, 1, model.Outcome.NOT_RUN))
+        self.assertIsNone(third.relay_servers)
+        fourth = _order(driver.fail(key, 2))
+        self.assertIsNone(fourth.relay_servers)
+        (answer,) = _answers(driver.fail(key, 3))
         self.assertEqual(503, answer.status)
 
     def test_lost_relay_may_have_run(self):
