Relays: a server that was out of reach counts again once a cut has ended

Cause: attempts at a server that is unreachable don't count for the route, and a server stays so until it completes a response. In a cut that mark says something of the host's path.

--- a/crocuskeel/core/entry/reachability.py
+++ b/crocuskeel/core/entry/reachability.py
@@ -114,6 +114,9 @@
     reach = host.reach[service]
     reach.cut_since = None
     reach.failed = {}
+    for state in host.by_service.get(service, ()):
+        # What made it seem lost was this host's path.
+        state.unreachable = False
     return [effects.LogEvent("reconnected", {"service": service})]
 
 
--- a/tests/entry/test_reachability.py
+++ b/tests/entry/test_reachability.py
@@ -169,6 +169,17 @@
         order = _order(driver.feed(events.TimerFired(key), 0.03))
         self.assertIsNone(order.relay_servers)
 
+    def test_servers_are_not_lost_once_the_host_reaches_them_again(self):
+        # Attempts at servers that had been out of reach didn't count, and a
+        # stream ran on three where its route allows two.
+        driver = _Driver()
+        driver.cut_off()
+        self.assertTrue(any(state.unreachable for state
+                            in driver.host.by_service["plain"]))
+        driver.feed(events.ServerProbed("plain"))
+        self.assertFalse(any(state.unreachable for state
+                             in driver.host.by_service["plain"]))
+
     def test_attempts_from_before_an_answered_probe_do_not_count(self):
         # The host was cut off and reconnected with each tick.
         driver = _Driver()
