--- a/crocuskeel/core/entry/attempts.py
+++ b/crocuskeel/core/entry/attempts.py
@@ -57,6 +57,7 @@
     out.append(
         ending.log_line("opened", pending.request, turn=attempt.attempt_number,
                         server=attempt.sid, load=event.load,
+                        software=target.server.version if target else "",
                         after_s=round(now - attempt.sent_at, 3)))
     return out
 
--- a/crocuskeel/core/entry/model.py
+++ b/crocuskeel/core/entry/model.py
@@ -54,7 +54,9 @@
     ``digest`` identifies method, path and body, not the ``api_key``.
     ``deadline_s`` is how long the caller waits from the request's arrival,
     or None. ``max_servers`` is the number of servers that it may be sent to
-    if another host relayed it, otherwise None.
+    if another host relayed it, otherwise None. ``last_event_id`` is that of
+    the last event that the caller has of a stream, ``resumes`` the id of its
+    request that brought the stream's first event; empty if it names none.
     """
 
     rid: str
@@ -66,6 +68,8 @@
     prompt: Prompt | None = None
     digest: str = ""
     max_servers: int | None = None
+    last_event_id: str = ""
+    resumes: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -184,7 +188,8 @@
     ``warmup_left_s`` is the remaining time of its warm-up. ``started_ms``
     is its start time in Unix milliseconds, None if it doesn't report it; it
     tells the incarnations of one server apart. ``spot``: the server is
-    cheaper, and the platform may reclaim it at short notice.
+    cheaper, and the platform may reclaim it at short notice. ``version`` is
+    that of its software; versions have no order. Empty if it isn't known.
     """
 
     sid: str
@@ -196,6 +201,7 @@
     warmup_left_s: float = 0.0
     started_ms: int | None = None
     spot: bool = False
+    version: str = ""
 
     @property
     def incarnation(self):
--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -128,6 +128,8 @@
         priority=pending.priority,
         loud_s=round(prefill_pauses.expected_pause_s(target, now), 3),
         left_s=round(pending.deadline_at - now, 2),
+        software=target.server.version, resumes=pending.request.resumes,
+        last_event=pending.request.last_event_id,
         version=host.catalog.version)
 
 
--- a/crocuskeel/platform/headers.py
+++ b/crocuskeel/platform/headers.py
@@ -15,6 +15,8 @@
 PRIORITY = b"X-Crocuskeel-Req-Priority"
 SERVER_STAMP = b"X-Crocuskeel-Server-Stamp"
 LAST_EVENT = b"Last-Event-Id"
+# Id of the caller's request that brought the first event of a stream.
+RESUMES = b"Resumes"
 # Address of the engine that holds the KV cache of a part of the prompt.
 KV_FETCH = b"Kv-Fetch"
 
@@ -73,7 +75,12 @@
         path=head.target.decode("latin-1"),
         api_key=_api_key(head), deadline_s=_deadline_s(head),
         prompt=_prompt(head), digest=_digest(head, body),
-        max_servers=_max_servers(head))
+        max_servers=_max_servers(head),
+        last_event_id=_text(head, LAST_EVENT), resumes=_text(head, RESUMES))
+
+
+def _text(head, name):
+    return (head.get(name.lower()) or b"").decode("latin-1")
 
 
 def _api_key(head):
--- a/crocuskeel/platform/objects.py
+++ b/crocuskeel/platform/objects.py
@@ -159,7 +159,7 @@
         draining=(spec["State"] == DRAINING
                   or bool(obj["Meta"].get("Deleting"))),
         warmup_left_s=spec["ColdLeftMs"] / 1000, started_ms=spec.get("born"),
-        spot=spec.get("Spot") is True)
+        spot=spec.get("Spot") is True, version=spec["Version"])
 
 
 def _is_text(value):
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -101,6 +101,17 @@
         self.assertEqual((("5c1e", 800), ("91bd", 660)),
                          found.prompt.parts)
 
+    def test_stream_that_a_caller_takes_up_again(self):
+        rows = ((SENT, ("4", "")),
+                ((*SENT, (b"Resumes", b"77fe")), ("4", "77fe")),
+                (((b"Resumes", b""), ), ("", "")))
+        for sent, expected in rows:
+            with self.subTest(sent):
+                head = header_codec.Head(sent, b"POST", b"/a/1")
+                found = self.codec.read_request(head, b"")
+                self.assertEqual(
+                    expected, (found.last_event_id, found.resumes))
+
     def test_reserved_headers_of_a_caller_are_dropped(self):
         # A caller that sets its own priority, or another caller's cache,
         # would be served first, or from the prompts of others.
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -25,9 +25,9 @@
     def test_valid_entry(self):
         server = objects.server(_entry())
         self.assertEqual(
-            ("i-1", "plain", ("10.0.0.9", 80), 0.25, SPEC["born"]),
+            ("i-1", "plain", ("10.0.0.9", 80), 0.25, SPEC["born"], "v1"),
             (server.sid, server.service, server.address, server.warmup_left_s,
-             server.started_ms))
+             server.started_ms, server.version))
 
     def test_start_time_is_optional(self):
         self.assertIsNone(objects.server(_entry(born=...)).started_ms)
