Test: streams that go on at another software version (known red)

The emulator has engines of several versions, rollouts and rollbacks, callers that lose connections and take their streams up again, and records which versions wrote the events of a stream.

--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -11,6 +11,10 @@
 ADDRESS_TTL_S = 2.0
 # Output token limit of a request, relative to its events' tokens.
 OUTPUT_SLACK = 1.5
+# A caller that loses a stream's connection does so after one to so many
+# events, and comes back after this, s.
+MAX_EVENTS_READ = 5
+RECONNECT_S = 0.05
 
 
 def new_request(rid, kind, subject, left_s, event_tokens, digest=""):
@@ -56,6 +60,13 @@
     crashes_servers: bool = False
     # The host of its first attempt until that has ended, else empty.
     first_host: str = ""
+    # Versions of the engines that wrote events of its stream.
+    versions: set = dataclasses.field(default_factory=set)
+    # Request id of the attempt that brought the first event.
+    begun_rid: str = ""
+    # For each time that it took the stream up: whether it went on.
+    went_on: list = dataclasses.field(default_factory=list)
+    loses_connection_at: int = 0
 
     def send(self):
         """Send the request to one of the known hosts."""
@@ -70,6 +81,10 @@
         request = new_request(
             f"{self.rid}-{self.attempts}", self.kind, self.subject, left_s,
             self.world.deployment.engines.event_tokens, self.digest)
+        if self.events:
+            request = dataclasses.replace(
+                request, last_event_id=str(self.events),
+                resumes=self.begun_rid)
         self.key = None if self.host is None else self.host.receive_request(
             self, request)
         if self.key is None and not self.outcome:
@@ -84,16 +99,31 @@
         if self.host is not None and self.key is not None:
             self.host.caller_disconnected(self.key)
 
-    def receive_event(self):
-        """Handle an event of a stream."""
+    def receive_event(self, version):
+        """Handle an event of a stream, written by an engine of a version."""
         now = self.world.clock.now
+        self.versions.add(version)
+        if self.went_on:
+            self.went_on[-1] = True
         if self.first_event_at is None:
             self.first_event_at = now
+            self.begun_rid = f"{self.rid}-{self.attempts}"
+            if self.world.break_share and (
+                    self.world.rng.random() < self.world.break_share):
+                self.loses_connection_at = self.world.rng.randint(
+                    1, MAX_EVENTS_READ)
         else:
             self.longest_gap_s = max(
                 self.longest_gap_s, now - self.last_event_at)
         self.last_event_at = now
         self.events += 1
+        if self.events == self.loses_connection_at:
+            self.world.clock.after(0.0, self._lose_connection)
+
+    def _lose_connection(self):
+        if not self.outcome and self.key is not None:
+            self.host.caller_disconnected(self.key)
+            self.connection_lost()
 
     def response_ended(self):
         """Handle the end of a complete response."""
@@ -115,6 +145,11 @@
     def connection_lost(self):
         """Handle the loss of the connection."""
         self._end_first_attempt(False)
+        self.key = None
+        if self.events and len(self.went_on) < self.kind.resumes:
+            self.went_on.append(False)
+            self.world.clock.after(RECONNECT_S, self.send)
+            return
         self._finish("failed")
 
     def _end_first_attempt(self, is_served):
@@ -146,5 +181,7 @@
     world.last_number += 1
     caller = Caller(world, f"r{world.last_number}", kind, subject,
                     world.clock.now, **fields)
+    if kind.kind == "stream":
+        world.streams.append(caller)
     world.clock.after(kind.limit_ms / 1e3, caller.time_out)
     caller.send()
--- a/emulator/deployment.py
+++ b/emulator/deployment.py
@@ -56,7 +56,8 @@
     tokens, the same for all prompts of one of the ``subjects``; ``own``
     more follow. A response on time earns ``worth``, one after ``goal_ms``
     or with a gap over ``gap_ms`` earns ``late``. Callers retry up to
-    ``retries`` times after a refusal.
+    ``retries`` times after a refusal, and take a stream up again up to
+    ``resumes`` times after they lost its connection.
     """
 
     name: str
@@ -73,6 +74,7 @@
     worth: float = 1.0
     late: float = 0.3
     retries: int = 1
+    resumes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,6 +84,8 @@
     ``count`` is the number of engines or hosts affected; ``times`` is the
     factor on load or step time. With ``limit`` an engine accepts ``times``
     requests a second, with ``rest`` it asks for a backoff of ``times`` s.
+    With ``break`` callers lose the connections of a share ``times`` of their
+    streams.
     """
 
     kind: str
--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -62,7 +62,8 @@
     each host to its first response with a rate limit, ``told_leaving`` to
     the first with the leaving flag; ``rests`` holds (time, host, s) of the
     refusals. ``on_crash(run)`` is called when a run crashes it; a share
-    ``lost_share`` of its responses breaks off at the first event.
+    ``lost_share`` of its responses breaks off at the first event. ``version``
+    is that of its software.
     """
 
     def __init__(self, clock, sid, cfg):
@@ -84,6 +85,7 @@
         self.on_crash = None
         self.lost_share = 0.0
         self.rng = None
+        self.version = ""
 
     def hints(self):
         """Return the hints on its capacity that its responses carry."""
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -35,7 +35,7 @@
     """Crash an engine; a replacement registers under a new id."""
     server.crash()
     world.clock.after(ENTRY_EXPIRY_S, world.remove_server, server.sid)
-    world.clock.after(REPLACEMENT_DELAY_S, world.add_engine)
+    world.clock.after(REPLACEMENT_DELAY_S, world.add_engine, server.version)
 
 
 def _poison(world, fault):
@@ -144,6 +144,36 @@
         world.clock.after(fault.for_s, world.end_server, server.sid)
 
 
+def _add_version(world, fault):
+    """Engines of a new version start; ``times`` s apart."""
+    version = f"v{len(world.engine_versions) + 1}"
+    world.engine_versions.append(version)
+    for number in range(fault.count):
+        world.clock.after(number * fault.times, world.add_engine, version)
+
+
+def _drain_version(world, fault):
+    """Engines of the oldest version that has any leave, ``times`` s apart."""
+    found = [server for server in world.engines() if not server.down]
+    oldest = min((server.version for server in found),
+                 key=world.engine_versions.index)
+    leaving = [server.sid for server in found if server.version == oldest]
+    for number, sid in enumerate(leaving[:fault.count]):
+        world.clock.after(number * fault.times, world.drain, sid)
+        world.clock.after(number * fault.times + fault.for_s,
+                          world.end_server, sid)
+
+
+def _break_connections(world, fault):
+    """Callers lose the connections of a share ``times`` of their streams."""
+    world.break_share = fault.times
+    world.clock.after(fault.for_s, _end_breaks, world)
+
+
+def _end_breaks(world):
+    world.break_share = 0.0
+
+
 def _restore(world, fault):
     """The store is down and comes back from a copy, ``times`` s old."""
     world.stop_store()
@@ -197,7 +227,8 @@
           "drain": _drain, "kill": _kill_hosts, "part": _partition,
           "hot": _skew, "restore": _restore, "poison": _poison,
           "lose": _lose_answers, "lossy": _lose_datagrams,
-          "same": _repeat_request,
+          "same": _repeat_request, "add_version": _add_version,
+          "drain_version": _drain_version, "break": _break_connections,
           "cut_refused": _cut_off(hosts.Cut.REFUSED),
           "cut_reset": _cut_off(hosts.Cut.RESET),
           "cut_silent": _cut_off(hosts.Cut.SILENT),
--- a/emulator/hosts.py
+++ b/emulator/hosts.py
@@ -48,6 +48,10 @@
     timer: list | None = None
     forwarded_attempt: int | None = None
 
+    def version(self, attempt_number):
+        """Return the software version of an attempt's server."""
+        return self.runs[attempt_number][0].version
+
 
 class _Listener:
     """Reports an attempt's progress to its host after the network delay."""
@@ -227,7 +231,8 @@
         if isinstance(event, events.StreamProgressed):
             pending = self.pending[event.key]
             if pending.forwarded_attempt == event.attempt_number:
-                pending.caller.receive_event()
+                pending.caller.receive_event(
+                    pending.version(event.attempt_number))
 
     def feed(self, event):
         """Reduce an event and execute the resulting effects."""
@@ -263,7 +268,7 @@
     prompt = pending.request.prompt
     run = engines.Run(listener, prompt, kind.events, effect.priority,
                       crashes_server=pending.caller.crashes_servers)
-    if effect.resume:
+    if effect.resume or pending.request.last_event_id:
         run.events -= pending.caller.events
     pending.runs[effect.attempt_number] = server, run
     source = None
@@ -283,10 +288,14 @@
     listener = _Listener(host, effect.key, effect.attempt_number, None)
     relay = relays.Relay(listener, pending.caller, other)
     pending.runs[effect.attempt_number] = relay, relay
+    request = dataclasses.replace(
+        pending.request, deadline_s=effect.budget_s,
+        max_servers=effect.relay_servers)
+    if effect.resume:
+        request = dataclasses.replace(
+            request, last_event_id=str(pending.caller.events))
     host.world.clock.after(
-        host.world.network_delay_s, relay.submit, dataclasses.replace(
-            pending.request, deadline_s=effect.budget_s,
-            max_servers=effect.relay_servers))
+        host.world.network_delay_s, relay.submit, request)
 
 
 def _probe_server(host, effect):
@@ -337,7 +346,7 @@
     pending = host.pending[effect.key]
     pending.forwarded_attempt = effect.attempt_number
     if pending.request.prompt is not None:
-        pending.caller.receive_event()
+        pending.caller.receive_event(pending.version(effect.attempt_number))
         return
     pending.caller.response_ended()
     host.discard_request(effect.key)
--- a/emulator/relays.py
+++ b/emulator/relays.py
@@ -22,6 +22,8 @@
         self.events = caller.events
         self.crashes_servers = caller.crashes_servers
         self.opened = False
+        # The software version of the server that wrote the latest event.
+        self.version = ""
 
     def submit(self, request):
         """Arrive at the other host."""
@@ -34,8 +36,9 @@
         if self.key is not None:
             self.other.caller_disconnected(self.key)
 
-    def receive_event(self):
+    def receive_event(self, version):
         """Pass an event of a stream on."""
+        self.version = version
         if self.opened:
             self.listener.progressed(None)
             return
--- a/emulator/run.py
+++ b/emulator/run.py
@@ -63,6 +63,12 @@
         # first attempts of callers: (sent at, name of the host, served).
         self.cuts = []
         self.first_attempts = []
+        # Callers of streams, and the share of streams whose callers lose the
+        # connection after a few events.
+        self.streams = []
+        self.break_share = 0.0
+        # The software versions of engines so far.
+        self.engine_versions = ["v1"]
         # Names of the hosts that are partitioned from the others.
         self.partitioned = set()
         # Share of the datagrams between hosts that is lost.
@@ -84,24 +90,26 @@
         """Return the entries of all servers."""
         return tuple(self.entries.values())
 
-    def add_engine(self):
-        """Start an engine and register it."""
-        self._add_server(ENGINES, engines.Engine, self.deployment.engines,
-                         self.tally)
+    def add_engine(self, version=""):
+        """Start an engine, by default of the newest version; register it."""
+        self._add_server(ENGINES, version or self.engine_versions[-1],
+                         engines.Engine, self.deployment.engines, self.tally)
 
     def add_plain(self):
         """Start and register a server of the plain service."""
-        self._add_server(PLAIN, engines.PlainServer, self.deployment.plain)
+        self._add_server(PLAIN, "v1", engines.PlainServer,
+                         self.deployment.plain)
 
-    def _add_server(self, service, server_class, cfg, *args):
+    def _add_server(self, service, version, server_class, cfg, *args):
         self.last_number += 1
         sid = f"s{self.last_number:04}"
         server = server_class(self.clock, sid, cfg, *args)
         server.rng = self.rng
+        server.version = version
         server.on_crash = functools.partial(self._crashed, server)
         self.servers[sid] = server
         self.entries[sid] = model.Server(
-            sid, service, (sid, 80), "a", cfg.slots, False)
+            sid, service, (sid, 80), "a", cfg.slots, False, version=version)
         self._send_server_change((self.entries[sid],), ())
 
     def _crashed(self, server, run):
