Emulator: an error response to a stream is no event

A host that relays a stream forwards an error response of the other host. It is a failed response now.

--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -1,7 +1,7 @@
 """Faults to inject into a run; each is undone after its duration."""
 
 from emulator import callers
-from emulator import hosts
+from emulator import listeners
 
 __all__ = ["FAULTS", "crash_engine"]
 
@@ -229,7 +229,7 @@
           "lose": _lose_answers, "lossy": _lose_datagrams,
           "same": _repeat_request, "add_version": _add_version,
           "drain_version": _drain_version, "break": _break_connections,
-          "cut_refused": _cut_off(hosts.Cut.REFUSED),
-          "cut_reset": _cut_off(hosts.Cut.RESET),
-          "cut_silent": _cut_off(hosts.Cut.SILENT),
-          "cut_timeout": _cut_off(hosts.Cut.TIMEOUT)}
+          "cut_refused": _cut_off(listeners.Cut.REFUSED),
+          "cut_reset": _cut_off(listeners.Cut.RESET),
+          "cut_silent": _cut_off(listeners.Cut.SILENT),
+          "cut_timeout": _cut_off(listeners.Cut.TIMEOUT)}
--- a/emulator/hosts.py
+++ b/emulator/hosts.py
@@ -1,7 +1,6 @@
 """An entry host: the product's reducer with a simulated network."""
 
 import dataclasses
-import enum
 import random
 
 from crocuskeel.core import entry
@@ -10,27 +9,16 @@
 from crocuskeel.core.entry import fleet
 from crocuskeel.core.entry import model
 from emulator import engine as engines
+from emulator import listeners
 from emulator import relays
 
-__all__ = ["Cut", "EntryHost"]
+__all__ = ["EntryHost"]
 
 TICK_S = 0.3
 # An attempt to connect is given up after this, s.
 CONNECT_TIMEOUT_S = 0.3
 
 
-class Cut(enum.Enum):
-    """What a host's connections to servers do while it is cut off."""
-
-    # New ones are refused, or time out; open ones live on.
-    REFUSED = "refused"
-    TIMEOUT = "timeout"
-    # All are reset.
-    RESET = "reset"
-    # All stay open and carry nothing.
-    SILENT = "silent"
-
-
 def _peer(name, boot=1):
     """Return the Peer record of a host."""
     return model.Peer(name, boot, "a", f"{name}:80", (name, 81),
@@ -47,86 +35,14 @@
     runs: dict = dataclasses.field(default_factory=dict)
     timer: list | None = None
     forwarded_attempt: int | None = None
+    # Attempts with an error response, and its status.
+    errors: dict = dataclasses.field(default_factory=dict)
 
     def version(self, attempt_number):
         """Return the software version of an attempt's server."""
         return self.runs[attempt_number][0].version
 
 
-class _Listener:
-    """Reports an attempt's progress to its host after the network delay."""
-
-    def __init__(self, host, key, attempt_number, server):
-        self.host = host
-        self.key = key
-        self.attempt_number = attempt_number
-        self.server = server
-        self.digest = host.pending[key].request.digest
-        self.silenced = False
-
-    def opened(self, run):
-        """Report the first event of a stream."""
-        self._send_hints()
-        self.send_event(
-            events.StreamOpened(self.key, self.attempt_number,
-                                self.server.load()))
-
-    def progressed(self, run):
-        """Report a further event of a stream."""
-        self.send_event(
-            events.StreamProgressed(
-                self.key,
-                self.attempt_number))
-
-    def ended(self, run):
-        """Report the end of the response."""
-        if run.prompt is not None:
-            self.send_event(events.StreamEnded(self.key, self.attempt_number))
-            return
-        self._send_hints()
-        self.send_event(events.ResponseReceived(
-            self.key, self.attempt_number, 200, self.server.load(), True))
-
-    def broken(self, run):
-        """Report a broken connection."""
-        self.send_event(events.AttemptFailed(
-            self.key, self.attempt_number, model.Outcome.DISCONNECTED, "reset",
-            True))
-
-    def fail(self, outcome):
-        """Report a failure before the request was run."""
-        if outcome is model.Outcome.NOT_RUN:
-            self._send_hints()
-        self.send_event(
-            events.AttemptFailed(self.key, self.attempt_number, outcome))
-
-    def _send_hints(self):
-        hints = self.server.hints()
-        now, name = self.host.world.clock.now, self.host.name
-        if hints.rate_limit is not None:
-            self.server.told.setdefault(name, now)
-        if hints.leaving:
-            self.server.told_leaving.setdefault(name, now)
-        if hints.backoff_s is not None:
-            self.server.rests.append((now, name, hints.backoff_s))
-        self.send_event(
-            events.HintsReceived(
-                self.key,
-                self.attempt_number,
-                hints))
-
-    def send_event(self, event):
-        """Deliver an event, unless the connection has fallen silent."""
-        if (self.host.cut is Cut.SILENT and self.server is not None
-                and self.server.sid in self.host.lost):
-            self.silenced = True
-        if self.silenced:
-            return
-        self.host.world.clock.after(
-            self.host.world.network_delay_s, self.host.receive_event,
-            self.host.boot, event)
-
-
 class EntryHost:
     """``core`` is the product's state; None while the host is down."""
 
@@ -145,7 +61,7 @@
     def cut_off(self, cut, sids):
         """Cut this host off from servers."""
         self.cut, self.lost = cut, frozenset(sids)
-        if cut is not Cut.RESET:
+        if cut is not listeners.Cut.RESET:
             return
         for pending in list(self.pending.values()):
             for server, run in list(pending.runs.values()):
@@ -228,6 +144,8 @@
 
     def _forward_event(self, event):
         """Forward a stream event to the caller if it is of its attempt."""
+        if isinstance(event, events.ResponseReceived) and event.status >= 500:
+            self.pending[event.key].errors[event.attempt_number] = event.status
         if isinstance(event, events.StreamProgressed):
             pending = self.pending[event.key]
             if pending.forwarded_attempt == event.attempt_number:
@@ -257,7 +175,8 @@
         _relay_request(host, effect)
         return
     server = host.world.servers.get(effect.server.sid)
-    listener = _Listener(host, effect.key, effect.attempt_number, server)
+    listener = listeners.Listener(
+        host, effect.key, effect.attempt_number, server)
     if server is None or server.down:
         listener.fail(model.Outcome.REFUSED)
         return
@@ -285,7 +204,8 @@
 def _relay_request(host, effect):
     pending = host.pending[effect.key]
     other = host.world.hosts[effect.server.sid]
-    listener = _Listener(host, effect.key, effect.attempt_number, None)
+    listener = listeners.Listener(
+        host, effect.key, effect.attempt_number, None)
     relay = relays.Relay(listener, pending.caller, other)
     pending.runs[effect.attempt_number] = relay, relay
     request = dataclasses.replace(
@@ -311,11 +231,11 @@
 def _fail_cut_off(host, listener):
     """Carry out an attempt at a server that the host is cut off from."""
     match host.cut:
-        case Cut.REFUSED:
+        case listeners.Cut.REFUSED:
             listener.fail(model.Outcome.REFUSED)
-        case Cut.RESET:
+        case listeners.Cut.RESET:
             listener.broken(None)
-        case Cut.TIMEOUT:
+        case listeners.Cut.TIMEOUT:
             host.world.clock.after(CONNECT_TIMEOUT_S, listener.fail,
                                    model.Outcome.UNREACHABLE)
 
@@ -345,6 +265,11 @@
 def _forward_response(host, effect):
     pending = host.pending[effect.key]
     pending.forwarded_attempt = effect.attempt_number
+    if effect.attempt_number in pending.errors:
+        pending.caller.request_refused(
+            pending.errors[effect.attempt_number], None)
+        host.discard_request(effect.key)
+        return
     if pending.request.prompt is not None:
         pending.caller.receive_event(pending.version(effect.attempt_number))
         return
