Streams: a host that moves one goes on at the version that began it

Cause: the choice of a server for a stream that had begun took any of the service; an entry's version was dropped, so nothing could tell them apart.

The version of the server that wrote the first event is kept with the request now, and only its servers are candidates from then on: the one whose event was forwarded, not the first one tried, and also once its entry has gone. If none is left the stream is cut off, so that it can't look complete and its caller may come back; while none has room it waits. A stream that another host relays began at a server that this host doesn't know, so it is not sent to one.

--- a/crocuskeel/core/entry/attempts.py
+++ b/crocuskeel/core/entry/attempts.py
@@ -47,6 +47,8 @@
     pending.may_have_run = True
     _count_begun(host, pending, attempt, now)
     attempt.opened = True
+    if pending.origin is None and not attempt.relayed:
+        pending.origin = model.Origin(pending.service, attempt.version)
     pending.forwarded_attempt = attempt.attempt_number
     pending.last_event_at = now
     out = ending.cancel_others(host, pending, attempt)
@@ -57,7 +59,7 @@
     out.append(
         ending.log_line("opened", pending.request, turn=attempt.attempt_number,
                         server=attempt.sid, load=event.load,
-                        software=target.server.version if target else "",
+                        software=attempt.version,
                         after_s=round(now - attempt.sent_at, 3)))
     return out
 
--- a/crocuskeel/core/entry/candidates.py
+++ b/crocuskeel/core/entry/candidates.py
@@ -22,7 +22,8 @@
 
 def pick(host, pending):
     """Return the ServerStates that a request may be sent to."""
-    servers = host.by_service.get(pending.service, [])
+    servers = [state for state in host.by_service.get(pending.service, ())
+               if pending.may_go_to(state.server)]
     if len(servers) <= MAX_CANDIDATES:
         return servers
     preferred = _preferred(host, pending)
@@ -43,8 +44,9 @@
     ring = _ring(host, pending.service)
     part = prompt.parts[-2 if len(prompt.parts) > 1 else -1][0]
     first = bisect.bisect(ring, routing.unit_hash(part, "ring"), key=_point)
-    return [ring[index % len(ring)]
-            for index in range(first, first + MAX_PREFERRED)]
+    preferred = [ring[index % len(ring)]
+                 for index in range(first, first + MAX_PREFERRED)]
+    return [state for state in preferred if pending.may_go_to(state.server)]
 
 
 def _ring(host, service):
--- a/crocuskeel/core/entry/model.py
+++ b/crocuskeel/core/entry/model.py
@@ -4,7 +4,8 @@
 import enum
 
 __all__ = [
-    "Catalog", "EngineSpec", "Hints", "Kind", "Limits", "Outcome", "Peer",
+    "Catalog", "EngineSpec", "Hints", "Kind", "Limits", "Origin", "Outcome",
+    "Peer",
     "Prompt", "Request", "Route", "Scaling", "Server", "Service", "Workspace",
     "server_id",
 ]
@@ -47,6 +48,14 @@
     max_output_tokens: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Origin:
+    """The service, and its software version, that began a stream."""
+
+    service: str
+    version: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
     """A request as sent once by a caller.
--- a/crocuskeel/core/entry/retrying.py
+++ b/crocuskeel/core/entry/retrying.py
@@ -57,8 +57,10 @@
     if (quarantine.is_quarantined(host, pending.digest, now)
             or quarantine.must_wait(host, pending, now)):
         return False
-    tried = {attempt.sid for attempt in pending.attempts}
-    if not (_has_untried_server(host, pending.service, tried, now)
+    if pending.forwarded_attempt is not None and pending.origin is None:
+        # Another host relays the stream, and alone knows where it began.
+        return False
+    if not (_has_untried_server(host, pending, now)
             or reachability.may_relay(host, pending, now)):
         return False
     return retry_budget.may_retry(host, pending.service, now)
@@ -83,8 +85,10 @@
     return target is not None and target.unreachable
 
 
-def _has_untried_server(host, service, tried, now):
+def _has_untried_server(host, pending, now):
+    tried = {attempt.sid for attempt in pending.attempts}
     return any(state.server.sid not in tried
+               and pending.may_go_to(state.server)
                and not draining.is_draining(host, state.server)
                and server_choice.is_available(host, state, now)
-               for state in host.by_service.get(service, ()))
+               for state in host.by_service.get(pending.service, ()))
--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -208,7 +208,8 @@
 
 def _start_attempt(host, pending, target, now):
     attempt = states.Attempt(len(pending.attempts), target.server.sid,
-                             target.server.incarnation, now)
+                             target.server.incarnation, now,
+                             version=target.server.version)
     source = None
     if pending.request.prompt is not None:
         source = _record_prompt(host, pending, target, attempt, now)
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -58,6 +58,8 @@
     incarnation: str
     sent_at: float
     uncached_tokens: int = 0
+    # Software version of that server.
+    version: str = ""
     # Shared tokens that are read again although another server holds them.
     reread_tokens: int = 0
     # Shared tokens that the server was told to fetch from another one.
@@ -98,6 +100,8 @@
     # stream last made progress.
     forwarded_attempt: int | None = None
     last_event_at: float = 0.0
+    # Where its stream began, once that is known.
+    origin: model.Origin | None = None
     # The longest pause between two events so far, s.
     pause_s: float = 0.0
     # Time to read the prompts queued at its engine as of its last event, s.
@@ -115,6 +119,10 @@
     # server succeeds.
     fallback: int | None = None
 
+    def may_go_to(self, server):
+        """Return whether a server can go on with its stream."""
+        return self.origin is None or server.version == self.origin.version
+
 
 @dataclasses.dataclass(slots=True)
 class ServerState:
--- /dev/null
+++ b/tests/entry/streams.py
@@ -0,0 +1,75 @@
+"""A host with engines of two software versions, for tests of streams."""
+
+from crocuskeel.core.entry import effects
+from crocuskeel.core.entry import events
+from crocuskeel.core.entry import fleet
+from crocuskeel.core.entry import model
+from tests.entry import support
+
+STREAM = support.stream(max_servers=2)
+SPLIT = support.stream("split", split=(("engines", 1), ("others", 1)))
+ONCE = support.stream("once", resumable=False)
+NAMES = ("h0", "h1", "h2")
+LIMIT_S = 8.0
+
+
+def engines(old=2, new=2, service="engines"):
+    """Return engines of versions v1 and v2."""
+    return [*(support.server(f"a{number}", service, version="v1")
+              for number in range(old)),
+            *(support.server(f"b{number}", service, version="v2")
+              for number in range(new))]
+
+
+class Driver(support.Driver):
+    """A host with engines of two versions that other hosts are told of."""
+
+    def __init__(self, old=2, new=2, name="h0", peers=NAMES, settled=True):
+        super().__init__(STREAM, SPLIT, ONCE, name=name,
+                         servers=engines(old, new))
+        self.last_key = 0
+        self.feed(events.PeersListed(tuple(map(support.peer, peers))))
+        if settled:
+            self.now += LIMIT_S
+        for peer in peers:
+            self.hear(peer)
+        self.now += fleet.SERVING_CACHE_S
+
+    def hear(self, name):
+        """Receive the state of another host."""
+        self.feed(events.PeerStateReceived(
+            support.peer(name), True, False, 10, 5, catalog_version=10))
+
+    def ask(self, rid="r1", path="/advice/1", **kwargs):
+        """Send a caller's request; return the effects."""
+        self.last_key += 1
+        fields = {"deadline_s": LIMIT_S, **kwargs}
+        return self.feed(events.RequestReceived(self.last_key, model.Request(
+            rid, "POST", support.HOST, path, support.KEY,
+            prompt=support.prompt(), digest=rid, **fields)))
+
+    def begin(self, rid="r1", version="v1", **kwargs):
+        """Begin a stream at a version; return its key and the effects."""
+        self.ask(rid, **kwargs)
+        attempt = self.attempt()
+        attempt.version = version
+        return self.last_key, self.open()
+
+    def attempt(self, number=-1):
+        """Return an attempt of the latest request."""
+        return self.host.pending[self.last_key].attempts[number]
+
+    def open(self, number=0):
+        """Deliver the first event of the latest request's attempt."""
+        return self.feed(events.StreamOpened(self.last_key, number, None))
+
+    def fail(self, number=0, outcome=model.Outcome.DISCONNECTED):
+        """Fail an attempt of the latest request; return the effects."""
+        return self.feed(events.AttemptFailed(
+            self.last_key, number, outcome, "", True), 0.05)
+
+
+def version(out):
+    """Return the version of the server that a request is sent to, or None."""
+    (order, ) = support.effects_of(out, effects.SendRequest) or (None, )
+    return order and order.server.version
