Streams: one that a caller takes up goes on at the version that began it

Cause: nothing read Resumes, and the host that began a stream forgot it with the connection.

Each host records the streams that it forwards (core/entry/origins.py). While a service has several versions, a host tells up to five others before it forwards a first event, chosen by rendezvous hashing of the stream's key, and tells its streams so far when a second version joins. A host that has to go on with a stream that it doesn't know asks those (core/entry/lookups.py). If nobody knows, it goes on only where all streams can have begun at one version, as its list of servers, versions that have gone and other hosts' word show; else it is refused as not run, since a guess could join parts that don't fit. A host that relays a stream names its origin. With one version nothing is told or asked.

Wire: three datagrams and one more field of a state, which hosts of the former version don't get and leave out; the tests that cut fields off a state's end count one more. Versions over 64 characters, or not printable, are known by a digest.

The tests of the ways of telling and asking fail without it.

--- a/crocuskeel/core/entry/attempts.py
+++ b/crocuskeel/core/entry/attempts.py
@@ -6,6 +6,7 @@
 from crocuskeel.core.entry import ending
 from crocuskeel.core.entry import health
 from crocuskeel.core.entry import model
+from crocuskeel.core.entry import origins
 from crocuskeel.core.entry import pause_estimate
 from crocuskeel.core.entry import prefix_cache
 from crocuskeel.core.entry import reachability
@@ -47,11 +48,10 @@
     pending.may_have_run = True
     _count_begun(host, pending, attempt, now)
     attempt.opened = True
-    if pending.origin is None and not attempt.relayed:
-        pending.origin = model.Origin(pending.service, attempt.version)
     pending.forwarded_attempt = attempt.attempt_number
     pending.last_event_at = now
     out = ending.cancel_others(host, pending, attempt)
+    out += origins.note_opened(host, pending, attempt, now)
     out.append(effects.ForwardResponse(pending.key, attempt.attempt_number))
     out.append(
         effects.SetRequestTimer(pending.key,
--- a/crocuskeel/core/entry/effects.py
+++ b/crocuskeel/core/entry/effects.py
@@ -19,6 +19,7 @@
     ``fetch_from`` is the address of an engine that holds shared parts of
     the prompt, or None. ``relay_servers``: ``server`` is another host, which
     may send the request to so many servers; None if it is a server.
+    ``relay_origin`` is then where its stream began, if that is known.
     """
 
     key: int
@@ -31,6 +32,7 @@
     resume: bool = False
     fetch_from: tuple | None = None
     relay_servers: int | None = None
+    relay_origin: model.Origin | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/crocuskeel/core/entry/events.py
+++ b/crocuskeel/core/entry/events.py
@@ -14,7 +14,8 @@
 
 __all__ = [
     "AttemptFailed", "CallerDisconnected", "CatalogRead", "DutyAnswered",
-    "HintsReceived", "LoadsDue", "PeerHintsReceived", "PeerLoadsReceived",
+    "HintsReceived", "LoadsDue", "OriginAsked", "OriginUnknown",
+    "OriginsTold", "PeerHintsReceived", "PeerLoadsReceived",
     "PeerStateReceived", "PeersListed", "RequestReceived", "ResponseReceived",
     "ServerProbed",
     "ServersChanged", "ServersListed", "SettingsRead", "Started", "StopAsked",
@@ -231,7 +232,9 @@
     (digest, incarnation) for each request during which a server crashed.
     ``loads`` is as in PeerLoadsReceived, and ``parts`` holds the (server id,
     part, tokens) that the host recently sent to servers. ``cut_off`` names the
-    services that it is cut off from.
+    services that it is cut off from. ``former_versions`` holds (service,
+    software version, ms left) of versions that have no server any more, None
+    from a host that doesn't understand messages about streams' origins.
     """
 
     peer: model.Peer
@@ -253,6 +256,7 @@
     catalog_version: int | None = None
     crash_reports: tuple | None = None
     cut_off: tuple = ()
+    former_versions: tuple | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -299,6 +303,44 @@
     servers_leaving: tuple = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OriginsTold:
+    """Host ``name`` tells where streams began.
+
+    ``rows`` holds (key of the stream, service, software version, for how many
+    ms its caller may come back).
+    """
+
+    name: str
+    rows: tuple
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OriginAsked:
+    """Host ``name`` asks where a stream of a service began.
+
+    ``key`` is empty if it asks for the service's versions only.
+    """
+
+    name: str
+    key: str
+    service: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OriginUnknown:
+    """Host ``name`` doesn't know where a stream began.
+
+    ``versions`` are those at which streams of the service may have begun, as
+    far as it knows.
+    """
+
+    name: str
+    key: str
+    service: str
+    versions: tuple
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerProbed:
     """A server of a service answered a probe, whatever it said."""
--- a/crocuskeel/core/entry/gossip.py
+++ b/crocuskeel/core/entry/gossip.py
@@ -15,6 +15,7 @@
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import fleet
+from crocuskeel.core.entry import origins
 from crocuskeel.core.entry import quarantine
 from crocuskeel.core.entry import ratelimits
 from crocuskeel.core.entry import reachability
@@ -221,6 +222,7 @@
         servers_leaving=_sample_rows(host, draining.rows(host)),
         crash_reports=crash_reports.rows(reports, now),
         cut_off=reachability.cut_off_services(host, now),
+        former_versions=origins.former_rows(host, now),
         **_duty_fields(host, now))
 
 
--- /dev/null
+++ b/crocuskeel/core/entry/lookups.py
@@ -0,0 +1,171 @@
+"""Finds out where a stream began that its caller takes up again.
+
+A host that doesn't know asks those that were told. If no host knows, the
+stream goes on only where all streams can have begun at one version: a guess
+could join parts that don't fit together, and the caller can begin anew after a
+refusal.
+"""
+
+import enum
+
+from crocuskeel.core.entry import effects
+from crocuskeel.core.entry import ending
+from crocuskeel.core.entry import events
+from crocuskeel.core.entry import fleet
+from crocuskeel.core.entry import model
+from crocuskeel.core.entry import origins
+from crocuskeel.core.entry import stream_records as records
+
+__all__ = ["Finding", "answer", "note_unknown", "resolve",
+           "waiting_for"]
+
+# This many hosts are asked: the keepers, and some more, as hosts may differ in
+# which others they know to be alive.
+ASKED = 8
+# Hosts that have not answered are asked again after this, s, and no longer
+# waited for after that: they answer within some ms.
+REPEAT_S = 0.1
+TIMEOUT_S = 0.2
+
+
+class Finding(enum.Enum):
+    """Whether a request may be sent as far as its stream's origin goes."""
+
+    READY = "ready"
+    WAITING = "waiting"
+    UNKNOWN = "unknown"
+
+
+def resolve(host, pending, now):
+    """Bind a request that takes up a stream; return (Finding, effects)."""
+    if (pending.origin is not None or not pending.request.is_taken_up
+            or pending.begins_anew or not pending.route.resumable):
+        return Finding.READY, []
+    key = origins.taken_up_key(pending)
+    if pending.request.relay_origin is not None:
+        return _bound(pending, pending.request.relay_origin, "relayed")
+    origin = origins.known(host, key, now) if key is not None else None
+    if origin is not None:
+        return _bound(pending, origin, "told")
+    if pending.lookup is None:
+        if _knows_versions(host, now) and (key is None or len(
+                origins.versions_of(host, pending.service, now)) == 1):
+            return _bound_to_only_version(host, pending, set(), now)
+        _begin(host, pending, key, now)
+    return _continue(host, pending, key, now)
+
+
+def _bound(pending, origin, source):
+    pending.lookup = None
+    if not origins.bind(pending, origin):
+        return _unbound(pending)
+    return Finding.READY, [ending.log_line(
+        "taken_up", pending.request, resumes=pending.request.resumes,
+        last_event=pending.request.last_event_id, service=origin.service,
+        software=origin.version, source=source)]
+
+
+def _bound_to_only_version(host, pending, named, now):
+    versions = origins.versions_of(host, pending.service, now) | named
+    if len(versions) != 1:
+        return _unbound(pending)
+    (version, ) = versions
+    return _bound(pending, model.Origin(pending.service, version),
+                  "only version")
+
+
+def _unbound(pending):
+    """Return the Finding for a stream of which nobody knows where it began.
+
+    Without the id of an event the caller gets all events anew.
+    """
+    pending.lookup = None
+    if pending.request.last_event_id:
+        return Finding.UNKNOWN, []
+    pending.begins_anew = True
+    return Finding.READY, []
+
+
+def _is_up_to_date(host, now):
+    return fleet.store_data_age_s(host, now) <= fleet.READER_TIMEOUT_S
+
+
+def _knows_versions(host, now):
+    """Return whether this host knows all versions of the last seconds.
+
+    If a service has several, what others know of a stream is needed.
+    """
+    return (_is_up_to_date(host, now)
+            and now >= host.streams.listed_at + origins.life_s(host))
+
+
+def _asked(host, key, now):
+    return origins.keepers(host, key or "", ASKED, now)
+
+
+def _begin(host, pending, key, now):
+    names = {peer.name for peer in _asked(host, key, now)}
+    pending.lookup = records.Lookup(
+        len(names), names, next_at=now, ends_at=now + TIMEOUT_S)
+
+
+def _continue(host, pending, key, now):
+    lookup = pending.lookup
+    if not lookup.unanswered or now >= lookup.ends_at:
+        return _concluded(host, pending, now)
+    if now < lookup.next_at:
+        return Finding.WAITING, []
+    lookup.next_at = now + REPEAT_S
+    question = events.OriginAsked(
+        host.self_peer.name, key or "", pending.service)
+    return Finding.WAITING, [
+        effects.SendToPeer(peer, question)
+        for peer in _asked(host, key, now) if peer.name in lookup.unanswered]
+
+
+def _concluded(host, pending, now):
+    """Return the Finding if no other host knows where a stream began.
+
+    A host whose list may be old needs the word of most of those asked.
+    """
+    lookup = pending.lookup
+    answers = lookup.asked - len(lookup.unanswered)
+    if (_is_up_to_date(host, now) or not host.peers
+            or 2 * answers > lookup.asked):
+        return _bound_to_only_version(host, pending, lookup.versions, now)
+    return _unbound(pending)
+
+
+def answer(host, event, now):
+    """Answer another host's question; return effects."""
+    asker = host.peers.get(event.name)
+    if asker is None:
+        return []
+    record = host.streams.origins.get(event.key)
+    if record is not None and record.until > now:
+        return [origins.told(host, asker.peer, event.key, record, now)]
+    versions = origins.versions_of(host, event.service, now)
+    return [effects.SendToPeer(asker.peer, events.OriginUnknown(
+        host.self_peer.name, event.key, event.service,
+        tuple(sorted(versions))))]
+
+
+def waiting_for(host, keys):
+    """Return the requests whose streams have one of the keys and are sought.
+
+    The key is empty if only the versions of the service are.
+    """
+    held = [host.pending[key] for key in host.held]
+    return [pending for pending in held if pending.lookup is not None
+            and (origins.taken_up_key(pending) or "") in keys]
+
+
+def note_unknown(host, event):
+    """Note that a host doesn't know a stream; return what waits for it."""
+    found = [pending for pending in waiting_for(host, {event.key})
+             if pending.service == event.service
+             and event.name in pending.lookup.unanswered]
+    for pending in found:
+        pending.lookup.unanswered.discard(event.name)
+        pending.lookup.versions.update(event.versions)
+    return found
--- a/crocuskeel/core/entry/model.py
+++ b/crocuskeel/core/entry/model.py
@@ -66,6 +66,7 @@
     if another host relayed it, otherwise None. ``last_event_id`` is that of
     the last event that the caller has of a stream, ``resumes`` the id of its
     request that brought the stream's first event; empty if it names none.
+    ``relay_origin`` is the stream's origin if the other host knows it.
     """
 
     rid: str
@@ -79,6 +80,12 @@
     max_servers: int | None = None
     last_event_id: str = ""
     resumes: str = ""
+    relay_origin: Origin | None = None
+
+    @property
+    def is_taken_up(self):
+        """Whether the caller takes up a stream that has begun before."""
+        return bool(self.last_event_id or self.resumes)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/crocuskeel/core/entry/origins.py
@@ -0,0 +1,240 @@
+"""Where each stream began: the service and its software version.
+
+Servers of several versions may serve one service. What two versions write
+doesn't fit together, so a stream goes on at the version that wrote its first
+event, both within one response and when its caller takes it up again at any
+host.
+
+Each host records the streams that it forwards. While a service has several
+versions, a host also tells some others before it forwards a first event: those
+that rendezvous hashing of the stream's key puts first, so that a host that has
+to go on with the stream knows whom to ask. When a second version appears, the
+streams of the first one are told as well. A record is kept while the caller
+may come back. Nothing is told while a service has one version.
+"""
+
+import hashlib
+
+from crocuskeel.core.entry import effects
+from crocuskeel.core.entry import events
+from crocuskeel.core.entry import fleet
+from crocuskeel.core.entry import model
+from crocuskeel.core.entry import routing
+from crocuskeel.core.entry import stream_records as records
+
+__all__ = ["bind", "forget", "former_rows", "keepers", "known", "merge",
+           "merge_former", "note_limit", "note_opened", "stream_key",
+           "taken_up_key", "told", "update_versions", "versions_of"]
+
+# This many hosts are told where a stream began.
+KEEPERS = 5
+# A caller without a time limit is expected back for this long, s; also the
+# limit of any time that a record is kept.
+MAX_LIMIT_S = 60.0
+# A caller's time limit is measured by its own clock and from its sending, s.
+LIMIT_MARGIN_S = 1.0
+MAX_RECORDS = 65_536
+# Limit of rows in one datagram; a row takes 60 bytes and the names of the
+# service and of the version.
+MAX_ROWS = 200
+
+
+def stream_key(workspace, rid):
+    """Return the key of the stream that a request began.
+
+    Workspaces choose the ids of their requests independently.
+    """
+    digest = hashlib.blake2b(f"{workspace}\0{rid}".encode(), digest_size=8)
+    return digest.hexdigest()
+
+
+def taken_up_key(pending):
+    """Return the key of the stream that a request takes up, or None."""
+    if not pending.request.resumes:
+        return None
+    return stream_key(pending.workspace, pending.request.resumes)
+
+
+def versions_of(host, service, now):
+    """Return the versions at which streams of a service may have begun."""
+    current = host.streams.current.get(service, frozenset())
+    former = host.streams.former.get(service)
+    if not former:
+        return current
+    return current | {version for version, until in former.items()
+                      if until > now}
+
+
+def life_s(host):
+    """Return for how long a stream may last, over all tries, s."""
+    longest = host.streams.longest_limit_s
+    if host.catalog is not None:
+        longest = max(longest, max(
+            (route.timeout_s for routes in host.catalog.routes.values()
+             for route in routes if route.kind is model.Kind.STREAM),
+            default=0.0))
+    return min(MAX_LIMIT_S, longest) + LIMIT_MARGIN_S
+
+
+def note_limit(host, request):
+    """Record the time limit of a caller's stream."""
+    host.streams.longest_limit_s = max(
+        host.streams.longest_limit_s, _limit_s(request))
+
+
+def _limit_s(request):
+    if request.deadline_s is None:
+        return MAX_LIMIT_S
+    return min(request.deadline_s, MAX_LIMIT_S)
+
+
+def known(host, key, now):
+    """Return the Origin of a stream, or None."""
+    record = host.streams.origins.get(key)
+    return record.origin if record is not None and record.until > now else None
+
+
+def bind(pending, origin):
+    """Have a request go on at an origin; return whether its route allows it.
+
+    The route may lead to another service by now.
+    """
+    if origin.service not in dict(pending.route.split):
+        return False
+    pending.origin = origin
+    pending.service = origin.service
+    return True
+
+
+def note_opened(host, pending, attempt, now):
+    """Record a stream's first event of an attempt; return effects.
+
+    They precede the one that forwards the event.
+    """
+    if attempt.relayed or not pending.route.resumable:
+        return []
+    if pending.origin is None:
+        pending.origin = model.Origin(pending.service, attempt.version)
+    until = (pending.arrived_at + _limit_s(pending.request) + LIMIT_MARGIN_S)
+    keys = [stream_key(pending.workspace, pending.request.rid),
+            taken_up_key(pending)]
+    record = records.Record(pending.origin, until, is_own=True)
+    rows = {key: record for key in keys if key is not None}
+    for key in rows:
+        _store(host, key, record)
+    if len(versions_of(host, pending.service, now)) < 2:
+        return []
+    return _tell_keepers(host, rows, now)
+
+
+def _store(host, key, record):
+    origins = host.streams.origins
+    origins.pop(key, None)
+    origins[key] = record
+    if len(origins) > MAX_RECORDS:
+        origins.popitem(last=False)
+
+
+def _tell_keepers(host, rows, now):
+    """Return effects that tell the keepers of streams their Records."""
+    by_keeper = {}
+    for key, record in rows.items():
+        for peer in keepers(host, key, KEEPERS, now):
+            by_keeper.setdefault(peer, []).append(_row(key, record, now))
+    return [_message(host, peer, found[first:first + MAX_ROWS])
+            for peer, found in by_keeper.items()
+            for first in range(0, len(found), MAX_ROWS)]
+
+
+def told(host, peer, key, record, now):
+    """Return the effect that tells one host of a stream."""
+    return _message(host, peer, [_row(key, record, now)])
+
+
+def _message(host, peer, rows):
+    return effects.SendToPeer(
+        peer, events.OriginsTold(host.self_peer.name, tuple(rows)))
+
+
+def _row(key, record, now):
+    return (key, record.origin.service, record.origin.version,
+            max(0, int((record.until - now) * 1000)))
+
+
+def keepers(host, key, count, now):
+    """Return the first ``count`` other hosts by the hash of a stream's key."""
+    others = [peer for peer in fleet.serving_hosts(host, now)
+              if peer.name != host.self_peer.name
+              and host.peers[peer.name].takes_origins]
+    if len(others) > count:
+        others.sort(key=lambda peer: routing.unit_hash(key, peer.name))
+    return others[:count]
+
+
+def merge(host, event, now):
+    """Record what another host told."""
+    for key, service, version, left_ms in event.rows:
+        if known(host, key, now) is None:
+            left_s = min(left_ms / 1000, MAX_LIMIT_S + LIMIT_MARGIN_S)
+            _store(host, key, records.Record(
+                model.Origin(service, version), now + left_s, is_own=False))
+
+
+def update_versions(host, now):
+    """Note the versions of all services; return effects.
+
+    Where a second one has appeared, the streams so far are told.
+    """
+    known_before = host.streams.current
+    several_before = {service for service in known_before
+                      if len(versions_of(host, service, now)) > 1}
+    host.streams.current = {
+        service: frozenset(state.server.version for state in states)
+        for service, states in host.by_service.items()}
+    for service, versions in known_before.items():
+        gone = versions - host.streams.current.get(service, frozenset())
+        for version in gone:
+            host.streams.former.setdefault(
+                service, {})[version] = now + life_s(host)
+    joined = {service for service in known_before
+              if service not in several_before
+              and len(versions_of(host, service, now)) > 1}
+    if not joined or host.self_peer is None:
+        return []
+    return _tell_keepers(host, {
+        key: record for key, record in host.streams.origins.items()
+        if record.is_own and record.until > now
+        and record.origin.service in joined}, now)
+
+
+def former_rows(host, now):
+    """Return the (service, version, ms left) of versions without a server."""
+    return tuple(
+        (service, version, int((until - now) * 1000))
+        for service, former in host.streams.former.items()
+        for version, until in former.items() if until > now)
+
+
+def merge_former(host, rows, now):
+    """Record versions without a server that another host knows of.
+
+    The delay is subtracted, so that hosts don't renew them for each other.
+    """
+    for service, version, left_ms in rows or ():
+        until = now + min(left_ms / 1000, MAX_LIMIT_S) - fleet.HOP_DELAY_S
+        former = host.streams.former.setdefault(service, {})
+        former[version] = max(former.get(version, until), until)
+
+
+def forget(host, now):
+    """Forget streams whose callers no longer come back."""
+    origins = host.streams.origins
+    while origins and next(iter(origins.values())).until <= now:
+        origins.popitem(last=False)
+    for service in list(host.streams.former):
+        former = {version: until for version, until
+                  in host.streams.former[service].items() if until > now}
+        if former:
+            host.streams.former[service] = former
+        else:
+            del host.streams.former[service]
--- a/crocuskeel/core/entry/peers.py
+++ b/crocuskeel/core/entry/peers.py
@@ -9,6 +9,7 @@
 from crocuskeel.core.entry import fleet
 from crocuskeel.core.entry import gossip
 from crocuskeel.core.entry import health
+from crocuskeel.core.entry import origins
 from crocuskeel.core.entry import prefill_pauses
 from crocuskeel.core.entry import prefix_cache
 from crocuskeel.core.entry import ratelimits
@@ -67,6 +68,8 @@
     serving.merge(host, event.serving_demand, now)
     duties.peer_state_received(host, event, now)
     known.takes_crash_reports = event.crash_reports is not None
+    known.takes_origins = event.former_versions is not None
+    origins.merge_former(host, event.former_versions, now)
     out += crash_reports.merge(
         host, peer.name, _crash_rows(event), now)
     _apply_loads(host, event, now)
--- a/crocuskeel/core/entry/reducer.py
+++ b/crocuskeel/core/entry/reducer.py
@@ -10,6 +10,8 @@
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import gossip
 from crocuskeel.core.entry import lifecycle
+from crocuskeel.core.entry import lookups
+from crocuskeel.core.entry import origins
 from crocuskeel.core.entry import peers
 from crocuskeel.core.entry import ratelimits
 from crocuskeel.core.entry import reachability
@@ -17,6 +19,7 @@
 from crocuskeel.core.entry import requests
 from crocuskeel.core.entry import response_hints
 from crocuskeel.core.entry import restores
+from crocuskeel.core.entry import sending
 from crocuskeel.core.entry import server_load
 from crocuskeel.core.entry import trials
 from crocuskeel.core.entry import usage
@@ -44,6 +47,7 @@
     restores.forget_removed(host, now)
     backoff.forget(host, now)
     trials.renew(host, now)
+    origins.forget(host, now)
     return (registry.drop_expired(host, now) + crashes.forget(host, now)
             + reachability.step(host, now)
             + gossip.send_state(host, now)
@@ -51,6 +55,21 @@
             + lifecycle.step(host, now))
 
 
+def _origins_told(host, event, now):
+    origins.merge(host, event, now)
+    found = lookups.waiting_for(host, {key for key, *_ in event.rows})
+    return _send(host, found, now)
+
+
+def _origin_unknown(host, event, now):
+    return _send(host, lookups.note_unknown(host, event), now)
+
+
+def _send(host, found, now):
+    return [effect for pending in found
+            for effect in sending.send(host, pending, now)]
+
+
 HANDLERS = {
     events.Started: _started,
     events.Ticked: _ticked,
@@ -79,6 +98,9 @@
     events.PeerLoadsReceived: peers.handle_peer_loads,
     events.CrashReportsReceived: peers.handle_crash_reports,
     events.DutyAnswered: duties.answered,
+    events.OriginsTold: _origins_told,
+    events.OriginAsked: lookups.answer,
+    events.OriginUnknown: _origin_unknown,
     events.ServerProbed: reachability.probed,
     duties_model.Usage: usage.received,
     lease_events.LeaseRead: duty_lease.lease_read,
--- a/crocuskeel/core/entry/registry.py
+++ b/crocuskeel/core/entry/registry.py
@@ -13,6 +13,7 @@
 from crocuskeel.core.entry import draining
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import gossip
+from crocuskeel.core.entry import origins
 from crocuskeel.core.entry import restarting
 from crocuskeel.core.entry import restores
 from crocuskeel.core.entry import state as states
@@ -61,6 +62,7 @@
         # Servers that registered after the copy was taken register again.
         host.store_up_since = now
     host.servers_loaded = True
+    host.streams.listed_at = min(host.streams.listed_at, now)
     listed = {server.sid for server in event.servers}
     listed.update(event.unreadable)
     missing = tuple(sid for sid in host.servers if sid not in listed)
@@ -107,7 +109,7 @@
         if sid in host.servers:
             _delete(host, sid)
             out.append(effects.LogEvent("server_unreadable", {"server": sid}))
-    _rebuild_index(host)
+    out += _rebuild_index(host, now)
     out += restarting.end_orphaned_attempts(host, restarted, now)
     return out + gossip.broadcast_change(host, now)
 
@@ -243,12 +245,13 @@
     host.lapsing.pop(sid, None)
 
 
-def _rebuild_index(host):
+def _rebuild_index(host, now):
     host.by_service = {}
     host.rings = {}
     for state in host.servers.values():
         host.by_service.setdefault(
             state.server.service, []).append(state)
+    return origins.update_versions(host, now)
 
 
 def drop_expired(host, now):
@@ -260,7 +263,7 @@
         out += _drop(host, sid, host.servers_revision, now)
         out.append(effects.LogEvent("server_gone", {"server": sid}))
     if overdue:
-        _rebuild_index(host)
+        out += _rebuild_index(host, now)
     return out
 
 
--- a/crocuskeel/core/entry/requests.py
+++ b/crocuskeel/core/entry/requests.py
@@ -6,6 +6,7 @@
 from crocuskeel.core.entry import ending
 from crocuskeel.core.entry import health
 from crocuskeel.core.entry import model
+from crocuskeel.core.entry import origins
 from crocuskeel.core.entry import quarantine
 from crocuskeel.core.entry import reachability
 from crocuskeel.core.entry import retry_budget
@@ -68,6 +69,8 @@
     if request.deadline_s is not None:
         left = request.deadline_s
     left = min(left, destination.route.timeout_s)
+    if destination.route.kind is model.Kind.STREAM:
+        origins.note_limit(host, request)
     max_servers = destination.route.max_servers
     if request.max_servers is not None:
         max_servers = min(max_servers, request.max_servers)
--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -7,6 +7,7 @@
 from crocuskeel.core.entry import class_minimums
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import ending
+from crocuskeel.core.entry import lookups
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import prefill_pauses
 from crocuskeel.core.entry import prefix_cache
@@ -39,6 +40,17 @@
         out = _relay(host, pending, left, now)
         if out:
             return out
+    finding, out = lookups.resolve(host, pending, now)
+    match finding:
+        case lookups.Finding.WAITING:
+            return out + _hold(host, pending, now)
+        case lookups.Finding.UNKNOWN:
+            return ending.give_up(host, pending, "origin unknown", now)
+    return out + _send_to_server(host, pending, left, now)
+
+
+def _send_to_server(host, pending, left, now):
+    """Send a request that may go to servers, or hold or refuse it."""
     if quarantine.must_wait(host, pending, now) or not trials.may_begin(
             host, pending, now):
         if now < max(admission.queue_until(pending),
@@ -103,7 +115,7 @@
         pending.key, attempt.attempt_number, other, left, pending.priority,
         pending.workspace, pending.route.kind is model.Kind.STREAM,
         resume=pending.forwarded_attempt is not None,
-        relay_servers=attempt.servers)
+        relay_servers=attempt.servers, relay_origin=pending.origin)
     line = ending.log_line(
         "relayed", pending.request, turn=attempt.attempt_number,
         peer=peer.name, service=pending.service, left_s=round(left, 2))
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -12,6 +12,7 @@
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import routing
 from crocuskeel.core.entry import serving
+from crocuskeel.core.entry import stream_records
 
 __all__ = ["Host", "RequestState", "PeerState", "ServerState", "Settings",
            "Attempt", "new_host", "new_server"]
@@ -100,8 +101,11 @@
     # stream last made progress.
     forwarded_attempt: int | None = None
     last_event_at: float = 0.0
-    # Where its stream began, once that is known.
+    # Where its stream began, once that is known, and the search for it.
     origin: model.Origin | None = None
+    lookup: stream_records.Lookup | None = None
+    # It takes up a stream of which nobody knows, without the id of an event.
+    begins_anew: bool = False
     # The longest pause between two events so far, s.
     pause_s: float = 0.0
     # Time to read the prompts queued at its engine as of its last event, s.
@@ -194,6 +198,8 @@
     cut_off: frozenset = frozenset()
     # When a third host last reported this one as ready.
     confirmed_ready_at: float = 0.0
+    # Whether its program understands messages about streams' origins.
+    takes_origins: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -245,6 +251,9 @@
     # Lost attempts and crashes of servers, for the quarantine.
     crash_records: records.CrashRecords = dataclasses.field(
         default_factory=records.CrashRecords)
+    # Where streams began, and the versions of each service.
+    streams: stream_records.StreamRecords = dataclasses.field(
+        default_factory=stream_records.StreamRecords)
     # By service: whether this host reaches its servers.
     reach: dict = dataclasses.field(default_factory=dict)
     # When this host learned that the store was restored from a copy.
--- /dev/null
+++ b/crocuskeel/core/entry/stream_records.py
@@ -0,0 +1,56 @@
+"""What a host knows of where streams began."""
+
+import collections
+import dataclasses
+import math
+
+from crocuskeel.core.entry import model
+
+__all__ = ["Lookup", "Record", "StreamRecords"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Record:
+    """Where a stream began; its caller does not come back after ``until``.
+
+    ``is_own``: this host has forwarded events of it.
+    """
+
+    origin: model.Origin
+    until: float
+    is_own: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Lookup:
+    """A search for a stream's origin at other hosts.
+
+    ``unanswered`` holds the names of the hosts that were asked and have not
+    answered, ``asked`` how many were. ``versions`` are those of the service
+    that the answers name. They are asked again at ``next_at`` and no longer
+    waited for at ``ends_at``.
+    """
+
+    asked: int
+    unanswered: set
+    next_at: float
+    ends_at: float
+    versions: set = dataclasses.field(default_factory=set)
+
+
+@dataclasses.dataclass(slots=True)
+class StreamRecords:
+    """``origins`` maps a stream's key to its Record, oldest first.
+
+    ``current`` maps a service to the versions of its servers, ``former`` to
+    those without a server, each with the time when the last of its streams
+    has ended. ``longest_limit_s`` is the longest time limit of a caller's
+    stream so far, s, and ``listed_at`` when the servers were first listed.
+    """
+
+    origins: collections.OrderedDict = dataclasses.field(
+        default_factory=collections.OrderedDict)
+    current: dict = dataclasses.field(default_factory=dict)
+    former: dict = dataclasses.field(default_factory=dict)
+    longest_limit_s: float = 0.0
+    listed_at: float = math.inf
--- a/crocuskeel/gateway/gossip.py
+++ b/crocuskeel/gateway/gossip.py
@@ -19,19 +19,22 @@
 
 __all__ = ["Gossip", "decode", "encode", "encode_previous"]
 
-# First field of a datagram with counts, of one with hints of servers, and of
-# one with reports on crashes; the first field of other datagrams is a host's
-# name or peer.
+# First field of a datagram with counts, of one with hints of servers, of one
+# with reports on crashes, and of those on where streams began; the first field
+# of other datagrams is a host's name or peer.
 USAGE_MARK = 0
 HINTS_MARK = 1
 CRASHES_MARK = 2
+ORIGINS_MARK = 3
+ORIGIN_ASKED_MARK = 4
+ORIGIN_UNKNOWN_MARK = 5
 # Number of fields of a state after its peer: previous and current version.
 PREVIOUS_FIELDS = 10
 STATE_FIELDS = 13
 # Fields that were added to that since, as of a host that doesn't send them:
 # rate limits, draining servers, versions, reports on crashes, services that it
-# is cut off from.
-ADDED_DEFAULTS = ((), (), (), None, ())
+# is cut off from, software versions without a server.
+ADDED_DEFAULTS = ((), (), (), None, (), None)
 KINDS = frozenset(map(str, crash_records.Kind))
 SIGNS = frozenset(map(str, crash_records.Sign)) | {""}
 
@@ -47,6 +50,14 @@
                               event.servers_leaving))
     if isinstance(event, events.CrashReportsReceived):
         return msgpack.packb((CRASHES_MARK, event.name, event.reports))
+    if isinstance(event, events.OriginsTold):
+        return msgpack.packb((ORIGINS_MARK, event.name, event.rows))
+    if isinstance(event, events.OriginAsked):
+        return msgpack.packb((ORIGIN_ASKED_MARK, event.name, event.key,
+                              event.service))
+    if isinstance(event, events.OriginUnknown):
+        return msgpack.packb((ORIGIN_UNKNOWN_MARK, event.name, event.key,
+                              event.service, event.versions))
     return msgpack.packb((
         *_previous_fields(event), event.wall,
         (revisions.number(event.leader.version), event.leader.host,
@@ -54,7 +65,8 @@
         (event.serving_demand.serving_hosts, event.serving_demand.measured_at),
         event.rate_limits,
         event.servers_leaving,
-        _versions(event), event.crash_reports, event.cut_off))
+        _versions(event), event.crash_reports, event.cut_off,
+        event.former_versions))
 
 
 def _versions(event):
@@ -72,7 +84,8 @@
     reports on crashes.
     """
     if isinstance(event, duties.Usage | events.PeerHintsReceived
-                  | events.CrashReportsReceived):
+                  | events.CrashReportsReceived | events.OriginsTold
+                  | events.OriginAsked | events.OriginUnknown):
         return None
     if isinstance(event, events.PeerStateReceived):
         return msgpack.packb(_previous_fields(event))
@@ -117,6 +130,15 @@
         if first == CRASHES_MARK:
             name, reports = rest
             return events.CrashReportsReceived(name, _crash_reports(reports))
+        if first == ORIGINS_MARK:
+            name, rows = rest
+            return events.OriginsTold(*_texts(name), tuple(
+                _origin_row(*row) for row in rows))
+        if first == ORIGIN_ASKED_MARK:
+            return events.OriginAsked(*_texts(*rest))
+        if first == ORIGIN_UNKNOWN_MARK:
+            *texts, versions = rest
+            return events.OriginUnknown(*_texts(*texts), _texts(*versions))
         if isinstance(first, str):
             loads, refused = rest
             return events.PeerLoadsReceived(first, loads, refused)
@@ -138,7 +160,7 @@
     # version without eras after the next two fields, one of the version
     # without reports on crashes after the next one, and so on.
     added = rest[STATE_FIELDS:][:len(ADDED_DEFAULTS)]
-    limits, leaving, versions, reports, cut_off = (
+    limits, leaving, versions, reports, cut_off, former = (
         *added, *ADDED_DEFAULTS[len(added):])
     state = events.PeerStateReceived(sender, *previous, wall,
                                      duties.Leader(*leader),
@@ -151,7 +173,7 @@
         _integer, versions)
     return dataclasses.replace(
         state, crash_reports=_crash_reports(reports),
-        cut_off=_services(cut_off),
+        cut_off=_texts(*cut_off), former_versions=_former_versions(former),
         catalog_version=catalog_version,
         servers_revision=servers_revision, leader=dataclasses.replace(
             state.leader, version=leader_version, fence=fence))
@@ -188,11 +210,30 @@
     return tuple(row for row in rows if row[0] in KINDS and row[5] in SIGNS)
 
 
-def _services(names):
-    """Check names of services."""
-    if not all(isinstance(name, str) for name in names):
-        raise ValueError(f"invalid services {names!r}")
-    return names
+def _texts(*values):
+    """Check names and return them."""
+    if not all(isinstance(value, str) for value in values):
+        raise ValueError(f"invalid names {values!r}")
+    return values
+
+
+def _origin_row(key, service, version, left_ms):
+    """Check a row of core.entry.origins."""
+    return (*_texts(key, service, version), _duration_ms(left_ms))
+
+
+def _former_versions(rows):
+    """Check rows of (service, version, ms left); None stands for no field."""
+    if rows is None:
+        return None
+    return tuple((*_texts(service, version), _duration_ms(left_ms))
+                 for service, version, left_ms in rows)
+
+
+def _duration_ms(value):
+    if _integer(value) < 0:
+        raise ValueError(f"invalid duration {value!r} ms")
+    return value
 
 
 def _servers_leaving(rows):
--- a/crocuskeel/platform/headers.py
+++ b/crocuskeel/platform/headers.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import math
+import urllib.parse
 
 from crocuskeel.core.entry import model
 from crocuskeel.gateway import header_codec
@@ -22,6 +23,8 @@
 
 # From another host: the number of servers that the request may be sent to.
 RELAY = b"X-Crocuskeel-Relay-Servers"
+# Likewise: where the stream to go on began, as quoted service/version.
+RELAY_ORIGIN = b"X-Crocuskeel-Relay-Origin"
 
 _REQUEST_ID = REQUEST_ID.lower()
 _SERVER_STAMP = SERVER_STAMP.lower()
@@ -50,7 +53,8 @@
     b"authorization", DEADLINE.lower(), EXPECT_SERVER.lower(),
     WORKSPACE.lower(), PRIORITY.lower(), b"x-crocuskeel-expect-version",
     b"x-crocuskeel-pin-ms", b"x-crocuskeel-hold",
-    b"x-crocuskeel-kv-backup", KV_FETCH.lower(), b"kv-from", RELAY.lower()))
+    b"x-crocuskeel-kv-backup", KV_FETCH.lower(), b"kv-from", RELAY.lower(),
+    RELAY_ORIGIN.lower()))
 
 MISDIRECTED = 421
 REFUSALS = (429, 503)
@@ -76,11 +80,32 @@
         api_key=_api_key(head), deadline_s=_deadline_s(head),
         prompt=_prompt(head), digest=_digest(head, body),
         max_servers=_max_servers(head),
-        last_event_id=_text(head, LAST_EVENT), resumes=_text(head, RESUMES))
+        last_event_id=_text(head, LAST_EVENT), resumes=_resumes(head),
+        relay_origin=_relay_origin(head))
 
 
 def _text(head, name):
-    return (head.get(name.lower()) or b"").decode("latin-1")
+    return (head.get(name.lower()) or b"").decode("latin-1").strip()
+
+
+def _resumes(head):
+    """Return the id of the request that began a stream, or "".
+
+    Raises ValueError if there are two: only one of them can have.
+    """
+    found = {value.strip() for name, value in head.headers
+             if name.lower() == RESUMES.lower()}
+    if len(found) > 1:
+        raise ValueError(f"{RESUMES.decode()}: more than one request")
+    return _text(head, RESUMES)
+
+
+def _relay_origin(head):
+    service, _, version = _text(head, RELAY_ORIGIN).partition("/")
+    if not service or _max_servers(head) is None:
+        return None
+    return model.Origin(urllib.parse.unquote(service),
+                        urllib.parse.unquote(version))
 
 
 def _api_key(head):
@@ -166,10 +191,14 @@
 def _relay_headers(head, send, last_event_id):
     """Return the headers of a request to another host: the caller's own."""
     headers = _own_headers(
-        head, HOP_BY_HOP | {DEADLINE.lower(), RELAY.lower()}, send,
-        last_event_id)
+        head, HOP_BY_HOP | {DEADLINE.lower(), RELAY.lower(),
+                            RELAY_ORIGIN.lower()}, send, last_event_id)
     headers.append((DEADLINE, b"%d" % int(send.budget_s * 1000)))
     headers.append((RELAY, b"%d" % send.relay_servers))
+    if send.relay_origin is not None:
+        origin = (send.relay_origin.service, send.relay_origin.version)
+        headers.append((RELAY_ORIGIN, "/".join(
+            urllib.parse.quote(part, safe="") for part in origin).encode()))
     return headers
 
 
--- a/crocuskeel/platform/objects.py
+++ b/crocuskeel/platform/objects.py
@@ -1,5 +1,6 @@
 """Decodes objects of the platform's store into the core's types."""
 
+import hashlib
 import ipaddress
 
 from crocuskeel.core.entry import model
@@ -13,6 +14,7 @@
 # Counts fit the 64-bit integers of the store, ports 16 bits.
 MAX_COUNT = 2 ** 63 - 1
 MAX_PORT = 65535
+MAX_VERSION_CHARS = 64
 MAX_PORT_DIGITS = 5
 # A host that restarts keeps its address and its entry, which is written once;
 # the boot number comes with its datagrams.
@@ -159,7 +161,19 @@
         draining=(spec["State"] == DRAINING
                   or bool(obj["Meta"].get("Deleting"))),
         warmup_left_s=spec["ColdLeftMs"] / 1000, started_ms=spec.get("born"),
-        spot=spec.get("Spot") is True, version=spec["Version"])
+        spot=spec.get("Spot") is True,
+        version=_software_version(spec["Version"]))
+
+
+def _software_version(text):
+    """Return what identifies a version, which hosts send to each other.
+
+    Of one that is long or not printable it is a digest.
+    """
+    if len(text) <= MAX_VERSION_CHARS and text.isprintable():
+        return text
+    data = text.encode("utf-8", "surrogatepass")
+    return hashlib.blake2b(data, digest_size=16).hexdigest()
 
 
 def _is_text(value):
--- a/emulator/hosts.py
+++ b/emulator/hosts.py
@@ -213,7 +213,8 @@
         max_servers=effect.relay_servers)
     if effect.resume:
         request = dataclasses.replace(
-            request, last_event_id=str(pending.caller.events))
+            request, last_event_id=str(pending.caller.events),
+            relay_origin=effect.relay_origin)
     host.world.clock.after(
         host.world.network_delay_s, relay.submit, request)
 
--- a/tests/entry/streams.py
+++ b/tests/entry/streams.py
@@ -4,6 +4,7 @@
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import fleet
 from crocuskeel.core.entry import model
+from crocuskeel.core.entry import origins
 from tests.entry import support
 
 STREAM = support.stream(max_servers=2)
@@ -30,15 +31,16 @@
         self.last_key = 0
         self.feed(events.PeersListed(tuple(map(support.peer, peers))))
         if settled:
-            self.now += LIMIT_S
+            self.now += origins.life_s(self.host)
         for peer in peers:
             self.hear(peer)
         self.now += fleet.SERVING_CACHE_S
 
-    def hear(self, name):
+    def hear(self, name, former=()):
         """Receive the state of another host."""
         self.feed(events.PeerStateReceived(
-            support.peer(name), True, False, 10, 5, catalog_version=10))
+            support.peer(name), True, False, 10, 5, catalog_version=10,
+            former_versions=former))
 
     def ask(self, rid="r1", path="/advice/1", **kwargs):
         """Send a caller's request; return the effects."""
@@ -48,6 +50,10 @@
             rid, "POST", support.HOST, path, support.KEY,
             prompt=support.prompt(), digest=rid, **fields)))
 
+    def take_up(self, resumes="r1", rid="r2", **kwargs):
+        """Send a request that takes up a stream; return the effects."""
+        return self.ask(rid, last_event_id="4", resumes=resumes, **kwargs)
+
     def begin(self, rid="r1", version="v1", **kwargs):
         """Begin a stream at a version; return its key and the effects."""
         self.ask(rid, **kwargs)
@@ -68,8 +74,35 @@
         return self.feed(events.AttemptFailed(
             self.last_key, number, outcome, "", True), 0.05)
 
+    def versions_taken(self, count=12, **kwargs):
+        """Return the versions that ``count`` requests that resume go to."""
+        return {version(self.take_up(rid=f"t{number}", **kwargs))
+                for number in range(count)}
+
+    def told(self, version="v1", rid="r1", left_ms=5_000, name="h1"):
+        """Receive where a stream began; return the effects."""
+        return self.feed(events.OriginsTold(name, ((
+            origins.stream_key("hire", rid), "engines", version, left_ms), )))
+
+    def unknown(self, name, rid="r1", versions=("v1", "v2")):
+        """Receive that a host doesn't know a stream; return the effects."""
+        key = origins.stream_key("hire", rid) if rid else ""
+        return self.feed(events.OriginUnknown(name, key, "engines", versions))
+
 
 def version(out):
     """Return the version of the server that a request is sent to, or None."""
     (order, ) = support.effects_of(out, effects.SendRequest) or (None, )
     return order and order.server.version
+
+
+def answer(out):
+    """Return the host's own answer, or None."""
+    (found, ) = support.effects_of(out, effects.Answer) or (None, )
+    return found
+
+
+def messages(out, kind):
+    """Return the messages of a kind to other hosts."""
+    return [effect for effect in support.effects_of(out, effects.SendToPeer)
+            if type(effect.event) is kind]
--- a/tests/entry/test_stream_moves.py
+++ b/tests/entry/test_stream_moves.py
@@ -4,6 +4,7 @@
 
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import events
+from crocuskeel.core.entry import model
 from tests.entry import streams
 from tests.entry import support
 
@@ -76,5 +77,55 @@
         self.assertIsNone(streams.version(out))
 
 
+class RelayTest(unittest.TestCase):
+    """Streams that another host relays."""
+
+    def test_relay_names_the_origin(self):
+        host = streams.Driver()
+        host.begin(version="v2")
+        for number in range(2):
+            host.last_key += 1
+            host.feed(events.RequestReceived(host.last_key, model.Request(
+                f"x{number}", "POST", support.HOST, "/advice/1", support.KEY,
+                streams.LIMIT_S, support.prompt(), f"x{number}")))
+            host.attempt().sid = f"a{number}"
+            host.fail(outcome=model.Outcome.UNREACHABLE)
+            host.feed(events.CallerDisconnected(host.last_key))
+        host.now += 0.2
+        host.last_key = 1
+        (order, ) = support.effects_of(host.fail(), effects.SendRequest)
+        self.assertIsNotNone(order.relay_servers)
+        self.assertEqual(model.Origin("engines", "v2"), order.relay_origin)
+        self.assertTrue(order.resume)
+
+    def test_second_host_goes_by_the_origin_that_it_is_given(self):
+        for version in ("v1", "v2"):
+            host = streams.Driver()
+            found = {streams.version(host.ask(
+                f"t{number}", last_event_id="4", max_servers=1,
+                relay_origin=model.Origin("engines", version)))
+                for number in range(8)}
+            self.assertEqual({version}, found)
+
+    def test_second_host_tells_where_the_stream_began(self):
+        # The first one doesn't know the server.
+        host = streams.Driver()
+        host.ask(max_servers=1)
+        told = streams.messages(host.open(), events.OriginsTold)
+        self.assertEqual({"h1", "h2"}, {sent.peer.name for sent in told})
+
+    def test_first_host_does_not_go_on_with_it_at_a_server(self):
+        host = streams.Driver()
+        host.ask()
+        host.attempt().relayed = True
+        host.attempt().sid = "h1"
+        host.open()
+        self.assertIsNone(host.host.pending[host.last_key].origin)
+        out = host.fail()
+        self.assertIsNone(streams.version(out))
+        self.assertEqual(1, len(support.effects_of(
+            out, effects.AbortStream)))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/gateway/test_upgrade.py
+++ b/tests/gateway/test_upgrade.py
@@ -70,7 +70,7 @@
         # Hosts of the version with duties and without rate limits were
         # considered dead during an upgrade.
         fields = msgpack.unpackb(gossip.encode(STATE), use_list=False)
-        for count in (1, 2, 3, 4):
+        for count in (1, 2, 3, 4, 5):
             self.assertEqual(
                 STATE, gossip.decode(msgpack.packb(fields[:-count])))
 
@@ -85,7 +85,7 @@
         datagram = self._sent_datagram(state)
         self.assertEqual(state, gossip.decode(datagram))
         fields = msgpack.unpackb(datagram, use_list=False)
-        former = gossip.decode(msgpack.packb(fields[:-3]))
+        former = gossip.decode(msgpack.packb(fields[:-4]))
         self.assertEqual((None, 4, STATE.leader), (
             former.catalog_version, former.servers_revision, former.leader))
 
@@ -101,7 +101,7 @@
         fields = msgpack.unpackb(gossip.encode(dataclasses.replace(
             state, crash_reports=rows)), use_list=False)
         # Hosts of the version without reports were considered dead.
-        self.assertEqual(state, gossip.decode(msgpack.packb(fields[:-2])))
+        self.assertEqual(state, gossip.decode(msgpack.packb(fields[:-3])))
         self._receive(gossip.encode_previous(
             events.PeerStateReceived(support.peer("h0"), True, False, 3, 4)))
         self.assertIsNone(
@@ -114,9 +114,48 @@
         self.assertEqual(state, gossip.decode(datagram))
         fields = msgpack.unpackb(datagram, use_list=False)
         self.assertEqual(dataclasses.replace(state, cut_off=()),
-                         gossip.decode(msgpack.packb(fields[:-1])))
+                         gossip.decode(msgpack.packb(fields[:-2])))
         with self.assertRaises(ValueError):
-            gossip.decode(msgpack.packb((*fields[:-1], (7,))))
+            gossip.decode(msgpack.packb((*fields[:-2], (7,))))
+
+    def test_origins_of_streams_have_one_format(self):
+        state = dataclasses.replace(
+            STATE, catalog_version=24, crash_reports=(),
+            former_versions=(("engines", "v1", 4_000),))
+        for event in (state, dataclasses.replace(state, former_versions=()),
+                      events.OriginsTold(
+                          "h1", (("77fe", "engines", "v1", 5_000),)),
+                      events.OriginAsked("h1", "77fe", "engines"),
+                      events.OriginUnknown(
+                          "h1", "", "engines", ("v1", "v2"))):
+            with self.subTest(event):
+                self.assertEqual(event, gossip.decode(gossip.encode(event)))
+        fields = msgpack.unpackb(gossip.encode(state), use_list=False)
+        self.assertEqual(dataclasses.replace(state, former_versions=None),
+                         gossip.decode(msgpack.packb(fields[:-1])))
+
+    def test_invalid_origins_of_streams_are_rejected(self):
+        for event in (
+                events.OriginsTold("h1", (("k", "engines", "v1", -1),)),
+                events.OriginsTold("h1", (("k", "engines", "v1", 0.5),)),
+                events.OriginsTold("h1", (("k", "engines", 7, 5),)),
+                events.OriginsTold("h1", (("k", "engines"),)),
+                events.OriginsTold("h1", 4), events.OriginsTold(4, ()),
+                events.OriginAsked("h1", None, "engines"),
+                events.OriginUnknown("h1", "k", "engines", (4,)),
+                events.OriginUnknown("h1", "k", "engines", None),
+                dataclasses.replace(STATE, catalog_version=24,
+                                    former_versions=(("engines", "v1"),))):
+            with self.subTest(event), self.assertRaises(ValueError):
+                gossip.decode(gossip.encode(event))
+
+    def test_hosts_of_the_former_version_get_no_origins(self):
+        self._receive(gossip.encode_previous(
+            events.PeerStateReceived(support.peer("h0"), True, False, 3, 4)))
+        for event in (events.OriginsTold("h1", ()),
+                      events.OriginAsked("h1", "", "engines"),
+                      events.OriginUnknown("h1", "", "engines", ())):
+            self.assertIsNone(self._sent_datagram(event))
 
     def test_crash_reports_of_a_later_version_are_left_out(self):
         # A state that is refused makes its host count as dead.
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -112,6 +112,44 @@
                 self.assertEqual(
                     expected, (found.last_event_id, found.resumes))
 
+    def test_two_names_of_the_stream_that_is_taken_up(self):
+        rows = ((((b"Resumes", b"1"), (b"resumes", b" 1 ")), "1"),
+                (((b"Resumes", b"1"), (b"resumes", b"2")), None),
+                (((b"Resumes", b"x" * 9_000), ), "x" * 9_000))
+        for sent, expected in rows:
+            head = header_codec.Head((*SENT, *sent), b"POST", b"/a/1")
+            with self.subTest(expected):
+                if expected is None:
+                    with self.assertRaises(ValueError):
+                        self.codec.read_request(head, b"")
+                    continue
+                self.assertEqual(
+                    expected, self.codec.read_request(head, b"").resumes)
+
+    def test_origin_of_a_relayed_stream(self):
+        # Names are any text, and a caller can't choose a version by itself.
+        for origin in (None, model.Origin("engines", "v1.1"),
+                       model.Origin("a/b", "1\r\nX: y/\u20ac %")):
+            send = effects.SendRequest(
+                1, 0, support.server("h2"), 1.5, 0, "hire", True,
+                relay_servers=1, relay_origin=origin)
+            head = header_codec.Head(
+                (*SENT, (b"X-Crocuskeel-Relay-Origin", b"a/forged"),
+                 (b"Resumes", b"77fe")), b"POST", b"/a/1")
+            self.assertIsNone(
+                self.codec.read_request(head, b"").relay_origin)
+            rows = tuple(self.codec.server_headers(head, send, 7))
+            for _, value in rows:
+                self.assertNotIn(b"\n", value)
+            found = self.codec.read_request(
+                header_codec.Head(rows, b"POST", b"/a/1"), b"")
+            self.assertEqual((origin, "4", "77fe"), (
+                found.relay_origin, found.last_event_id, found.resumes))
+            self.assertNotIn(b"X-Crocuskeel-Relay-Origin", dict(
+                self.codec.server_headers(head, effects.SendRequest(
+                    1, 0, support.server("i-1"), 1.5, 0, "hire", True),
+                    None)))
+
     def test_reserved_headers_of_a_caller_are_dropped(self):
         # A caller that sets its own priority, or another caller's cache,
         # would be served first, or from the prompts of others.
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -29,6 +29,16 @@
             (server.sid, server.service, server.address, server.warmup_left_s,
              server.started_ms, server.version))
 
+    def test_versions_that_are_long_or_not_printable_stay_apart(self):
+        # Hosts send versions to each other in datagrams.
+        texts = ("x" * 4_000, "x" * 4_001, "\ud800", "\ud801", "a\nb", "v1")
+        found = {objects.server(_entry(Version=text)).version
+                 for text in texts}
+        self.assertEqual(len(texts), len(found))
+        self.assertLessEqual(max(map(len, found)), 64)
+        for version in found:
+            version.encode()
+
     def test_start_time_is_optional(self):
         self.assertIsNone(objects.server(_entry(born=...)).started_ms)
 
