Routes: a stream that is taken up stays at the service of a split route

A split route chose the service by the id of the request, which is another one for each attempt of a caller: a stream that began at one service was taken up at the other in half of the cases, and no version of its own was there. The test failed before at the first of twenty that differed.

--- a/crocuskeel/core/entry/routing.py
+++ b/crocuskeel/core/entry/routing.py
@@ -44,8 +44,9 @@
     priority = workspace.priority
     if priority is None:
         priority = route.priority
-    return Ok(Destination(route, _service(route, request.rid),
-                          workspace.name, priority))
+    # A stream that a caller takes up goes on at the service that began it.
+    return Ok(Destination(route, _service(
+        route, request.resumes or request.rid), workspace.name, priority))
 
 
 def _route(catalog, request):
--- a/tests/entry/test_stream_lookups.py
+++ b/tests/entry/test_stream_lookups.py
@@ -167,6 +167,19 @@
         host.feed(events.OriginsTold("h1", rows))
         self.assertEqual(origins.MAX_RECORDS, len(host.host.streams.origins))
 
+    def test_stream_stays_at_the_service_that_a_split_route_chose(self):
+        # The choice went by the id of the latest attempt.
+        host = streams.Driver(2, 0)
+        host.feed(events.ServersChanged(tuple(support.server(
+            f"o{number}", "others", version="v1") for number in range(2)),
+            (), 6))
+        for number in range(20):
+            host.ask(f"r{number}", path="/split/1")
+            service = host.host.pending[host.last_key].service
+            host.take_up(f"r{number}", f"t{number}", path="/split/1")
+            taken = host.host.pending[host.last_key].service
+            self.assertEqual(service, taken)
+
     def test_route_no_longer_leads_to_the_service_that_began_it(self):
         host = streams.Driver()
         host.feed(events.OriginsTold("h1", ((
