Prompt parts: engines fetch them from their own software version only

The estimate of what can be fetched still counts all versions, so that while two serve a prompt may be read where a fetch was expected. The test failed before. With one version nothing changes.

--- a/crocuskeel/core/entry/prefix_cache.py
+++ b/crocuskeel/core/entry/prefix_cache.py
@@ -127,14 +127,15 @@
 def fetch_source(host, target, pending, states, now):
     """Return the engine that the target is to fetch from, or None.
 
-    Of the engines that can provide the most tokens, a random one in the
-    target's failure domain, else any: random, as an engine sends to only
-    one other at a time.
+    Of the engines of its software version that can provide the most tokens, a
+    random one in the target's failure domain, else any: random, as an engine
+    sends to only one other at a time.
     """
     prompt = pending.request.prompt
     if not fetchable_tokens(host, pending, cached_tokens(target, prompt)):
         return None
     sources = [state for state in states if state is not target
+               and state.server.version == target.server.version
                and _ready_tokens(state, prompt,
                                  now) == pending.cached_elsewhere_tokens]
     same_domain = [state for state in sources
--- a/tests/entry/test_prefix_cache.py
+++ b/tests/entry/test_prefix_cache.py
@@ -154,6 +154,16 @@
             source = {"e0": "e2", "e3": "e1"}[sent.server.sid]
             self.assertEqual((f"host-of-{source}", 80), sent.fetch_from)
 
+    def test_no_fetch_from_an_engine_of_another_version(self):
+        # What two versions write doesn't fit together.
+        driver = _driver()
+        for server in ENGINES:
+            driver.feed(events.ServersChanged((dataclasses.replace(
+                server, version=f"v{server.sid}"),), (), 7))
+        _cache(driver, "e1")
+        _busy(driver, "e1")
+        self.assertIsNone(_send(driver).fetch_from)
+
     def test_fetched_tokens_count_by_the_time_of_the_fetch(self):
         driver = _driver()
         _cache(driver, "e1")
