Soak: engines of several software versions, callers that take streams up

The soak's engines were all of one version, and its callers never came back for the rest of a stream. From seed 1400 on engines of a new version start while some of the oldest leave, events name the version of their writer in a comment, callers lose the connections of three in ten streams and take them up once, and two checks follow the users' rules (at most two streams of two versions; half as large a share of those taken up goes on as of new ones begins). A violation names the faults at its places. The body of a stream is compared without the comments, as strictly as before.

--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -79,6 +79,9 @@
     kinds = ", ".join(fault.__name__.strip("_") for fault in soak.fault_kinds)
     print(f"seed {seed}: faults: {kinds}")
     print(f"seed {seed}: answers by status {dict(answers)}")
+    taken_up = sum(bool(sent.request.resumes)
+                   for sent in soak.record.sent.values())
+    print(f"seed {seed}: {taken_up} streams taken up")
     holders = {(each.host, each.fence) for each in soak.cloud.arrivals}
     print(f"seed {seed}: {len(soak.cloud.arrivals)} calls of duties by "
           f"{len(holders)} holders, one after the other")
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -15,7 +15,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class Request:
-    """A request; the caller disconnects after ``abandon_after_s`` if set."""
+    """A request; the caller disconnects after ``abandon_after_s`` if set.
+
+    ``resumes`` is the id of the request that began its stream, of which the
+    caller has the events up to ``last_event``.
+    """
 
     rid: str
     kind: str
@@ -24,13 +28,16 @@
     body: bytes
     deadline_s: float = 4.0
     abandon_after_s: float | None = None
+    resumes: str = ""
+    last_event: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
 class Reply:
     """The outcome of a request.
 
-    ``status`` 0 means that no complete response arrived; ``connected`` is
+    ``status`` 0 means that no complete response arrived; ``body`` is what
+    did. ``connected`` is
     false if the host accepted no connection. ``abandoned`` is true if the
     caller disconnected.
     """
@@ -49,6 +56,7 @@
         self.reactor = reactor
         self.h11 = h11.Connection(h11.CLIENT)
         self.reply_received = None
+        self.body = []
         self.lost = False
 
     def send(self, request):
@@ -59,8 +67,7 @@
         if request.abandon_after_s is not None:
             timeout_s = request.abandon_after_s
         self.timer = self.reactor.callLater(
-            timeout_s, self._finish,
-            Reply(abandoned=request.abandon_after_s is not None))
+            timeout_s, self._end, request.abandon_after_s is not None)
         length = (b"Content-Length", b"%d" % len(request.body))
         self.transport.write(connections.encode(
             self.h11, b"POST", request.path.encode(),
@@ -73,7 +80,7 @@
             try:
                 event = connections.next_event(self.h11)
             except h11.RemoteProtocolError:
-                self._finish(Reply())
+                self._end()
                 return
             if event is None:
                 return
@@ -91,13 +98,17 @@
                 self._finish(Reply(
                     self.status, b"".join(self.body), self.retry_after_s))
             case h11.ConnectionClosed():
-                self._finish(Reply())
+                self._end()
 
     def connectionLost(self, reason):
         self.lost = True
         if reason.check(error.ConnectionDone) and self.status:
             self.dataReceived(b"")
-        self._finish(Reply())
+        self._end()
+
+    def _end(self, abandoned=False):
+        """Finish without a complete response."""
+        self._finish(Reply(body=b"".join(self.body), abandoned=abandoned))
 
     def _finish(self, reply):
         reply_received, self.reply_received = self.reply_received, None
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -6,6 +6,7 @@
 from tools.soak import cut_checks
 from tools.soak import engine
 from tools.soak import record as records
+from tools.soak import version_checks
 
 __all__ = ["DRAIN_S", "IDENTICAL", "KINDS", "LEASE_S", "RESTORED",
            "check_recovery", "check_request", "check_run"]
@@ -78,9 +79,8 @@
 
 def _check_reply(sent, runs):
     errors = []
-    kind, reply = sent.request.kind, sent.reply
-    if reply.status == 200 and not _is_complete(kind, sent.request.rid,
-                                                reply.body):
+    reply = sent.reply
+    if reply.status == 200 and not _is_complete(sent.request, reply.body):
         errors.append("response is incomplete or of another request")
     if reply.status in NOT_RUN and runs:
         errors.append("reported as not run, but a server ran it")
@@ -101,13 +101,14 @@
     return []
 
 
-def _is_complete(kind, rid, body):
-    if kind not in STREAMS:
-        return body == b"answer to " + rid.encode()
+def _is_complete(request, body):
+    rid = request.rid.encode()
+    if request.kind not in STREAMS:
+        return body == b"answer to " + rid
     expected = b"".join(
-        b"id: %d\ndata: %s\n\n" % (number, rid.encode())
-        for number in range(1, engine.EVENTS + 1))
-    return body == expected
+        b"id: %d\ndata: %s\n\n" % (number, rid)
+        for number in range(request.last_event + 1, engine.EVENTS + 1))
+    return version_checks.without_comments(body) == expected
 
 
 def _check_routes(sent, record):
@@ -164,6 +165,7 @@
             + _check_tiers(record) + _check_poison(record)
             + _check_identical(record)
             + cut_checks.check_cut_off(record, KINDS, IDENTICAL)
+            + version_checks.check_streams(record, STREAMS)
             + _check_rates(record) + _check_leaving(record)
             + _check_backoffs(record))
 
--- a/tools/soak/engine.py
+++ b/tools/soak/engine.py
@@ -59,13 +59,15 @@
     that backoff.
     """
 
-    def __init__(self, reactor, rng, sid, service, record, on_poison):
+    def __init__(self, reactor, rng, sid, service, record, on_poison,
+                 version="v1"):
         self.reactor = reactor
         self.rng = rng
         self.sid = sid
         self.service = service
         self.record = record
         self.on_poison = on_poison
+        self.version = version
         self.faults = dict(BASE_FAULT_SHARES)
         self.rate_limit = None
         self.leaving = False
@@ -256,7 +258,8 @@
             exchange.send_data(b"id: %d\nda" % number)
             exchange.abort()
             return
-        exchange.send_data(b"id: %d\ndata: %s\n\n" % (number, rid.encode()))
+        exchange.send_data(b"id: %d\n: %s\ndata: %s\n\n" % (
+            number, self.version.encode(), rid.encode()))
         if number == EVENTS:
             self._end_work(exchange)
             exchange.end_answer()
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -20,6 +20,8 @@
 CUT_S = 6.0
 # Runs of these seeds have hosts that are cut off from all servers.
 CUT_SEEDS = range(1300, 1400)
+# Runs of these seeds have engines of several software versions.
+VERSION_SEEDS = range(1400, 1500)
 # Runs of these seeds have restores of the store.
 RESTORE_SEEDS = range(1100, 1200)
 # Runs of these seeds have requests that crash servers in each form.
@@ -45,6 +47,8 @@
         kinds[0] = _poison_in_each_form
     if seed in CUT_SEEDS and _cut_off not in kinds:
         kinds[0] = _cut_off
+    if seed in VERSION_SEEDS and _roll_version not in kinds:
+        kinds[0] = _roll_version
     return kinds
 
 
@@ -158,11 +162,24 @@
             soak.call_later(CUT_S, soak.cuts.reconnect, ip)
 
 
+def _roll_version(soak):
+    """Engines of a new version start, and some of the oldest one leave."""
+    version = f"v{len(soak.engine_versions) + 1}"
+    soak.engine_versions.append(version)
+    soak.note_fault("plan", "another software version", 6.0)
+    oldest = next(each for each in soak.engine_versions if soak.serving(each))
+    for _ in range(2):
+        soak.add_engine("engines", version)
+    for sid in soak.serving(oldest)[:2]:
+        soak.call_later(1.0, soak.leave, sid)
+        soak.call_later(7.0, soak.end_departed, sid)
+
+
 def _leave(soak):
     # Planned: a replacement starts first, and the server runs on for a while.
     sid = soak.any_engine()
     soak.note_fault("plan", "server leaves", 6.0)
-    soak.add_engine(soak.engines[sid].service)
+    soak.add_engine(soak.engines[sid].service, soak.engines[sid].version)
     soak.leave(sid)
     soak.call_later(6.0, soak.end_departed, sid)
 
@@ -228,7 +245,7 @@
     if engine.leaving:
         return
     soak.note_fault("plan", "unlisted leave", 7.0)
-    soak.add_engine(engine.service)
+    soak.add_engine(engine.service, engine.version)
     engine.leaving = True
     soak.call_later(7.0, soak.end_unlisted, sid)
 
@@ -348,4 +365,4 @@
     (200, (_reborn, _other_writer)), (400, (_silent_store,)),
     (500, (_need,)), (600, (_leave_unlisted, _rest)), (1000, (_sever,)),
     (1100, (_restore,)), (1200, (_poison_in_each_form,)),
-    (1300, (_cut_off,)))
+    (1300, (_cut_off,)), (1400, (_roll_version,)))
--- a/tools/soak/record.py
+++ b/tools/soak/record.py
@@ -26,6 +26,9 @@
     reply: object = None
     # The last version written when it ended; 0 while it runs.
     ended_version: int = 0
+    # How many servers of the version that began its stream serve as the
+    # caller takes it up.
+    servers_of_version: int = 0
 
     def is_kept(self, version):
         """Return whether a version's route existed during the request."""
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -1,5 +1,6 @@
 """One run of the soak test: stubs, processes, callers and the record."""
 
+import dataclasses
 import json
 import random
 
@@ -16,6 +17,7 @@
 from tools.soak import proxy
 from tools.soak import record as records
 from tools.soak import store as stores
+from tools.soak import version_checks
 from twisted.internet import defer
 
 __all__ = ["Soak", "run_soak"]
@@ -32,6 +34,8 @@
 RECOVERY_REQUESTS = 40
 KEEP_ALIVE_SHARE = 0.6
 ABANDON_SHARE = 0.05
+# Share of the streams whose callers lose the connection and take them up.
+BREAK_SHARE = 0.3
 # Delay from the end of a request to its check, for its servers to stop, s.
 CHECK_DELAY_S = 1.1
 # Connections of a server that is gone and did not reset them last this long.
@@ -61,6 +65,10 @@
         self.last_number = 0
         self.unfinished = 0
         self.load_factor = 1.0
+        # The software versions of the engines so far, and whether callers
+        # take up streams.
+        self.engine_versions = ["v1"]
+        self.takes_up = seed in faults.VERSION_SEEDS
         self.violations = []
         self.recovery_replies = []
         self.began_at = reactor.seconds()
@@ -103,13 +111,13 @@
         """Record a fault that begins now."""
         self.record.add_fault(where, name, self.reactor.seconds(), span_s)
 
-    def add_engine(self, service):
+    def add_engine(self, service, version="v1"):
         """Start and register a server under a new id."""
         self.last_number += 1
         sid = f"s-{self.last_number}"
         engine = engines.Engine(
             self.reactor, self.rng, sid, service, self.record,
-            lambda form: self.crash(sid, form))
+            lambda form: self.crash(sid, form), version)
         port = engine.listen(self.server_ip)
         self.engines[sid] = engine
         self.links[sid] = self._link(
@@ -124,8 +132,8 @@
         return {
             "Service": self.engines[sid].service,
             "Addr": self._address(self.links[sid]),
-            "Zone": "zone-0", "Version": "v1", "Slots": 32,
-            "State": "ready", "ColdLeftMs": 0, "Seq": 1,
+            "Zone": "zone-0", "Version": self.engines[sid].version,
+            "Slots": 32, "State": "ready", "ColdLeftMs": 0, "Seq": 1,
             "born": self.engines[sid].born}
 
     def reregister(self, sids):
@@ -163,12 +171,12 @@
         self.record.departed[sid] = self.reactor.seconds()
 
     def end_engine(self, sid, form=engines.RESET):
-        """Stop a server; return its service."""
+        """Stop a server; return it."""
         engine = self.engines.pop(sid)
         self.record.ended[sid] = self.reactor.seconds()
         engine.crash(form)
         self.links[sid].close(0.0 if form.resets else DARK_S)
-        return engine.service
+        return engine
 
     def end_departed(self, sid):
         """Stop a server that left, unless a fault stopped it before."""
@@ -186,9 +194,15 @@
         if sid not in self.engines:
             return
         self.note_fault(sid, "server crash", 2.5)
-        service = self.end_engine(sid, form)
+        engine = self.end_engine(sid, form)
         self.call_later(1.5, self.store.remove, "servers", sid)
-        self.call_later(1.0, self.add_engine, service)
+        self.call_later(1.0, self.add_engine, engine.service, engine.version)
+
+    def serving(self, version):
+        """Return the ids of the engines of a version that have not left."""
+        return [sid for sid, engine in self.engines.items()
+                if engine.service == "engines" and engine.version == version
+                and not engine.leaving and not engine.is_down]
 
     def restart_engine(self, sid):
         """Crash a server and restart it under its id."""
@@ -244,6 +258,9 @@
         abandon_after_s = None
         if self.rng.random() < ABANDON_SHARE:
             abandon_after_s = self.rng.uniform(0.02, 0.3)
+        elif (self.takes_up and kind in checks.STREAMS
+                and self.rng.random() < BREAK_SHARE):
+            abandon_after_s = self.rng.uniform(0.2, 1.5)
         return self._new_request(kind, None, abandon_after_s)
 
     def send_body(self, kind, body):
@@ -270,13 +287,14 @@
                                body or rid.encode(),
                                abandon_after_s=abandon_after_s)
 
-    async def send_to(self, ip, request):
+    async def send_to(self, ip, request, servers_of_version=0):
         """Send a request to a host and check it; return the reply."""
         number = self.fleet.ips.index(ip)
         now = self.reactor.seconds()
         sent = records.SentRequest(
             request, ip, self.fleet.start_counts[number], now,
-            self.version, self._settled())
+            self.version, self._settled(),
+            servers_of_version=servers_of_version)
         self.record.sent[request.rid] = sent
         sent.reply = callers.Reply(abandoned=True)
         caller = self._caller(ip)
@@ -284,9 +302,30 @@
         sent.ended_at = self.reactor.seconds()
         sent.ended_version = self.version
         self._release_caller(ip, caller)
+        self._take_up(sent)
         self.call_later(CHECK_DELAY_S, self._check_request, sent)
         return sent.reply
 
+    def _take_up(self, sent):
+        """Take up a stream whose connection was lost, once, at any host."""
+        found = version_checks.events_of(sent.reply.body)
+        if (not self.takes_up or sent.reply.status or not found
+                or sent.request.resumes or sent.request.kind
+                not in checks.STREAMS):
+            return
+        last, version = found[-1]
+        request = self._new_request(sent.request.kind, None, None)
+        headers = (*request.headers, (b"Last-Event-Id", b"%d" % last),
+                   (b"Resumes", sent.request.rid.encode()))
+        request = dataclasses.replace(
+            request, headers=headers, resumes=sent.request.rid,
+            last_event=last)
+        self.unfinished += 1
+        ip = self.rng.choice(self.known_ips or self.fleet.ips)
+        defer.Deferred.fromCoroutine(self.send_to(
+            ip, request, len(self.serving(version)))).addErrback(
+                self._record_failure)
+
     def _caller(self, ip):
         """Return a caller for a host, an idle one if there is any."""
         idle = self.idle_callers.setdefault(ip, [])
@@ -310,7 +349,16 @@
                 f"{sent.request.rid} ({sent.request.kind}, {sent.ip}, "
                 f"{sent.at - self.began_at:.2f} s, "
                 f"{sent.reply.status}): {error}; ran on {runs}; version "
-                f"{sent.version} when sent, {self.version} now")
+                f"{sent.version} when sent, {self.version} now; faults at "
+                f"these: {self._faults_at(sent, runs)}")
+
+    def _faults_at(self, sent, places):
+        """Return the (place, name, s before the end) of faults at places."""
+        return [(place, name, round(sent.ended_at - start, 1))
+                for start, end, place, name in self.record.faults
+                if place in (sent.ip, "engines", *places)
+                and start <= self.reactor.seconds()
+                and end + records.AFTEREFFECT_S >= sent.at]
 
     async def resolve(self):
         """Resolve the host addresses repeatedly, as callers do, forever."""
