Retries: whether a server was out of reach is a fact about the attempt

A 500 doesn't clear the mark, and only the end of a whole cut does.

An attempt whose server completed a response counts, and a mark counts only if it is no older than the attempt (the mark is a time now). The two tests that used the former flag set and read the time instead, as strictly.

--- a/crocuskeel/core/entry/attempts.py
+++ b/crocuskeel/core/entry/attempts.py
@@ -128,6 +128,7 @@
         return []
     target = host.servers.get(attempt.sid)
     ending.close_attempt(host, pending, attempt)
+    attempt.answered = True
     pending.may_have_run = True
     _count_begun(host, pending, attempt, attempt.sent_at)
     if event.status < SERVER_ERROR:
@@ -207,7 +208,7 @@
             if event.outcome is model.Outcome.REFUSED:
                 host.refused_servers.add(attempt.sid)
             if target is not None:
-                target.unreachable = True
+                target.unreachable_at = now
                 health.record_connection_failure(target, now)
             out += reachability.note_failure(host, pending, attempt, now)
         case model.Outcome.MISDIRECTED:
--- a/crocuskeel/core/entry/health.py
+++ b/crocuskeel/core/entry/health.py
@@ -38,7 +38,7 @@
     note_activity(state, now)
     state.failure_count = 0
     state.suspect_until = 0.0
-    state.unreachable = False
+    state.unreachable_at = -math.inf
 
 
 def record_failure(state, now):
--- a/crocuskeel/core/entry/reachability.py
+++ b/crocuskeel/core/entry/reachability.py
@@ -116,7 +116,7 @@
     reach.failed = {}
     for state in host.by_service.get(service, ()):
         # What made it seem lost was this host's path.
-        state.unreachable = False
+        state.unreachable_at = -math.inf
     return [effects.LogEvent("reconnected", {"service": service})]
 
 
--- a/crocuskeel/core/entry/retrying.py
+++ b/crocuskeel/core/entry/retrying.py
@@ -70,19 +70,20 @@
     """Return how many servers a request was sent to, but for lost ones."""
     lost = sum(1 for attempt in pending.attempts
                if attempt.ended and attempt.uncached_tokens >= 0
-               and _is_lost(host, attempt.sid))
+               and _is_lost(host, attempt))
     return pending.servers_used - lost
 
 
-def _is_lost(host, sid):
-    """Return whether a server is known to be unreachable.
+def _is_lost(host, attempt):
+    """Return whether an attempt's server got out of reach under it.
 
     A server that was removed from the list still runs its requests for a
     while. If it counted as lost, a stream that it had run could start on
     a third server where two are allowed.
     """
-    target = host.servers.get(sid)
-    return target is not None and target.unreachable
+    target = host.servers.get(attempt.sid)
+    return (target is not None and not attempt.answered
+            and target.unreachable_at >= attempt.sent_at)
 
 
 def _has_untried_server(host, pending, now):
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -73,6 +73,8 @@
     relayed: bool = False
     # The first event has arrived; pauses are measured from then on.
     opened: bool = False
+    # Its server completed a response.
+    answered: bool = False
     ended: bool = False
 
 
@@ -166,7 +168,8 @@
     busy_since: float = 0.0
     suspect_until: float = 0.0
     failure_count: int = 0
-    unreachable: bool = False
+    # When a connection to it last failed, unless it has been reached since.
+    unreachable_at: float = -math.inf
     # Another server responded at its address.
     address_reused: bool = False
     parts: dict = dataclasses.field(
--- a/tests/entry/test_reachability.py
+++ b/tests/entry/test_reachability.py
@@ -174,10 +174,10 @@
         # stream ran on three where its route allows two.
         driver = _Driver()
         driver.cut_off()
-        self.assertTrue(any(state.unreachable for state
+        self.assertTrue(any(state.unreachable_at > 0 for state
                             in driver.host.by_service["plain"]))
         driver.feed(events.ServerProbed("plain"))
-        self.assertFalse(any(state.unreachable for state
+        self.assertFalse(any(state.unreachable_at > 0 for state
                              in driver.host.by_service["plain"]))
 
     def test_attempts_from_before_an_answered_probe_do_not_count(self):
--- a/tests/entry/test_retrying.py
+++ b/tests/entry/test_retrying.py
@@ -8,6 +8,7 @@
 from tests.entry import support
 
 STREAM = support.stream()
+LOOKUP = support.route("lookup")
 ENGINES = tuple(support.server(f"e{number}", "engines")
                 for number in range(1, 4))
 
@@ -44,6 +45,32 @@
         # Two engines crash under a stream, and the first one refuses
         # connections since then: a third engine may finish the stream.
         driver, first = self._resume_at_second_server()
-        driver.host.servers[first].unreachable = True
+        driver.host.servers[first].unreachable_at = driver.now
         out = driver.feed(_broken(1), 0.5)
         self.assertEqual(1, len(support.effects_of(out, effects.SendRequest)))
+
+    def test_server_that_answered_is_counted(self):
+        # Two servers out of reach in a partial cut were marked then. Later
+        # both answered 500, and a third one ran the request.
+        servers = tuple(support.server(f"s{number}") for number in range(4))
+        driver = support.Driver(LOOKUP, servers=servers)
+        for marked_at in (-6.0, 0.2):
+            driver.arrive(path="/lookup/1", deadline_s=2.0)
+            attempts = driver.host.pending[1].attempts
+            for number in range(2):
+                sid = attempts[number].sid
+                out = driver.feed(events.ResponseReceived(
+                    1, number, 500, None, True), 0.05)
+                driver.host.servers[sid].unreachable_at = (
+                    driver.now + marked_at)
+            with self.subTest(marked_at=marked_at):
+                self.assertEqual([], support.effects_of(
+                    out, effects.SendRequest))
+
+    def test_server_that_was_out_of_reach_before_is_counted(self):
+        # The attempt reached it, as the partial cut had ended.
+        driver, first = self._resume_at_second_server()
+        sent_at = driver.host.pending[1].attempts[0].sent_at
+        driver.host.servers[first].unreachable_at = sent_at - 0.1
+        out = driver.feed(_broken(1), 0.5)
+        self.assertEqual([], support.effects_of(out, effects.SendRequest))
