Brittle servers: hosts keep to their share of the slots

Cause: a host sends plain calls up to a server's connections and leaves the waiting to the server; what hosts tell each other of their calls comes too late when many wait for one slot.

A host that learns of it divides the slots of each server of the service among the serving hosts, holds requests beyond its share until they find a place or their time is up, and tells the others. It goes by service, as a server that has just started has not answered yet. Without the header nothing changes; a state has one byte more.

--- a/crocuskeel/core/entry/events.py
+++ b/crocuskeel/core/entry/events.py
@@ -235,6 +235,7 @@
     services that it is cut off from. ``former_versions`` holds (service,
     software version, ms left) of versions that have no server any more, None
     from a host that doesn't understand messages about streams' origins.
+    ``brittle`` holds (service, ms since it said so) of brittle services.
     """
 
     peer: model.Peer
@@ -257,6 +258,7 @@
     crash_reports: tuple | None = None
     cut_off: tuple = ()
     former_versions: tuple | None = None
+    brittle: tuple = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/crocuskeel/core/entry/gossip.py
+++ b/crocuskeel/core/entry/gossip.py
@@ -9,6 +9,7 @@
 import math
 
 from crocuskeel.core.duties import clock
+from crocuskeel.core.entry import brittle
 from crocuskeel.core.entry import crash_records
 from crocuskeel.core.entry import crash_reports
 from crocuskeel.core.entry import draining
@@ -23,7 +24,8 @@
 from crocuskeel.core.entry import server_load
 from crocuskeel.core.entry import serving
 
-__all__ = ["broadcast_change", "broadcast_hints", "broadcast_lease", "reply",
+__all__ = ["broadcast_change", "broadcast_hints", "broadcast_lease",
+           "broadcast_state", "reply",
            "schedule_load_update", "send_load_update", "send_state"]
 
 # Limit of rows in one datagram, which holds 64 kB: a row with streams takes
@@ -76,7 +78,7 @@
         # The next periodic state includes it.
         return []
     host.state_pushed_at = now
-    return _broadcast_state(host, now)
+    return broadcast_state(host, now)
 
 
 def broadcast_lease(host, now):
@@ -86,7 +88,7 @@
     successor took over after 7 s, and with this after 4 s: other hosts
     count from the last renewal that they know.
     """
-    return _broadcast_state(host, now)
+    return broadcast_state(host, now)
 
 
 def broadcast_hints(host, now):
@@ -104,7 +106,8 @@
     return tuple(host.rng.sample(rows, MAX_ROWS))
 
 
-def _broadcast_state(host, now):
+def broadcast_state(host, now):
+    """Send the state without loads to all contacts at once."""
     state = _state(host, now, False)
     return [effects.SendToPeer(peer, state) for peer in _contacts(host, now)]
 
@@ -223,6 +226,7 @@
         crash_reports=crash_reports.rows(reports, now),
         cut_off=reachability.cut_off_services(host, now),
         former_versions=origins.former_rows(host, now),
+        brittle=_sample_rows(host, brittle.rows(host, now)),
         **_duty_fields(host, now))
 
 
--- a/crocuskeel/core/entry/model.py
+++ b/crocuskeel/core/entry/model.py
@@ -237,12 +237,14 @@
     ``rate_limit``: requests a second from all hosts together, None if
     the server sets no limit. ``leaving``: the server will shut down.
     ``backoff_s``: for how long the server asks this host to send nothing,
-    s; None if it doesn't ask for that.
+    s; None if it doesn't ask for that. ``brittle``: the server ends if it
+    has to refuse several requests in a second.
     """
 
     rate_limit: float | None = None
     leaving: bool = False
     backoff_s: float | None = None
+    brittle: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/crocuskeel/core/entry/peers.py
+++ b/crocuskeel/core/entry/peers.py
@@ -1,5 +1,6 @@
 """Handlers of what other hosts send: their state, load and data versions."""
 
+from crocuskeel.core.entry import brittle
 from crocuskeel.core.entry import crash_records
 from crocuskeel.core.entry import crash_reports
 from crocuskeel.core.entry import crashes
@@ -75,6 +76,7 @@
     _apply_loads(host, event, now)
     _apply_serving_hosts(host, event, now)
     out += ratelimits.merge(host, event.rate_limits, now)
+    out += brittle.merge(host, event.brittle, now)
     out += draining.merge(host, event.servers_leaving, now)
     out += gossip.reply(host, known, now)
     return out + _fetch_if_behind(host, known, now)
--- a/crocuskeel/core/entry/reducer.py
+++ b/crocuskeel/core/entry/reducer.py
@@ -3,6 +3,7 @@
 from crocuskeel.core.duties import model as duties_model
 from crocuskeel.core.entry import attempts
 from crocuskeel.core.entry import backoff
+from crocuskeel.core.entry import brittle
 from crocuskeel.core.entry import crashes
 from crocuskeel.core.entry import draining
 from crocuskeel.core.entry import duties
@@ -46,6 +47,7 @@
     draining.remove_unlisted(host, now)
     restores.forget_removed(host, now)
     backoff.forget(host, now)
+    brittle.forget(host, now)
     trials.renew(host, now)
     origins.forget(host, now)
     return (registry.drop_expired(host, now) + crashes.forget(host, now)
--- a/crocuskeel/core/entry/response_hints.py
+++ b/crocuskeel/core/entry/response_hints.py
@@ -1,6 +1,7 @@
 """Hints in response headers: rate limit, draining, and time to back off."""
 
 from crocuskeel.core.entry import backoff
+from crocuskeel.core.entry import brittle
 from crocuskeel.core.entry import crashes
 from crocuskeel.core.entry import draining
 from crocuskeel.core.entry import ending
@@ -23,6 +24,10 @@
         out += draining.note_response(host, attempt, now)
     if out:
         out += gossip.broadcast_hints(host, now)
+    if received.brittle:
+        begun = brittle.note_response(host, pending.service, now)
+        if begun:
+            out += begun + gossip.broadcast_state(host, now)
     if received.backoff_s is not None:
         out += backoff.note_backoff(host, attempt, received.backoff_s, now)
     return out + reached + crashes.note_response(host, attempt, now)
--- a/crocuskeel/core/entry/server_choice.py
+++ b/crocuskeel/core/entry/server_choice.py
@@ -10,6 +10,7 @@
 import math
 
 from crocuskeel.core.entry import backoff
+from crocuskeel.core.entry import brittle
 from crocuskeel.core.entry import cost
 from crocuskeel.core.entry import draining
 from crocuskeel.core.entry import ratelimits
@@ -18,6 +19,9 @@
 __all__ = ["available_in_s", "choose", "choose_with_capacity", "fetch_sources",
            "healthy", "is_available"]
 
+# A host that uses its share of a brittle server's slots checks again after
+# this, s.
+PLACE_RECHECK_S = 0.04
 # Share of the connections that a server accepts which all hosts together
 # may use: a host learns of the others' connections some milliseconds late,
 # and in that time several hosts could use the rest at once.
@@ -72,11 +76,20 @@
 
     None if all usable servers are in ``exclude``.
     """
-    return min((_server_available_in_s(host, state, now)
+    return min((max(_server_available_in_s(host, state, now),
+                    _place_in_s(host, pending, state, now))
                 for state in _usable(host, pending, now)
                 if state.server.sid not in exclude), default=None)
 
 
+def _place_in_s(host, pending, state, now):
+    """Return the seconds until a brittle server may have a place, or 0."""
+    if pending.request.prompt is not None or brittle.has_place(
+            host, state, now):
+        return 0.0
+    return PLACE_RECHECK_S
+
+
 def is_available(host, state, now):
     """Say whether a server's rate limit and back-off allow a request now."""
     return _server_available_in_s(host, state, now) <= 0
@@ -93,12 +106,14 @@
     The rest of a rate limit goes to the most urgent queued request first.
     """
     usable = _usable(host, pending, now)
-    if not host.rate_limits and not host.backoff_until:
+    if not (host.rate_limits or host.backoff_until or host.brittle):
         return usable
     preceded = _has_more_urgent(host, pending)
     return [state for state in usable if is_available(host, state, now)
-            and not (preceded
-                     and ratelimits.is_limited(host, state.server))]
+            and not _place_in_s(host, pending, state, now)
+            and not (preceded and (
+                ratelimits.is_limited(host, state.server)
+                or brittle.is_brittle(host, pending.service, now)))]
 
 
 def _has_more_urgent(host, pending):
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -230,6 +230,8 @@
     # shutting down), and until when it asked this host to send nothing.
     leaving: dict = dataclasses.field(default_factory=dict)
     backoff_until: dict = dataclasses.field(default_factory=dict)
+    # By service: that its servers are brittle (brittle.Brittle).
+    brittle: dict = dataclasses.field(default_factory=dict)
     # Ids of servers that have work or were heard of recently.
     active_servers: dict = dataclasses.field(default_factory=dict)
     servers_loaded: bool = False
--- a/crocuskeel/gateway/gossip.py
+++ b/crocuskeel/gateway/gossip.py
@@ -33,8 +33,8 @@
 STATE_FIELDS = 13
 # Fields that were added to that since, as of a host that doesn't send them:
 # rate limits, draining servers, versions, reports on crashes, services that it
-# is cut off from, software versions without a server.
-ADDED_DEFAULTS = ((), (), (), None, (), None)
+# is cut off from, software versions without a server, brittle services.
+ADDED_DEFAULTS = ((), (), (), None, (), None, ())
 KINDS = frozenset(map(str, crash_records.Kind))
 SIGNS = frozenset(map(str, crash_records.Sign)) | {""}
 
@@ -66,7 +66,7 @@
         event.rate_limits,
         event.servers_leaving,
         _versions(event), event.crash_reports, event.cut_off,
-        event.former_versions))
+        event.former_versions, event.brittle))
 
 
 def _versions(event):
@@ -160,7 +160,7 @@
     # version without eras after the next two fields, one of the version
     # without reports on crashes after the next one, and so on.
     added = rest[STATE_FIELDS:][:len(ADDED_DEFAULTS)]
-    limits, leaving, versions, reports, cut_off, former = (
+    limits, leaving, versions, reports, cut_off, former, brittle = (
         *added, *ADDED_DEFAULTS[len(added):])
     state = events.PeerStateReceived(sender, *previous, wall,
                                      duties.Leader(*leader),
@@ -174,6 +174,8 @@
     return dataclasses.replace(
         state, crash_reports=_crash_reports(reports),
         cut_off=_texts(*cut_off), former_versions=_former_versions(former),
+        brittle=tuple((*_texts(service), _duration_ms(age_ms))
+                      for service, age_ms in brittle),
         catalog_version=catalog_version,
         servers_revision=servers_revision, leader=dataclasses.replace(
             state.leader, version=leader_version, fence=fence))
--- a/crocuskeel/platform/headers.py
+++ b/crocuskeel/platform/headers.py
@@ -34,6 +34,8 @@
 _RATE_LIMIT = b"server-limit"
 # "1" in all answers of an engine that is shutting down.
 _LEAVING = b"server-leaving"
+# In all answers of an engine that ends if it refuses more requests a second.
+_BRITTLE = b"server-brittle"
 # In a refusal: seconds for which the engine wants no request of this host.
 _RETRY_AFTER = b"retry-after"
 _TOKENS = b"x-crocuskeel-token-count"
@@ -247,7 +249,8 @@
     if head.status in REFUSALS:
         rest_s = _number(head.get(_RETRY_AFTER))
     return model.Hints(_number(head.get(_RATE_LIMIT)),
-                       (head.get(_LEAVING) or b"").strip() == b"1", rest_s)
+                       (head.get(_LEAVING) or b"").strip() == b"1", rest_s,
+                       head.get(_BRITTLE) is not None)
 
 
 def _number(value):
--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -10,7 +10,7 @@
 
 from crocuskeel.core.entry import model
 
-__all__ = ["Arrival", "Engine", "PlainServer", "Run"]
+__all__ = ["Arrival", "Engine", "MAX_WAITING", "PlainServer", "Run"]
 
 # Queue length of a server with no free slot; further requests are refused.
 MAX_WAITING = 32
@@ -63,7 +63,9 @@
     the first with the leaving flag; ``rests`` holds (time, host, s) of the
     refusals. ``on_crash(run)`` is called when a run crashes it; a share
     ``lost_share`` of its responses breaks off at the first event. ``version``
-    is that of its software.
+    is that of its software. If it is ``brittle``, its responses say so, and
+    ``on_fall()`` is called once it refused more than so many requests in a
+    second for want of room.
     """
 
     def __init__(self, clock, sid, cfg):
@@ -86,10 +88,30 @@
         self.lost_share = 0.0
         self.rng = None
         self.version = ""
+        self.max_waiting = MAX_WAITING
+        self.brittle = None
+        self.on_fall = None
+        self.refused_at = collections.deque()
 
     def hints(self):
         """Return the hints on its capacity that its responses carry."""
-        return model.Hints(self.rate_limit, self.leaving, self.rest_s)
+        return model.Hints(self.rate_limit, self.leaving, self.rest_s,
+                           self.brittle is not None)
+
+    def _has_room(self):
+        """Return whether a request is accepted; count it if not."""
+        if self.rest_s is not None:
+            return False
+        if len(self.waiting) < self.max_waiting or (
+                len(self.running) < self.cfg.slots):
+            return True
+        now = self.clock.now
+        self.refused_at.append(now)
+        while self.refused_at[0] < now - 1.0:
+            self.refused_at.popleft()
+        if self.brittle is not None and len(self.refused_at) > self.brittle:
+            self.on_fall()
+        return False
 
     def cancel(self, run):
         """Drop a request whose connection was closed."""
@@ -152,7 +174,7 @@
 
         ``source`` is an engine to fetch shared parts from.
         """
-        if len(self.waiting) >= MAX_WAITING or self.rest_s is not None:
+        if not self._has_room():
             return False
         fetched = self._fetch(run, source)
         run.unread_tokens = self._uncached_tokens(run.prompt)
@@ -301,7 +323,7 @@
 
     def submit(self, run, source=None):
         """Accept a request, or return False if the server is full."""
-        if len(self.waiting) >= MAX_WAITING or self.rest_s is not None:
+        if not self._has_room():
             return False
         self.waiting.append(run)
         self._schedule_work()
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -1,6 +1,7 @@
 """Faults to inject into a run; each is undone after its duration."""
 
 from emulator import callers
+from emulator import engine
 from emulator import listeners
 
 __all__ = ["FAULTS", "crash_engine"]
@@ -9,6 +10,8 @@
 # of its replacement under a new id, s.
 ENTRY_EXPIRY_S = 3.6
 REPLACEMENT_DELAY_S = 2.0
+# Servers that say that they are brittle let fewer wait from then on, s.
+BRITTLE_NOTICE_S = 3.0
 
 
 def _burst(world, fault):
@@ -31,11 +34,44 @@
         crash_engine(world, server)
 
 
+def _crash_plain(world, fault):
+    found = [server for sid, server in world.servers.items()
+             if sid in world.entries and not server.down
+             and not isinstance(server, engine.Engine)]
+    for server in world.rng.sample(found, min(fault.count, len(found))):
+        crash_engine(world, server)
+
+
 def crash_engine(world, server):
-    """Crash an engine; a replacement registers under a new id."""
+    """Crash a server; a replacement registers under a new id."""
     server.crash()
     world.clock.after(ENTRY_EXPIRY_S, world.remove_server, server.sid)
-    world.clock.after(REPLACEMENT_DELAY_S, world.add_engine, server.version)
+    world.clock.after(REPLACEMENT_DELAY_S, world.replace, server)
+
+
+def _make_brittle(world, fault):
+    """Servers bear ``times`` refusals a second, and say so.
+
+    Some seconds later ``count`` requests may wait at each.
+    """
+    world.brittle = fault.times, fault.count
+    for server in world.servers.values():
+        server.brittle = fault.times
+        world.clock.after(BRITTLE_NOTICE_S, _shorten_queue, server,
+                          fault.count)
+    world.clock.after(fault.for_s, _end_brittle, world)
+
+
+def _shorten_queue(server, count):
+    if server.brittle is not None:
+        server.max_waiting = count
+
+
+def _end_brittle(world):
+    world.brittle = None
+    for server in world.servers.values():
+        server.brittle = None
+        server.max_waiting = engine.MAX_WAITING
 
 
 def _poison(world, fault):
@@ -222,11 +258,13 @@
     world.hot_subject = None
 
 
-FAULTS = {"burst": _burst, "crash": _crash, "dark": _hang, "slow": _slow_down,
+FAULTS = {"burst": _burst, "crash": _crash,
+          "crash_plain": _crash_plain, "dark": _hang, "slow": _slow_down,
           "limit": _limit, "leave": _leave, "rest": _ask_backoff,
           "drain": _drain, "kill": _kill_hosts, "part": _partition,
           "hot": _skew, "restore": _restore, "poison": _poison,
           "lose": _lose_answers, "lossy": _lose_datagrams,
+          "brittle": _make_brittle,
           "same": _repeat_request, "add_version": _add_version,
           "drain_version": _drain_version, "break": _break_connections,
           "cut_refused": _cut_off(listeners.Cut.REFUSED),
--- a/emulator/run.py
+++ b/emulator/run.py
@@ -54,6 +54,8 @@
         self.store_down = False
         self.former_entries = []
         self.servers = {}
+        # The services of all servers so far.
+        self.services = {}
         self.entries = {}
         self.catalog = _catalog(deployment)
         self.names = [f"h{number}" for number in range(deployment.hosts)]
@@ -67,6 +69,10 @@
         # connection after a few events.
         self.streams = []
         self.break_share = 0.0
+        # Falls of brittle servers: (time, id); and (refusals a second that
+        # one bears, how many requests may wait there), or None.
+        self.falls = []
+        self.brittle = None
         # The software versions of engines so far.
         self.engine_versions = ["v1"]
         # Names of the hosts that are partitioned from the others.
@@ -95,6 +101,13 @@
         self._add_server(ENGINES, version or self.engine_versions[-1],
                          engines.Engine, self.deployment.engines, self.tally)
 
+    def replace(self, server):
+        """Start another server in place of one that crashed."""
+        if isinstance(server, engines.Engine):
+            self.add_engine(server.version)
+        else:
+            self.add_plain()
+
     def add_plain(self):
         """Start and register a server of the plain service."""
         self._add_server(PLAIN, "v1", engines.PlainServer,
@@ -107,7 +120,11 @@
         server.rng = self.rng
         server.version = version
         server.on_crash = functools.partial(self._crashed, server)
+        server.on_fall = functools.partial(self._fell, server)
+        if self.brittle is not None:
+            server.brittle, server.max_waiting = self.brittle
         self.servers[sid] = server
+        self.services[sid] = service
         self.entries[sid] = model.Server(
             sid, service, (sid, 80), "a", cfg.slots, False, version=version)
         self._send_server_change((self.entries[sid],), ())
@@ -117,6 +134,10 @@
             self.clock.now - self.tally.began)
         faults.crash_engine(self, server)
 
+    def _fell(self, server):
+        self.falls.append((self.clock.now, server.sid))
+        faults.crash_engine(self, server)
+
     def loses_datagram(self):
         """Draw whether a datagram between hosts is lost."""
         return (self.datagram_loss > 0
--- a/tests/gateway/test_upgrade.py
+++ b/tests/gateway/test_upgrade.py
@@ -70,7 +70,7 @@
         # Hosts of the version with duties and without rate limits were
         # considered dead during an upgrade.
         fields = msgpack.unpackb(gossip.encode(STATE), use_list=False)
-        for count in (1, 2, 3, 4, 5):
+        for count in (1, 2, 3, 4, 5, 6):
             self.assertEqual(
                 STATE, gossip.decode(msgpack.packb(fields[:-count])))
 
@@ -85,7 +85,7 @@
         datagram = self._sent_datagram(state)
         self.assertEqual(state, gossip.decode(datagram))
         fields = msgpack.unpackb(datagram, use_list=False)
-        former = gossip.decode(msgpack.packb(fields[:-4]))
+        former = gossip.decode(msgpack.packb(fields[:-5]))
         self.assertEqual((None, 4, STATE.leader), (
             former.catalog_version, former.servers_revision, former.leader))
 
@@ -101,7 +101,7 @@
         fields = msgpack.unpackb(gossip.encode(dataclasses.replace(
             state, crash_reports=rows)), use_list=False)
         # Hosts of the version without reports were considered dead.
-        self.assertEqual(state, gossip.decode(msgpack.packb(fields[:-3])))
+        self.assertEqual(state, gossip.decode(msgpack.packb(fields[:-4])))
         self._receive(gossip.encode_previous(
             events.PeerStateReceived(support.peer("h0"), True, False, 3, 4)))
         self.assertIsNone(
@@ -114,15 +114,16 @@
         self.assertEqual(state, gossip.decode(datagram))
         fields = msgpack.unpackb(datagram, use_list=False)
         self.assertEqual(dataclasses.replace(state, cut_off=()),
-                         gossip.decode(msgpack.packb(fields[:-2])))
+                         gossip.decode(msgpack.packb(fields[:-3])))
         with self.assertRaises(ValueError):
-            gossip.decode(msgpack.packb((*fields[:-2], (7,))))
+            gossip.decode(msgpack.packb((*fields[:-3], (7,))))
 
     def test_origins_of_streams_have_one_format(self):
         state = dataclasses.replace(
             STATE, catalog_version=24, crash_reports=(),
             former_versions=(("engines", "v1", 4_000),))
         for event in (state, dataclasses.replace(state, former_versions=()),
+                      dataclasses.replace(state, brittle=(("plain", 30),)),
                       events.OriginsTold(
                           "h1", (("77fe", "engines", "v1", 5_000),)),
                       events.OriginAsked("h1", "77fe", "engines"),
@@ -132,7 +133,7 @@
                 self.assertEqual(event, gossip.decode(gossip.encode(event)))
         fields = msgpack.unpackb(gossip.encode(state), use_list=False)
         self.assertEqual(dataclasses.replace(state, former_versions=None),
-                         gossip.decode(msgpack.packb(fields[:-1])))
+                         gossip.decode(msgpack.packb(fields[:-2])))
 
     def test_invalid_origins_of_streams_are_rejected(self):
         for event in (
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -80,6 +80,13 @@
                     header_codec.Head(sent, status=status))
                 self.assertEqual(expected, (found.leaving, found.backoff_s))
 
+    def test_brittle_header(self):
+        for sent, expected in ((((b"Server-Brittle", b"4"),), True),
+                               (((b"server-brittle", b""),), True),
+                               ((), False)):
+            found = self.codec.hints(header_codec.Head(sent, status=200))
+            self.assertEqual(expected, found.brittle)
+
     def test_kv_fetch_header_of_a_caller_is_replaced(self):
         # A caller that names an engine could read another caller's cached
         # data.
