--- a/crocuskeel/core/entry/candidates.py
+++ b/crocuskeel/core/entry/candidates.py
@@ -22,8 +22,10 @@
 
 def pick(host, pending):
     """Return the ServerStates that a request may be sent to."""
-    servers = [state for state in host.by_service.get(pending.service, ())
-               if pending.may_go_to(state.server)]
+    servers = host.by_service.get(pending.service, [])
+    if pending.origin is not None:
+        servers = [state for state in servers
+                   if pending.may_go_to(state.server)]
     if len(servers) <= MAX_CANDIDATES:
         return servers
     preferred = _preferred(host, pending)
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -47,6 +47,7 @@
 
     asyncioreactor.install()
     from tools.soak import run
+    from tools.soak import session
     from twisted.internet import defer
     from twisted.internet import reactor
 
@@ -57,7 +58,8 @@
         print(f"addresses in use: {', '.join(in_use)}; another run with this "
               "seed, or hosts left behind by one; stop these first")
         return 2
-    finished = defer.Deferred.fromCoroutine(run.run_soak(soak, args.seconds))
+    finished = defer.Deferred.fromCoroutine(
+        session.run_soak(soak, args.seconds))
     finished.addErrback(
         lambda failure: soak.violations.append(failure.getTraceback()))
     finished.addBoth(lambda _: reactor.stop())
