Streams: hosts that know only each other don't conclude on a version

Found with callers that use any host: of six hosts two were cut off from the store and from the four others while a second version joined. A host whose list may be old now also has to hear most of the hosts that it heard when the list was new, and a list counts as new for one second, as for readers of the store.

--- a/crocuskeel/core/entry/lookups.py
+++ b/crocuskeel/core/entry/lookups.py
@@ -48,7 +48,7 @@
     if origin is not None:
         return _bound(pending, origin, "told")
     if pending.lookup is None:
-        if _knows_versions(host, now) and (key is None or len(
+        if _is_up_to_date(host, now) and (key is None or len(
                 origins.versions_of(host, pending.service, now)) == 1):
             return _bound_to_only_version(host, pending, set(), now)
         _begin(host, pending, key, now)
@@ -87,16 +87,22 @@
 
 
 def _is_up_to_date(host, now):
-    return fleet.store_data_age_s(host, now) <= fleet.READER_TIMEOUT_S
+    """Return whether this host's list of servers is up to date."""
+    return (fleet.store_data_age_s(host, now)
+            <= fleet.SERVING_READER_TIMEOUT_S)
 
 
-def _knows_versions(host, now):
-    """Return whether this host knows all versions of the last seconds.
+def _is_in_touch(host, now):
+    """Return whether most hosts are heard that were when the list was new.
 
-    If a service has several, what others know of a stream is needed.
+    Hosts that are cut off from the others and from the store together know
+    only each other.
     """
-    return (_is_up_to_date(host, now)
-            and now >= host.streams.listed_at + origins.life_s(host))
+    before = now - fleet.store_data_age_s(host, now) - fleet.PEER_TIMEOUT_S
+    known = [peer.last_seen_at for peer in host.peers.values()
+             if peer.last_seen_at >= before]
+    heard = sum(at >= now - fleet.PEER_TIMEOUT_S for at in known)
+    return 2 * (heard + 1) > len(known) + 1
 
 
 def _asked(host, key, now):
@@ -126,12 +132,13 @@
 def _concluded(host, pending, now):
     """Return the Finding if no other host knows where a stream began.
 
-    A host whose list may be old needs the word of most of those asked.
+    A host whose list may be old needs the word of most of those asked, and
+    has to be in touch with most of the fleet.
     """
     lookup = pending.lookup
     answers = lookup.asked - len(lookup.unanswered)
-    if (_is_up_to_date(host, now) or not host.peers
-            or 2 * answers > lookup.asked):
+    if _is_up_to_date(host, now) or (
+            2 * answers >= lookup.asked and _is_in_touch(host, now)):
         return _bound_to_only_version(host, pending, lookup.versions, now)
     return _unbound(pending)
 
--- a/crocuskeel/core/entry/registry.py
+++ b/crocuskeel/core/entry/registry.py
@@ -62,7 +62,6 @@
         # Servers that registered after the copy was taken register again.
         host.store_up_since = now
     host.servers_loaded = True
-    host.streams.listed_at = min(host.streams.listed_at, now)
     listed = {server.sid for server in event.servers}
     listed.update(event.unreadable)
     missing = tuple(sid for sid in host.servers if sid not in listed)
--- a/crocuskeel/core/entry/stream_records.py
+++ b/crocuskeel/core/entry/stream_records.py
@@ -2,7 +2,6 @@
 
 import collections
 import dataclasses
-import math
 
 from crocuskeel.core.entry import model
 
@@ -45,7 +44,7 @@
     ``current`` maps a service to the versions of its servers, ``former`` to
     those without a server, each with the time when the last of its streams
     has ended. ``longest_limit_s`` is the longest time limit of a caller's
-    stream so far, s, and ``listed_at`` when the servers were first listed.
+    stream so far, s.
     """
 
     origins: collections.OrderedDict = dataclasses.field(
@@ -53,4 +52,3 @@
     current: dict = dataclasses.field(default_factory=dict)
     former: dict = dataclasses.field(default_factory=dict)
     longest_limit_s: float = 0.0
-    listed_at: float = math.inf
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -1,5 +1,7 @@
 """Faults to inject into a run; each is undone after its duration."""
 
+from crocuskeel.core.entry import events
+from crocuskeel.core import revisions
 from emulator import callers
 from emulator import engine
 from emulator import listeners
@@ -230,6 +232,35 @@
     world.clock.after(fault.for_s, world.partitioned.clear)
 
 
+def _isolate(world, fault):
+    """Some hosts are cut off from the store and from all other hosts."""
+    world.partitioned = set(world.names[:fault.count])
+    world.without_store = set(world.partitioned)
+    for name in world.without_store:
+        world.hosts[name].receive_broadcast(events.StoreUnavailable("cut"))
+    world.clock.after(fault.for_s, _end_isolation, world)
+
+
+def _use_any_host(world, fault):
+    """Callers use any host that runs, also one that hosts don't name."""
+    world.uses_any_host = True
+    world.clock.after(fault.for_s, _end_any_host, world)
+
+
+def _end_any_host(world):
+    world.uses_any_host = False
+
+
+def _end_isolation(world):
+    names, world.without_store = world.without_store, set()
+    world.partitioned.clear()
+    for name in names:
+        for event in (events.StoreAvailable(), events.ServersListed(
+                world.server_list(), revisions.combine(
+                    world.era, world.revision))):
+            world.hosts[name].receive_broadcast(event)
+
+
 def _cut_off(effect):
     def inject(world, fault):
         """Cut ``count`` hosts off from all servers, chosen at random.
@@ -262,6 +293,7 @@
           "crash_plain": _crash_plain, "dark": _hang, "slow": _slow_down,
           "limit": _limit, "leave": _leave, "rest": _ask_backoff,
           "drain": _drain, "kill": _kill_hosts, "part": _partition,
+          "isolate": _isolate, "any_host": _use_any_host,
           "hot": _skew, "restore": _restore, "poison": _poison,
           "lose": _lose_answers, "lossy": _lose_datagrams,
           "brittle": _make_brittle,
--- a/emulator/run.py
+++ b/emulator/run.py
@@ -75,8 +75,12 @@
         self.brittle = None
         # The software versions of engines so far.
         self.engine_versions = ["v1"]
-        # Names of the hosts that are partitioned from the others.
+        # Names of the hosts that are partitioned from the others, and of those
+        # that are cut off from the store.
         self.partitioned = set()
+        self.without_store = set()
+        # Whether callers use any host that runs.
+        self.uses_any_host = False
         # Share of the datagrams between hosts that is lost.
         self.datagram_loss = 0.0
         # By digest: the ended callers of identical requests, and when such a
@@ -170,10 +174,11 @@
 
     def _broadcast(self, event):
         for host in self.hosts.values():
-            self.clock.after(
-                SERVER_LIST_DELAY_S,
-                host.receive_broadcast,
-                event)
+            if host.name not in self.without_store:
+                self.clock.after(
+                    SERVER_LIST_DELAY_S,
+                    host.receive_broadcast,
+                    event)
 
     def stop_store(self):
         """Stop the store: hosts learn of no change."""
@@ -218,6 +223,9 @@
 
     def host_for_caller(self):
         """Return a host for a caller to use, or None if none is known."""
+        if self.uses_any_host:
+            running = [name for name in self.names if self.hosts[name].core]
+            return self.hosts[self.rng.choice(running or self.names)]
         if (self.clock.now >= self.addresses_expire_at
                 or not self.known_addresses):
             asked_host = self.hosts[self.rng.choice(self.names)]
