Streams: two gaps found by reading the whole change

A host that takes on a relayed stream went by the origin that it was given only if the request named an event or a request that it resumes; a stream whose events have no ids goes on without. And streams were told at the join of a version only if the service had servers right before: not where all entries had lapsed.

--- a/crocuskeel/core/entry/events.py
+++ b/crocuskeel/core/entry/events.py
@@ -17,11 +17,10 @@
     "HintsReceived", "LoadsDue", "OriginAsked", "OriginUnknown",
     "OriginsTold", "PeerHintsReceived", "PeerLoadsReceived",
     "PeerStateReceived", "PeersListed", "RequestReceived", "ResponseReceived",
-    "ServerProbed",
-    "ServersChanged", "ServersListed", "SettingsRead", "Started", "StopAsked",
-    "StoreAvailable", "StoreEraSeen", "StoreReadingStopped",
-    "StoreUnavailable", "StreamEnded", "StreamOpened", "StreamProgressed",
-    "Ticked", "TimerFired",
+    "ServerProbed", "ServersChanged", "ServersListed", "SettingsRead",
+    "Started", "StopAsked", "StoreAvailable", "StoreEraSeen",
+    "StoreReadingStopped", "StoreUnavailable", "StreamEnded", "StreamOpened",
+    "StreamProgressed", "Ticked", "TimerFired",
 ]
 
 
--- a/crocuskeel/core/entry/gossip.py
+++ b/crocuskeel/core/entry/gossip.py
@@ -25,8 +25,8 @@
 from crocuskeel.core.entry import serving
 
 __all__ = ["broadcast_change", "broadcast_hints", "broadcast_lease",
-           "broadcast_state", "reply",
-           "schedule_load_update", "send_load_update", "send_state"]
+           "broadcast_state", "reply", "schedule_load_update",
+           "send_load_update", "send_state"]
 
 # Limit of rows in one datagram, which holds 64 kB: a row with streams takes
 # up to 100 bytes.
--- a/crocuskeel/core/entry/lookups.py
+++ b/crocuskeel/core/entry/lookups.py
@@ -16,8 +16,7 @@
 from crocuskeel.core.entry import origins
 from crocuskeel.core.entry import stream_records as records
 
-__all__ = ["Finding", "answer", "note_unknown", "resolve",
-           "waiting_for"]
+__all__ = ["Finding", "answer", "note_unknown", "resolve", "waiting_for"]
 
 # This many hosts are asked: the keepers, and some more, as hosts may differ in
 # which others they know to be alive.
@@ -38,12 +37,14 @@
 
 def resolve(host, pending, now):
     """Bind a request that takes up a stream; return (Finding, effects)."""
-    if (pending.origin is not None or not pending.request.is_taken_up
-            or pending.begins_anew or not pending.route.resumable):
+    if (pending.origin is not None or pending.begins_anew
+            or not pending.route.resumable):
         return Finding.READY, []
-    key = origins.taken_up_key(pending)
     if pending.request.relay_origin is not None:
         return _bound(pending, pending.request.relay_origin, "relayed")
+    if not pending.request.is_taken_up:
+        return Finding.READY, []
+    key = origins.taken_up_key(pending)
     origin = origins.known(host, key, now) if key is not None else None
     if origin is not None:
         return _bound(pending, origin, "told")
@@ -132,7 +133,7 @@
 def _concluded(host, pending, now):
     """Return the Finding if no other host knows where a stream began.
 
-    A host whose list may be old needs the word of most of those asked, and
+    A host whose list may be old needs the word of half of those asked, and
     has to be in touch with most of the fleet.
     """
     lookup = pending.lookup
--- a/crocuskeel/core/entry/model.py
+++ b/crocuskeel/core/entry/model.py
@@ -5,9 +5,8 @@
 
 __all__ = [
     "Catalog", "EngineSpec", "Hints", "Kind", "Limits", "Origin", "Outcome",
-    "Peer",
-    "Prompt", "Request", "Route", "Scaling", "Server", "Service", "Workspace",
-    "server_id",
+    "Peer", "Prompt", "Request", "Route", "Scaling", "Server", "Service",
+    "Workspace", "server_id",
 ]
 
 
--- a/crocuskeel/core/entry/origins.py
+++ b/crocuskeel/core/entry/origins.py
@@ -196,7 +196,7 @@
         for version in gone:
             host.streams.former.setdefault(
                 service, {})[version] = now + life_s(host)
-    joined = {service for service in known_before
+    joined = {service for service in host.streams.current
               if service not in several_before
               and len(versions_of(host, service, now)) > 1}
     if not joined or host.self_peer is None:
--- a/tests/entry/test_stream_moves.py
+++ b/tests/entry/test_stream_moves.py
@@ -107,6 +107,15 @@
                 for number in range(8)}
             self.assertEqual({version}, found)
 
+    def test_second_host_needs_no_event_id(self):
+        for version in ("v1", "v2"):
+            host = streams.Driver()
+            found = {streams.version(host.ask(
+                f"t{number}", max_servers=1,
+                relay_origin=model.Origin("engines", version)))
+                for number in range(8)}
+            self.assertEqual({version}, found)
+
     def test_second_host_tells_where_the_stream_began(self):
         # The first one doesn't know the server.
         host = streams.Driver()
--- a/tests/entry/test_stream_origins.py
+++ b/tests/entry/test_stream_origins.py
@@ -50,6 +50,19 @@
             "b1", "engines", version="v2"), ), (), 7))
         self.assertEqual([], streams.messages(out, events.OriginsTold))
 
+    def test_streams_so_far_are_told_when_another_version_replaces_all(self):
+        # All entries lapsed before the new version's came.
+        host = streams.Driver(1, 0)
+        host.begin("r1")
+        host.host.servers.clear()
+        host.feed(events.ServersChanged((), (), 6))
+        host.now += 0.3
+        for name in ("h1", "h2"):
+            host.hear(name)
+        joined = tuple(streams.engines(0, 1))
+        out = host.feed(events.ServersChanged(joined, (), 7), 0.1)
+        self.assertEqual(2, len(streams.messages(out, events.OriginsTold)))
+
     def test_streams_that_nobody_takes_up_are_not_told(self):
         host = streams.Driver()
         host.ask(path="/once/1")
