--- a/tests/soak/test_cut_checks.py
+++ b/tests/soak/test_cut_checks.py
@@ -1,5 +1,6 @@
 """The check of hosts that are cut off from servers, violated and kept."""
 
+import dataclasses
 import unittest
 
 from tools.soak import callers
@@ -39,6 +40,20 @@
             ["hosts cut off from servers served 8 of 20, the others 20 of 20"],
             _violations(_record(8)))
 
+    def test_only_connected_host_is_being_stopped(self):
+        # There is nobody to relay to. A third host would be somebody.
+        for third, stopped, allowed in (
+                (None, (OTHER,), True), ("127.1.1.3", (OTHER,), False),
+                ("127.1.1.3", (OTHER, "127.1.1.3"), True),
+                (None, (CUT,), False), (None, (), False)):
+            record = _record(8)
+            record.stops += [(ip, 103.0, 113.0) for ip in stopped]
+            if third is not None:
+                record.sent["r99"] = dataclasses.replace(
+                    record.sent["r39"], ip=third)
+            with self.subTest(third=third, stopped=stopped):
+                self.assertEqual(allowed, _violations(record) == [])
+
     def test_no_violations(self):
         rows = (
             ("few fail", _record(10)),
--- a/tools/soak/cut_checks.py
+++ b/tools/soak/cut_checks.py
@@ -19,16 +19,22 @@
     """Return violations: callers of hosts that reach no server are served.
 
     Counted are requests of ``kinds`` whose bodies don't begin with
-    ``harmless`` or crash servers.
+    ``harmless`` or crash servers, while another host is connected that is not
+    being stopped as planned: there is nobody to relay to otherwise.
     """
     cuts = [fault for fault in record.faults if fault[3] == CUT_OFF]
     errors = []
+    ips = {sent.ip for sent in record.sent.values()}
     for start, end in sorted({fault[:2] for fault in cuts}):
         served = {True: [], False: []}
         for sent in record.sent.values():
             if (start + CUT_KNOWN_S <= sent.at < end
                     and _shows_path(record, sent, kinds, harmless)):
                 is_cut = (start, end, sent.ip, CUT_OFF) in cuts
+                if is_cut and not any(
+                        _takes_relays(record, cuts, sent, ip)
+                        for ip in ips - {sent.ip}):
+                    continue
                 if is_cut or not _overlaps(cuts, sent):
                     served[is_cut].append(sent.reply.status == 200)
         failed = served[True].count(False)
@@ -55,6 +61,14 @@
                if place == sent.ip)
 
 
+def _takes_relays(record, cuts, sent, ip):
+    """Return whether a host is connected and not stopped during a request."""
+    out = [(start, end) for start, end, place, _ in cuts if place == ip]
+    out += [(start, end) for place, start, end in record.stops if place == ip]
+    return not any(start <= sent.ended_at and end >= sent.at
+                   for start, end in out)
+
+
 def _shows_path(record, sent, kinds, harmless):
     """Return whether nothing but a cut disturbed a request's host."""
     return (sent.request.kind in kinds and not sent.reply.abandoned
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -14,6 +14,8 @@
            "inject_fault"]
 
 GRACE_S = 8.0
+# A host serves again this long after it was started, s.
+START_S = 2.0
 KINDS_PER_RUN = 3
 SEVERED_SHARE = 0.7
 # How long a host is cut off from all servers, s.
@@ -96,6 +98,9 @@
         return
     soak.stopping.add(number)
     soak.note_fault("plan", "planned stop", GRACE_S)
+    now = soak.reactor.seconds()
+    soak.record.stops.append(
+        (soak.fleet.ips[number], now, now + GRACE_S + START_S))
     soak.fleet.signal(number, "SIGTERM")
     soak.call_later(GRACE_S, _restart_host, soak, number)
 
--- a/tools/soak/record.py
+++ b/tools/soak/record.py
@@ -52,7 +52,8 @@
     second) of its rate limit, ``rate_sent`` (server, host) to the time of
     the first response with it to that host, ``leaving_sent`` to that of the
     first with the leaving flag. ``backoffs`` holds (server, host, time, s)
-    of the backoffs asked for.
+    of the backoffs asked for. ``stops`` holds (host, since, until) of planned
+    stops, until the host has started again.
     """
 
     runs: dict = dataclasses.field(default_factory=dict)
@@ -70,6 +71,7 @@
     leaving_sent: dict = dataclasses.field(default_factory=dict)
     backoffs: list = dataclasses.field(default_factory=list)
     restarted: dict = dataclasses.field(default_factory=dict)
+    stops: list = dataclasses.field(default_factory=list)
 
     def add_fault(self, place, name, now, span_s=0.0):
         """Add a fault."""
