Log: a lost attempt names the parts of its prompt

What operators saw: of crashes under many different requests the log names a digest each, which nothing shares.

'broken' now has the ids of the parts that other prompts may have, 64 at most, and whether the attempt's first event had come: a request that had not been begun is no cause. The prompt keeps the name of its model, as an id means a part only together with it. Behaviour is unchanged.

--- a/crocuskeel/core/entry/attempts.py
+++ b/crocuskeel/core/entry/attempts.py
@@ -24,6 +24,8 @@
 # Maximum number of attempts to reach a server; the number of servers that
 # may run the request is limited separately.
 MAX_CONNECT_ATTEMPTS = 4
+# Limit of a prompt's parts in a log line.
+MAX_LOGGED_PARTS = 64
 # The request reached no server that could run it.
 NOT_REACHED = (model.Outcome.UNREACHABLE, model.Outcome.REFUSED,
                model.Outcome.MISDIRECTED)
@@ -173,6 +175,8 @@
                            turn=attempt.attempt_number,
                            server=attempt.sid, outcome=event.outcome.value,
                            detail=event.detail, digest=pending.digest,
+                           parts=_logged_parts(pending),
+                           opened=attempt.opened,
                            passing=pending.forwarded_attempt is not None)]
     out += _record_failure(host, pending, attempt, event, now)
     if ending.active_attempts(pending):
@@ -182,6 +186,11 @@
     return out + ending.give_up(host, pending, event.outcome.value, now)
 
 
+def _logged_parts(pending):
+    prompt = pending.request.prompt
+    return [] if prompt is None else prompt.shared_ids[:MAX_LOGGED_PARTS]
+
+
 def _may_retry(host, pending, attempt, outcome, now):
     if outcome in NOT_REACHED or (
             attempt.relayed and outcome is model.Outcome.NOT_RUN):
--- a/crocuskeel/core/entry/model.py
+++ b/crocuskeel/core/entry/model.py
@@ -39,12 +39,22 @@
 class Prompt:
     """A prompt; ``parts`` holds (id, tokens) in order.
 
-    ``max_output_tokens`` is the maximum number of output tokens.
+    ``max_output_tokens`` is the maximum number of output tokens. ``model`` is
+    the name of the model that reads it, if the request names one.
     """
 
     parts: tuple
     tokens: int
     max_output_tokens: int
+    model: str = ""
+
+    @property
+    def shared_ids(self):
+        """The ids of the parts that other prompts may have, without repeats.
+
+        The last part is the request's own.
+        """
+        return tuple(dict.fromkeys(name for name, _ in self.parts[:-1]))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/crocuskeel/platform/headers.py
+++ b/crocuskeel/platform/headers.py
@@ -42,6 +42,7 @@
 # Parts of the prompt and their tokens, as name:tokens. The header's name says
 # hash, as the names are hashes.
 _PARTS = b"x-crocuskeel-prefix-hash"
+_MODEL = b"x-crocuskeel-model"
 
 # Hop-by-hop headers (RFC 9110, 7.6.1), and those of the framing, which each
 # connection sets itself.
@@ -139,7 +140,8 @@
         return None
     parts = (head.get(_PARTS) or b"").decode("latin-1")
     return model.Prompt(
-        tuple(_parse_parts(parts)), int(counts[0]), int(counts[1]))
+        tuple(_parse_parts(parts)), int(counts[0]), int(counts[1]),
+        _text(head, _MODEL))
 
 
 def _parse_parts(text):
