--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -17,17 +17,20 @@
 RECONNECT_S = 0.05
 
 
-def new_request(rid, kind, subject, left_s, event_tokens, digest=""):
+def new_request(rid, kind, subject, left_s, event_tokens, digest="",
+                parts=None):
     """Return a caller's request of a kind and a subject.
 
     ``digest`` is the same for identical requests; default is the id.
+    ``parts`` are the prompt's shared parts, by default that of the subject.
     """
     prompt = None
     if kind.kind == "stream":
-        parts = ((f"{kind.name}-{subject}", kind.shared),
-                 (f"own-{rid}", kind.own))
+        if parts is None:
+            parts = ((f"{kind.name}-{subject}", kind.shared),)
+        parts = (*parts, (f"own-{rid}", kind.own))
         prompt = model.Prompt(
-            parts, kind.shared + kind.own,
+            parts, sum(tokens for _, tokens in parts),
             int(kind.events * event_tokens * OUTPUT_SLACK))
     return model.Request(rid, "POST", ROUTE_HOST, f"/{kind.name}/1", "",
                          left_s, prompt, digest or rid)
@@ -58,6 +61,12 @@
     # Shared by identical requests; empty if there is only one.
     digest: str = ""
     crashes_servers: bool = False
+    # A server that it crashes does so after this many events.
+    crash_after: int = 0
+    # Shared parts of its prompt, None for that of its subject, and the one
+    # of them that crashes servers, if it is due to that.
+    parts: tuple | None = None
+    bad_part: str = ""
     # The host of its first attempt until that has ended, else empty.
     first_host: str = ""
     # Versions of the engines that wrote events of its stream.
@@ -80,7 +89,8 @@
             self.first_host = self.host.name
         request = new_request(
             f"{self.rid}-{self.attempts}", self.kind, self.subject, left_s,
-            self.world.deployment.engines.event_tokens, self.digest)
+            self.world.deployment.engines.event_tokens, self.digest,
+            self.parts)
         if self.events:
             request = dataclasses.replace(
                 request, last_event_id=str(self.events),
--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -26,7 +26,8 @@
     being transferred from another engine. ``events`` is the number of
     events to send; ``generated_tokens`` and ``events_sent`` are counts of
     what was generated and sent so far. ``crashes_server``: the server
-    crashes as it begins to run it.
+    crashes as it begins to run it, an engine after ``crash_after`` events.
+    ``bad_part`` is the part of the prompt to which that is due, if any.
     """
 
     listener: object
@@ -39,6 +40,8 @@
     finished: bool = False
     ready_at: float = 0.0
     crashes_server: bool = False
+    crash_after: int = 0
+    bad_part: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,7 +68,8 @@
     ``lost_share`` of its responses breaks off at the first event. ``version``
     is that of its software. If it is ``brittle``, its responses say so, and
     ``on_fall()`` is called once it refused more than so many requests in a
-    second for want of room.
+    second for want of room. With ``ends_connections`` its streams have
+    neither a length nor chunks: one that a crash ends looks complete.
     """
 
     def __init__(self, clock, sid, cfg):
@@ -91,6 +95,7 @@
         self.max_waiting = MAX_WAITING
         self.brittle = None
         self.on_fall = None
+        self.ends_connections = False
         self.refused_at = collections.deque()
 
     def hints(self):
@@ -130,7 +135,10 @@
             self.running + self.waiting, [], [])
         for run in runs:
             run.finished = True
-            run.listener.broken(run)
+            if self.ends_connections and run.events_sent:
+                run.listener.ended(run)
+            else:
+                run.listener.broken(run)
 
     def set_unresponsive(self, unresponsive):
         """Stop or resume work, with all connections left open."""
@@ -273,7 +281,8 @@
         self.step_timer = None
         for run in list(self.running):
             if run.unread_tokens <= 0 and not run.finished:
-                if run.crashes_server:
+                if (run.crashes_server
+                        and run.events_sent >= run.crash_after):
                     self.on_crash(run)
                     return
                 run.generated_tokens += steps
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -5,6 +5,7 @@
 from emulator import callers
 from emulator import engine
 from emulator import listeners
+from emulator import part_faults
 
 __all__ = ["FAULTS", "crash_engine"]
 
@@ -302,4 +303,5 @@
           "cut_refused": _cut_off(listeners.Cut.REFUSED),
           "cut_reset": _cut_off(listeners.Cut.RESET),
           "cut_silent": _cut_off(listeners.Cut.SILENT),
-          "cut_timeout": _cut_off(listeners.Cut.TIMEOUT)}
+          "cut_timeout": _cut_off(listeners.Cut.TIMEOUT),
+          **part_faults.FAULTS}
--- a/emulator/hosts.py
+++ b/emulator/hosts.py
@@ -186,7 +186,9 @@
     kind = pending.caller.kind
     prompt = pending.request.prompt
     run = engines.Run(listener, prompt, kind.events, effect.priority,
-                      crashes_server=pending.caller.crashes_servers)
+                      crashes_server=pending.caller.crashes_servers,
+                      crash_after=pending.caller.crash_after,
+                      bad_part=pending.caller.bad_part)
     if effect.resume or pending.request.last_event_id:
         run.events -= pending.caller.events
     pending.runs[effect.attempt_number] = server, run
@@ -248,6 +250,7 @@
     pending = host.pending.get(listener.key)
     listener.server.arrivals.append(engines.Arrival(
         host.world.clock.now, host.name, pending.at if pending else 0.0))
+    host.world.note_arrival(run)
     if listener.server.down:
         run.finished = True
         listener.broken(run)
--- a/emulator/relays.py
+++ b/emulator/relays.py
@@ -9,7 +9,7 @@
 class Relay:
     """A request that another host relays: a caller there, a server here.
 
-    ``kind``, ``events`` and ``crashes_servers`` are those of its caller.
+    ``kind``, ``events`` and what it does to servers are those of its caller.
     """
 
     sid = ""
@@ -21,6 +21,8 @@
         self.kind = caller.kind
         self.events = caller.events
         self.crashes_servers = caller.crashes_servers
+        self.crash_after = caller.crash_after
+        self.bad_part = caller.bad_part
         self.opened = False
         # The software version of the server that wrote the latest event.
         self.version = ""
--- a/emulator/run.py
+++ b/emulator/run.py
@@ -73,6 +73,8 @@
         # one bears, how many requests may wait there), or None.
         self.falls = []
         self.brittle = None
+        # Whether servers end their streams with the connection.
+        self.ends_connections = False
         # The software versions of engines so far.
         self.engine_versions = ["v1"]
         # Names of the hosts that are partitioned from the others, and of those
@@ -87,6 +89,10 @@
         # request crashed servers.
         self.identical = collections.defaultdict(list)
         self.crash_times = collections.defaultdict(list)
+        # By part: when a prompt with it crashed a server, and when such
+        # prompts reached servers.
+        self.part_crashes = collections.defaultdict(list)
+        self.part_arrivals = collections.defaultdict(list)
         self.subject_weights = {}
         self.known_addresses = []
         self.addresses_expire_at = 0.0
@@ -125,6 +131,7 @@
         server.version = version
         server.on_crash = functools.partial(self._crashed, server)
         server.on_fall = functools.partial(self._fell, server)
+        server.ends_connections = self.ends_connections
         if self.brittle is not None:
             server.brittle, server.max_waiting = self.brittle
         self.servers[sid] = server
@@ -133,9 +140,18 @@
             sid, service, (sid, 80), "a", cfg.slots, False, version=version)
         self._send_server_change((self.entries[sid],), ())
 
+    def note_arrival(self, run):
+        """Record that a request reaches a server."""
+        if run.bad_part:
+            self.part_arrivals[run.bad_part].append(
+                self.clock.now - self.tally.began)
+
     def _crashed(self, server, run):
-        self.crash_times[run.listener.digest].append(
-            self.clock.now - self.tally.began)
+        at = self.clock.now - self.tally.began
+        if run.bad_part:
+            self.part_crashes[run.bad_part].append(at)
+        else:
+            self.crash_times[run.listener.digest].append(at)
         faults.crash_engine(self, server)
 
     def _fell(self, server):
@@ -264,9 +280,10 @@
         if self.clock.now >= self.tally.began + self.deployment.seconds:
             return
         self._schedule_caller(kind)
-        callers.start(self, kind, self._draw_subject(kind))
+        callers.start(self, kind, self.draw_subject(kind))
 
-    def _draw_subject(self, kind):
+    def draw_subject(self, kind):
+        """Draw the subject of a request of a kind."""
         if (self.hot_subject is not None
                 and self.rng.random() < HOT_SUBJECT_SHARE):
             return self.hot_subject
