Crashes: a request sent after a server had crashed is not in its crash

What callers saw: harmless requests were refused because they were in several crashes, though no server had begun them.

Cause: when a connection is refused, all attempts at that server count as lost in its crash, also those sent after it had ended, whose own refusal is still on the way.

Attempts sent after the first loss that is known to be due to a crash don't count in it. The test failed before (quarantined after two such crashes).

--- a/crocuskeel/core/entry/crashes.py
+++ b/crocuskeel/core/entry/crashes.py
@@ -91,7 +91,7 @@
     if found:
         known.losses = [loss for loss in known.losses if loss not in found]
     if state is not None and sign in GONE_SIGNS:
-        begun_by = now
+        begun_by = _ended_by(host, state, now)
         if sign is records.Sign.REMOVED:
             begun_by -= MIN_EXPIRY_HEARTBEATS * host.cfg.heartbeat_s
         found += _attempts_in_progress(host, state, begun_by, now)
@@ -107,6 +107,12 @@
     return out
 
 
+def _ended_by(host, state, now):
+    """Return by when a server that is gone had ended, as far as is known."""
+    crash = host.crash_records.crashes.get(state.server.incarnation)
+    return now if crash is None else min(now, *crash.lost.values())
+
+
 def _attempts_in_progress(host, state, begun_by, now):
     """Return the attempts in progress at a server as if lost now.
 
--- a/tests/entry/test_crashes.py
+++ b/tests/entry/test_crashes.py
@@ -115,6 +115,18 @@
             fleet.remove(sid, 0.2)
         self.assertFalse(fleet.is_quarantined("i"))
 
+    def test_request_sent_after_a_crash_is_not_in_it(self):
+        # It was on the way when another one was refused its connection.
+        fleet = crash_driver.CrashDriver()
+        for sid in ("s1", "s2"):
+            fleet.lose("p", sid)
+            crash_driver.refused(fleet, sid)
+            fleet.now += 0.5
+            fleet.send("late", sid)
+            crash_driver.refused(fleet, sid)
+        self.assertTrue(fleet.is_quarantined("p"))
+        self.assertFalse(fleet.is_quarantined("late"))
+
     def test_refusals_seen_by_a_host_that_is_cut_off_are_no_sign(self):
         fleet = crash_driver.CrashDriver()
         peer = support.peer("host-1")
