Crashes: count them by prompt part, and refuse prompts with a bad one

Cause: what is counted is the whole request (method, path, body and workspace), while the cause is something that requests share.

- A lost request is reported with keys of its prompt's parts (not the last one, which is its own), of service, model and id.
- An answer proves its prompt's parts sound as of when the engine began it; so does a stream that has been written for a second.
It takes the crashes before that off their count, not the later ones.
Errors, relays and streams that are taken up prove nothing.
- A part is a cause after three moments with crashes, five if it was sound before, two with five crashes.
Crashes at one moment count once: when many servers end together each part in use is in many crashes.
A request that is sent again doesn't blame its parts.
- The crashes that a part explains count against nothing beside it.
- Prompts with it are refused for a minute, which doubles with each run that fails; then one of them runs in the fleet.
Parts that were always together are refused together, and prompts with some of them run alone, as those with a new part that was in many crashes at one moment.
- Hosts that start learn of it by the standing reports.

--- a/crocuskeel/core/crash_causes.py
+++ b/crocuskeel/core/crash_causes.py
@@ -32,6 +32,7 @@
     culprits: dict
     suspects: dict
     partly_excused: dict = dataclasses.field(default_factory=dict)
+    parts: tuple = ()
 
 
 NO_CAUSES = Causes({}, {})
--- a/crocuskeel/core/entry/attempts.py
+++ b/crocuskeel/core/entry/attempts.py
@@ -9,6 +9,7 @@
 from crocuskeel.core.entry import origins
 from crocuskeel.core.entry import pause_estimate
 from crocuskeel.core.entry import prefix_cache
+from crocuskeel.core.entry import prompt_parts
 from crocuskeel.core.entry import reachability
 from crocuskeel.core.entry import retry_budget
 from crocuskeel.core.entry import retrying
@@ -18,6 +19,7 @@
 
 __all__ = ["answered", "broken", "ended", "opened", "progressed"]
 
+FIRST_REDIRECT = 300
 SERVER_ERROR = 500
 # A server that sheds load gets no requests for this long, s.
 SHED_BACKOFF_S = 0.15
@@ -50,6 +52,10 @@
     pending.may_have_run = True
     _count_begun(host, pending, attempt, now)
     attempt.opened = True
+    attempt.opened_at = now
+    attempt.is_first_run = not (
+        attempt.relayed or pending.request.is_taken_up
+        or pending.forwarded_attempt is not None)
     pending.forwarded_attempt = attempt.attempt_number
     pending.last_event_at = now
     out = ending.cancel_others(host, pending, attempt)
@@ -86,6 +92,9 @@
     gap_s = now - pending.last_event_at
     pending.pause_s = max(pending.pause_s, gap_s)
     pending.last_event_at = now
+    if not (attempt.is_proven or prompt_parts.may_have_crashed(attempt, now)):
+        attempt.is_proven = True
+        crashes.note_sound(host, pending, attempt, now)
     target = host.servers.get(attempt.sid)
     if target is not None:
         health.note_activity(target, now)
@@ -154,6 +163,9 @@
         return ending.give_up(host, pending, "resume was refused", now)
     if target is not None:
         server_load.note_load(target, event.load, now)
+    attempt.opened_at = attempt.sent_at
+    attempt.is_first_run = (event.status < FIRST_REDIRECT
+                            and not attempt.relayed)
     out = _record_success(host, pending, attempt, now)
     out += ending.cancel_others(host, pending, attempt)
     out.append(effects.ForwardResponse(pending.key, attempt.attempt_number))
--- a/crocuskeel/core/entry/crash_records.py
+++ b/crocuskeel/core/entry/crash_records.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import enum
+import math
 
 from crocuskeel.core import crash_causes
 
@@ -40,6 +41,10 @@
     SERVED = "served"
     # A host is about to run a request that may crash servers, or runs it.
     TRIAL = "trial"
+    # The prompt parts of a request that was lost.
+    PARTS = "parts"
+    # Prompts with parts were answered.
+    SOUND = "sound"
 
 
 @dataclasses.dataclass(slots=True)
@@ -76,7 +81,9 @@
 
     Fields that a kind does not use are empty. ``span_s`` is how long before
     ``at`` an ALIVE server is known to have been running, infinite if it gets
-    another id with each start. ``sid`` of a TRIAL is the host's name.
+    another id with each start. ``sid`` of a TRIAL is the host's name, and
+    ``digest`` may be the key of a part. ``parts`` are keys of prompt parts: of
+    a lost request, which other hosts get as PARTS, and of SOUND.
     """
 
     kind: Kind
@@ -86,6 +93,7 @@
     incarnation: str = ""
     sign: Sign | None = None
     span_s: float = 0.0
+    parts: tuple = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,7 +115,13 @@
     latest whole response. ``causes`` is None when it has to be computed anew.
     ``reports`` holds the QueuedReports, ``unsent`` own ones not yet sent to
     any host; ``told`` when others were last told that a digest was served.
-    ``trials`` maps a digest to trials.Claim by host.
+    ``trials`` maps a digest, or the key of a part, to trials.Claim by host.
+
+    ``parts`` maps the digest of a lost request to the keys of its prompt's
+    parts that may have caused a crash, ``candidates`` is the union of these,
+    and ``parts_lost_at`` the time of the latest such loss. ``sound`` maps the
+    key of a part to the latest time at which a server began to answer a
+    prompt with it that was answered well.
     """
 
     losses: list = dataclasses.field(default_factory=list)
@@ -122,3 +136,9 @@
     unsent: list = dataclasses.field(default_factory=list)
     told: dict = dataclasses.field(default_factory=dict)
     trials: dict = dataclasses.field(default_factory=dict)
+    parts: collections.OrderedDict = dataclasses.field(
+        default_factory=collections.OrderedDict)
+    candidates: set = dataclasses.field(default_factory=set)
+    parts_lost_at: float = -math.inf
+    sound: collections.OrderedDict = dataclasses.field(
+        default_factory=collections.OrderedDict)
--- a/crocuskeel/core/entry/crash_reports.py
+++ b/crocuskeel/core/entry/crash_reports.py
@@ -6,6 +6,9 @@
 keeps the time at which it first heard of a fact, so that hosts don't renew it
 for each other.
 
+The parts of a lost request's prompt follow in a row of their own, as keys in
+the server's place.
+
 When many servers crash at once, each host has a report for each request that
 was in progress. They are bounded by what the link of a small host carries
 beside its requests: those on requests that were lost more than once come
@@ -20,6 +23,7 @@
 from crocuskeel.core.entry import crash_updates as updates
 from crocuskeel.core.entry import crashes
 from crocuskeel.core.entry import effects
+from crocuskeel.core.entry import prompt_parts
 from crocuskeel.core.entry import trials
 
 __all__ = ["merge", "recent", "rows", "take_unsent"]
@@ -28,6 +32,8 @@
 RELAY_S = 0.65
 # Limit of rows in one datagram; each takes up to 80 bytes.
 MAX_ROWS = 16
+# Kinds of which a row holds parts.
+PART_KINDS = frozenset((records.Kind.PARTS, records.Kind.SOUND))
 # A later time of a fact that is known counts as news from this on, s: clocks
 # and delays make the times of one fact differ between hosts.
 MIN_NEWER_S = 1.0
@@ -35,18 +41,36 @@
 
 def rows(reports, now):
     """Return reports as rows."""
-    return tuple(
-        (str(report.kind), max(0, round((now - report.at) * 1000)),
-         report.digest, report.sid, report.incarnation,
-         str(report.sign or ""),
-         None if math.isinf(report.span_s) else round(report.span_s * 1000))
-        for report in reports)
+    found = []
+    for report in reports:
+        age_ms = max(0, round((now - report.at) * 1000))
+        if report.kind in PART_KINDS:
+            found.append(_parts_row(report.kind, age_ms, report))
+            continue
+        found.append((
+            str(report.kind), age_ms, report.digest, report.sid,
+            report.incarnation, str(report.sign or ""),
+            None if math.isinf(report.span_s) else round(
+                report.span_s * 1000)))
+        if report.parts:
+            found.append(_parts_row(records.Kind.PARTS, age_ms, report))
+    return tuple(dict.fromkeys(found))
+
+
+def _parts_row(kind, age_ms, report):
+    return (str(kind), age_ms, report.digest, ",".join(report.parts), "", "",
+            0)
 
 
 def _report(row, now):
     kind, age_ms, digest, sid, incarnation, sign, span_ms = row
+    kind = records.Kind(kind)
+    at = now - age_ms / 1000
+    if kind in PART_KINDS:
+        return records.Report(kind, at, digest, parts=tuple(
+            part for part in sid.split(",") if part))
     return records.Report(
-        records.Kind(kind), now - age_ms / 1000, digest, sid, incarnation,
+        kind, at, digest, sid, incarnation,
         records.Sign(sign) if sign else None,
         math.inf if span_ms is None else span_ms / 1000)
 
@@ -156,4 +180,6 @@
            records.Kind.CRASHED: _merge_crash,
            records.Kind.ALIVE: _merge_alive,
            records.Kind.SERVED: _merge_served,
+           records.Kind.PARTS: prompt_parts.merge_parts,
+           records.Kind.SOUND: prompt_parts.merge_sound,
            records.Kind.TRIAL: trials.merge}
--- a/crocuskeel/core/entry/crash_updates.py
+++ b/crocuskeel/core/entry/crash_updates.py
@@ -7,6 +7,7 @@
 import collections
 import math
 
+from crocuskeel.core.entry import crash_attribution
 from crocuskeel.core.entry import crash_records as records
 from crocuskeel.core.entry import effects
 
@@ -42,7 +43,7 @@
     if served_before(host, report) is not None:
         return []
     if crash is None:
-        _limit_crashes(known)
+        _limit_crashes(host)
         crash = records.Crash(report.sign)
         known.crashes[incarnation] = crash
     crash.lost[digest] = report.at
@@ -58,15 +59,17 @@
     return served_at if served_at > report.at - SERVED_S else None
 
 
-def _limit_crashes(known):
-    """Make room for a crash: drop the oldest without a repeated request."""
+def _limit_crashes(host):
+    """Make room for a crash: drop the oldest without a likely cause."""
+    known = host.crash_records
     if len(known.crashes) < MAX_CRASHES:
         return
     counts = collections.Counter(
         digest for crash in known.crashes.values() for digest in crash.lost)
     dropped = next(
         (incarnation for incarnation, crash in known.crashes.items()
-         if all(counts[digest] == 1 for digest in crash.lost)),
+         if all(counts[digest] == 1 for digest in crash.lost)
+         and not crash_attribution.is_explained_by_part(host, incarnation)),
         next(iter(known.crashes)))
     del known.crashes[dropped]
 
--- a/crocuskeel/core/entry/crashes.py
+++ b/crocuskeel/core/entry/crashes.py
@@ -12,13 +12,15 @@
 
 import math
 
+from crocuskeel.core.entry import crash_attribution
 from crocuskeel.core.entry import crash_records as records
 from crocuskeel.core.entry import crash_updates as updates
 from crocuskeel.core.entry import draining
 from crocuskeel.core.entry import fleet
+from crocuskeel.core.entry import prompt_parts
 
 __all__ = ["confirm_if_ended", "forget", "note_down", "note_lost",
-           "note_response", "note_served", "report_to_others"]
+           "note_response", "note_served", "note_sound", "report_to_others"]
 
 # No server restarts within this time, s.
 MIN_RESTART_S = 1.0
@@ -33,6 +35,9 @@
 # Undecided losses and crashes are kept for this long, s.
 LOSS_RETENTION_S = 60.0
 CRASH_RETENTION_S = 600.0
+# Crashes under a prompt part are kept for longer, s: it is tried again after
+# up to MAX_QUARANTINE_S, and the former crashes tell for how long.
+PART_RETENTION_S = 3600.0
 # A report is repeated to other hosts for this long, s: a datagram may be lost.
 REPORT_S = 2.0
 # With these the server's requests in progress are lost as well, though their
@@ -62,14 +67,23 @@
                         silent=silent)
     updates.add_loss(host, loss)
     if not silent:
+        parts = _lost_parts(host, pending, attempt, now)
         report_to_others(host, records.Report(
             records.Kind.LOST, now, digest, attempt.sid,
-            attempt.incarnation), now)
+            attempt.incarnation, parts=parts), now)
     out.append(updates.line("crash_suspected", digest, attempt.incarnation,
                             silent=silent))
     return out + confirm_if_ended(host, loss, now)
 
 
+def _lost_parts(host, pending, attempt, now):
+    """Record the parts of a lost request if it may have crashed its server."""
+    if not prompt_parts.may_have_crashed(attempt, now):
+        return ()
+    return prompt_parts.note_lost_parts(
+        host, pending.digest, pending.part_keys, now)
+
+
 def confirm_if_ended(host, loss, now):
     """Confirm the crash of a loss whose server is known to be gone."""
     sign, _ = host.crash_records.ended.get(loss.incarnation, (None, 0.0))
@@ -99,7 +113,8 @@
     for loss in found:
         report = records.Report(
             records.Kind.CRASHED, loss.at, loss.digest, loss.sid,
-            loss.incarnation, sign)
+            loss.incarnation, sign,
+            parts=host.crash_records.parts.get(loss.digest, ()))
         lines = updates.record_crash(host, report, now)
         if lines:
             report_to_others(host, report, now)
@@ -120,15 +135,34 @@
     """
     found = []
     for key, attempt_number in state.own_attempts:
-        digest = host.pending[key].digest
-        attempt = host.pending[key].attempts[attempt_number]
+        pending = host.pending[key]
+        digest = pending.digest
+        attempt = pending.attempts[attempt_number]
         if (digest and attempt.sent_at <= begun_by
                 and attempt.incarnation == state.server.incarnation):
+            _lost_parts(host, pending, attempt, now)
             found.append(records.Loss(
                 now, attempt.sid, attempt.incarnation, digest))
     return found
 
 
+def note_sound(host, pending, attempt, now):
+    """Record that a server answers a request, and has done so for a while."""
+    _note_sound(host, _sound_parts(pending, attempt), attempt.opened_at, now)
+
+
+def _sound_parts(pending, attempt):
+    """Return the parts of which an attempt's response is a proof."""
+    return pending.part_keys if attempt.is_first_run else ()
+
+
+def _note_sound(host, keys, begun_at, now):
+    cleared = prompt_parts.note_sound(host, keys, begun_at)
+    if cleared:
+        report_to_others(host, records.Report(
+            records.Kind.SOUND, begun_at, parts=cleared), now)
+
+
 def note_response(host, attempt, now):
     """Record that a server responded to an attempt; return effects.
 
@@ -171,14 +205,18 @@
     the response may have been sent before them and read late.
     """
     out = _doubt(host, attempt)
-    report = records.Report(
-        records.Kind.SERVED, now, pending.digest)
-    was_told = bool(updates.lost_at(host, pending.digest)) or _has_told_of(
-        host.crash_records, lambda loss: loss.digest == pending.digest)
+    note_sound(host, pending, attempt, now)
+    return out + _clear(host, pending.digest, now)
+
+
+def _clear(host, digest, now):
+    report = records.Report(records.Kind.SERVED, now, digest)
+    was_told = bool(updates.lost_at(host, digest)) or _has_told_of(
+        host.crash_records, lambda loss: loss.digest == digest)
     lines = updates.clear(host, report)
     if lines and was_told:
         report_to_others(host, report, now)
-    return out + lines
+    return lines
 
 
 def _doubt(host, attempt):
@@ -203,9 +241,13 @@
     known = host.crash_records
     out = _drop_decided(host, now) if known.losses else []
     for incarnation, crash in list(known.crashes.items()):
+        retention_s = CRASH_RETENTION_S
+        if crash_attribution.is_explained_by_part(host, incarnation):
+            retention_s = PART_RETENTION_S
         updates.drop_from_crash(known, incarnation, [
             digest for digest, at in crash.lost.items()
-            if at < now - CRASH_RETENTION_S])
+            if at < now - retention_s])
+    prompt_parts.forget(host)
     _drop_old(known.ended, lambda row: row[1] < now - LOSS_RETENTION_S)
     _drop_old(known.refuted, lambda at: at < now - CRASH_RETENTION_S)
     _drop_old(known.told, lambda at: at < now - REPORT_S)
--- /dev/null
+++ b/crocuskeel/core/entry/prompt_parts.py
@@ -0,0 +1,137 @@
+"""What a host knows of prompt parts: lost with their requests, or sound.
+
+A part is known by its id, the service and the model: other models don't share
+it, and all workspaces do. A part that one workspace names in order to have it
+refused for others is sound in their answers.
+"""
+
+import functools
+import hashlib
+import math
+
+from crocuskeel.core.entry import crash_attribution
+from crocuskeel.core.entry import effects
+
+__all__ = ["forget", "keys_of", "may_have_crashed", "merge_parts",
+           "merge_sound", "note_lost_parts", "note_sound"]
+
+# A server that crashes on a part does so as it begins to answer. One that has
+# written for this long, s, did not crash on the prompt.
+BEGINNING_S = 1.0
+# Limit of the parts that are kept and reported of a lost request.
+MAX_LOST_PARTS = 16
+MAX_LOST = 1024
+# Most parts are in use at most servers; those that are answered often stay.
+MAX_SOUND = 2048
+KEY_BYTES = 5
+
+
+@functools.lru_cache(maxsize=4096)
+def _key(service, model_name, part):
+    text = "\0".join((service, model_name, part))
+    return hashlib.blake2b(text.encode(), digest_size=KEY_BYTES).hexdigest()
+
+
+def keys_of(service, prompt):
+    """Return the keys of the parts that other prompts may have."""
+    if prompt is None:
+        return ()
+    return tuple(_key(service, prompt.model, part)
+                 for part in prompt.shared_ids)
+
+
+def may_have_crashed(attempt, now):
+    """Return whether a server may have crashed on the prompt of an attempt."""
+    return now - attempt.opened_at < BEGINNING_S
+
+
+def note_lost_parts(host, digest, keys, at):
+    """Record the parts of a lost request; return those that are kept.
+
+    Parts of which no prompt was answered come first.
+    """
+    if not keys:
+        return ()
+    known = host.crash_records
+    if len(keys) > MAX_LOST_PARTS:
+        keys = sorted(keys, key=lambda key: (key in known.sound, key))
+    keys = tuple(keys[:MAX_LOST_PARTS])
+    _add(known, digest, keys, at)
+    return keys
+
+
+def _add(known, digest, keys, at):
+    """Add parts of a lost request; return whether any is new."""
+    known.parts_lost_at = max(known.parts_lost_at, at)
+    former = known.parts.get(digest, ())
+    new = tuple(key for key in keys if key not in former)
+    if new and len(known.parts) < 2 * MAX_LOST:
+        known.parts[digest] = (*former, *new)[:MAX_LOST_PARTS]
+        known.candidates.update(new)
+        known.causes = None
+    return bool(new)
+
+
+def forget(host):
+    """Drop the parts of requests that no loss and no crash refers to.
+
+    Of too many the oldest ones go, but for those lost in crashes that a part
+    explains.
+    """
+    known = host.crash_records
+    if not known.parts:
+        return
+    used = {loss.digest for loss in known.losses}
+    needed = set()
+    for incarnation, crash in known.crashes.items():
+        explained = crash_attribution.is_explained_by_part(host, incarnation)
+        (needed if explained else used).update(crash.lost)
+    kept = [digest for digest in known.parts if digest in used | needed]
+    excess = len(kept) - MAX_LOST
+    for digest in kept[:max(0, excess)]:
+        used.discard(digest)
+    dropped = [digest for digest in known.parts
+               if digest not in used and digest not in needed]
+    for digest in dropped:
+        del known.parts[digest]
+    if dropped:
+        known.candidates = {
+            key for found in known.parts.values() for key in found}
+
+
+def note_sound(host, keys, begun_at):
+    """Record that prompts with parts were answered well.
+
+    ``begun_at`` is when the server had begun the answer. Returns the parts
+    that may have been lost since they were last known to be sound.
+    """
+    known = host.crash_records
+    cleared = []
+    for key in keys:
+        former = known.sound.get(key, -math.inf)
+        if begun_at > former:
+            known.sound[key] = begun_at
+            if key in known.candidates and former < known.parts_lost_at:
+                cleared.append(key)
+        if key in known.sound:
+            known.sound.move_to_end(key)
+    while len(known.sound) > MAX_SOUND:
+        known.sound.popitem(last=False)
+    if cleared:
+        known.causes = None
+    return tuple(cleared)
+
+
+def merge_parts(host, report, now):
+    """Merge the parts of a request that another host lost."""
+    is_new = _add(host.crash_records, report.digest,
+                  report.parts[:MAX_LOST_PARTS], report.at)
+    return [] if is_new else None
+
+
+def merge_sound(host, report, now):
+    """Merge parts that another host found to be sound."""
+    cleared = note_sound(host, report.parts, report.at)
+    if not cleared:
+        return None
+    return [effects.LogEvent("parts_sound", {"parts": cleared})]
--- a/crocuskeel/core/entry/quarantine.py
+++ b/crocuskeel/core/entry/quarantine.py
@@ -12,12 +12,15 @@
 import heapq
 
 from crocuskeel.core import crash_causes
+from crocuskeel.core.entry import crash_attribution
 from crocuskeel.core.entry import crash_records as records
 from crocuskeel.core.entry import crash_updates as updates
 from crocuskeel.core.entry import ending
+from crocuskeel.core.entry import part_quarantine
 
 __all__ = ["digest_of", "is_quarantined", "may_be_cause", "must_wait",
-           "standing_reports", "time_left_s"]
+           "pending_time_left_s", "standing_reports", "time_left_s",
+           "trial_key"]
 
 # Quarantine after the second crash, s, of a cause and of one of several that
 # may be it; each further crash doubles it.
@@ -49,7 +52,7 @@
 
 def time_left_s(host, digest, now):
     """Return the time left of a request's quarantine, s."""
-    causes = _causes(host)
+    causes = crash_attribution.causes(host)
     if digest in causes.culprits:
         count, span_s = causes.culprits[digest], CULPRIT_S
     elif digest in causes.suspects:
@@ -61,6 +64,19 @@
     return max(0.0, last_at + min(span_s, MAX_QUARANTINE_S) - now)
 
 
+def pending_time_left_s(host, pending, now):
+    """Return the time left of the quarantine of a request or its parts, s."""
+    return max(time_left_s(host, pending.digest, now),
+               part_quarantine.time_left_s(host, pending.part_keys, now))
+
+
+def trial_key(host, pending):
+    """Return the digest or part for which a request runs alone, or ""."""
+    if may_be_cause(host, pending.digest):
+        return pending.digest
+    return part_quarantine.trial_key(host, pending.part_keys)
+
+
 def must_wait(host, pending, now):
     """Return whether a request must not run until more is known."""
     digest = pending.digest
@@ -71,10 +87,13 @@
         if (crashed + len(undecided) >= MAX_UNDECIDED - bool(crashed)
                 or recent >= MAX_UNDECIDED - 1):
             return True
-    return may_be_cause(host, digest) and any(
-        may_be_cause(host, other.digest)
-        and ending.active_attempts(other)
-        for other in host.pending.values() if other is not pending)
+    key = trial_key(host, pending)
+    if not key:
+        return False
+    if key != digest and part_quarantine.has_undecided(host, key):
+        return True
+    return any(ending.active_attempts(other) and trial_key(host, other)
+               for other in host.pending.values() if other is not pending)
 
 
 def standing_reports(host):
@@ -82,28 +101,22 @@
 
     A host that has just started, or was cut off, learns of them by these.
     """
-    causes = _causes(host)
+    causes = crash_attribution.causes(host)
+    parts = part_quarantine.standing_reports(host)
     if not (causes.culprits or causes.suspects):
-        return ()
+        return parts
     rows = [records.Report(records.Kind.CRASHED, at, digest,
                            incarnation=incarnation, sign=crash.sign)
             for incarnation, crash in host.crash_records.crashes.items()
             for digest, at in crash.lost.items()
             if may_be_cause(host, digest)]
-    return tuple(heapq.nlargest(MAX_REPORTS, rows, key=lambda report: (
-        report.digest in causes.culprits, report.at)))
+    return parts + tuple(heapq.nlargest(
+        MAX_REPORTS, rows, key=lambda report: (
+            report.digest in causes.culprits, report.at)))
 
 
 def may_be_cause(host, digest):
     """Return whether a request may have caused several crashes."""
-    causes = _causes(host)
+    causes = crash_attribution.causes(host)
     return (digest in causes.suspects or digest in causes.culprits
             or digest in causes.partly_excused)
-
-
-def _causes(host):
-    known = host.crash_records
-    if known.causes is None:
-        known.causes = crash_causes.attribute(
-            crash.lost for crash in known.crashes.values())
-    return known.causes
--- a/crocuskeel/core/entry/requests.py
+++ b/crocuskeel/core/entry/requests.py
@@ -7,6 +7,8 @@
 from crocuskeel.core.entry import health
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import origins
+from crocuskeel.core.entry import part_quarantine
+from crocuskeel.core.entry import prompt_parts
 from crocuskeel.core.entry import quarantine
 from crocuskeel.core.entry import reachability
 from crocuskeel.core.entry import retry_budget
@@ -42,50 +44,55 @@
                                 version_age_s=round(
                                     now - host.catalog_applied_at, 3))]
     destination = resolved.unwrap()
-    digest = quarantine.digest_of(request, destination.workspace)
-    if quarantine.is_quarantined(host, digest, now):
-        return _quarantined(host, event, digest, now)
-    pending = _register(host, event, destination, digest, now)
+    pending = _new_pending(event, destination, now)
+    quarantine_s = quarantine.pending_time_left_s(host, pending, now)
+    if quarantine_s:
+        return _quarantined(host, pending, quarantine_s)
+    _register(host, pending, now)
     return sending.send(host, pending, now)
 
 
-def _quarantined(host, event, digest, now):
+def _quarantined(host, pending, retry_delay_s):
     """Refuse a request that crashes servers until its quarantine ends.
 
     The retry delay may exceed the caller's time limit: a retry before the
     quarantine ends would only be refused again.
     """
-    retry_delay_s = quarantine.time_left_s(host, digest, now)
-    return [effects.Answer(event.key, ending.UNAVAILABLE, "quarantined",
+    return [effects.Answer(pending.key, ending.UNAVAILABLE, "quarantined",
                            retry_delay_s),
-            ending.log_line("quarantined", event.request,
-                            digest=digest,
+            ending.log_line("quarantined", pending.request,
+                            digest=pending.digest,
+                            parts=part_quarantine.blamed_ids(host, pending),
                             ends_in_s=round(retry_delay_s, 1))]
 
 
-def _register(host, event, destination, digest, now):
+def _new_pending(event, destination, now):
     request = event.request
     left = DEFAULT_DEADLINE_S
     if request.deadline_s is not None:
         left = request.deadline_s
     left = min(left, destination.route.timeout_s)
-    if destination.route.kind is model.Kind.STREAM:
-        origins.note_limit(host, request)
     max_servers = destination.route.max_servers
     if request.max_servers is not None:
         max_servers = min(max_servers, request.max_servers)
-    pending = states.RequestState(
-        key=event.key, request=request, digest=digest, route=destination.route,
-        service=destination.service, workspace=destination.workspace,
-        priority=destination.priority, arrived_at=now,
-        deadline_at=now + left - TIMEOUT_ANSWER_LEAD_S,
+    return states.RequestState(
+        key=event.key, request=request,
+        digest=quarantine.digest_of(request, destination.workspace),
+        part_keys=prompt_parts.keys_of(destination.service, request.prompt),
+        route=destination.route, service=destination.service,
+        workspace=destination.workspace, priority=destination.priority,
+        arrived_at=now, deadline_at=now + left - TIMEOUT_ANSWER_LEAD_S,
         max_servers=max_servers)
-    host.pending[event.key] = pending
-    if request.max_servers is None:
+
+
+def _register(host, pending, now):
+    if pending.route.kind is model.Kind.STREAM:
+        origins.note_limit(host, pending.request)
+    host.pending[pending.key] = pending
+    if pending.request.max_servers is None:
         # Otherwise the host that relays it has counted it.
-        retry_budget.note_request(host, destination.service, now)
+        retry_budget.note_request(host, pending.service, now)
     class_minimums.note_arrived(host, pending, now)
-    return pending
 
 
 def timer_fired(host, event, now):
--- a/crocuskeel/core/entry/retrying.py
+++ b/crocuskeel/core/entry/retrying.py
@@ -54,7 +54,7 @@
         return False
     if _servers_used(host, pending) >= pending.max_servers:
         return False
-    if (quarantine.is_quarantined(host, pending.digest, now)
+    if (quarantine.pending_time_left_s(host, pending, now) > 0
             or quarantine.must_wait(host, pending, now)):
         return False
     if pending.forwarded_attempt is not None and pending.origin is None:
--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -29,7 +29,7 @@
     left = pending.deadline_at - now
     if left < retrying.MIN_SEND_S:
         return ending.give_up(host, pending, "time is up", now)
-    quarantine_s = quarantine.time_left_s(host, pending.digest, now)
+    quarantine_s = quarantine.pending_time_left_s(host, pending, now)
     if quarantine_s:
         return ending.give_up(host, pending, "quarantined", now, quarantine_s)
     if (reachability.is_in_doubt(host, pending.service, now)
@@ -54,7 +54,7 @@
     if quarantine.must_wait(host, pending, now) or not trials.may_begin(
             host, pending, now):
         if now < max(admission.queue_until(pending),
-                     trials.hold_until(host, pending.digest, now)):
+                     trials.hold_until(host, pending, now)):
             return _hold(host, pending, now)
         return ending.give_up(host, pending, "crash suspected", now)
     pending.candidates = candidates.pick(host, pending)
@@ -78,7 +78,7 @@
         pending.workspace, pending.route.kind is model.Kind.STREAM,
         resume=pending.forwarded_attempt is not None,
         fetch_from=source.server.address if source else None)
-    return [order, *trials.begun_lines(host, pending.digest),
+    return [order, *trials.begun_lines(host, pending),
             _sent_line(host, pending, target, attempt, source, now),
             effects.SetRequestTimer(pending.key,
                                     retrying.next_check(pending, now))]
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -73,6 +73,12 @@
     relayed: bool = False
     # The first event has arrived; pauses are measured from then on.
     opened: bool = False
+    # When it arrived, infinite before that.
+    opened_at: float = math.inf
+    # It runs the request from its beginning, here and not at another host.
+    is_first_run: bool = False
+    # Its prompt's parts were recorded as sound.
+    is_proven: bool = False
     # Its server completed a response.
     answered: bool = False
     ended: bool = False
@@ -94,6 +100,8 @@
     max_servers: int = 1
     # Identifies identical requests of one workspace, see quarantine.digest_of.
     digest: str = ""
+    # Keys of its prompt's parts, see prompt_parts.keys_of.
+    part_keys: tuple = ()
     attempts: list = dataclasses.field(default_factory=list)
     # Number of servers that may have run it, and of attempts to reach one.
     servers_used: int = 0
--- a/crocuskeel/core/entry/trials.py
+++ b/crocuskeel/core/entry/trials.py
@@ -47,36 +47,39 @@
 
     Claims the trial of one that may crash servers, if nobody else has.
     """
-    digest = pending.digest
-    if not quarantine.may_be_cause(host, digest):
+    key = quarantine.trial_key(host, pending)
+    if not key:
         return True
-    claims = _claims(host, digest, now)
+    claims = _claims(host, key, now)
     me = host.self_peer.name
     if not claims:
         claims = {me: Claim(now, now)}
-        _claim(host, digest, claims[me])
+        _claim(host, key, claims[me])
     if me not in claims or now < claims[me].since + _settle_s(host, now):
         return False
     first = min(claims, key=lambda name: routing.cached_unit_hash(
-        digest, name))
+        key, name))
     if first != me:
-        del host.crash_records.trials[digest][me]
+        del host.crash_records.trials[key][me]
         return False
     return True
 
 
-def hold_until(host, digest, now):
+def hold_until(host, pending, now):
     """Return until when a request waits for the claim that it has made."""
-    own = _claims(host, digest, now).get(host.self_peer.name)
+    key = quarantine.trial_key(host, pending)
+    own = _claims(host, key, now).get(host.self_peer.name)
     return own.since + _settle_s(host, now) + CLAIM_TTL_S / 2 if own else now
 
 
-def begun_lines(host, digest):
+def begun_lines(host, pending):
     """Return the log line of a trial that begins, if it is one."""
-    if not quarantine.may_be_cause(host, digest):
+    key = quarantine.trial_key(host, pending)
+    if not key:
         return []
     return [effects.LogEvent("crash_trial", {
-        "digest": digest, "crashes": len(updates.lost_at(host, digest))})]
+        "digest": pending.digest, "key": key,
+        "crashes": len(updates.lost_at(host, pending.digest))})]
 
 
 def renew(host, now):
@@ -84,15 +87,16 @@
     trials = host.crash_records.trials
     if not trials:
         return
-    running = {pending.digest for pending in host.pending.values()
-               if ending.active_attempts(pending)}
-    for digest in list(trials):
-        claims = _claims(host, digest, now)
+    running = {key for pending in host.pending.values()
+               if ending.active_attempts(pending)
+               for key in (pending.digest, *pending.part_keys)}
+    for key in list(trials):
+        claims = _claims(host, key, now)
         own = claims.get(host.self_peer.name)
-        if own is not None and digest in running:
-            _claim(host, digest, Claim(own.since, now))
+        if own is not None and key in running:
+            _claim(host, key, Claim(own.since, now))
         elif not claims:
-            del trials[digest]
+            del trials[key]
 
 
 def merge(host, report, now):
@@ -109,17 +113,17 @@
     return []
 
 
-def _claim(host, digest, claim):
+def _claim(host, key, claim):
     name = host.self_peer.name
-    host.crash_records.trials.setdefault(digest, {})[name] = claim
+    host.crash_records.trials.setdefault(key, {})[name] = claim
     crashes.report_to_others(host, records.Report(
-        records.Kind.TRIAL, claim.at, digest, name), claim.at)
+        records.Kind.TRIAL, claim.at, key, name), claim.at)
 
 
-def _claims(host, digest, now):
+def _claims(host, key, now):
     """Return the claims of a trial that have not lapsed, by host."""
     return {name: claim for name, claim
-            in host.crash_records.trials.get(digest, {}).items()
+            in host.crash_records.trials.get(key, {}).items()
             if now - claim.at <= CLAIM_TTL_S}
 
 
--- a/emulator/run.py
+++ b/emulator/run.py
@@ -90,7 +90,7 @@
         self.identical = collections.defaultdict(list)
         self.crash_times = collections.defaultdict(list)
         # By part: when a prompt with it crashed a server, and when such
-        # prompts reached servers.
+        # prompts reached servers, each with the name of the host that sent it.
         self.part_crashes = collections.defaultdict(list)
         self.part_arrivals = collections.defaultdict(list)
         self.subject_weights = {}
@@ -144,12 +144,13 @@
         """Record that a request reaches a server."""
         if run.bad_part:
             self.part_arrivals[run.bad_part].append(
-                self.clock.now - self.tally.began)
+                (self.clock.now - self.tally.began, run.listener.host.name))
 
     def _crashed(self, server, run):
         at = self.clock.now - self.tally.began
         if run.bad_part:
-            self.part_crashes[run.bad_part].append(at)
+            self.part_crashes[run.bad_part].append(
+                (at, run.listener.host.name))
         else:
             self.crash_times[run.listener.digest].append(at)
         faults.crash_engine(self, server)
--- a/tests/emulator/test_bad_parts.py
+++ b/tests/emulator/test_bad_parts.py
@@ -58,6 +58,12 @@
     "answers lost": (_bad(), deployments.Fault("lose", 2.0, 20.0, count=6,
                                                times=0.2)),
 }
+# Hosts that don't hear each other, by case: each side counts for itself.
+SIDES = {
+    "store away": (frozenset(f"h{n}" for n in range(5)), frozenset(["h5"])),
+    "hosts cut off from each other": (
+        frozenset(f"h{n}" for n in range(2)),
+        frozenset(f"h{n}" for n in range(2, 6)))}
 
 
 def _simulate(faults, seed=0, hosts=6, engines=6, seconds=24.0):
@@ -67,12 +73,19 @@
         engines=deployments.Engines(count=engines, slots=32)), seed)
 
 
-def late_count(world):
-    """Return the most late arrivals at engines of requests with one part."""
-    return max(sum(at > crashes[4] + KNOWN_S
-                   for at in world.part_arrivals[part])
-               for part, crashes in world.part_crashes.items()
-               if len(crashes) >= 5)
+def late_count(world, names):
+    """Return the most late arrivals at engines of requests with one part.
+
+    Counted are those that the hosts ``names`` sent, which hear each other.
+    """
+    counts = [0]
+    for part, rows in world.part_crashes.items():
+        crashes = [at for at, name in rows if name in names]
+        if len(crashes) >= 5:
+            counts.append(sum(
+                at > crashes[4] + KNOWN_S and name in names
+                for at, name in world.part_arrivals[part]))
+    return max(counts)
 
 
 def begun_shares(world, settled_at):
@@ -95,10 +108,9 @@
     """Return (late arrivals, shares begun before and after) of a case."""
     world = _simulate(CASES[name], seed)
     crashes = max(world.part_crashes.values(), key=len)
-    late = 0
-    if len(crashes) >= 5:
-        late = late_count(world)
-    return late, *begun_shares(world, crashes[:5][-1] + SETTLED_S)
+    groups = SIDES.get(name, (frozenset(world.names),))
+    return (max(late_count(world, names) for names in groups),
+            *begun_shares(world, crashes[:5][-1][0] + SETTLED_S))
 
 
 class BadPartTest(unittest.TestCase):
--- /dev/null
+++ b/tests/quarantine/test_part_causes.py
@@ -0,0 +1,107 @@
+"""Prompt parts that caused crashes, told from those beside them."""
+
+import time
+import unittest
+
+from crocuskeel.core import part_causes
+
+
+def _crash(at, *lost):
+    """Return a crash; each lost request is its digest and its parts."""
+    return part_causes.Crash(at, tuple(
+        part_causes.Lost(digest, frozenset(parts.split()))
+        for digest, parts in lost))
+
+
+def _attribute(*crashes, sound=()):
+    return part_causes.attribute(
+        dict(enumerate(crashes)), frozenset(sound).__contains__)
+
+
+def _blamed(*crashes, sound=()):
+    return [set(cause.parts) for cause in _attribute(*crashes, sound=sound)
+            if not cause.is_suspect]
+
+
+class AttributeTest(unittest.TestCase):
+    """What makes a part the cause."""
+
+    def test_part_of_three_crashes_under_different_requests(self):
+        crashes = [_crash(at, (f"r{at}", f"x common-{at}"))
+                   for at in (1.0, 2.0, 3.0)]
+        self.assertEqual([{"x"}], _blamed(*crashes))
+        self.assertEqual([], _blamed(*crashes[:2]))
+
+    def test_other_parts_beside_it_are_not_blamed(self):
+        # A prompt that is queued at engine after engine, each of which ends.
+        crashes = [_crash(at, (f"r{at}", "x a"), ("s", "b"), (f"t{at}", "c"))
+                   for at in (1.0, 2.0, 3.0)]
+        crashes.append(_crash(4.0, ("u", "x")))
+        self.assertEqual([{"x"}], _blamed(*crashes))
+
+    def test_part_that_was_sound_before_yields_to_a_new_one(self):
+        crashes = [_crash(at, (f"r{at}", "x a")) for at in (1.0, 2.0, 3.0)]
+        self.assertEqual([{"x"}], _blamed(*crashes, sound="a"))
+
+    def test_part_that_was_sound_before_is_blamed_later(self):
+        crashes = [_crash(at, (f"r{at}", "x")) for at in (1, 2, 3, 4, 5)]
+        self.assertEqual([], _blamed(*crashes[:4], sound="x"))
+        self.assertEqual([{"x"}], _blamed(*crashes, sound="x"))
+
+    def test_parts_that_are_always_together_are_blamed_together(self):
+        crashes = [_crash(at, (f"r{at}", "x y")) for at in (1, 2, 3)]
+        self.assertEqual([{"x", "y"}], _blamed(*crashes))
+        crashes.append(_crash(4, ("r4", "x")))
+        self.assertEqual([{"x"}], _blamed(*crashes))
+
+    def test_two_parts_that_crash_engines(self):
+        crashes = [_crash(at, (f"r{at}", "x" if at % 2 else "y"))
+                   for at in range(1, 7)]
+        self.assertEqual([{"x"}, {"y"}], sorted(_blamed(*crashes),
+                                                key=sorted))
+
+    def test_request_that_is_sent_again_is_no_proof(self):
+        # It crashes engines, whatever its prompt shares with others.
+        crashes = [_crash(at, ("r", "x")) for at in (1, 2, 3, 4)]
+        self.assertEqual((), _attribute(*crashes))
+        crashes.append(_crash(5, ("s", "x")))
+        self.assertEqual((), _attribute(*crashes))
+
+    def test_servers_that_end_together_blame_nothing(self):
+        crashes = [_crash(1.0 + number / 100, (f"r{number}", "x a"))
+                   for number in range(20)]
+        self.assertEqual([], _blamed(*crashes))
+        self.assertEqual([], _blamed(*crashes, sound=("x", "a")))
+        again = [_crash(5.0 + number / 100, (f"s{number}", "x a"))
+                 for number in range(20)]
+        self.assertEqual([], _blamed(*crashes, *again, sound=("x", "a")))
+
+    def test_new_part_in_many_crashes_at_once_is_a_suspect(self):
+        # Of eight requests at once each takes an engine down; nothing is
+        # known of their part but that no prompt with it was answered.
+        crashes = [_crash(1.0 + number / 100, (f"r{number}", "x a"))
+                   for number in range(6)]
+        (suspect,) = _attribute(*crashes, sound="a")
+        self.assertEqual((True, {"x"}), (suspect.is_suspect, suspect.parts))
+        crashes.append(_crash(3.0, ("trial", "x a")))
+        self.assertEqual([{"x"}], _blamed(*crashes, sound="a"))
+
+    def test_each_run_after_a_refusal_counts(self):
+        rows = [_crash(at, (f"r{at}", "x")) for at in (1, 2, 3, 63, 183)]
+        (cause,) = _attribute(*rows)
+        self.assertEqual((3, 183), (cause.rounds, cause.last_at))
+
+    def test_many_crashes_take_little_time(self):
+        # Each host that hears of a crash attributes all that it knows.
+        crashes = [_crash(number, *(
+            (f"r{number}-{each}", " ".join(
+                f"p{number}-{part}" for part in range(3))
+             + f" x a{(number + each) % 9}")
+            for each in range(6))) for number in range(256)]
+        began = time.process_time()
+        self.assertEqual([{"x"}], _blamed(*crashes, sound=("a0", "a1")))
+        self.assertLess(time.process_time() - began, 1.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
