Crashes: a stream that ends with its connection is whole if its server goes on

What callers saw: engines whose answers have neither length nor chunks crash between two events, one after the other, under prompts with one part; identical requests that crash engines this way were never refused.

Cause: such a stream looks whole to the host. It counted as proof that its request and its prompt's parts crash no engine, and took back all crashes that were known of them.

The gateway now tells that an answer ended with its connection. Such an answer is passed on as before, but proves something only once its server responds to a later request, or shows no sign of a crash for 5 s. If the server is shown to be down by then, the answer counts as lost in its crash. Where all answers end so this costs no message; a host keeps a row for each until the server's next response.

The unit tests of ClosedStreamTest and of the gateway fail without the flag. What can't be told: a caller gets such a stream as a whole one, as it would from any proxy.

--- a/crocuskeel/core/entry/attempts.py
+++ b/crocuskeel/core/entry/attempts.py
@@ -113,7 +113,7 @@
     pending, attempt = ending.find_attempt(host, event)
     if attempt is None:
         return []
-    out = _record_success(host, pending, attempt, now)
+    out = _record_success(host, pending, attempt, event.closed, now)
     ending.finish(host, pending)
     out.append(
         ending.log_line("served", pending.request,
@@ -125,10 +125,12 @@
     return out
 
 
-def _record_success(host, pending, attempt, now):
+def _record_success(host, pending, attempt, closed, now):
     target = host.servers.get(attempt.sid)
     if target is not None:
         health.record_success(target, now)
+    if closed and not attempt.relayed:
+        return crashes.note_closed(host, pending, attempt, now)
     return crashes.note_served(host, pending, attempt, now)
 
 
@@ -166,7 +168,7 @@
     attempt.opened_at = attempt.sent_at
     attempt.is_first_run = (event.status < FIRST_REDIRECT
                             and not attempt.relayed)
-    out = _record_success(host, pending, attempt, now)
+    out = _record_success(host, pending, attempt, event.closed, now)
     out += ending.cancel_others(host, pending, attempt)
     out.append(effects.ForwardResponse(pending.key, attempt.attempt_number))
     out.append(
--- a/crocuskeel/core/entry/crash_records.py
+++ b/crocuskeel/core/entry/crash_records.py
@@ -7,8 +7,8 @@
 
 from crocuskeel.core import crash_causes
 
-__all__ = ["Crash", "CrashRecords", "HARD_SIGNS", "Kind", "Loss",
-           "QueuedReport", "Report", "Sign"]
+__all__ = ["ClosedStream", "Crash", "CrashRecords", "HARD_SIGNS", "Kind",
+           "Loss", "QueuedReport", "Report", "Sign"]
 
 
 class Sign(enum.StrEnum):
@@ -64,6 +64,22 @@
     doubtful: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClosedStream:
+    """A response that ended at ``at`` with its connection.
+
+    It is whole if its server goes on. ``parts`` are those of its prompt if
+    they prove sound then, as of ``begun_at``; ``lost_parts`` if it turns out
+    to have been lost.
+    """
+
+    at: float
+    digest: str
+    parts: tuple
+    begun_at: float
+    lost_parts: tuple
+
+
 @dataclasses.dataclass(slots=True)
 class Crash:
     """A crash: ``lost`` maps the digests in progress to when they were lost.
@@ -121,7 +137,8 @@
     parts that may have caused a crash, ``candidates`` is the union of these,
     and ``parts_lost_at`` the time of the latest such loss. ``sound`` maps the
     key of a part to the latest time at which a server began to answer a
-    prompt with it that was answered well.
+    prompt with it that was answered well. ``closed`` holds the ClosedStreams
+    of an incarnation that has shown no sign of life since.
     """
 
     losses: list = dataclasses.field(default_factory=list)
@@ -142,3 +159,4 @@
     parts_lost_at: float = -math.inf
     sound: collections.OrderedDict = dataclasses.field(
         default_factory=collections.OrderedDict)
+    closed: dict = dataclasses.field(default_factory=dict)
--- a/crocuskeel/core/entry/crashes.py
+++ b/crocuskeel/core/entry/crashes.py
@@ -19,8 +19,9 @@
 from crocuskeel.core.entry import fleet
 from crocuskeel.core.entry import prompt_parts
 
-__all__ = ["confirm_if_ended", "forget", "note_down", "note_lost",
-           "note_response", "note_served", "note_sound", "report_to_others"]
+__all__ = ["confirm_if_ended", "forget", "note_closed", "note_down",
+           "note_lost", "note_response", "note_served", "note_sound",
+           "report_to_others"]
 
 # No server restarts within this time, s.
 MIN_RESTART_S = 1.0
@@ -38,6 +39,9 @@
 # Crashes under a prompt part are kept for longer, s: it is tried again after
 # up to MAX_QUARANTINE_S, and the former crashes tell for how long.
 PART_RETENTION_S = 3600.0
+# A response that ended with its connection is whole if its server shows no
+# sign of a crash for this long, s.
+CLOSED_S = 5.0
 # A report is repeated to other hosts for this long, s: a datagram may be lost.
 REPORT_S = 2.0
 # With these the server's requests in progress are lost as well, though their
@@ -104,6 +108,8 @@
              and not (loss.doubtful and sign is records.Sign.UNREACHABLE)]
     if found:
         known.losses = [loss for loss in known.losses if loss not in found]
+    if state is not None:
+        found += _closed_streams(host, state, now)
     if state is not None and sign in GONE_SIGNS:
         begun_by = _ended_by(host, state, now)
         if sign is records.Sign.REMOVED:
@@ -146,6 +152,33 @@
     return found
 
 
+def _closed_streams(host, state, now):
+    """Return the responses that a server's crash ended, as losses."""
+    incarnation = state.server.incarnation
+    found = []
+    for row in host.crash_records.closed.pop(incarnation, ()):
+        if row.at < now - CLOSED_S:
+            continue
+        prompt_parts.note_lost_parts(host, row.digest, row.lost_parts, row.at)
+        found.append(records.Loss(row.at, state.server.sid, incarnation,
+                                  row.digest))
+    return found
+
+
+def note_closed(host, pending, attempt, now):
+    """Record a response that ended with its connection.
+
+    A server that crashed between two events ends its streams alike.
+    """
+    lost_parts = ()
+    if prompt_parts.may_have_crashed(attempt, now):
+        lost_parts = pending.part_keys
+    host.crash_records.closed.setdefault(attempt.incarnation, []).append(
+        records.ClosedStream(now, pending.digest, _sound_parts(
+            pending, attempt), attempt.opened_at, lost_parts))
+    return []
+
+
 def note_sound(host, pending, attempt, now):
     """Record that a server answers a request, and has done so for a while."""
     _note_sound(host, _sound_parts(pending, attempt), attempt.opened_at, now)
@@ -169,6 +202,32 @@
     It was running until the attempt was sent, so losses there before that
     were due to no crash.
     """
+    out = []
+    for row in _take_closed(host, attempt.incarnation, attempt.sent_at):
+        out += _note_whole(host, row, now)
+    return out + _note_running(host, attempt, now)
+
+
+def _take_closed(host, incarnation, until):
+    """Remove and return the responses that ended by ``until``."""
+    rows = host.crash_records.closed.get(incarnation)
+    if not rows:
+        return []
+    later = [row for row in rows if row.at > until]
+    if later:
+        host.crash_records.closed[incarnation] = later
+    else:
+        del host.crash_records.closed[incarnation]
+    return rows[:len(rows) - len(later)]
+
+
+def _note_whole(host, row, now):
+    """Record that a response that ended with its connection is whole."""
+    _note_sound(host, row.parts, row.begun_at, now)
+    return _clear(host, row.digest, now)
+
+
+def _note_running(host, attempt, now):
     span_s = math.inf
     state = host.servers.get(attempt.sid)
     if state is not None and state.server.started_ms is not None:
@@ -240,6 +299,9 @@
     """Drop what is old, and losses at servers that outlived an expiry."""
     known = host.crash_records
     out = _drop_decided(host, now) if known.losses else []
+    for incarnation in list(known.closed):
+        for row in _take_closed(host, incarnation, now - CLOSED_S):
+            out += _note_whole(host, row, now)
     for incarnation, crash in list(known.crashes.items()):
         retention_s = CRASH_RETENTION_S
         if crash_attribution.is_explained_by_part(host, incarnation):
--- a/crocuskeel/core/entry/events.py
+++ b/crocuskeel/core/entry/events.py
@@ -102,21 +102,30 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StreamEnded:
-    """A stream that was forwarded to the caller is complete."""
+    """A stream that was forwarded to the caller is complete.
+
+    ``closed``: it had neither a length nor chunks and ended with its
+    connection, as it would if its server had ended between two events.
+    """
 
     key: int
     attempt_number: int
+    closed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ResponseReceived:
-    """A complete response that isn't a stream was received."""
+    """A complete response that isn't a stream was received.
+
+    ``closed`` is as in StreamEnded.
+    """
 
     key: int
     attempt_number: int
     status: int
     load: tuple | None
     has_stamp_header: bool
+    closed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/crocuskeel/gateway/servers.py
+++ b/crocuskeel/gateway/servers.py
@@ -145,14 +145,16 @@
             self.gateway.feed(events.ResponseReceived(
                 self.exchange.key, self.attempt_number, self.head.status,
                 self.gateway.codec.load(self.head),
-                self.gateway.codec.stamped(self.head)))
+                self.gateway.codec.stamped(self.head),
+                closed=self.connection.lost))
             return
         if self.splitter.partial or not self.has_events:
             self._fail(model.Outcome.MALFORMED, "stream ended within an event")
             return
         self.connection.close()
         self.gateway.feed(
-            events.StreamEnded(self.exchange.key, self.attempt_number))
+            events.StreamEnded(self.exchange.key, self.attempt_number,
+                               closed=self.connection.lost))
         self.exchange.end_answer()
         self.gateway.release(self.exchange)
 
--- a/emulator/listeners.py
+++ b/emulator/listeners.py
@@ -48,7 +48,10 @@
     def ended(self, run):
         """Report the end of the response."""
         if run.prompt is not None:
-            self.send_event(events.StreamEnded(self.key, self.attempt_number))
+            self.send_event(events.StreamEnded(
+                self.key, self.attempt_number,
+                closed=self.server is not None
+                and self.server.ends_connections))
             return
         self._send_hints()
         self.send_event(events.ResponseReceived(
--- a/tests/entry/test_prompt_parts.py
+++ b/tests/entry/test_prompt_parts.py
@@ -215,6 +215,57 @@
         self.assertEqual(0, _left_s(driver, "y"))
 
 
+class ClosedStreamTest(unittest.TestCase):
+    """Streams without length or chunks, which end with their connection."""
+
+    def _close(self, driver, *parts, sid):
+        key = driver.ask(*parts, sid=sid)
+        driver.open(key)
+        driver.feed(events.StreamEnded(key, 0, closed=True), 0.05)
+
+    def test_stream_that_its_servers_crash_ends_is_no_proof(self):
+        # It looked whole, and cleared its part each time.
+        driver = part_driver.PartDriver()
+        for number in (1, 2, 3):
+            driver.now += 1.0
+            self._close(driver, "x", sid=f"s{number}")
+            driver.end_engine(f"s{number}")
+        self.assertGreater(_left_s(driver, "x"), 0)
+
+    def test_stream_whose_server_answers_later_is_one(self):
+        driver = part_driver.PartDriver()
+        driver.crash_by("x", sid="s1")
+        driver.crash_by("x", sid="s2")
+        self._close(driver, "x", sid="s0")
+        driver.serve("y", sid="s0")
+        _convict(driver, "x", first=3)
+        self.assertEqual(0, _left_s(driver, "x"))
+
+    def test_stream_whose_server_shows_no_crash_is_one(self):
+        driver = part_driver.PartDriver()
+        driver.crash_by("x", sid="s1")
+        driver.crash_by("x", sid="s2")
+        self._close(driver, "x", sid="s0")
+        driver.feed(events.Ticked(0.0), 6.0)
+        _convict(driver, "x", first=3)
+        self.assertEqual(0, _left_s(driver, "x"))
+        self.assertEqual({}, driver.host.crash_records.closed)
+
+    def test_identical_request_is_not_cleared_by_it(self):
+        # Its crashes were taken back by what looked like its answer.
+        driver = part_driver.PartDriver()
+        for number in (1, 2):
+            driver.now += 1.0
+            driver.last_key += 1
+            driver.arrive(driver.last_key, path="/advice/1", digest="same",
+                          prompt=part_driver.prompt("x"))
+            driver.move(driver.last_key, f"s{number}")
+            driver.open(driver.last_key)
+            driver.feed(events.StreamEnded(driver.last_key, 0, closed=True))
+            driver.end_engine(f"s{number}")
+        self.assertTrue(driver.is_quarantined("same"))
+
+
 class ReportTest(unittest.TestCase):
     """What hosts tell each other of parts."""
 
--- a/tests/gateway/test_servers.py
+++ b/tests/gateway/test_servers.py
@@ -165,6 +165,47 @@
                     self._receive(data, end, stream=True)
                     self.assertTrue(self.gateway.events[-1].disconnected)
 
+    def test_end_of_the_connection_as_the_end_of_an_answer_is_told(self):
+        # A server that crashes ends an answer without length or chunks alike:
+        # it cleared the request that had crashed the server.
+        unframed, framed = OK + b"\r\n", OK + (
+            b"Content-Length: %d\r\n\r\n" % len(EVENTS))
+        for stream in (False, True):
+            for data, end in ((unframed, DONE), (framed, None)):
+                with self.subTest(stream=stream, data=data):
+                    self._receive(data + EVENTS, end, stream=stream)
+                    self.assertEqual(end is DONE,
+                                     self.gateway.events[-1].closed)
+
+    def test_stream_that_ends_with_its_connection(self):
+        unframed = OK + b"\r\n"
+        crlf = EVENTS.replace(b"\n", b"\r\n")
+        first = EVENTS[:EVENTS.index(b"\n\n") + 2]
+        rows = (
+            ("whole", EVENTS, [200, EVENTS, "end"]),
+            ("whole, other line ends", crlf, [200, crlf, "end"]),
+            ("no event", b"", []),
+            ("within the first event", EVENTS[:8], []),
+            ("within its last line end", EVENTS[:-1], [200, first]),
+            ("the same, other line ends", crlf[:-1],
+             [200, first.replace(b"\n", b"\r\n")]),
+            ("within a later event", EVENTS + b"id: 3\n", [200, EVENTS]),
+        )
+        for name, data, sent in rows:
+            for end in (DONE, RESET):
+                with self.subTest(name, end=end):
+                    self._receive(unframed + data, end, stream=True)
+                    last = self.gateway.events[-1]
+                    if sent[-1:] == ["end"] and end is DONE:
+                        self.assertIs(events.StreamEnded, type(last))
+                        self.assertEqual(sent, self.caller.sent)
+                        continue
+                    self.assertTrue(last.disconnected)
+                    self.assertNotIn("end", self.caller.sent)
+                    self.assertEqual(
+                        [each for each in sent if each != "end"],
+                        self.caller.sent)
+
     def test_malformed_answer_is_no_end_of_the_connection(self):
         # A server that spoils its answers has not crashed.
         chunked = OK + b"Transfer-Encoding: chunked\r\n\r\n"
