Soak: prompt parts that crash engines, answers that end with their connection

Streams without a length that a crash ends between two events look whole to everybody; they don't count as incomplete. Requests with a bad part are no sample of the tiers.

--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -5,6 +5,7 @@
 
 from tools.soak import cut_checks
 from tools.soak import engine
+from tools.soak import part_checks
 from tools.soak import record as records
 from tools.soak import version_checks
 
@@ -72,15 +73,17 @@
     servers went on working for it.
     """
     runs = record.runs.get(sent.request.rid, [])
-    return (_check_reply(sent, runs) + _check_executions(sent, runs, record)
+    return (_check_reply(sent, runs, record)
+            + _check_executions(sent, runs, record)
             + _check_routes(sent, record) + _check_answered(sent, runs, record)
             + _check_cancelled(sent, record))
 
 
-def _check_reply(sent, runs):
+def _check_reply(sent, runs, record):
     errors = []
     reply = sent.reply
-    if reply.status == 200 and not _is_complete(sent.request, reply.body):
+    if (reply.status == 200 and not _is_complete(sent.request, reply.body)
+            and sent.request.rid not in record.cut_unframed):
         errors.append("response is incomplete or of another request")
     if reply.status in NOT_RUN and runs:
         errors.append("reported as not run, but a server ran it")
@@ -166,6 +169,7 @@
             + _check_identical(record)
             + cut_checks.check_cut_off(record, KINDS, IDENTICAL)
             + version_checks.check_streams(record, STREAMS)
+            + part_checks.check_parts(record, STREAMS)
             + _check_rates(record) + _check_leaving(record)
             + _check_backoffs(record))
 
@@ -307,7 +311,8 @@
     served = collections.Counter()
     total = collections.Counter()
     for sent in record.sent.values():
-        if sent.request.kind in KINDS and not sent.reply.abandoned:
+        if (sent.request.kind in KINDS and not sent.reply.abandoned
+                and not part_checks.is_bad(sent.request)):
             total[sent.request.kind] += 1
             served[sent.request.kind] += sent.reply.status == 200
     return {kind: (served[kind] / total[kind], total[kind])
@@ -334,6 +339,8 @@
     refused = collections.Counter()
     total = collections.Counter()
     for sent in record.sent.values():
+        if part_checks.is_bad(sent.request):
+            continue
         total[sent.request.kind] += 1
         refused[sent.request.kind] += sent.reply.status == 503
     if min(total[kind] for kind in STREAMS) < MIN_SAMPLE_SIZE:
--- a/tools/soak/engine.py
+++ b/tools/soak/engine.py
@@ -6,8 +6,8 @@
 from crocuskeel.gateway import callers
 from crocuskeel.gateway import loop
 
-__all__ = ["BASE_FAULT_SHARES", "CRASH_FORMS", "CrashForm", "EVENTS",
-           "Engine", "POISON", "RESET"]
+__all__ = ["BAD_PART", "BASE_FAULT_SHARES", "CRASH_FORMS", "CrashForm",
+           "EVENTS", "Engine", "POISON", "RESET"]
 
 # A stream takes 1.8 s, so that work that continues for a disconnected
 # caller is still in progress when the request is checked.
@@ -22,6 +22,9 @@
 # A body with this prefix crashes the server that runs it, in the form that its
 # second part names.
 POISON = b"poison"
+# So does each prompt, as the engine begins to answer it, with a part whose id
+# has this prefix; the form is the second part of the body.
+BAD_PART = b"bad"
 RID = b"x-crocuskeel-request-id"
 HEALTH_PATH = b"/health"
 
@@ -44,6 +47,7 @@
 CRASH_FORMS = {
     b"reset": RESET, b"closed": CrashForm(), b"head": CrashForm(b""),
     b"event": CrashForm(b"id: 1\nda"),
+    b"between": CrashForm(b"id: 1\n: v1\ndata: x\n\n"),
     b"cut": CrashForm(b"id: 1\nda", resets=True),
     b"dark": CrashForm(goes_dark=True)}
 
@@ -56,7 +60,8 @@
     'full' refuses, 'error' answers 500, 'mute' runs it without a response.
     Responses carry ``rate_limit``, requests a second, if it is set, and the
     ``leaving`` flag. With ``backoff_s`` it refuses all requests and asks for
-    that backoff.
+    that backoff. With ``ends_connections`` its streams have neither a length
+    nor chunks.
     """
 
     def __init__(self, reactor, rng, sid, service, record, on_poison,
@@ -72,6 +77,9 @@
         self.rate_limit = None
         self.leaving = False
         self.backoff_s = None
+        self.ends_connections = False
+        # Streams in progress that end with their connection, by request id.
+        self.unframed = {}
         self.port = None
         self.address = None
         self.is_down = False
@@ -104,6 +112,8 @@
     def crash(self, form=RESET):
         """End all connections in the given form and stop listening."""
         self.is_down = True
+        if not form.goes_dark:
+            self.record.cut_unframed.update(self.unframed)
         self.port.stopListening()
         for conn in list(self.listener.open_connections):
             if form.resets:
@@ -129,6 +139,10 @@
             return
         rid = exchange.head.get(RID).decode()
         self.record.reached.append((rid, self.sid, self.reactor.seconds()))
+        part = _bad_part(exchange.head)
+        if part:
+            self.record.part_arrivals.append(
+                (part, rid, self.reactor.seconds()))
         expected = exchange.head.get(b"x-crocuskeel-expect-instance")
         if expected != self.sid.encode():
             exchange.answer(421, [], b"")
@@ -174,11 +188,28 @@
         name = exchange.body.split(b":")[1:2]
         form = CRASH_FORMS[name[0]] if name else RESET
         if form.sent is not None:
-            exchange.begin_answer(200, self._headers(rid))
+            self._begin(exchange, rid)
         if form.sent:
-            exchange.send_data(form.sent)
+            self._send(exchange, rid, form.sent)
         self.on_poison(form)
 
+    def _begin(self, exchange, rid):
+        """Begin a stream, in chunks or to the end of its connection."""
+        headers = self._headers(rid)
+        if not self.ends_connections:
+            exchange.begin_answer(200, headers)
+            return
+        self.unframed[rid] = exchange
+        exchange.connection.transport.write(b"".join((
+            b"HTTP/1.1 200 OK\r\n",
+            *(b"%s: %s\r\n" % header for header in headers), b"\r\n")))
+
+    def _send(self, exchange, rid, data):
+        if rid in self.unframed:
+            exchange.connection.transport.write(data)
+        else:
+            exchange.send_data(data)
+
     def _draw_fault(self, fault):
         return self.rng.random() < self.faults.get(fault, 0.0)
 
@@ -215,6 +246,8 @@
 
     def _end_work(self, exchange):
         rid = (exchange.head.get(RID) or b"").decode()
+        if exchange.finished:
+            self.unframed.pop(rid, None)
         self.record.working.discard((rid, self.sid))
 
     def _answer(self, exchange, rid):
@@ -245,7 +278,13 @@
         if exchange.finished:
             return
         last = int(exchange.head.get(b"last-event-id") or 0)
-        exchange.begin_answer(200, self._headers(rid))
+        part = _bad_part(exchange.head)
+        if part:
+            self.record.failed_by_server.add(rid)
+            self.record.part_crashes.append((part, self.reactor.seconds()))
+            self._crash_under(exchange, rid)
+            return
+        self._begin(exchange, rid)
         break_at = EVENTS // 2 if self._draw_fault("torn") else None
         self._send_event(exchange, rid, last + 1, break_at)
 
@@ -255,14 +294,24 @@
         if number == break_at:
             self.record.failed_by_server.add(rid)
             self._end_work(exchange)
-            exchange.send_data(b"id: %d\nda" % number)
+            self._send(exchange, rid, b"id: %d\nda" % number)
             exchange.abort()
             return
-        exchange.send_data(b"id: %d\n: %s\ndata: %s\n\n" % (
+        self._send(exchange, rid, b"id: %d\n: %s\ndata: %s\n\n" % (
             number, self.version.encode(), rid.encode()))
         if number == EVENTS:
             self._end_work(exchange)
-            exchange.end_answer()
+            if self.unframed.pop(rid, None) is None:
+                exchange.end_answer()
+            else:
+                exchange.connection.transport.loseConnection()
             return
         self.reactor.callLater(EVENT_S, self._send_event, exchange, rid,
                                number + 1, break_at)
+
+
+def _bad_part(head):
+    """Return the id of the prompt part that crashes engines, if any."""
+    text = head.get(b"x-crocuskeel-prefix-hash") or b""
+    parts = [row.partition(b":")[0] for row in text.split(b",")]
+    return next((part for part in parts if part.startswith(BAD_PART)), None)
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -9,6 +9,7 @@
 from tools.soak import cut_checks
 from tools.soak import cuts
 from tools.soak import engine as engines
+from tools.soak import part_faults
 
 __all__ = ["FAULTS", "PLANNED_WORK", "choose_kinds", "do_planned_work",
            "inject_fault"]
@@ -51,6 +52,9 @@
         kinds[0] = _cut_off
     if seed in VERSION_SEEDS and _roll_version not in kinds:
         kinds[0] = _roll_version
+    if seed in part_faults.PART_SEEDS and (
+            part_faults.send_bad_part not in kinds):
+        kinds[0] = part_faults.send_bad_part
     return kinds
 
 
@@ -169,10 +173,13 @@
 
 def _roll_version(soak):
     """Engines of a new version start, and some of the oldest one leave."""
+    oldest = next(filter(soak.serving, soak.engine_versions), None)
+    if oldest is None:
+        # All engines are down.
+        return
     version = f"v{len(soak.engine_versions) + 1}"
     soak.engine_versions.append(version)
     soak.note_fault("plan", "another software version", 6.0)
-    oldest = next(each for each in soak.engine_versions if soak.serving(each))
     for _ in range(2):
         soak.add_engine("engines", version)
     for sid in soak.serving(oldest)[:2]:
@@ -370,4 +377,5 @@
     (200, (_reborn, _other_writer)), (400, (_silent_store,)),
     (500, (_need,)), (600, (_leave_unlisted, _rest)), (1000, (_sever,)),
     (1100, (_restore,)), (1200, (_poison_in_each_form,)),
-    (1300, (_cut_off,)), (1400, (_roll_version,)))
+    (1300, (_cut_off,)), (1400, (_roll_version,)),
+    (1500, (part_faults.send_bad_part,)))
--- a/tools/soak/record.py
+++ b/tools/soak/record.py
@@ -53,7 +53,10 @@
     the first response with it to that host, ``leaving_sent`` to that of the
     first with the leaving flag. ``backoffs`` holds (server, host, time, s)
     of the backoffs asked for. ``stops`` holds (host, since, until) of planned
-    stops, until the host has started again.
+    stops, until the host has started again. ``part_arrivals`` holds (part,
+    request id, time) of prompts that reached servers and crash them by a
+    part, ``part_crashes`` (part, time). ``cut_unframed`` holds the ids of
+    streams without length or chunks that a crash ended between two events.
     """
 
     runs: dict = dataclasses.field(default_factory=dict)
@@ -72,6 +75,9 @@
     backoffs: list = dataclasses.field(default_factory=list)
     restarted: dict = dataclasses.field(default_factory=dict)
     stops: list = dataclasses.field(default_factory=list)
+    part_arrivals: list = dataclasses.field(default_factory=list)
+    part_crashes: list = dataclasses.field(default_factory=list)
+    cut_unframed: set = dataclasses.field(default_factory=set)
 
     def add_fault(self, place, name, now, span_s=0.0):
         """Add a fault."""
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -57,6 +57,7 @@
         self.last_number = 0
         self.unfinished = 0
         self.load_factor = 1.0
+        self.unframed = False
         # The software versions of the engines so far, and whether callers
         # take up streams.
         self.engine_versions = ["v1"]
@@ -110,6 +111,7 @@
         engine = engines.Engine(
             self.reactor, self.rng, sid, service, self.record,
             lambda form: self.crash(sid, form), version)
+        engine.ends_connections = self.unframed
         port = engine.listen(self.server_ip)
         self.engines[sid] = engine
         self.links[sid] = self._link(
@@ -151,6 +153,12 @@
         for sid in (*self.record.departed, *self.record.ended):
             self.store.remove("servers", sid)
 
+    def set_unframed(self, unframed):
+        """Have engines end their streams with the connection, or not."""
+        self.unframed = unframed
+        for engine in self.engines.values():
+            engine.ends_connections = unframed
+
     def any_engine(self):
         """Return the id of a random server that has not left."""
         return self.rng.choice([sid for sid in self.engines
@@ -255,15 +263,18 @@
             abandon_after_s = self.rng.uniform(0.2, 1.5)
         return self._new_request(kind, None, abandon_after_s)
 
-    def send_body(self, kind, body):
-        """Send a request with a body that others may have, too."""
+    def send_body(self, kind, body, bad_part=b""):
+        """Send a request with a body that others may have, too.
+
+        ``bad_part`` is put into its prompt.
+        """
         self.unfinished += 1
         ip = self.rng.choice(self.known_ips or self.fleet.ips)
         defer.Deferred.fromCoroutine(self.send_to(
-            ip, self._new_request(kind, body, None))).addErrback(
+            ip, self._new_request(kind, body, None, bad_part))).addErrback(
                 self._record_failure)
 
-    def _new_request(self, kind, body, abandon_after_s):
+    def _new_request(self, kind, body, abandon_after_s, bad_part=b""):
         self.last_number += 1
         rid = f"r{self.last_number}"
         headers = [(b"Host", b"desk"), (b"X-Crocuskeel-Request-Id",
@@ -274,7 +285,9 @@
             part = self.rng.randrange(6)
             headers += [(b"X-Crocuskeel-Token-Count", b"5000,80"),
                         (b"X-Crocuskeel-Prefix-Hash",
-                         b"p%d:4000,%s:1000" % (part, rid.encode()))]
+                         b"p%d:4000,%s%s:1000" % (
+                             part, bad_part and bad_part + b":200,",
+                             rid.encode()))]
         return callers.Request(rid, kind, f"/{kind}/1", tuple(headers),
                                body or rid.encode(),
                                abandon_after_s=abandon_after_s)
