Crashes: a host that loses a request tells which of its parts were sound

What callers saw (emulator, four bad parts at once, 4 engines): prompts with a part that crashes engines ran again and again.

Cause: a host that has answered no prompt with a common part, as it had just started or has few callers, can't tell it from a new one, and blamed the common part for the crashes that another one caused. That released the other one.

With a loss the host also tells the parts of the prompt that it knows to have been answered, and as of when. The test failed before.

--- a/crocuskeel/core/entry/crashes.py
+++ b/crocuskeel/core/entry/crashes.py
@@ -75,6 +75,9 @@
         report_to_others(host, records.Report(
             records.Kind.LOST, now, digest, attempt.sid,
             attempt.incarnation, parts=parts), now)
+        sound = prompt_parts.sound_report(host, parts)
+        if sound is not None:
+            report_to_others(host, sound, now)
     out.append(updates.line("crash_suspected", digest, attempt.incarnation,
                             silent=silent))
     return out + confirm_if_ended(host, loss, now)
--- a/crocuskeel/core/entry/prompt_parts.py
+++ b/crocuskeel/core/entry/prompt_parts.py
@@ -10,10 +10,11 @@
 import math
 
 from crocuskeel.core.entry import crash_attribution
+from crocuskeel.core.entry import crash_records as records
 from crocuskeel.core.entry import effects
 
 __all__ = ["forget", "keys_of", "may_have_crashed", "merge_parts",
-           "merge_sound", "note_lost_parts", "note_sound"]
+           "merge_sound", "note_lost_parts", "note_sound", "sound_report"]
 
 # A server that crashes on a part does so as it begins to answer. One that has
 # written for this long, s, did not crash on the prompt.
@@ -131,7 +132,23 @@
 
 def merge_sound(host, report, now):
     """Merge parts that another host found to be sound."""
+    known = host.crash_records.sound
+    is_new = not all(key in known for key in report.parts)
     cleared = note_sound(host, report.parts, report.at)
-    if not cleared:
+    if cleared:
+        return [effects.LogEvent("parts_sound", {"parts": cleared})]
+    return [] if is_new else None
+
+
+def sound_report(host, keys):
+    """Return a report on those parts that are known to have been sound.
+
+    A host that has answered no prompt with a part can't tell it from a new
+    one.
+    """
+    sound = host.crash_records.sound
+    found = tuple(key for key in keys if key in sound)
+    if not found:
         return None
-    return [effects.LogEvent("parts_sound", {"parts": cleared})]
+    return records.Report(records.Kind.SOUND,
+                          min(sound[key] for key in found), parts=found)
--- a/tests/entry/test_prompt_parts.py
+++ b/tests/entry/test_prompt_parts.py
@@ -314,6 +314,18 @@
         self.assertIsNotNone(driver.ask("x"))
         self.assertIsNotNone(driver.ask("x"))
 
+    def test_host_that_lost_a_request_tells_which_parts_were_sound(self):
+        # One that has answered nothing yet blamed a part that is in use.
+        driver = part_driver.PartDriver()
+        driver.feed(events.PeersListed((support.peer("other"),)))
+        driver.serve("shared")
+        other = part_driver.PartDriver(name="other")
+        for number in (1, 2, 3):
+            driver.crash_by("shared", sid=f"s{number}")
+            other.now = driver.now
+            self._tell(driver, other)
+        self.assertEqual(0, _left_s(other, "shared"))
+
     def test_rows_are_read_as_they_were_written(self):
         reports = (
             records.Report(records.Kind.LOST, 1.0, "d", "s1", "s1/1",
