Crashes: a part stays blamed while others explain crashes that it was in

Cause: the strongest part took away all crashes that it was in, also from parts that had been blamed for these. A common part, in most crashes while no engine is left, could be the strongest.

A part is judged by all its crashes; of those that suffice, parts that no answer has shown to be sound come first, and a further one needs two moments that those before don't explain. Tests fail before: two of the attribution, one of the emulator.

--- a/crocuskeel/core/part_causes.py
+++ b/crocuskeel/core/part_causes.py
@@ -26,6 +26,8 @@
 # So many crashes within two events do as well for a part of which no prompt
 # was answered; within one, they make it a suspect.
 MANY_CRASHES = 5
+# So many events must be left to it that no other cause explains.
+MIN_UNEXPLAINED = 2
 # So many crashes are without the one request that was in most of them:
 # otherwise that request may be the cause.
 MIN_OTHER_CRASHES = 2
@@ -69,37 +71,51 @@
     """Return the Causes of crashes.
 
     ``crashes`` maps the key of each to the Crash. ``is_known_sound(part)``:
-    prompts with the part were answered at some time. The crashes that a cause
-    explains count against no other part.
+    prompts with the part were answered at some time; others come first. A
+    further cause needs crashes that those before it don't explain.
     """
+    rows = _rows_by_part(crashes)
+    scores = {part: _score(rows[part], crashes, is_known_sound(part))
+              for part in rows}
     found = []
     while True:
-        rows = _rows_by_part(crashes)
-        scores = {part: _score(part, rows[part], crashes, is_known_sound)
-                  for part in rows}
-        causes = [part for part, score in scores.items() if score >= 1]
-        suspects = [part for part, score in scores.items() if 0 < score < 1
-                    and len(rows[part]) >= MANY_CRASHES
-                    and not is_known_sound(part)]
-        if not (causes or suspects):
-            return tuple(found)
-        first = max(causes or suspects, key=lambda part: (
-            scores[part], len(rows[part]), part))
-        alike = frozenset(part for part in causes or suspects
-                          if scores[part] == scores[first]
-                          and rows[part].keys() == rows[first].keys())
-        cause = _cause(alike, {key: crashes[key].at for key in rows[first]},
-                       not causes)
-        found.append(cause)
-        crashes = {key: crash for key, crash in crashes.items()
-                   if key not in cause.crashes}
-
-
-def _cause(parts, crash_times, is_suspect):
-    times = sorted(crash_times.values())
+        causes = {
+            part: (not is_known_sound(part), scores[part], len(keys))
+            for part, keys in rows.items() if scores[part] >= 1 and (
+                not found or _is_left(keys, crashes))}
+        if not causes:
+            break
+        found.append(_strongest(causes, rows, crashes))
+        rows = _without(rows, found[-1].crashes)
+    suspects = {
+        part: (scores[part], len(keys)) for part, keys in rows.items()
+        if 0 < scores[part] < 1 and len(keys) >= MANY_CRASHES
+        and not is_known_sound(part)}
+    if suspects:
+        found.append(_strongest(suspects, rows, crashes, is_suspect=True))
+    return tuple(found)
+
+
+def _strongest(ranks, rows, crashes, is_suspect=False):
+    """Return the Cause of the highest rank, with the parts that tie."""
+    best = max(ranks, key=lambda part: (ranks[part], part))
+    alike = frozenset(part for part in ranks if ranks[part] == ranks[best]
+                      and rows[part].keys() == rows[best].keys())
+    times = sorted(crashes[key].at for key in rows[best])
     rounds = 1 + sum(later - earlier > ROUND_S
                      for earlier, later in itertools.pairwise(times))
-    return Cause(parts, frozenset(crash_times), times[-1], rounds, is_suspect)
+    return Cause(alike, frozenset(rows[best]), times[-1], rounds, is_suspect)
+
+
+def _is_left(keys, crashes):
+    """Return whether enough crashes of a part are not yet explained."""
+    return _count_events(crashes[key].at for key in keys) >= MIN_UNEXPLAINED
+
+
+def _without(rows, explained):
+    return {part: left for part, keys in rows.items() if (left := {
+        key: requests for key, requests in keys.items()
+        if key not in explained})}
 
 
 def _rows_by_part(crashes):
@@ -112,13 +128,13 @@
     return rows
 
 
-def _score(part, rows, crashes, is_known_sound):
+def _score(rows, crashes, is_sound):
     """Return the events of a part, relative to how many make it a cause."""
     requests = collections.Counter(itertools.chain(*rows.values()))
     if len(rows) - max(requests.values()) < MIN_OTHER_CRASHES:
         return 0.0
     events = _count_events(crashes[key].at for key in rows)
-    if is_known_sound(part):
+    if is_sound:
         return events / MIN_EVENTS_IF_SOUND
     if events > 1 and len(rows) >= MANY_CRASHES:
         return max(1.0, events / MIN_EVENTS)
--- a/tests/emulator/test_bad_parts.py
+++ b/tests/emulator/test_bad_parts.py
@@ -103,6 +103,10 @@
                for caller in callers) / len(callers)
 
 
+# Seconds after FIRST_AT at which several parts go bad.
+SEVERAL = ((0, 1, 2, 3), (0, 0.1, 0.2, 0.3), (0, 0.5, 1, 1.5, 2))
+
+
 @functools.cache
 def _outcome(name, seed):
     """Return (late arrivals, shares begun before and after) of a case."""
@@ -130,6 +134,16 @@
                 with self.subTest(name, seed=seed):
                     self.assertGreaterEqual(after, MIN_BEGUN_SHARE * before)
 
+    def test_each_of_several_parts_at_once(self):
+        # Each was released as others, in whose crashes it had been, explained
+        # these.
+        for delays in SEVERAL:
+            world = _simulate(tuple(_bad(at=FIRST_AT + delay)
+                                    for delay in delays), engines=4)
+            with self.subTest(delays=delays):
+                self.assertLessEqual(
+                    late_count(world, frozenset(world.names)), MAX_LATE)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/quarantine/test_part_causes.py
+++ b/tests/quarantine/test_part_causes.py
@@ -60,6 +60,23 @@
         self.assertEqual([{"x"}, {"y"}], sorted(_blamed(*crashes),
                                                 key=sorted))
 
+    def test_part_stays_blamed_as_another_one_is(self):
+        # The latter was in more crashes, some of them the former's; prompts
+        # with the former ran again.
+        crashes = [_crash(at, (f"r{at}", "x")) for at in (1, 2)]
+        crashes += [_crash(at, (f"r{at}", "x"), (f"s{at}", "y"))
+                    for at in (3, 4)]
+        crashes += [_crash(at, (f"s{at}", "y")) for at in (5, 6, 7)]
+        self.assertEqual([{"x"}, {"y"}], sorted(_blamed(*crashes),
+                                                key=sorted))
+
+    def test_sound_part_in_the_crashes_of_two_others(self):
+        # While no engine is left for long, it is in most crashes.
+        crashes = [_crash(at, (f"r{at}", "x" if at % 2 else "y"),
+                          (f"s{at}", "a")) for at in range(1, 11)]
+        self.assertEqual([{"x"}, {"y"}], sorted(
+            _blamed(*crashes, sound="a"), key=sorted))
+
     def test_request_that_is_sent_again_is_no_proof(self):
         # It crashes engines, whatever its prompt shares with others.
         crashes = [_crash(at, ("r", "x")) for at in (1, 2, 3, 4)]
