Crashes: hosts pass a fact about prompt parts on once

Found by reading, before anybody saw it: the time of a proof moves on by a network delay with each hop, so that hosts would have passed it on to each other for as long as it was older than the latest loss; parts beyond the limit for a request, and those of a loss that a host doesn't know, would have been news each time.

A proof is news from 0.2 s later on, parts only if any is added, and only for a loss or crash that is known. A stream that ended with its connection is in a crash only if its server is shown to be gone, not if this host doesn't reach it.

--- a/crocuskeel/core/entry/crashes.py
+++ b/crocuskeel/core/entry/crashes.py
@@ -111,7 +111,7 @@
              and not (loss.doubtful and sign is records.Sign.UNREACHABLE)]
     if found:
         known.losses = [loss for loss in known.losses if loss not in found]
-    if state is not None:
+    if state is not None and sign is not records.Sign.UNREACHABLE:
         found += _closed_streams(host, state, now)
     if state is not None and sign in GONE_SIGNS:
         begun_by = _ended_by(host, state, now)
--- a/crocuskeel/core/entry/prompt_parts.py
+++ b/crocuskeel/core/entry/prompt_parts.py
@@ -25,6 +25,9 @@
 # Most parts are in use at most servers; those that are answered often stay.
 MAX_SOUND = 2048
 KEY_BYTES = 5
+# A later proof counts as news from this on, s: clocks and delays make the
+# times of one fact differ between hosts.
+MIN_NEWER_S = 0.2
 
 
 @functools.lru_cache(maxsize=4096)
@@ -65,12 +68,13 @@
     """Add parts of a lost request; return whether any is new."""
     known.parts_lost_at = max(known.parts_lost_at, at)
     former = known.parts.get(digest, ())
-    new = tuple(key for key in keys if key not in former)
-    if new and len(known.parts) < 2 * MAX_LOST:
-        known.parts[digest] = (*former, *new)[:MAX_LOST_PARTS]
-        known.candidates.update(new)
-        known.causes = None
-    return bool(new)
+    found = tuple(dict.fromkeys((*former, *keys)))[:MAX_LOST_PARTS]
+    if found == former or len(known.parts) >= 2 * MAX_LOST:
+        return False
+    known.parts[digest] = found
+    known.candidates.update(found)
+    known.causes = None
+    return True
 
 
 def forget(host):
@@ -110,12 +114,11 @@
     cleared = []
     for key in keys:
         former = known.sound.get(key, -math.inf)
-        if begun_at > former:
-            known.sound[key] = begun_at
-            if key in known.candidates and former < known.parts_lost_at:
-                cleared.append(key)
-        if key in known.sound:
-            known.sound.move_to_end(key)
+        known.sound[key] = max(former, begun_at)
+        known.sound.move_to_end(key)
+        if (key in known.candidates and former < known.parts_lost_at
+                and begun_at >= former + MIN_NEWER_S):
+            cleared.append(key)
     while len(known.sound) > MAX_SOUND:
         known.sound.popitem(last=False)
     if cleared:
@@ -124,20 +127,29 @@
 
 
 def merge_parts(host, report, now):
-    """Merge the parts of a request that another host lost."""
-    is_new = _add(host.crash_records, report.digest,
-                  report.parts[:MAX_LOST_PARTS], report.at)
+    """Merge the parts of a request that another host lost.
+
+    The row on its loss comes before that.
+    """
+    known = host.crash_records
+    if not any(loss.digest == report.digest for loss in known.losses) and (
+            not any(report.digest in crash.lost
+                    for crash in known.crashes.values())):
+        return None
+    is_new = _add(known, report.digest, report.parts, report.at)
     return [] if is_new else None
 
 
 def merge_sound(host, report, now):
     """Merge parts that another host found to be sound."""
     known = host.crash_records.sound
-    is_new = not all(key in known for key in report.parts)
-    cleared = note_sound(host, report.parts, report.at)
-    if cleared:
-        return [effects.LogEvent("parts_sound", {"parts": cleared})]
-    return [] if is_new else None
+    newer = tuple(key for key in report.parts if report.at >= known.get(
+        key, -math.inf) + MIN_NEWER_S)
+    if not newer:
+        return None
+    cleared = note_sound(host, newer, report.at)
+    return [effects.LogEvent("parts_sound", {"parts": cleared})
+            ] if cleared else []
 
 
 def sound_report(host, keys):
--- a/tests/entry/test_prompt_parts.py
+++ b/tests/entry/test_prompt_parts.py
@@ -251,6 +251,16 @@
         self.assertEqual(0, _left_s(driver, "x"))
         self.assertEqual({}, driver.host.crash_records.closed)
 
+    def test_server_that_a_host_cannot_reach_has_not_ended_it(self):
+        driver = part_driver.PartDriver()
+        for number in (1, 2, 3):
+            driver.now += 1.0
+            self._close(driver, "x", sid=f"s{number}")
+            key = driver.ask("y", sid=f"s{number}")
+            driver.fail(key, model.Outcome.UNREACHABLE)
+            driver.feed(events.CallerDisconnected(key))
+        self.assertEqual(0, _left_s(driver, "x"))
+
     def test_identical_request_is_not_cleared_by_it(self):
         # Its crashes were taken back by what looked like its answer.
         driver = part_driver.PartDriver()
@@ -337,6 +347,43 @@
             events.CrashReportsReceived("me", rows)))
         self.assertEqual(rows, event.reports)
 
+    def _merge(self, driver, report):
+        rows = crash_reports.rows((report,), driver.now)
+        crash_reports.merge(driver.host, "other", rows, driver.now)
+        return [queued.report.kind
+                for queued in driver.host.crash_records.reports]
+
+    def test_a_proof_is_passed_on_once(self):
+        # Each hop made it a little later, so that hosts passed it on to each
+        # other for ever.
+        driver = part_driver.PartDriver()
+        driver.crash_by("x", sid="s1")
+        keys = prompt_parts.keys_of("engines", part_driver.prompt("x"))
+        driver.host.crash_records.reports.clear()
+        for delay_s in (0.0, 0.003, 0.006):
+            found = self._merge(driver, records.Report(
+                records.Kind.SOUND, driver.now - 9.0 + delay_s, parts=keys))
+            self.assertEqual([records.Kind.SOUND], found)
+
+    def test_parts_of_a_loss_that_is_not_known_are_left(self):
+        # Hosts would forget them and take them for news in turns.
+        driver = part_driver.PartDriver()
+        self.assertEqual([], self._merge(driver, records.Report(
+            records.Kind.PARTS, driver.now, "d", parts=("k",))))
+        self.assertEqual({}, driver.host.crash_records.parts)
+
+    def test_parts_beyond_the_limit_are_no_news(self):
+        driver = part_driver.PartDriver()
+        driver.crash_by("x", sid="s1")
+        (digest,) = driver.host.crash_records.parts
+        driver.host.crash_records.reports.clear()
+        many = tuple(f"k{number}" for number in range(
+            prompt_parts.MAX_LOST_PARTS + 5))
+        for _ in range(3):
+            found = self._merge(driver, records.Report(
+                records.Kind.PARTS, driver.now, digest, parts=many))
+        self.assertEqual([records.Kind.PARTS], found)
+
     def test_sound_parts_are_not_reported_while_nothing_crashes(self):
         driver = part_driver.PartDriver()
         driver.feed(events.PeersListed((support.peer("other"),)))
