--- a/crocuskeel/core/entry/prompt_parts.py
+++ b/crocuskeel/core/entry/prompt_parts.py
@@ -91,12 +91,9 @@
     for incarnation, crash in known.crashes.items():
         explained = crash_attribution.is_explained_by_part(host, incarnation)
         (needed if explained else used).update(crash.lost)
-    kept = [digest for digest in known.parts if digest in used | needed]
-    excess = len(kept) - MAX_LOST
-    for digest in kept[:max(0, excess)]:
-        used.discard(digest)
-    dropped = [digest for digest in known.parts
-               if digest not in used and digest not in needed]
+    others = [digest for digest in known.parts if digest not in needed]
+    kept = [digest for digest in others if digest in used][-MAX_LOST:]
+    dropped = set(others).difference(kept)
     for digest in dropped:
         del known.parts[digest]
     if dropped:
