--- a/Makefile
+++ b/Makefile
@@ -38,13 +38,15 @@
 # Short runs of the fault soak, the second one with a store that is restored
 # from copies, the third one with requests that crash servers, the fourth one
 # with hosts that are cut off from all servers, the fifth one with engines of
-# several software versions; more seeds by hand, docs/howto/soak.md.
+# several software versions, the sixth one with prompt parts that crash
+# engines; more seeds by hand, docs/howto/soak.md.
 soak: install
 	$(BIN)/python -m tools.soak --seed 7 --seconds 8
 	$(BIN)/python -m tools.soak --seed 1102 --seconds 8
 	$(BIN)/python -m tools.soak --seed 1203 --seconds 8
 	$(BIN)/python -m tools.soak --seed 1300 --seconds 8
 	$(BIN)/python -m tools.soak --seed 1402 --seconds 8
+	$(BIN)/python -m tools.soak --seed 1502 --seconds 8
 
 check: lint types models soak test
 
--- a/tests/entry/part_driver.py
+++ b/tests/entry/part_driver.py
@@ -3,6 +3,8 @@
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import model
+from crocuskeel.core.entry import part_quarantine
+from crocuskeel.core.entry import prompt_parts
 from tests.entry import crash_driver
 from tests.entry import support
 
@@ -67,6 +69,17 @@
         self.feed(events.CallerDisconnected(key))
         self.end_engine(sid)
 
+    def convict(self, *parts, first=1):
+        """Have three engines crash under different streams with parts."""
+        for number in range(first, first + 3):
+            self.crash_by(*parts, sid=f"s{number}")
+
+    def left_s(self, *parts):
+        """Return the time left of a prompt's quarantine, s."""
+        return part_quarantine.time_left_s(
+            self.host, prompt_parts.keys_of("engines", prompt(*parts)),
+            self.now)
+
     def replace(self, *sids):
         """Register engines under new ids."""
         self.register(*(support.server(sid, "engines") for sid in sids))
