--- a/crocuskeel/core/entry/registry.py
+++ b/crocuskeel/core/entry/registry.py
@@ -18,6 +18,7 @@
 from crocuskeel.core.entry import restores
 from crocuskeel.core.entry import state as states
 from crocuskeel.core import revisions
+from crocuskeel.core.scheduling import settings as scheduling_settings
 
 __all__ = ["catalog_seen", "drop_expired", "grace_periods",
            "is_newer_catalog", "servers_changed", "servers_listed",
@@ -44,7 +45,26 @@
     note = effects.LogEvent("catalog", {
         "version": catalog.version, "revision": catalog.revision,
         "routes": sum(map(len, catalog.routes.values()))})
-    return [note, *gossip.broadcast_change(host, now)]
+    return [note, *_unknown_names(host, catalog),
+            *gossip.broadcast_change(host, now)]
+
+
+def _unknown_names(host, catalog):
+    """Warn of names in the scheduling settings that are not configured.
+
+    They are no reason to stop serving: a configuration may remove a class
+    or a workspace before the operator's file does.
+    """
+    route_names = {route.name for routes in catalog.routes.values()
+                   for route in routes}
+    workspace_names = {workspace.name for workspace
+                       in (catalog.api_keys or {}).values()}
+    names = scheduling_settings.unknown_names(
+        host.scheduling, route_names, workspace_names)
+    if not names:
+        return []
+    return [effects.LogEvent("scheduling_unknown_names", {
+        "version": catalog.version, "names": names})]
 
 
 def is_newer_catalog(host, catalog):
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -13,6 +13,7 @@
 from crocuskeel.core.entry import routing
 from crocuskeel.core.entry import serving
 from crocuskeel.core.entry import stream_records
+from crocuskeel.core.scheduling import settings as scheduling_settings
 
 __all__ = ["Host", "RequestState", "PeerState", "ServerState", "Settings",
            "Attempt", "new_host", "new_server"]
@@ -297,14 +298,23 @@
     duties: state.Duties | None = None
     # The operator's policy for ordering engines.
     policy: capacity.Policy = capacity.Policy()
+    # The operator's settings of scheduling, off by default.
+    scheduling: scheduling_settings.Settings = (
+        scheduling_settings.Settings())
+    # By service, if it is scheduled: the requests that wait here
+    # (scheduling.waiting_room) and what its engines were seen to prefill
+    # (scheduling.rates).
+    rooms: dict = dataclasses.field(default_factory=dict)
+    rates: dict = dataclasses.field(default_factory=dict)
     stop_at: float | None = None
     listener_closed: bool = False
     exited: bool = False
 
 
-def new_host(cfg, rng, policy=capacity.Policy()):
+def new_host(cfg, rng, policy=capacity.Policy(),
+             scheduling=scheduling_settings.Settings()):
     """Return the initial state of a host."""
-    return Host(cfg=cfg, rng=rng, policy=policy)
+    return Host(cfg=cfg, rng=rng, policy=policy, scheduling=scheduling)
 
 
 def new_server(server, now):
--- a/crocuskeel/platform/assembly.py
+++ b/crocuskeel/platform/assembly.py
@@ -6,6 +6,7 @@
 
 from crocuskeel.core import entry
 from crocuskeel.core.entry import model
+from crocuskeel.core.scheduling import settings as scheduling_settings
 from crocuskeel.gateway import callers
 from crocuskeel.gateway import calls
 from crocuskeel.gateway import exceptions as gateway_exceptions
@@ -32,18 +33,19 @@
 
 
 def start(reactor, boot, path, log, on_exit, policy,
-          statsd_address=None):
+          statsd_address=None, scheduling=scheduling_settings.Settings()):
     """Listen and watch the store; return (gateway, reloader).
 
     ``path`` is the path of the settings file, which may change; ``policy``
     is the capacity policy; ``statsd_address`` is an (ip, port) that also
-    receives metrics.
+    receives metrics; ``scheduling`` are the operator's settings of
+    scheduling.
     """
     # Random numbers only break ties and spread retries, so each host needs
     # a different seed.
     seed = f"{boot.host}:{random.SystemRandom().getrandbits(32)}"
     rng = random.Random(seed)
-    host = entry.new_host(boot.settings, rng, policy)
+    host = entry.new_host(boot.settings, rng, policy, scheduling)
     host_metrics = metrics.new_metrics(host, statsd_address)
 
     def log_and_count(event, fields):
--- a/crocuskeel/programs/entry.py
+++ b/crocuskeel/programs/entry.py
@@ -8,9 +8,12 @@
 import time
 
 from crocuskeel.core.duties import capacity
+from crocuskeel.core.scheduling import settings as scheduling_settings
 from crocuskeel.platform import boot as boot_settings
 from crocuskeel.platform import exceptions
+from crocuskeel.programs import config_files
 from crocuskeel.programs import policy
+from crocuskeel.programs import scheduling_file
 
 __all__ = ["main", "new_parser"]
 
@@ -34,6 +37,9 @@
     parser.add_argument(
         "--capacity", metavar="FILE",
         help="capacity policy, JSON with comments")
+    parser.add_argument(
+        "--scheduling", metavar="FILE",
+        help="scheduling under heavy load, JSON with comments")
     parser.add_argument(
         "--check", action="store_true",
         help="check the settings files and exit")
@@ -51,17 +57,20 @@
     """Run until stopped; return the exit code."""
     args = new_parser().parse_args(argv)
     boot = _read_file(args.settings, boot_settings.parse_boot_settings)
-    if boot is None:
-        return EXIT_SETTINGS
     capacity_policy = capacity.Policy()
     if args.capacity is not None:
         capacity_policy = _read_file(args.capacity, policy.parse_policy)
-    if capacity_policy is None:
+    scheduling = scheduling_settings.Settings()
+    if args.scheduling is not None:
+        scheduling = _read_file(
+            args.scheduling, scheduling_file.parse_scheduling)
+    if None in (boot, capacity_policy, scheduling):
         return EXIT_SETTINGS
     if args.check:
         print(f"{args.settings}: good")
         return 0
-    return _run(boot, args.settings, capacity_policy, args.statsd)
+    return _run(boot, args.settings, capacity_policy, scheduling,
+                args.statsd)
 
 
 def _read_file(path, read):
@@ -74,13 +83,14 @@
             return read(lines.read())
     except OSError as exc:
         print(f"{path}: {exc.strerror}", file=sys.stderr)
-    except (exceptions.BootSettingsError, policy.InvalidPolicyError) as exc:
+    except (exceptions.BootSettingsError,
+            config_files.InvalidFileError) as exc:
         for error in exc.errors:
             print(f"{path}: {error}", file=sys.stderr)
     return None
 
 
-def _run(boot, path, capacity_policy, statsd_address):
+def _run(boot, path, capacity_policy, scheduling, statsd_address):
     from twisted.internet import asyncioreactor
 
     asyncioreactor.install()
@@ -98,7 +108,7 @@
     log("started", {"pid": os.getpid(), "domain": boot.domain})
     gateway, reloader = assembly.start(
         reactor, boot, path, log, reactor.stop, capacity_policy,
-        statsd_address)
+        statsd_address, scheduling)
     reactor._asyncioEventloop.add_signal_handler(
         signal.SIGTERM, gateway.feed, events.StopAsked())
     reactor._asyncioEventloop.add_signal_handler(
--- a/tests/entry/test_registry.py
+++ b/tests/entry/test_registry.py
@@ -2,8 +2,10 @@
 
 import unittest
 
+from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import registry
+from crocuskeel.core.scheduling import settings
 from tests.entry import support
 
 SERVERS = (support.server("s1"), support.server("s2"),
@@ -20,6 +22,22 @@
     def _remove(self, *sids, after=0.0):
         self.driver.feed(events.ServersChanged((), sids, 9), after)
 
+    def test_unknown_names_in_scheduling_settings_are_logged_once(self):
+        # A misspelled class would keep the default weight unnoticed. The
+        # configuration comes into force all the same.
+        self.host.scheduling = settings.Settings(
+            class_weights={"booking": 2, "bokking": 2},
+            workspace_weights={"hire": 1, "hier": 1})
+        read = events.CatalogRead(
+            support.catalog(support.route(), revision=11))
+        out = self.driver.feed(read) + self.driver.feed(read)
+        lines = [line.fields
+                 for line in support.effects_of(out, effects.LogEvent)
+                 if line.event == "scheduling_unknown_names"]
+        self.assertEqual([{"version": 11, "names": ["bokking", "hier"]}],
+                         lines)
+        self.assertEqual(11, self.host.catalog.version)
+
     def test_a_removed_server_gets_no_requests(self):
         self._remove("s1")
         self.assertNotIn("s1", self.host.servers)
