--- a/crocuskeel/gateway/metrics.py
+++ b/crocuskeel/gateway/metrics.py
@@ -98,6 +98,58 @@
         yield needed
 
 
+class _SchedulingCollector:
+    """Collects the backlog and the learned rates of scheduled services.
+
+    ``read_backlog(room)`` returns {route: (requests, tokens)}, and
+    ``read_rate(rates, sid)`` the tokens a second that a server prefills.
+    """
+
+    def __init__(self, host, read_backlog, read_rate):
+        self.host = host
+        self.read_backlog = read_backlog
+        self.read_rate = read_rate
+
+    def collect(self):
+        """Yield the families of metrics; no samples without scheduling."""
+        requests = core.GaugeMetricFamily(
+            "crocuskeel_queued_requests", "Requests that wait at this host.",
+            labels=["service", "route"])
+        tokens = core.GaugeMetricFamily(
+            "crocuskeel_queued_tokens",
+            "Prompt tokens of requests that wait at this host.",
+            labels=["service", "route"])
+        for service, room in self.host.rooms.items():
+            for route, queued in self.read_backlog(room).items():
+                requests.add_metric([service, route], queued[0])
+                tokens.add_metric([service, route], queued[1])
+        yield requests
+        yield tokens
+        rate = core.GaugeMetricFamily(
+            "crocuskeel_prefill_tokens_per_second",
+            "Learned prefill rate of a service's engines together.",
+            labels=["service"])
+        for service, rates in self.host.rates.items():
+            rate.add_metric([service], sum(
+                self.read_rate(rates, state.server.sid)
+                for state in self.host.by_service.get(service, ())
+                if not state.server.draining))
+        yield rate
+
+
+def _read_backlog(room):
+    # Hosts without scheduled services don't load these modules.
+    from crocuskeel.core.scheduling import waiting_room
+
+    return waiting_room.backlog(room)
+
+
+def _read_rate(rates, sid):
+    from crocuskeel.core.scheduling import rates as prefill_rates
+
+    return prefill_rates.tokens_per_s(rates, sid)
+
+
 class _LastAnswerAgeCollector:
     """Collects the time since the store last answered.
 
@@ -137,6 +189,12 @@
             "crocuskeel_prompt_tokens",
             "Tokens of prompts sent to engines, by what these do of them.",
             ["how"], registry=self.registry)
+        self.held = prometheus_client.Counter(
+            "crocuskeel_held", "Requests that had to wait, by cause.",
+            ["route", "cause"], registry=self.registry)
+        self.shed = prometheus_client.Counter(
+            "crocuskeel_shed", "Requests rejected for load, by cause.",
+            ["route", "cause"], registry=self.registry)
         self.served_s = self._histogram(
             "crocuskeel_served_seconds", "Arrival to the whole answer.")
         self.first_event_s = self._histogram(
@@ -156,6 +214,8 @@
         self.registry.register(_PauseCollector(host))
         self.registry.register(_ClassCollector(host))
         self.registry.register(_DutyCollector(host))
+        self.registry.register(
+            _SchedulingCollector(host, _read_backlog, _read_rate))
 
     def _histogram(self, name, text):
         return prometheus_client.Histogram(
@@ -181,6 +241,10 @@
             self.given_up.labels(fields["why"]).inc()
         elif event == "sent":
             self._count_tokens(fields)
+        elif event == "held":
+            _count_by_cause(self.held, fields)
+        elif event == "shed":
+            _count_by_cause(self.shed, fields)
         if self.statsd is not None:
             self._send_to_statsd(event, fields)
 
@@ -202,6 +266,11 @@
         return prometheus_client.generate_latest(self.registry)
 
 
+def _count_by_cause(counter, fields):
+    """Count a log line; one without a cause counts under the empty one."""
+    counter.labels(fields.get("route", ""), fields.get("cause", "")).inc()
+
+
 def new_metrics(host, statsd_address=None):
     """Return the metrics of an entry host.
 
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -60,6 +60,36 @@
             'let_in_share{priority="0",route="advice",service="engines"} 0',
             text)
 
+    def test_held_and_shed_requests_are_counted_by_class_and_cause(self):
+        # Without the cause an operator can't tell a full queue from engines
+        # that are too slow. Services that aren't scheduled name none.
+        host_metrics = metrics.new_metrics(support.Driver().host)
+        host_metrics.count("held", {"route": "advice", "cause": "slots"})
+        host_metrics.count("shed", {"route": "advice", "cause": "wait"})
+        host_metrics.count("shed", {"route": "advice"})
+        text = host_metrics.text().decode()
+        for line in ('held_total{cause="slots",route="advice"} 1.0',
+                     'shed_total{cause="wait",route="advice"} 1.0',
+                     'shed_total{cause="",route="advice"} 1.0'):
+            self.assertIn(f"crocuskeel_{line}", text)
+
+    def test_backlog_and_rates_of_scheduled_services_are_exported(self):
+        # A backlog that grows unseen is noticed by callers first. An engine
+        # that drains is no capacity.
+        host = support.Driver(support.stream(), servers=(
+            support.server("e1", "engines"), support.server("e2", "engines"),
+            support.server("e3", "engines", draining=True))).host
+        host.rooms["engines"] = {"advice": (2, 9_000)}
+        host.rates["engines"] = {"e1": 40_000, "e2": 90_000, "e3": 7}
+        families = metrics._SchedulingCollector(
+            host, dict, dict.__getitem__).collect()
+        self.assertEqual(
+            [("crocuskeel_queued_requests", "advice", 2),
+             ("crocuskeel_queued_tokens", "advice", 9_000),
+             ("crocuskeel_prefill_tokens_per_second", None, 130_000)],
+            [(sample.name, sample.labels.get("route"), sample.value)
+             for family in families for sample in family.samples])
+
     def test_holder_of_the_duties_is_exported(self):
         world = worlds.World(scaling=worlds.scaling(),
                              engines=worlds.engines())
