--- /dev/null
+++ b/crocuskeel/core/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Order, admission and placement of requests that wait for engines."""
