--- a/crocuskeel/core/entry/events.py
+++ b/crocuskeel/core/entry/events.py
@@ -14,8 +14,8 @@
 
 __all__ = [
     "AttemptFailed", "CallerDisconnected", "CatalogRead", "DutyAnswered",
-    "HintsReceived", "LoadsDue", "OriginAsked", "OriginUnknown",
-    "OriginsTold", "PeerHintsReceived", "PeerLoadsReceived",
+    "HintsReceived", "LoadsDue", "OriginAsked", "OriginUnknown", "OriginsTold",
+    "PeerDemandReceived", "PeerHintsReceived", "PeerLoadsReceived",
     "PeerStateReceived", "PeersListed", "RequestReceived", "ResponseReceived",
     "ServerProbed", "ServersChanged", "ServersListed", "SettingsRead",
     "Started", "StopAsked", "StoreAvailable", "StoreEraSeen",
@@ -244,6 +244,7 @@
     software version, ms left) of versions that have no server any more, None
     from a host that doesn't understand messages about streams' origins.
     ``brittle`` holds (service, ms since it said so) of brittle services.
+    ``takes_demand``: it understands PeerDemandReceived.
     """
 
     peer: model.Peer
@@ -267,6 +268,7 @@
     cut_off: tuple = ()
     former_versions: tuple | None = None
     brittle: tuple = ()
+    takes_demand: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -313,6 +315,18 @@
     servers_leaving: tuple = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerDemandReceived:
+    """Requests that wait at host ``name``, which replace those it sent before.
+
+    ``rows`` holds (service, route, priority, number of requests, tokens of
+    their prompts), see core.scheduling.fleet_demand.
+    """
+
+    name: str
+    rows: tuple
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class OriginsTold:
     """Host ``name`` tells where streams began.
--- a/crocuskeel/core/entry/gossip.py
+++ b/crocuskeel/core/entry/gossip.py
@@ -227,6 +227,7 @@
         cut_off=reachability.cut_off_services(host, now),
         former_versions=origins.former_rows(host, now),
         brittle=_sample_rows(host, brittle.rows(host, now)),
+        takes_demand=True,
         **_duty_fields(host, now))
 
 
--- a/crocuskeel/core/entry/peers.py
+++ b/crocuskeel/core/entry/peers.py
@@ -70,6 +70,7 @@
     duties.peer_state_received(host, event, now)
     known.takes_crash_reports = event.crash_reports is not None
     known.takes_origins = event.former_versions is not None
+    known.takes_demand = event.takes_demand
     origins.merge_former(host, event.former_versions, now)
     out += crash_reports.merge(
         host, peer.name, _crash_rows(event), now)
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -211,6 +211,8 @@
     confirmed_ready_at: float = 0.0
     # Whether its program understands messages about streams' origins.
     takes_origins: bool = False
+    # Whether its program understands reports on queued requests.
+    takes_demand: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/crocuskeel/gateway/gossip.py
+++ b/crocuskeel/gateway/gossip.py
@@ -14,27 +14,33 @@
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import serving
 from crocuskeel.core import revisions
+from crocuskeel.core.scheduling import fleet_demand
 import msgpack
 from twisted.internet import protocol
 
 __all__ = ["Gossip", "decode", "encode", "encode_previous"]
 
 # First field of a datagram with counts, of one with hints of servers, of one
-# with reports on crashes, and of those on where streams began; the first field
-# of other datagrams is a host's name or peer.
+# with reports on crashes, of those on where streams began, and of one with
+# queued requests; the first field of other datagrams is a host's name or peer.
 USAGE_MARK = 0
 HINTS_MARK = 1
 CRASHES_MARK = 2
 ORIGINS_MARK = 3
 ORIGIN_ASKED_MARK = 4
 ORIGIN_UNKNOWN_MARK = 5
+DEMAND_MARK = 6
 # Number of fields of a state after its peer: previous and current version.
 PREVIOUS_FIELDS = 10
 STATE_FIELDS = 13
 # Fields that were added to that since, as of a host that doesn't send them:
 # rate limits, draining servers, versions, reports on crashes, services that it
-# is cut off from, software versions without a server, brittle services.
-ADDED_DEFAULTS = ((), (), (), None, (), None, ())
+# is cut off from, software versions without a server, brittle services,
+# whether it understands datagrams with queued requests.
+ADDED_DEFAULTS = ((), (), (), None, (), None, (), False)
+# Maximum of requests and of tokens in a row of queued requests: the sum of
+# much larger numbers may be infinite.
+MAX_QUEUED = 1e15
 KINDS = frozenset(map(str, crash_records.Kind))
 SIGNS = frozenset(map(str, crash_records.Sign)) | {""}
 
@@ -58,6 +64,8 @@
     if isinstance(event, events.OriginUnknown):
         return msgpack.packb((ORIGIN_UNKNOWN_MARK, event.name, event.key,
                               event.service, event.versions))
+    if isinstance(event, events.PeerDemandReceived):
+        return msgpack.packb((DEMAND_MARK, event.name, event.rows))
     return msgpack.packb((
         *_previous_fields(event), event.wall,
         (revisions.number(event.leader.version), event.leader.host,
@@ -66,7 +74,7 @@
         event.rate_limits,
         event.servers_leaving,
         _versions(event), event.crash_reports, event.cut_off,
-        event.former_versions, event.brittle))
+        event.former_versions, event.brittle, event.takes_demand))
 
 
 def _versions(event):
@@ -81,11 +89,12 @@
     """Return the datagram in the format of the previous version, or None.
 
     That version has no duties, and so no counts, and no rate limits nor
-    reports on crashes.
+    reports on crashes or queued requests.
     """
     if isinstance(event, duties.Usage | events.PeerHintsReceived
                   | events.CrashReportsReceived | events.OriginsTold
-                  | events.OriginAsked | events.OriginUnknown):
+                  | events.OriginAsked | events.OriginUnknown
+                  | events.PeerDemandReceived):
         return None
     if isinstance(event, events.PeerStateReceived):
         return msgpack.packb(_previous_fields(event))
@@ -139,6 +148,9 @@
         if first == ORIGIN_UNKNOWN_MARK:
             *texts, versions = rest
             return events.OriginUnknown(*_texts(*texts), _texts(*versions))
+        if first == DEMAND_MARK:
+            name, rows = rest
+            return events.PeerDemandReceived(*_texts(name), _demand(rows))
         if isinstance(first, str):
             loads, refused = rest
             return events.PeerLoadsReceived(first, loads, refused)
@@ -160,8 +172,8 @@
     # version without eras after the next two fields, one of the version
     # without reports on crashes after the next one, and so on.
     added = rest[STATE_FIELDS:][:len(ADDED_DEFAULTS)]
-    limits, leaving, versions, reports, cut_off, former, brittle = (
-        *added, *ADDED_DEFAULTS[len(added):])
+    (limits, leaving, versions, reports, cut_off, former, brittle,
+     takes_demand) = (*added, *ADDED_DEFAULTS[len(added):])
     state = events.PeerStateReceived(sender, *previous, wall,
                                      duties.Leader(*leader),
                                      serving.ServingDemand(*wanted),
@@ -176,6 +188,7 @@
         cut_off=_texts(*cut_off), former_versions=_former_versions(former),
         brittle=tuple((*_texts(service), _duration_ms(age_ms))
                       for service, age_ms in brittle),
+        takes_demand=_boolean(takes_demand),
         catalog_version=catalog_version,
         servers_revision=servers_revision, leader=dataclasses.replace(
             state.leader, version=leader_version, fence=fence))
@@ -187,6 +200,12 @@
     return value
 
 
+def _boolean(value):
+    if not isinstance(value, bool):
+        raise ValueError(f"invalid truth value {value!r}")
+    return value
+
+
 def _rate_limits(rows):
     """Check rows of (incarnation, rate or None, age in ms)."""
     for incarnation, rate, age_ms in rows:
@@ -224,6 +243,20 @@
     return (*_texts(key, service, version), _duration_ms(left_ms))
 
 
+def _demand(rows):
+    """Check rows of (service, route, priority, requests, tokens)."""
+    if not isinstance(rows, tuple) or len(rows) > fleet_demand.MAX_ROWS:
+        raise ValueError("invalid number of rows of queued requests")
+    for service, route, priority, requests, tokens in rows:
+        _texts(service, route)
+        if (not isinstance(priority, int)
+                or any(isinstance(value, bool) or not 0 <= value <= MAX_QUEUED
+                       for value in (priority, requests, tokens))):
+            raise ValueError(f"invalid counts {priority!r}, {requests!r}, "
+                             f"{tokens!r} of {service!r}")
+    return rows
+
+
 def _former_versions(rows):
     """Check rows of (service, version, ms left); None stands for no field."""
     if rows is None:
--- a/tests/gateway/test_upgrade.py
+++ b/tests/gateway/test_upgrade.py
@@ -1,6 +1,7 @@
 """Hosts of the current and of the previous version in one fleet."""
 
 import dataclasses
+import math
 import unittest
 import unittest.mock
 
@@ -70,7 +71,7 @@
         # Hosts of the version with duties and without rate limits were
         # considered dead during an upgrade.
         fields = msgpack.unpackb(gossip.encode(STATE), use_list=False)
-        for count in (1, 2, 3, 4, 5, 6):
+        for count in (1, 2, 3, 4, 5, 6, 7, 8):
             self.assertEqual(
                 STATE, gossip.decode(msgpack.packb(fields[:-count])))
 
@@ -85,7 +86,7 @@
         datagram = self._sent_datagram(state)
         self.assertEqual(state, gossip.decode(datagram))
         fields = msgpack.unpackb(datagram, use_list=False)
-        former = gossip.decode(msgpack.packb(fields[:-5]))
+        former = gossip.decode(msgpack.packb(fields[:-6]))
         self.assertEqual((None, 4, STATE.leader), (
             former.catalog_version, former.servers_revision, former.leader))
 
@@ -101,7 +102,7 @@
         fields = msgpack.unpackb(gossip.encode(dataclasses.replace(
             state, crash_reports=rows)), use_list=False)
         # Hosts of the version without reports were considered dead.
-        self.assertEqual(state, gossip.decode(msgpack.packb(fields[:-4])))
+        self.assertEqual(state, gossip.decode(msgpack.packb(fields[:-5])))
         self._receive(gossip.encode_previous(
             events.PeerStateReceived(support.peer("h0"), True, False, 3, 4)))
         self.assertIsNone(
@@ -114,9 +115,9 @@
         self.assertEqual(state, gossip.decode(datagram))
         fields = msgpack.unpackb(datagram, use_list=False)
         self.assertEqual(dataclasses.replace(state, cut_off=()),
-                         gossip.decode(msgpack.packb(fields[:-3])))
+                         gossip.decode(msgpack.packb(fields[:-4])))
         with self.assertRaises(ValueError):
-            gossip.decode(msgpack.packb((*fields[:-3], (7,))))
+            gossip.decode(msgpack.packb((*fields[:-4], (7,))))
 
     def test_origins_of_streams_have_one_format(self):
         state = dataclasses.replace(
@@ -133,7 +134,7 @@
                 self.assertEqual(event, gossip.decode(gossip.encode(event)))
         fields = msgpack.unpackb(gossip.encode(state), use_list=False)
         self.assertEqual(dataclasses.replace(state, former_versions=None),
-                         gossip.decode(msgpack.packb(fields[:-2])))
+                         gossip.decode(msgpack.packb(fields[:-3])))
 
     def test_invalid_origins_of_streams_are_rejected(self):
         for event in (
@@ -158,6 +159,52 @@
                       events.OriginUnknown("h1", "", "engines", ())):
             self.assertIsNone(self._sent_datagram(event))
 
+    def test_queued_requests_have_one_format(self):
+        state = dataclasses.replace(
+            STATE, catalog_version=24, crash_reports=(), takes_demand=True)
+        row = ("engines", "chat", 0, 3, 4_380)
+        for event in (events.PeerDemandReceived("h1", ()),
+                      events.PeerDemandReceived("h1", (row,) * 200), state):
+            self.assertEqual(event, gossip.decode(self._sent_datagram(event)))
+        # A host of the former version rejects them: none are sent to it.
+        fields = msgpack.unpackb(gossip.encode(state), use_list=False)
+        former = gossip.decode(msgpack.packb(fields[:-1]))
+        self.assertEqual(
+            dataclasses.replace(state, takes_demand=False), former)
+        with self.assertRaises(ValueError):
+            gossip.decode(msgpack.packb((*fields[:-1], "yes")))
+        driver = support.Driver(support.stream())
+        for sent in (state, former):
+            driver.feed(sent)
+            self.assertIs(sent.takes_demand,
+                          driver.host.peers["h1"].takes_demand)
+        self.assertIs(True, driver.feed(
+            events.Ticked(), 0.3)[0].event.takes_demand)
+        self._receive(gossip.encode_previous(
+            events.PeerStateReceived(support.peer("h0"), True, False, 3, 4)))
+        self.assertIsNone(
+            self._sent_datagram(events.PeerDemandReceived("h1", (row,))))
+
+    def test_invalid_queued_requests_are_rejected(self):
+        # One such row would make the totals of all other hosts infinite or
+        # negative.
+        valid = ("engines", "chat", 0, 3, 4_380)
+        rows = [(*valid[:position], value, *valid[position + 1:])
+                for position, value in (
+                    (0, 7), (1, None), (2, -1), (2, 0.5), (2, True), (2, "0"),
+                    (3, -1), (3, True), (3, None), (4, -0.5), (4, "9"),
+                    (4, math.inf), (4, math.nan), (4, 1e300))]
+        for event in (*(events.PeerDemandReceived("h1", (valid, row))
+                        for row in (*rows, valid[:4], (*valid, 1), 7)),
+                      events.PeerDemandReceived("h1", (valid,) * 201),
+                      events.PeerDemandReceived("h1", None),
+                      events.PeerDemandReceived("h1", {}),
+                      events.PeerDemandReceived(7, (valid,))):
+            with self.subTest(event), self.assertRaises(ValueError):
+                gossip.decode(gossip.encode(event))
+        with self.assertRaises(ValueError):
+            gossip.decode(msgpack.packb((6, "h1")))
+
     def test_crash_reports_of_a_later_version_are_left_out(self):
         # A state that is refused makes its host count as dead.
         known = ("crashed", 30, "d", "s1", "s1/7", "refused", 0)
