--- a/crocuskeel/core/scheduling/__init__.py
+++ b/crocuskeel/core/scheduling/__init__.py
@@ -1,1 +1,1 @@
-"""Scheduling under heavy load: which requests wait, and for how long."""
+"""Scheduling under heavy load: which requests wait, where they go, when."""
