--- a/crocuskeel/core/entry/events.py
+++ b/crocuskeel/core/entry/events.py
@@ -84,7 +84,8 @@
 class StreamOpened:
     """The first complete event of a stream was received.
 
-    ``load`` is (running, waiting, slots) of the server, or None.
+    ``load`` is (running, waiting, slots, work_percent) of the server, or
+    None; the last one may be missing.
     """
 
     key: int
--- a/crocuskeel/core/entry/server_load.py
+++ b/crocuskeel/core/entry/server_load.py
@@ -115,8 +115,13 @@
 
 
 def note_load(state, load, now):
-    """Note the load that a server reports itself."""
+    """Note the load that a server reports itself.
+
+    ``load`` is (running, waiting, slots, work_percent), without the last one
+    if the server works at its usual speed, or None.
+    """
     if load is not None:
-        active, waiting, _ = load
+        active, waiting, _, *rest = load
+        state.work_percent = rest[0] if rest else 100
         state.reported_load = active + waiting
         state.reported_at = now
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -158,6 +158,8 @@
     # Number of requests there according to its own latest report.
     reported_load: int = 0
     reported_at: float = 0.0
+    # How long work takes there according to that report, % of the usual.
+    work_percent: int = 100
     failure_rate: float = 0.0
     failure_rate_at: float = 0.0
     slowness: float = 1.0
--- a/crocuskeel/gateway/header_codec.py
+++ b/crocuskeel/gateway/header_codec.py
@@ -53,7 +53,9 @@
     last_event_id)`` returns the headers of a request to a server, without the
     framing. ``classify(request, head)`` returns a Verdict, and so does
     ``classify_relayed`` for the answer of another host. ``load(head)`` returns
-    (running, waiting, slots) or None, and ``hints(head)`` a model.Hints.
+    (running, waiting, slots, work_percent) or None, and ``hints(head)`` a
+    model.Hints. ``work_percent`` says how long work takes at this moment, 100
+    if it takes as long as usual or the server doesn't say.
     ``stamped(head)`` returns whether an answer carries a server's stamp.
     ``answer_headers(head, keep_stamp)`` returns the headers of an answer to
     the caller.
--- a/crocuskeel/platform/headers.py
+++ b/crocuskeel/platform/headers.py
@@ -239,11 +239,19 @@
 
 
 def _server_load(head):
+    """Return (running, waiting, slots, work_percent), None if invalid.
+
+    Some engines add the fourth figure: how long work takes there at this
+    moment, as a percentage of the usual time.
+    """
     text = (head.get(_LOAD) or b"").decode("latin-1")
     counts = [part.strip() for part in text.split(",")]
-    if len(counts) != 3 or not all(map(str.isdigit, counts)):
+    # str.isdigit accepts superscripts, for which int raises an error.
+    if len(counts) not in (3, 4) or not all(map(str.isdecimal, counts)):
         return None
-    return tuple(map(int, counts))
+    running, waiting, slots, *rest = map(int, counts)
+    work_percent = rest[0] if rest else 100
+    return (running, waiting, slots, work_percent) if work_percent else None
 
 
 def _server_hints(head):
--- a/tests/entry/test_requests.py
+++ b/tests/entry/test_requests.py
@@ -59,6 +59,20 @@
         self.assertEqual(503, answer.status)
         self.assertLessEqual(answer.retry_delay_s, 0.2)
 
+    def test_reported_load_of_a_server(self):
+        # A report without a percentage means the usual speed: the former
+        # percentage would otherwise stay in force.
+        driver = support.Driver(SAFE, servers=PAIR[:1])
+        state = driver.host.servers[PAIR[0].sid]
+        self.assertEqual(100, state.work_percent)
+        for key, load, expected in ((1, (2, 1, 8, 250), (3, 250)),
+                                    (2, None, (3, 250)),
+                                    (3, (4, 1, 8), (5, 100))):
+            driver.arrive(key)
+            driver.feed(events.ResponseReceived(key, 0, 200, load, True), 0.1)
+            self.assertEqual(
+                expected, (state.reported_load, state.work_percent))
+
     def test_server_error_is_passed_on_if_the_retry_fails_too(self):
         driver = support.Driver(SAFE, servers=PAIR)
         driver.arrive()
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -87,6 +87,24 @@
             found = self.codec.hints(header_codec.Head(sent, status=200))
             self.assertEqual(expected, found.brittle)
 
+    def test_load_header(self):
+        # The header of engines that add a fourth figure was treated as
+        # invalid, and their load was never known. A superscript digit, which
+        # str.isdigit accepts, raised an error.
+        rows = ((b"3,1,64", (3, 1, 64, 100)), (b"3, 1, 64, 250",
+                                               (3, 1, 64, 250)),
+                (b"0,0,64,40", (0, 0, 64, 40)), (b"3,1", None),
+                (b"3,1,64,0", None), (b"3,1,64,-5", None),
+                (b"3,1,64,", None), (b"3,1,64,slow", None),
+                (b"3,1,64,1.5", None), (b"3,1,\xb2", None),
+                (b"3,1,64,100,7", None), (b"", None), (None, None))
+        for value, expected in rows:
+            with self.subTest(value):
+                head = header_codec.Head(
+                    ((b"X-Crocuskeel-Server-Load", value),)
+                    if value is not None else ())
+                self.assertEqual(expected, self.codec.load(head))
+
     def test_kv_fetch_header_of_a_caller_is_replaced(self):
         # A caller that names an engine could read another caller's cached
         # data.
