--- a/crocuskeel/core/duties/demand.py
+++ b/crocuskeel/core/duties/demand.py
@@ -45,14 +45,19 @@
     return Demand(kept_s=kept_s)
 
 
-def sample(demand, shares, now):
-    """Update the demand from the utilization of a service's engines."""
-    used = sum(shares)
+def sample(demand, shares, now, queued=0.0):
+    """Update the demand from the utilization of a service's engines.
+
+    ``queued`` is the work that waits at hosts or was rejected lately, in
+    engines that would serve it within a second: engines that are full look
+    the same whatever waits for them.
+    """
+    used = sum(shares) + queued
     if demand.mean_at is not None:
         weight = min(1.0, (now - demand.mean_at) / demand.kept_s)
         demand.mean += weight * (used - demand.mean)
     demand.mean_at = now
-    if shares and used > SATURATED_SHARE * len(shares):
+    if shares and not queued and used > SATURATED_SHARE * len(shares):
         used *= SATURATED_GROWTH
     record_need(demand, used, now)
 
--- a/crocuskeel/core/duties/ordering.py
+++ b/crocuskeel/core/duties/ordering.py
@@ -14,8 +14,8 @@
 UNAVAILABLE_RETRY_S = 1.5
 
 
-def sample(duties, service, shares, now, policy):
-    """Update the demand from the utilization of a service's engines."""
+def sample(duties, service, shares, now, policy, queued=0.0):
+    """Update the demand from engines' utilization and queued work."""
     service_demand = duties.demands.get(service)
     if service_demand is None:
         service_demand = duties.demands[service] = demand.new_demand(
@@ -23,7 +23,7 @@
         service_demand.mean = len(shares) * policy.use_share
         first = _first_need(duties, service, shares, policy)
         demand.record_need(service_demand, first, now)
-    demand.sample(service_demand, shares, now)
+    demand.sample(service_demand, shares, now, queued)
 
 
 def _first_need(duties, service, shares, policy):
--- a/crocuskeel/core/entry/attempts.py
+++ b/crocuskeel/core/entry/attempts.py
@@ -16,6 +16,9 @@
 from crocuskeel.core.entry import sending
 from crocuskeel.core.entry import server_load
 from crocuskeel.core.entry import usage
+from crocuskeel.core.scheduling import groups
+from crocuskeel.core.scheduling import rates
+from crocuskeel.core.scheduling import services
 
 __all__ = ["answered", "broken", "ended", "opened", "progressed"]
 
@@ -46,6 +49,7 @@
     target = host.servers.get(attempt.sid)
     if target is not None:
         _record_first_event(target, attempt, now)
+        _learn_rate(host, pending, target, attempt, now)
         target.own_attempts[pending.key, attempt.attempt_number] = 0
         ending.mark_load_changed(host, pending, target)
         server_load.note_load(target, event.load, now)
@@ -84,6 +88,15 @@
     health.note_activity(target, now)
 
 
+def _learn_rate(host, pending, target, attempt, now):
+    schedule = services.find(host, pending.service)
+    if schedule is not None and not attempt.relayed:
+        rates.note_first_event(
+            schedule.rates, attempt.sid,
+            attempt.queued_tokens + max(0, attempt.uncached_tokens),
+            now - attempt.sent_at, now, target.work_percent)
+
+
 def progressed(host, event, now):
     """Handle further data of a stream."""
     pending, attempt = ending.find_attempt(host, event)
@@ -105,6 +118,12 @@
 def _record_gap(host, pending, target, gap_s, now):
     observed = pause_estimate.estimate_of(host, pending.service)
     pause_estimate.add_sample(observed, pending.queued_prefill_s, gap_s)
+    schedule = services.find(host, pending.service)
+    if schedule is not None:
+        rates.note_pause(schedule.rates, target.server.sid,
+                         pending.queued_prefill_s, gap_s)
+        if not pending.queued_prefill_s:
+            groups.note_gap(schedule.group, target.server.sid, gap_s)
     pending.queued_prefill_s = server_load.queued_prefill_s(target, now)
 
 
--- a/crocuskeel/core/entry/class_minimums.py
+++ b/crocuskeel/core/entry/class_minimums.py
@@ -16,8 +16,8 @@
 import dataclasses
 import math
 
-__all__ = ["ClassStats", "is_below_minimum", "more_urgent", "note_arrived",
-           "note_sent"]
+__all__ = ["ClassStats", "is_below_floor", "is_below_minimum", "more_urgent",
+           "note_arrived", "note_sent"]
 
 # Guaranteed admitted share of a class, as a fraction of the service's
 # admitted share. Callers see a class as starved at a quarter, and admitted
@@ -124,6 +124,18 @@
     return not any(_excludes(each, own, tokens) for each in classes)
 
 
+def is_below_floor(host, pending, floor, now):
+    """Say whether a class is admitted less often than its floor.
+
+    ``floor`` is the share of its requests, 0 to 1, that the operator
+    guarantees it.
+    """
+    if floor <= 0:
+        return False
+    own = _class_stats(host, pending, now)
+    return own.arrived >= MIN_ARRIVED and own.admitted_share() < floor
+
+
 def _is_underserved(own, service_share, now):
     """Say whether a class has long been below its guaranteed share.
 
--- a/crocuskeel/core/entry/duties.py
+++ b/crocuskeel/core/entry/duties.py
@@ -13,6 +13,7 @@
 from crocuskeel.core.entry import server_load
 from crocuskeel.core.entry import usage
 from crocuskeel.core import revisions
+from crocuskeel.core.scheduling import backlog
 
 __all__ = ["REPORT", "SCALE", "answered", "begin", "peer_state_received",
            "step"]
@@ -132,7 +133,9 @@
             # The list of engines may not be known yet.
             continue
         shares = [_utilization(state, now) for state in engines]
-        ordering.sample(host.duties, service.name, shares, now, host.policy)
+        queued = backlog.queued_engines(host, service.name, engines, now)
+        ordering.sample(host.duties, service.name, shares, now, host.policy,
+                        queued)
         orders += ordering.due(host.duties, service.name, service.scaling,
                                _count_engines(engines), now, host.policy)
     return orders
--- a/crocuskeel/core/entry/ending.py
+++ b/crocuskeel/core/entry/ending.py
@@ -3,6 +3,7 @@
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import prefill_pauses
+from crocuskeel.core.scheduling import waiting_room
 
 __all__ = ["BUSY_RETRY_S", "UNAVAILABLE", "active_attempts", "cancel_all",
            "cancel_others", "close_attempt", "find_attempt", "finish",
@@ -110,6 +111,9 @@
     for attempt in active_attempts(pending):
         close_attempt(host, pending, attempt)
     host.held.discard(pending.key)
+    schedule = host.schedules.get(pending.service)
+    if schedule is not None:
+        waiting_room.leave(schedule.room, pending.key)
     host.pending.pop(pending.key, None)
 
 
--- a/crocuskeel/core/entry/gossip.py
+++ b/crocuskeel/core/entry/gossip.py
@@ -23,10 +23,12 @@
 from crocuskeel.core.entry import routing
 from crocuskeel.core.entry import server_load
 from crocuskeel.core.entry import serving
+from crocuskeel.core.scheduling import fleet_demand
+from crocuskeel.core.scheduling import queueing
 
 __all__ = ["broadcast_change", "broadcast_hints", "broadcast_lease",
            "broadcast_state", "reply", "schedule_load_update",
-           "send_load_update", "send_state"]
+           "send_demand", "send_load_update", "send_state"]
 
 # Limit of rows in one datagram, which holds 64 kB: a row with streams takes
 # up to 100 bytes.
@@ -159,6 +161,18 @@
                   for peer in _contacts(host, now)]
 
 
+def send_demand(host, now):
+    """Send what waits here to other hosts, if that has changed."""
+    if host.self_peer is None or not host.schedules:
+        return []
+    rows = fleet_demand.due(host.demand_sender, queueing.rows(host), now)
+    if rows is None:
+        return []
+    update = events.PeerDemandReceived(host.self_peer.name, rows)
+    return [effects.SendToPeer(peer, update) for peer in _contacts(host, now)
+            if host.peers[peer.name].takes_demand]
+
+
 def _send_crash_reports(host, now):
     reports = crash_reports.take_unsent(host)
     if host.self_peer is None or not reports:
--- a/crocuskeel/core/entry/reducer.py
+++ b/crocuskeel/core/entry/reducer.py
@@ -26,6 +26,7 @@
 from crocuskeel.core.entry import usage
 from crocuskeel.core import exceptions
 from crocuskeel.core.leadership import events as lease_events
+from crocuskeel.core.scheduling import fleet_demand
 
 __all__ = ["reduce"]
 
@@ -53,10 +54,16 @@
     return (registry.drop_expired(host, now) + crashes.forget(host, now)
             + reachability.step(host, now)
             + gossip.send_state(host, now)
+            + gossip.send_demand(host, now)
             + duties.step(host, event.wall, now)
             + lifecycle.step(host, now))
 
 
+def _demand_received(host, event, now):
+    fleet_demand.merge(host.queued_elsewhere, event.name, event.rows, now)
+    return []
+
+
 def _origins_told(host, event, now):
     origins.merge(host, event, now)
     found = lookups.waiting_for(host, {key for key, *_ in event.rows})
@@ -98,6 +105,7 @@
     events.PeerStateReceived: peers.handle_peer_state,
     events.LoadsDue: gossip.send_load_update,
     events.PeerLoadsReceived: peers.handle_peer_loads,
+    events.PeerDemandReceived: _demand_received,
     events.CrashReportsReceived: peers.handle_crash_reports,
     events.DutyAnswered: duties.answered,
     events.OriginsTold: _origins_told,
@@ -120,6 +128,9 @@
     if handler is None:
         raise exceptions.UnknownEvent(type(event).__name__)
     out = handler(host, event, now)
+    if host.held:
+        out += sending.dispatch(host, now)
+        out += gossip.send_demand(host, now)
     if (host.changed_loads or host.refused_servers
             or host.crash_records.unsent):
         out += gossip.schedule_load_update(host, now)
--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -20,8 +20,11 @@
 from crocuskeel.core.entry import server_load
 from crocuskeel.core.entry import state as states
 from crocuskeel.core.entry import trials
+from crocuskeel.core.scheduling import placement
+from crocuskeel.core.scheduling import queueing
+from crocuskeel.core.scheduling import services
 
-__all__ = ["send"]
+__all__ = ["dispatch", "send"]
 
 
 def send(host, pending, now):
@@ -59,6 +62,10 @@
         return ending.give_up(host, pending, "crash suspected", now)
     pending.candidates = candidates.pick(host, pending)
     pending.rank = admission.rank(host, pending, now)
+    schedule = _schedule(host, pending, now)
+    if schedule is not None:
+        return queueing.submit(host, schedule, pending,
+                               _starter(host, now), now)
     prefix_cache.note_fetchable(
         pending, server_choice.fetch_sources(host, pending, now), now)
     tried = {attempt.sid for attempt in pending.attempts}
@@ -71,6 +78,50 @@
             if now < admission.queue_until(pending):
                 return _hold(host, pending, now)
             return _shed(host, pending, full, now)
+    return _send_to(host, pending, target, now)
+
+
+def dispatch(host, now):
+    """Send queued prompts to engines that have become free."""
+    if not host.schedules:
+        return []
+    return queueing.dispatch_all(host, _starter(host, now), now)
+
+
+def _schedule(host, pending, now):
+    """Return the Schedule that applies to a request now, or None.
+
+    With no healthy engine, suspect ones are tried as for other services.
+    """
+    if pending.request.prompt is None:
+        return None
+    schedule = services.find(host, pending.service)
+    if schedule is None or ending.active_attempts(pending):
+        return None
+    tried = {attempt.sid for attempt in pending.attempts}
+    if not any(state.server.sid not in tried
+               for state in server_choice.healthy(host, pending, now)):
+        return None
+    return schedule
+
+
+def _starter(host, now):
+    """Return a function that sends a queued request to an engine.
+
+    While it was queued, its prompt may have been found to crash engines.
+    """
+    def start(pending, state):
+        if quarantine.pending_time_left_s(host, pending, now) or (
+                quarantine.must_wait(host, pending, now)
+                or not trials.may_begin(host, pending, now)):
+            return send(host, pending, now)
+        return _send_to(host, pending, state, now)
+
+    return start
+
+
+def _send_to(host, pending, target, now):
+    left = pending.deadline_at - now
     attempt, source = _start_attempt(host, pending, target, now)
     order = effects.SendRequest(
         pending.key, attempt.attempt_number, target.server, left,
@@ -231,6 +282,7 @@
     pending.attempts.append(attempt)
     pending.servers_used += 1
     pending.connect_attempts += 1
+    attempt.queued_tokens = server_load.queued_tokens(target, now)
     if not target.own_attempts:
         target.busy_since = now
     server_load.note_work(host, target)
@@ -265,8 +317,17 @@
     target.memory_tokens += attempt.memory_tokens
     engine = prefix_cache.engine_config(host, pending.service)
     if engine is not None:
-        read_at = (now + server_load.queued_prefill_s(target, now)
-                   + server_load.prefill_s(target, attempt.uncached_tokens))
+        read_at = now + _prefill_s(host, pending, target,
+                                   attempt.uncached_tokens, now)
         prefix_cache.note_cached(host, target, prompt, engine.memory, now,
                                  read_at)
     return source
+
+
+def _prefill_s(host, pending, target, tokens, now):
+    """Return how long an engine takes for a prompt and those before it."""
+    schedule = services.find(host, pending.service)
+    if schedule is not None:
+        return placement.prefill_s(schedule.rates, target, tokens, now)
+    return (server_load.queued_prefill_s(target, now)
+            + server_load.prefill_s(target, tokens))
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -13,6 +13,7 @@
 from crocuskeel.core.entry import routing
 from crocuskeel.core.entry import serving
 from crocuskeel.core.entry import stream_records
+from crocuskeel.core.scheduling import fleet_demand
 from crocuskeel.core.scheduling import settings as scheduling_settings
 
 __all__ = ["Host", "RequestState", "PeerState", "ServerState", "Settings",
@@ -62,6 +63,8 @@
     uncached_tokens: int = 0
     # Software version of that server.
     version: str = ""
+    # Tokens queued for prefill at its engine as it was sent.
+    queued_tokens: int = 0
     # Shared tokens that are read again although another server holds them.
     reread_tokens: int = 0
     # Shared tokens that the server was told to fetch from another one.
@@ -125,9 +128,13 @@
     # it was admitted.
     candidates: list = dataclasses.field(default_factory=list)
     rank: int = 0
+    # While it waits for an engine: the limit that most engines are at.
+    blocked_by: str = ""
     # The largest number of its prompt's shared tokens that one engine has
     # read.
     cached_elsewhere_tokens: int = 0
+    # The same, with parts that an engine has yet to read.
+    known_tokens: int = 0
     # Whether it is included in the usage counts.
     usage_counted: bool = False
     # The attempt that got an error response, which is forwarded if no other
@@ -295,6 +302,11 @@
     class_stats: dict = dataclasses.field(default_factory=dict)
     # Requests held here until a server has room.
     held: set = dataclasses.field(default_factory=set)
+    # What waits at other hosts, and what they were last told.
+    queued_elsewhere: fleet_demand.Demand = dataclasses.field(
+        default_factory=fleet_demand.new_demand)
+    demand_sender: fleet_demand.Sender = dataclasses.field(
+        default_factory=fleet_demand.new_sender)
     # Recently sent (server id, part, tokens), each with its time.
     recent_parts: collections.deque = dataclasses.field(
         default_factory=collections.deque)
@@ -305,11 +317,10 @@
     # The operator's settings of scheduling, off by default.
     scheduling: scheduling_settings.Settings = (
         scheduling_settings.Settings())
-    # By service, if it is scheduled: the requests that wait here
-    # (scheduling.waiting_room) and what its engines were seen to prefill
-    # (scheduling.rates).
-    rooms: dict = dataclasses.field(default_factory=dict)
-    rates: dict = dataclasses.field(default_factory=dict)
+    # The scheduling.services.Schedule of each service that they apply to, and
+    # the configuration for which these were chosen.
+    schedules: dict = dataclasses.field(default_factory=dict)
+    scheduled_catalog: model.Catalog | None = None
     stop_at: float | None = None
     listener_closed: bool = False
     exited: bool = False
--- /dev/null
+++ b/crocuskeel/core/scheduling/engine_choice.py
@@ -0,0 +1,83 @@
+"""Finds an engine that takes a prompt now, for scheduled services."""
+
+import collections
+
+from crocuskeel.core.entry import admission
+from crocuskeel.core.entry import candidates
+from crocuskeel.core.entry import prefix_cache
+from crocuskeel.core.entry import server_choice
+from crocuskeel.core.scheduling import fleet_demand
+from crocuskeel.core.scheduling import groups
+from crocuskeel.core.scheduling import limits
+from crocuskeel.core.scheduling import placement
+from crocuskeel.core.scheduling import rates as learned
+
+__all__ = ["engines_rate", "find_engine", "interactive_engines"]
+
+
+def interactive_engines(host, schedule, engines, now):
+    """Return the ids of the engines that interactive streams have."""
+    if schedule.gap_s is None:
+        return frozenset()
+    return groups.update(schedule.group, engines, schedule.gap_s, now)
+
+
+def find_engine(host, schedule, pending, tried, now):
+    """Return (engine, None), or (None, the Limit that most engines have).
+
+    Interactive streams use the engines of their group first and others if
+    these are full: they are never rejected while larger prompts begin.
+    Other prompts use the group only if there is no other engine. The second
+    item is None if no engine is healthy.
+    """
+    pending.candidates = candidates.pick(host, pending)
+    pending.rank = admission.rank(host, pending, now)
+    prefix_cache.note_fetchable(
+        pending, server_choice.fetch_sources(host, pending, now), now)
+    pending.known_tokens = max(
+        (prefix_cache.cached_tokens(state, pending.request.prompt)
+         for state in pending.candidates), default=0)
+    engines = [state for state in server_choice.healthy(host, pending, now)
+               if state.server.sid not in tried]
+    group = interactive_engines(host, schedule, engines, now)
+    inside = [state for state in engines if state.server.sid in group]
+    outside = [state for state in engines if state.server.sid not in group]
+    is_interactive = groups.is_interactive(pending.route, schedule.gap_s)
+    pools = (inside, outside) if is_interactive else (outside or inside,)
+    target_s = schedule.queue_target_s
+    if is_interactive:
+        target_s = pending.route.target_s
+    urgent_s = _urgent_s(host, schedule, pending, engines, now)
+    found = collections.Counter()
+    for pool in pools:
+        free = []
+        for state in pool:
+            limit = limits.blocking_limit(host, schedule.rates, pending,
+                                          state, target_s, urgent_s, now)
+            if limit is None:
+                free.append(state)
+            else:
+                found[limit] += 1
+        if free:
+            return placement.cheapest(
+                host, schedule, free, pending, is_interactive, now), None
+    return None, found.most_common(1)[0][0] if found else None
+
+
+def _urgent_s(host, schedule, pending, engines, now):
+    """Return the engine time that more urgent prompts elsewhere wait for.
+
+    In s for each engine. Without it a host would give to its own prompts
+    what other hosts' more urgent ones wait for.
+    """
+    tokens = fleet_demand.ahead(host.queued_elsewhere, pending.service,
+                                pending.route.priority - 1, now)
+    if not tokens or not engines:
+        return 0.0
+    return tokens / max(1.0, engines_rate(schedule, engines))
+
+
+def engines_rate(schedule, engines):
+    """Return the tokens a second that engines prefill together."""
+    return sum(learned.tokens_per_s(schedule.rates, state.server.sid)
+               for state in engines)
--- /dev/null
+++ b/crocuskeel/core/scheduling/limits.py
@@ -0,0 +1,83 @@
+"""Whether an engine takes one more prompt, for services that are scheduled.
+
+The load: more prompts than engines can begin within their targets. Prompts
+wait in the hosts' waiting rooms, where they are ordered, and not at the
+engines, which prefill in order of arrival: an engine gets only as many as
+keep it busy until hosts have heard of each other. Limits are in learned
+time, so engines of any speed are used alike.
+"""
+
+import enum
+
+from crocuskeel.core.entry import prefix_cache
+from crocuskeel.core.entry import server_load
+from crocuskeel.core.scheduling import placement
+
+__all__ = ["Limit", "blocking_limit"]
+
+# Share of the shortest target of the service's other classes that a prompt
+# may find queued at an engine, by rank, most urgent first. The rest of the
+# target is for the request's own prefill and for errors of the estimate.
+QUEUE_SHARES = (0.6, 0.35, 0.2)
+# Share of an engine's slots that each rank may fill.
+SLOT_SHARES = (1.0, 0.95, 0.85)
+# Share of an engine's memory that its requests may come to use: a host
+# learns of other hosts' requests with a delay, in which they may use the
+# rest.
+MEMORY_SHARE = 0.9
+# An engine with nothing queued takes any prompt, and one with less than
+# this, s, counts as empty: hosts hear of each other's requests that late.
+LEAST_QUEUE_S = 0.05
+
+
+# Share of its time that an engine may spend on prefill, by rank: during
+# continuous prefill a token takes several times as long, and long answers
+# run out of time.
+PREFILL_SHARES = (1.0, 0.95, 0.85)
+# An engine that would prefill parts again which another one holds is used
+# only below this share.
+REPEAT_PREFILL_SHARE = 0.7
+
+
+class Limit(enum.StrEnum):
+    """What keeps an engine from taking a prompt."""
+
+    SLOTS = "slots"
+    QUEUE = "queue"
+    MEMORY = "memory"
+    PREFILL = "prefill"
+    REPEAT = "repeat"
+
+
+def blocking_limit(host, rates, pending, state, target_s, urgent_s, now):
+    """Return the Limit that an engine would exceed, or None.
+
+    ``target_s`` is the target that bounds the queue, s; ``urgent_s`` is the
+    engine time of more urgent prompts that wait at other hosts, s for each
+    engine, which this prompt leaves free.
+    """
+    rank = min(pending.rank, len(QUEUE_SHARES) - 1)
+    slots = server_load.usable_slots(state, now) * SLOT_SHARES[rank]
+    if server_load.running_requests(state, now) >= slots:
+        return Limit.SLOTS
+    if not _has_memory(host, pending, state, now):
+        return Limit.MEMORY
+    queue_s = placement.queued_s(rates, state, now)
+    if queue_s > max(LEAST_QUEUE_S, QUEUE_SHARES[rank] * target_s - urgent_s):
+        return Limit.QUEUE
+    if state.prefill_share > PREFILL_SHARES[rank]:
+        return Limit.PREFILL
+    if state.prefill_share > REPEAT_PREFILL_SHARE and (
+            placement.prefill_tokens(host, state, pending)[2]):
+        return Limit.REPEAT
+    return None
+
+
+def _has_memory(host, pending, state, now):
+    engine = prefix_cache.engine_config(host, pending.service)
+    used = server_load.reserved_memory(state, now)
+    if engine is None or not used:
+        return True
+    prompt = pending.request.prompt
+    return used + prompt.tokens + prompt.max_output_tokens <= (
+        engine.memory * MEMORY_SHARE)
--- a/crocuskeel/gateway/metrics.py
+++ b/crocuskeel/gateway/metrics.py
@@ -119,8 +119,8 @@
             "crocuskeel_queued_tokens",
             "Prompt tokens of requests that wait at this host.",
             labels=["service", "route"])
-        for service, room in self.host.rooms.items():
-            for route, queued in self.read_backlog(room).items():
+        for service, schedule in self.host.schedules.items():
+            for route, queued in self.read_backlog(schedule.room).items():
                 requests.add_metric([service, route], queued[0])
                 tokens.add_metric([service, route], queued[1])
         yield requests
@@ -129,9 +129,9 @@
             "crocuskeel_prefill_tokens_per_second",
             "Learned prefill rate of a service's engines together.",
             labels=["service"])
-        for service, rates in self.host.rates.items():
+        for service, schedule in self.host.schedules.items():
             rate.add_metric([service], sum(
-                self.read_rate(rates, state.server.sid)
+                self.read_rate(schedule.rates, state.server.sid)
                 for state in self.host.by_service.get(service, ())
                 if not state.server.draining))
         yield rate
--- a/tests/gateway/test_metrics.py
+++ b/tests/gateway/test_metrics.py
@@ -1,6 +1,7 @@
 """Metrics of a host, and those that are sent to statsd."""
 
 import unittest
+from unittest import mock
 
 from crocuskeel.core.entry import class_minimums
 from crocuskeel.core.entry import pause_estimate
@@ -79,8 +80,9 @@
         host = support.Driver(support.stream(), servers=(
             support.server("e1", "engines"), support.server("e2", "engines"),
             support.server("e3", "engines", draining=True))).host
-        host.rooms["engines"] = {"advice": (2, 9_000)}
-        host.rates["engines"] = {"e1": 40_000, "e2": 90_000, "e3": 7}
+        host.schedules["engines"] = mock.Mock(
+            room={"advice": (2, 9_000)},
+            rates={"e1": 40_000, "e2": 90_000, "e3": 7})
         families = metrics._SchedulingCollector(
             host, dict, dict.__getitem__).collect()
         self.assertEqual(
