--- a/crocuskeel/core/entry/attempts.py
+++ b/crocuskeel/core/entry/attempts.py
@@ -91,6 +91,7 @@
 def _learn_rate(host, pending, target, attempt, now):
     schedule = services.find(host, pending.service)
     if schedule is not None and not attempt.relayed:
+        pending.queued_prefill_s = server_load.queued_prefill_s(target, now)
         rates.note_first_event(
             schedule.rates, attempt.sid,
             attempt.queued_tokens + max(0, attempt.uncached_tokens),
@@ -120,8 +121,6 @@
     pause_estimate.add_sample(observed, pending.queued_prefill_s, gap_s)
     schedule = services.find(host, pending.service)
     if schedule is not None:
-        rates.note_pause(schedule.rates, target.server.sid,
-                         pending.queued_prefill_s, gap_s)
         if not pending.queued_prefill_s:
             groups.note_gap(schedule.group, target.server.sid, gap_s)
     pending.queued_prefill_s = server_load.queued_prefill_s(target, now)
--- a/crocuskeel/core/entry/registry.py
+++ b/crocuskeel/core/entry/registry.py
@@ -18,6 +18,7 @@
 from crocuskeel.core.entry import restores
 from crocuskeel.core.entry import state as states
 from crocuskeel.core import revisions
+from crocuskeel.core.scheduling import services
 from crocuskeel.core.scheduling import settings as scheduling_settings
 
 __all__ = ["catalog_seen", "drop_expired", "grace_periods",
@@ -259,7 +260,9 @@
 
 
 def _delete(host, sid):
-    host.servers.pop(sid, None)
+    state = host.servers.pop(sid, None)
+    if state is not None:
+        services.forget_server(host, state.server)
     host.active_servers.pop(sid, None)
     host.lapsing.pop(sid, None)
 
--- a/crocuskeel/core/entry/restarting.py
+++ b/crocuskeel/core/entry/restarting.py
@@ -13,6 +13,7 @@
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import state as states
+from crocuskeel.core.scheduling import services
 
 __all__ = ["end_orphaned_attempts", "is_restart", "reset_server",
            "restarted_servers"]
@@ -41,6 +42,7 @@
     """Discard what was recorded about the former process of a server."""
     out = crashes.note_down(
         host, server.sid, crash_records.Sign.RESTARTED, now)
+    services.forget_server(host, server)
     former = host.servers[server.sid]
     state = states.new_server(server, now)
     # Requests in progress count until they end.
--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -23,6 +23,7 @@
 from crocuskeel.core.scheduling import placement
 from crocuskeel.core.scheduling import queueing
 from crocuskeel.core.scheduling import services
+from crocuskeel.core.scheduling import waiting_room
 
 __all__ = ["dispatch", "send"]
 
@@ -108,18 +109,30 @@
 def _starter(host, now):
     """Return a function that sends a queued request to an engine.
 
-    While it was queued, its prompt may have been found to crash engines.
+    While it was queued, its prompt may have been found to crash engines, or
+    this host may have been cut off from them: then it is treated as new.
     """
     def start(pending, state):
-        if quarantine.pending_time_left_s(host, pending, now) or (
-                quarantine.must_wait(host, pending, now)
-                or not trials.may_begin(host, pending, now)):
+        if _needs_checks(host, pending, now):
+            _leave_room(host, pending)
             return send(host, pending, now)
+        schedule = services.find(host, pending.service)
+        waiting_room.placed(schedule.room, pending.key, now)
         return _send_to(host, pending, state, now)
 
     return start
 
 
+def _needs_checks(host, pending, now):
+    """Say whether ``send`` may do anything else than send a request."""
+    return (pending.deadline_at - now < retrying.MIN_SEND_S
+            or quarantine.pending_time_left_s(host, pending, now) > 0
+            or reachability.is_in_doubt(host, pending.service, now)
+            or reachability.is_cut_off(host, pending.service, now)
+            or quarantine.must_wait(host, pending, now)
+            or not trials.may_begin(host, pending, now))
+
+
 def _send_to(host, pending, target, now):
     left = pending.deadline_at - now
     attempt, source = _start_attempt(host, pending, target, now)
@@ -155,6 +168,7 @@
     if pending.servers_used:
         retry_budget.note_retry(host, pending.service, now)
     host.held.discard(pending.key)
+    _leave_room(host, pending)
     class_minimums.note_sent(host, pending, now)
     pending.attempts.append(attempt)
     pending.servers_used += attempt.servers
@@ -198,11 +212,22 @@
 
 def _hold(host, pending, now):
     """Hold a request at this host until a server has room."""
+    _leave_room(host, pending)
     host.held.add(pending.key)
     due_at = min(pending.deadline_at, admission.next_check(host, now))
     return [effects.SetRequestTimer(pending.key, due_at)]
 
 
+def _leave_room(host, pending):
+    """Remove a request from its waiting room.
+
+    One that is sent or held in another way would be sent a second time.
+    """
+    schedule = host.schedules.get(pending.service)
+    if schedule is not None:
+        waiting_room.leave(schedule.room, pending.key)
+
+
 def _wait_for_server(host, pending, tried, now):
     """Hold a request that no server can take now, or refuse it."""
     if ending.active_attempts(pending):
@@ -277,6 +302,7 @@
     if pending.request.prompt is not None:
         source = _record_prompt(host, pending, target, attempt, now)
     host.held.discard(pending.key)
+    _leave_room(host, pending)
     ratelimits.consume_token(host, target.server, now)
     class_minimums.note_sent(host, pending, now)
     pending.attempts.append(attempt)
--- a/crocuskeel/core/entry/server_choice.py
+++ b/crocuskeel/core/entry/server_choice.py
@@ -17,7 +17,7 @@
 from crocuskeel.core.entry import server_load
 
 __all__ = ["available_in_s", "choose", "choose_with_capacity", "fetch_sources",
-           "healthy", "is_available"]
+           "healthy", "healthy_servers", "is_available"]
 
 # A host that uses its share of a brittle server's slots checks again after
 # this, s.
@@ -61,6 +61,14 @@
             if _is_eligible(state, 2, (), now)]
 
 
+def healthy_servers(host, service, now):
+    """Return the servers of a service that new requests may go to."""
+    return [state for state in host.by_service.get(service, ())
+            if not (draining.is_draining(host, state.server)
+                    or state.address_reused)
+            and _is_eligible(state, 2, (), now)]
+
+
 def fetch_sources(host, pending, now):
     """Return the servers that other engines may fetch prompt parts from.
 
--- a/crocuskeel/core/scheduling/backlog.py
+++ b/crocuskeel/core/scheduling/backlog.py
@@ -5,6 +5,7 @@
 for engines have to count what waits and what was rejected.
 """
 
+from crocuskeel.core.entry import fleet
 from crocuskeel.core.scheduling import engine_choice
 from crocuskeel.core.scheduling import fleet_demand
 from crocuskeel.core.scheduling import services
@@ -32,7 +33,8 @@
     """Return how many more engines would serve what waits in a second.
 
     0.0 for a service that is not scheduled. What other hosts rejected isn't
-    known here; callers spread evenly, so this host's share stands for it.
+    known here; callers spread evenly over the serving hosts, so each is
+    taken to have rejected as much as this one.
     """
     schedule = services.find(host, service)
     if schedule is None or not engines:
@@ -41,6 +43,7 @@
     own = waiting_room.backlog(schedule.room).values()
     others = fleet_demand.queued(host.queued_elsewhere, service, now).values()
     tokens = sum(count for _, count in (*own, *others))
-    tokens += sum(count for _, count in schedule.rejected)
+    hosts = max(1, len(fleet.serving_hosts(host, now)))
+    tokens += hosts * sum(count for _, count in schedule.rejected)
     rate = engine_choice.engines_rate(schedule, engines) / len(engines)
     return tokens / rate
--- a/crocuskeel/core/scheduling/engine_choice.py
+++ b/crocuskeel/core/scheduling/engine_choice.py
@@ -15,11 +15,13 @@
 __all__ = ["engines_rate", "find_engine", "interactive_engines"]
 
 
-def interactive_engines(host, schedule, engines, now):
-    """Return the ids of the engines that interactive streams have."""
+def interactive_engines(host, schedule, service, now):
+    """Return the ids of the engines that interactive streams use."""
     if schedule.gap_s is None:
         return frozenset()
-    return groups.update(schedule.group, engines, schedule.gap_s, now)
+    return groups.update(
+        schedule.group, schedule.gap_s,
+        lambda: server_choice.healthy_servers(host, service, now), now)
 
 
 def find_engine(host, schedule, pending, tried, now):
@@ -28,7 +30,8 @@
     Interactive streams use the engines of their group first and others if
     these are full: they are never rejected while larger prompts begin.
     Other prompts use the group only if there is no other engine. The second
-    item is None if no engine is healthy.
+    item is None if no engine is healthy. Updates the candidates, the rank
+    and what engines hold of the prompt in ``pending``.
     """
     pending.candidates = candidates.pick(host, pending)
     pending.rank = admission.rank(host, pending, now)
@@ -39,7 +42,7 @@
          for state in pending.candidates), default=0)
     engines = [state for state in server_choice.healthy(host, pending, now)
                if state.server.sid not in tried]
-    group = interactive_engines(host, schedule, engines, now)
+    group = interactive_engines(host, schedule, pending.service, now)
     inside = [state for state in engines if state.server.sid in group]
     outside = [state for state in engines if state.server.sid not in group]
     is_interactive = groups.is_interactive(pending.route, schedule.gap_s)
--- a/crocuskeel/core/scheduling/groups.py
+++ b/crocuskeel/core/scheduling/groups.py
@@ -110,14 +110,15 @@
             if mean > SLOW_GAP_FACTOR * fastest}
 
 
-def update(group, engines, gap_s, now):
+def update(group, gap_s, find_engines, now):
     """Return the ids of the group's engines, recomputed at intervals.
 
-    ``engines`` are the ServerStates that can serve now.
+    ``find_engines()`` returns the ServerStates that can serve now.
     """
     if now < group.updated_at + UPDATE_S:
         return group.sids
     group.updated_at = now
+    engines = find_engines()
     streams = sum(interactive_streams(state, gap_s) for state in engines)
     if streams >= group.peak or now > group.peak_at + PEAK_S:
         group.peak, group.peak_at = streams, now
--- a/crocuskeel/core/scheduling/limits.py
+++ b/crocuskeel/core/scheduling/limits.py
@@ -12,6 +12,7 @@
 from crocuskeel.core.entry import prefix_cache
 from crocuskeel.core.entry import server_load
 from crocuskeel.core.scheduling import placement
+from crocuskeel.core.scheduling import rates as learned
 
 __all__ = ["Limit", "blocking_limit"]
 
@@ -25,8 +26,8 @@
 # learns of other hosts' requests with a delay, in which they may use the
 # rest.
 MEMORY_SHARE = 0.9
-# An engine with nothing queued takes any prompt, and one with less than
-# this, s, counts as empty: hosts hear of each other's requests that late.
+# The bound on the queue is at least this, s: hosts hear of each other's
+# requests that late, and an engine would run idle meanwhile.
 LEAST_QUEUE_S = 0.05
 
 
@@ -37,6 +38,8 @@
 # An engine that would prefill parts again which another one holds is used
 # only below this share.
 REPEAT_PREFILL_SHARE = 0.7
+# A prompt whose whole prefill takes no longer, s, is exempt from that.
+SHORT_PREFILL_S = 0.025
 
 
 class Limit(enum.StrEnum):
@@ -67,12 +70,19 @@
         return Limit.QUEUE
     if state.prefill_share > PREFILL_SHARES[rank]:
         return Limit.PREFILL
-    if state.prefill_share > REPEAT_PREFILL_SHARE and (
-            placement.prefill_tokens(host, state, pending)[2]):
+    if state.prefill_share > REPEAT_PREFILL_SHARE and _repeats_prefill(
+            host, rates, pending, state):
         return Limit.REPEAT
     return None
 
 
+def _repeats_prefill(host, rates, pending, state):
+    """Say whether an engine would read parts that another one holds."""
+    read, _, repeated = placement.prefill_tokens(host, state, pending)
+    rate = learned.tokens_per_s(rates, state.server.sid)
+    return bool(repeated) and read / rate > SHORT_PREFILL_S
+
+
 def _has_memory(host, pending, state, now):
     engine = prefix_cache.engine_config(host, pending.service)
     used = server_load.reserved_memory(state, now)
--- a/crocuskeel/core/scheduling/plan.py
+++ b/crocuskeel/core/scheduling/plan.py
@@ -39,9 +39,9 @@
     by all usable engines together. More urgent classes bring
     ``urgent_tokens_per_s``. The request has ``own_tokens`` to be read. Its
     first event is on time within ``target_s``, which only logs show. It has
-    waited for ``waited_s`` of at most ``max_wait_s``, counted from its
-    caller's first attempt: counted from the latest one, all rejected callers
-    would be accepted together as soon as the backlog is below the bound.
+    waited for ``waited_s`` of at most ``max_wait_s`` since this attempt of
+    its caller arrived; ``max_wait_s`` is a share of the time that the caller
+    had left then, so it shrinks with each attempt and bounds the backlog.
     ``left_s`` are left until the caller's limit.
     """
 
--- a/crocuskeel/core/scheduling/services.py
+++ b/crocuskeel/core/scheduling/services.py
@@ -14,7 +14,7 @@
 from crocuskeel.core.scheduling import settings
 from crocuskeel.core.scheduling import waiting_room
 
-__all__ = ["Schedule", "find", "new_schedule"]
+__all__ = ["Schedule", "find", "forget_server", "new_schedule"]
 
 
 class Schedule:
@@ -22,12 +22,15 @@
 
     ``queue_target_s`` is the shortest target of the classes that are not
     interactive; ``gap_s`` the longest pause of the interactive ones, None
-    if there are none. ``gates`` holds a plan.Gate for each class.
-    ``dispatch_at`` is when the room was last looked through.
+    if there are none. ``gates`` holds a plan.Rejecting for each
+    class, ``priorities`` the priority of each. The room was last looked
+    through at ``dispatched_at``. ``rejected`` holds (at, tokens) of prompts
+    that were rejected lately.
     """
 
     __slots__ = ("room", "rates", "group", "gates", "gap_s",
-                 "queue_target_s", "dispatch_at", "rejected", "arrivals")
+                 "queue_target_s", "dispatched_at", "rejected", "arrivals",
+                 "priorities")
 
     def __init__(self, cfg, routes):
         self.room = waiting_room.new_room(
@@ -35,14 +38,14 @@
         self.rates = rates.new_rates()
         self.group = groups.new_group()
         self.gates = {}
-        self.dispatch_at = 0.0
-        # Tokens of prompts that were rejected, as (at, tokens).
+        self.dispatched_at = 0.0
         self.rejected = collections.deque()
         self.arrivals = arrivals.new_arrivals()
         self.set_routes(routes)
 
     def set_routes(self, routes):
         """Apply the routes of a new configuration."""
+        self.priorities = {route.name: route.priority for route in routes}
         self.gap_s = groups.interactive_gap_s(routes)
         streams = [route for route in routes
                    if route.kind is model.Kind.STREAM]
@@ -68,6 +71,14 @@
     return host.schedules.get(service)
 
 
+def forget_server(host, server):
+    """Forget what was learned of a server that left or restarted."""
+    schedule = host.schedules.get(server.service)
+    if schedule is not None:
+        rates.restart(schedule.rates, server.sid)
+        schedule.group.gaps.pop(server.sid, None)
+
+
 def _apply_catalog(host):
     """Compute which services are scheduled under a new configuration."""
     host.scheduled_catalog = host.catalog
--- a/crocuskeel/core/scheduling/settings.py
+++ b/crocuskeel/core/scheduling/settings.py
@@ -29,7 +29,7 @@
     """
 
     min_patience: float = math.inf
-    wait_share: float = 0.4
+    wait_share: float = 0.5
     max_waiting: int = 400
     class_weights: dict = dataclasses.field(default_factory=dict)
     workspace_weights: dict = dataclasses.field(default_factory=dict)
--- a/crocuskeel/core/scheduling/waiting_room.py
+++ b/crocuskeel/core/scheduling/waiting_room.py
@@ -12,7 +12,7 @@
 from crocuskeel.core.scheduling import class_queue
 
 __all__ = ["Room", "Waiting", "backlog", "join", "leave", "new_room", "order",
-           "placed", "set_weights", "size"]
+           "placed", "set_weights", "size", "workspace_backlog"]
 
 # A workspace without waiting requests is forgotten after this long, s. Time
 # limits are up to 12 s: all that waited with its requests are gone by then.
@@ -149,9 +149,22 @@
     leave(room, key)
 
 
-def order(room, now):
+def workspace_backlog(room, route):
+    """Return {workspace: tokens} of the waiting requests of a route."""
+    found = {}
+    for queue in room.queues.values():
+        if queue.route == route:
+            for waiting in queue.waiting.values():
+                name = waiting.workspace
+                found[name] = found.get(name, 0) + waiting.tokens
+    return found
+
+
+def order(room, now, blocked=frozenset()):
     """Yield the keys in the order in which to try them.
 
+    Routes that are in ``blocked``, which may grow meanwhile, are left out.
+
     Keys that were yielded may be placed or leave meanwhile, and late turns
     follow the requests that were placed. Among workspaces and among classes
     of one priority it continues as if each yielded request were placed, so
@@ -164,12 +177,12 @@
     tried = set()
     for priority in sorted({queue.priority for queue in room.queues.values()
                             if queue.waiting}):
-        for waiting in _of_priority(room, priority, tried):
+        for waiting in _of_priority(room, priority, tried, blocked):
             tried.add(waiting.key)
             yield waiting.key
 
 
-def _of_priority(room, priority, tried):
+def _of_priority(room, priority, tried, blocked):
     def charge_of(waiting):
         return _workspace_charge(room, waiting)
 
@@ -179,7 +192,7 @@
     heapq.heapify(heap)
     while heap:
         virtual, route, requests = heap[0]
-        waiting = next(requests, None)
+        waiting = None if route in blocked else next(requests, None)
         if waiting is None:
             heapq.heappop(heap)
             continue
--- a/tests/scheduling/drivers.py
+++ b/tests/scheduling/drivers.py
@@ -12,6 +12,7 @@
 from tests.entry import support
 
 SERVICE = "engines"
+FLOOD_KEY = "key-flood"
 ON = settings.Settings(min_patience=4.5)
 CHAT = support.stream("chat", target_s=0.4, timeout_s=10.0, gap_s=0.25,
                       priority=0, max_servers=1, resumable=False)
@@ -41,19 +42,40 @@
         service = model.Service(SERVICE, 1_100, model.EngineSpec(
             128, memory, 0.82e-6))
         self.feed(events.CatalogRead(dataclasses.replace(
-            catalog, services={SERVICE: service})))
+            catalog, services={SERVICE: service}, api_keys={
+                support.KEY: model.Workspace("hire", None),
+                FLOOD_KEY: model.Workspace("flood", None)})))
         self.feed(events.ServersListed(tuple(engines), 5))
         self.key = 0
 
-    def ask(self, route, prompt=None, after=0.0, **kwargs):
+    def ask(self, route, prompt=None, after=0.0, api_key=support.KEY,
+            **kwargs):
         """Feed a request of a route; return (key, effects)."""
         self.key += 1
         values = {"deadline_s": route.timeout_s, **kwargs}
-        out = self.feed(events.RequestReceived(self.key, support.request(
+        req = support.request(
             f"/{route.name}/1", prompt or PROMPTS[route.name],
-            rid=f"r{self.key}", digest=f"d{self.key}", **values)), after)
+            rid=f"r{self.key}", digest=f"d{self.key}", **values)
+        out = self.feed(events.RequestReceived(
+            self.key, dataclasses.replace(req, api_key=api_key)), after)
         return self.key, out
 
+    def pass_over(self, after=0.1):
+        """Let some time pass and the rooms be looked through."""
+        for state in self.host.servers.values():
+            state.last_seen_at = self.now + after
+        return self.feed(events.Ticked(self.now + after), after)
+
+    def fill(self, tokens=30_000):
+        """Let each engine have more queued than any prompt accepts."""
+        for state in self.host.servers.values():
+            state.own_attempts["other", 0] = tokens
+
+    def free(self, *sids):
+        """Let engines have nothing queued again."""
+        for sid in sids:
+            self.host.servers[sid].own_attempts.pop(("other", 0), None)
+
     def waiting(self):
         """Return the keys in the waiting room, in order."""
         room = self.host.schedules[SERVICE].room
--- a/tests/scheduling/test_groups.py
+++ b/tests/scheduling/test_groups.py
@@ -25,7 +25,8 @@
 class GroupTest(unittest.TestCase):
 
     def _update(self, engines, now=support.NOW, group=None):
-        return groups.update(group or groups.new_group(), engines, 0.25, now)
+        return groups.update(group or groups.new_group(), 0.25,
+                             lambda: engines, now)
 
     def test_only_the_classes_with_much_shorter_pauses_are_interactive(self):
         gap_s = groups.interactive_gap_s(ROUTES)
