--- a/emulator/__main__.py
+++ b/emulator/__main__.py
@@ -11,7 +11,9 @@
 import pathlib
 import sys
 
+from crocuskeel.programs import config_files
 from emulator import deployment as deployments
+from emulator import deployment_rules
 from emulator import mechanisms
 from emulator import report
 from emulator import run
@@ -42,6 +44,9 @@
                           choices=list(mechanisms.MECHANISMS),
                           metavar="MECHANISM",
                           help="mechanism to disable; ablate lists all")
+        verb.add_argument("--scheduling", metavar="JSON",
+                          help="settings of the hosts' scheduling, instead "
+                          "of those of the deployments")
         verb.add_argument("--keep", metavar="FILE", type=pathlib.Path)
         verb.add_argument("--plot", metavar="FILE")
         if name == "compare":
@@ -113,12 +118,13 @@
     Errors in a file are printed.
     """
     try:
-        selected = [deployments.read(name) for name
-                    in args.deployments or deployments.bundled_names()]
+        selected = [deployment_rules.with_scheduling(
+            deployments.read(name), args.scheduling) for name
+            in args.deployments or deployments.bundled_names()]
         if args.verb != "compare":
             return selected, {}
         return selected, _label_as_before(report.load_rows(args.other))
-    except deployments.InvalidDeploymentError as exc:
+    except config_files.InvalidFileError as exc:
         for error in exc.errors:
             print(error, file=sys.stderr)
     except OSError as exc:
--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -4,7 +4,7 @@
 
 from crocuskeel.core.entry import model
 
-__all__ = ["Caller", "new_request", "start"]
+__all__ = ["Caller", "api_key", "new_request", "start"]
 
 ROUTE_HOST = "desk"
 # How long callers cache the resolved host addresses, s.
@@ -17,12 +17,18 @@
 RECONNECT_S = 0.05
 
 
+def api_key(workspace):
+    """Return the key of a workspace's callers, empty for the anonymous."""
+    return f"key-{workspace}" if workspace else ""
+
+
 def new_request(rid, kind, subject, left_s, event_tokens, digest="",
-                parts=None):
+                parts=None, workspace=""):
     """Return a caller's request of a kind and a subject.
 
     ``digest`` is the same for identical requests; default is the id.
     ``parts`` are the prompt's shared parts, by default that of the subject.
+    ``workspace`` is the name of the caller's, if it has one.
     """
     prompt = None
     if kind.kind == "stream":
@@ -32,8 +38,8 @@
         prompt = model.Prompt(
             parts, sum(tokens for _, tokens in parts),
             int(kind.events * event_tokens * OUTPUT_SLACK))
-    return model.Request(rid, "POST", ROUTE_HOST, f"/{kind.name}/1", "",
-                         left_s, prompt, digest or rid)
+    return model.Request(rid, "POST", ROUTE_HOST, f"/{kind.name}/1",
+                         api_key(workspace), left_s, prompt, digest or rid)
 
 
 @dataclasses.dataclass(slots=True)
@@ -76,6 +82,8 @@
     # For each time that it took the stream up: whether it went on.
     went_on: list = dataclasses.field(default_factory=list)
     loses_connection_at: int = 0
+    # The name of its workspace, empty if it is anonymous.
+    workspace: str = ""
 
     def send(self):
         """Send the request to one of the known hosts."""
@@ -90,7 +98,7 @@
         request = new_request(
             f"{self.rid}-{self.attempts}", self.kind, self.subject, left_s,
             self.world.deployment.engines.event_tokens, self.digest,
-            self.parts)
+            self.parts, self.workspace)
         if self.events:
             request = dataclasses.replace(
                 request, last_event_id=str(self.events),
@@ -187,7 +195,12 @@
 
 
 def start(world, kind, subject, **fields):
-    """Have a new caller send its request; ``fields`` are Caller's."""
+    """Have a new caller send its request; ``fields`` are Caller's.
+
+    Without a ``workspace`` it is one of any of them.
+    """
+    if "workspace" not in fields:
+        fields["workspace"] = world.draw_workspace()
     world.last_number += 1
     caller = Caller(world, f"r{world.last_number}", kind, subject,
                     world.clock.now, **fields)
--- a/emulator/deployment.py
+++ b/emulator/deployment.py
@@ -4,6 +4,7 @@
 import pathlib
 
 from crocuskeel.programs import config_files
+from emulator import deployment_rules
 from emulator import faults
 
 __all__ = ["Deployment", "Engines", "Fault", "InvalidDeploymentError",
@@ -26,6 +27,11 @@
     ``step_ms`` plus ``running_ms`` for each. Up to ``chunk`` prompt tokens
     are prefilled between two steps. ``fetch_token_us`` is the transfer
     time of a token from one engine to another; 0 if they transfer none.
+
+    ``speeds`` are dealt out to the engines in turn; one of speed 0.55 takes
+    1 / 0.55 of the time for each step. Empty: all have 1.0. Each engine is
+    slowed ``noise_times`` for a share ``noise_share`` of the time, in
+    stretches of about ``noise_ms``.
     """
 
     count: int = 6
@@ -37,6 +43,10 @@
     chunk: int = 1_000
     event_tokens: int = 6
     fetch_token_us: float = 3.0
+    speeds: tuple = ()
+    noise_share: float = 0.0
+    noise_times: float = 1.0
+    noise_ms: float = 600.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,7 +67,8 @@
     more follow. A response on time earns ``worth``, one after ``goal_ms``
     or with a gap over ``gap_ms`` earns ``late``. Callers retry up to
     ``retries`` times after a refusal, and take a stream up again up to
-    ``resumes`` times after they lost its connection.
+    ``resumes`` times after they lost its connection. A request may be sent
+    to ``servers``; a stream that may be sent to one only is not resumable.
     """
 
     name: str
@@ -75,6 +86,7 @@
     late: float = 0.3
     retries: int = 1
     resumes: int = 0
+    servers: int = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,7 +97,7 @@
     factor on load or step time. With ``limit`` an engine accepts ``times``
     requests a second, with ``rest`` it asks for a backoff of ``times`` s.
     With ``break`` callers lose the connections of a share ``times`` of their
-    streams.
+    streams. ``of`` is the name of the kind that ``class_burst`` is about.
     """
 
     kind: str
@@ -93,11 +105,17 @@
     for_s: float = 3.0
     count: int = 1
     times: float = 1.0
+    of: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Deployment:
-    """``way_ms`` is the one-way network delay between any two processes."""
+    """``way_ms`` is the one-way network delay between any two processes.
+
+    Callers belong to one of ``workspaces``, with a key each; 0: they are
+    anonymous. ``scheduling`` holds the settings of the hosts' scheduling
+    by name; None: they have none.
+    """
 
     name: str
     hosts: int
@@ -107,6 +125,8 @@
     plain: Plain
     kinds: tuple
     faults: tuple
+    workspaces: int = 0
+    scheduling: dict | None = None
 
 
 def bundled_names():
@@ -142,11 +162,14 @@
         engines=_parse_fields(Engines, found.get("engines", {}), problems),
         plain=_parse_fields(Plain, found.get("plain", {}), problems),
         kinds=_parse_list(Kind, found.get("kinds"), problems),
-        faults=_parse_list(Fault, found.get("faults", []), problems))
+        faults=_parse_list(Fault, found.get("faults", []), problems),
+        workspaces=_parse_count(found, "workspaces", problems),
+        scheduling=found.get("scheduling"))
     unknown = set(found) - {field.name for field
                             in dataclasses.fields(Deployment)}
     problems += [_unknown_name(each) for each in sorted(unknown)]
     problems += _unknown_kinds(deployment)
+    problems += deployment_rules.errors(deployment)
     if not deployment.kinds:
         problems.append(config_files.FileError(
             "emulator.E005", "no kinds of requests",
@@ -182,6 +205,16 @@
     return value
 
 
+def _parse_count(found, name, problems):
+    value = found.get(name, 0)
+    if not _is_valid(value, int):
+        problems.append(config_files.FileError(
+            "emulator.E003", f"{name} is {value!r}",
+            "an int that is not negative"))
+        return 0
+    return value
+
+
 def _parse_list(kind, rows, problems):
     if not isinstance(rows, list):
         problems.append(config_files.FileError(
@@ -203,14 +236,18 @@
         if name in row and not _is_valid(row[name], field.type):
             errors.append(config_files.FileError(
                 "emulator.E003", f"{name} is {row[name]!r}",
-                f"a {field.type.__name__} that is not negative"))
+                "a list of numbers above zero" if field.type is tuple
+                else f"a {field.type.__name__} that is not negative"))
     needed = [name for name, field in fields.items()
               if field.default is dataclasses.MISSING and name not in row]
     errors += [config_files.FileError("emulator.E006", f"{name} is missing",
                                       f"each {kind.__name__} needs it")
                for name in needed]
     problems += errors
-    return None if errors else kind(**row)
+    if errors:
+        return None
+    return kind(**{name: tuple(value) if isinstance(value, list) else value
+                   for name, value in row.items()})
 
 
 def _is_valid(value, kind):
@@ -220,6 +257,9 @@
         return isinstance(value, (int, float)) and value >= 0
     if kind is int:
         return isinstance(value, int) and value >= 0
+    if kind is tuple:
+        return isinstance(value, list) and all(
+            _is_valid(each, float) and each > 0 for each in value)
     return isinstance(value, kind)
 
 
--- a/emulator/engine.py
+++ b/emulator/engine.py
@@ -59,6 +59,9 @@
 class _Server:
     """Base class of servers. ``slowdown`` multiplies its processing time.
 
+    ``speed`` divides it; it is 1.0 for all servers but the engines of a
+    deployment with ``speeds``.
+
     Its responses carry ``rate_limit``, requests a second, and the
     ``leaving`` flag. With ``rest_s`` it refuses all requests and asks for
     that backoff. ``arrivals`` lists all requests that arrived; ``told`` maps
@@ -77,6 +80,7 @@
         self.sid = sid
         self.cfg = cfg
         self.slowdown = 1.0
+        self.speed = 1.0
         self.down = False
         self.unresponsive = False
         self.waiting = []
@@ -166,7 +170,9 @@
 class Engine(_Server):
     """A model engine.
 
-    ``parts`` is its prefix cache, least recently used first.
+    ``parts`` is its prefix cache, least recently used first. ``noise`` is
+    the factor by which its machine slows it down at present, see
+    :mod:`emulator.noise`.
     """
 
     def __init__(self, clock, sid, cfg, tally):
@@ -176,6 +182,18 @@
         self.cached_tokens = 0
         self.transfers_until = 0.0
         self.step_timer = None
+        self.noise = 1.0
+
+    def load(self):
+        """Return the load that the engine reports.
+
+        With machine noise the present step time follows, in percent of the
+        engine's usual one.
+        """
+        load = super().load()
+        if self.cfg.noise_share > 0:
+            return (*load, round(100 * self.noise))
+        return load
 
     def submit(self, run, source=None):
         """Accept a request, or return False if the server is full.
@@ -260,8 +278,8 @@
         else:
             steps = self._steps_until_next_event()
         self.step_timer = self.clock.after(
-            steps * duration * self.slowdown / 1e3, self._finish_step,
-            prefilling, steps)
+            steps * duration * self.slowdown * self.noise / self.speed / 1e3,
+            self._finish_step, prefilling, steps)
 
     def _next_prefill(self):
         """Return the run to prefill next, or None.
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -5,6 +5,7 @@
 from emulator import callers
 from emulator import engine
 from emulator import listeners
+from emulator import load_faults
 from emulator import part_faults
 
 __all__ = ["FAULTS", "crash_engine"]
@@ -84,18 +85,18 @@
     """
     world.last_number += 1
     _send_repeatedly(world, fault, f"poison-{world.last_number}", True,
-                     world.clock.now + fault.for_s)
+                     world.clock.now + fault.for_s, world.draw_workspace())
 
 
-def _send_repeatedly(world, fault, digest, crashes_servers, until):
+def _send_repeatedly(world, fault, digest, crashes_servers, until, workspace):
     if world.clock.now >= until:
         return
     kind = world.deployment.kinds[0]
     for _ in range(fault.count):
         callers.start(world, kind, 0, digest=digest,
-                      crashes_servers=crashes_servers)
+                      crashes_servers=crashes_servers, workspace=workspace)
     world.clock.after(1 / fault.times, _send_repeatedly, world, fault, digest,
-                      crashes_servers, until)
+                      crashes_servers, until, workspace)
 
 
 def _lose_answers(world, fault):
@@ -120,13 +121,13 @@
 
 
 def _repeat_request(world, fault):
-    """Many callers send one identical request, ``times`` times a second.
+    """Callers of a workspace send one request, ``times`` times a second.
 
     Each time ``count`` of them do at once.
     """
     world.last_number += 1
     _send_repeatedly(world, fault, f"same-{world.last_number}", False,
-                     world.clock.now + fault.for_s)
+                     world.clock.now + fault.for_s, world.draw_workspace())
 
 
 def _hang(world, fault):
@@ -304,4 +305,4 @@
           "cut_reset": _cut_off(listeners.Cut.RESET),
           "cut_silent": _cut_off(listeners.Cut.SILENT),
           "cut_timeout": _cut_off(listeners.Cut.TIMEOUT),
-          **part_faults.FAULTS}
+          **load_faults.FAULTS, **part_faults.FAULTS}
--- a/emulator/hosts.py
+++ b/emulator/hosts.py
@@ -25,6 +25,18 @@
                       (name, 82), 1.0)
 
 
+def _scheduling(deployment):
+    """Return the host's argument for scheduling, if the deployment has it.
+
+    Without it the argument is left out: versions without scheduling lack
+    both the argument and the module, which is thus imported here.
+    """
+    if deployment.scheduling is None:
+        return {}
+    from crocuskeel.core.scheduling import settings
+    return {"scheduling": settings.Settings(**deployment.scheduling)}
+
+
 @dataclasses.dataclass(slots=True)
 class _PendingRequest:
     """A pending request; ``runs`` maps attempt numbers to (server, run)."""
@@ -78,7 +90,8 @@
         """Start with the current configuration and list of servers."""
         self.boot += 1
         self.core = entry.new_host(entry.Settings(
-            repeat_slack=50.0), random.Random(self.rng.random()))
+            repeat_slack=50.0), random.Random(self.rng.random()),
+            **_scheduling(self.world.deployment))
         me = _peer(self.name, self.boot)
         others = tuple(map(_peer, self.world.names))
         for event in (events.Started(me), events.PeersListed(others),
--- a/emulator/run.py
+++ b/emulator/run.py
@@ -13,6 +13,7 @@
 from emulator import engine as engines
 from emulator import faults
 from emulator import hosts
+from emulator import noise
 from emulator import tally as tallies
 
 __all__ = ["World", "play", "played"]
@@ -35,16 +36,29 @@
     """The simulated hosts, servers and callers of a run.
 
     ``load_factor`` multiplies the normal request rate; ``hot_subject``
-    is the subject that most requests are for, or None.
+    is the subject that most requests are for, or None. ``kind_factors``
+    multiply the rates of single kinds. ``workspaces`` are the names of the
+    callers' workspaces, empty if they are anonymous.
     """
 
     def __init__(self, deployment, seed):
         self.deployment = deployment
+        self.seed = seed
         self.rng = random.Random(seed)
         self.clock = clocks.Clock()
         self.network_delay_s = deployment.way_ms / 1e3
         self.tally = tallies.Tally(self.clock.now + WARM_UP_S)
         self.load_factor = 1.0
+        self.kind_factors = {kind.name: 1.0 for kind in deployment.kinds}
+        self.workspaces = workspace_names(deployment)
+        # With workspaces, callers and the extra load of a hot one are drawn
+        # apart from all else: runs with and without it then differ in
+        # nothing but that load. Without, all draws are of ``rng``, so that
+        # the figures of deployments without workspaces stay comparable.
+        self.load_rng = (random.Random(f"{seed}-load") if self.workspaces
+                         else self.rng)
+        self.extra_rng = random.Random(f"{seed}-extra")
+        self.engines_started = 0
         self.hot_subject = None
         self.last_number = 0
         self.revision = 5
@@ -106,15 +120,26 @@
         """Return the entries of all servers."""
         return tuple(self.entries.values())
 
-    def add_engine(self, version=""):
-        """Start an engine, by default of the newest version; register it."""
-        self._add_server(ENGINES, version or self.engine_versions[-1],
-                         engines.Engine, self.deployment.engines, self.tally)
+    def add_engine(self, version="", speed=None):
+        """Start an engine, by default of the newest version; register it.
+
+        Without a ``speed`` it has the next one of the deployment's.
+        """
+        cfg = self.deployment.engines
+        if speed is None:
+            speeds = cfg.speeds or (1.0,)
+            speed = speeds[self.engines_started % len(speeds)]
+            self.engines_started += 1
+        server = self._add_server(
+            ENGINES, version or self.engine_versions[-1], engines.Engine, cfg,
+            self.tally)
+        server.speed = speed
+        noise.start(server, random.Random(f"{self.seed}-noise-{server.sid}"))
 
     def replace(self, server):
         """Start another server in place of one that crashed."""
         if isinstance(server, engines.Engine):
-            self.add_engine(server.version)
+            self.add_engine(server.version, server.speed)
         else:
             self.add_plain()
 
@@ -139,6 +164,7 @@
         self.entries[sid] = model.Server(
             sid, service, (sid, 80), "a", cfg.slots, False, version=version)
         self._send_server_change((self.entries[sid],), ())
+        return server
 
     def note_arrival(self, run):
         """Record that a request reaches a server."""
@@ -274,7 +300,7 @@
                              fault)
 
     def _schedule_caller(self, kind):
-        span = self.rng.expovariate(kind.a_second * self.load_factor)
+        span = self.load_rng.expovariate(self.arrival_rate(kind))
         self.clock.after(span, self._start_caller, kind)
 
     def _start_caller(self, kind):
@@ -283,33 +309,53 @@
         self._schedule_caller(kind)
         callers.start(self, kind, self.draw_subject(kind))
 
-    def draw_subject(self, kind):
+    def arrival_rate(self, kind):
+        """Return the present rate of new requests of a kind, a second."""
+        return (kind.a_second * self.load_factor
+                * self.kind_factors[kind.name])
+
+    def draw_workspace(self):
+        """Draw the workspace of a caller; empty if there are none."""
+        if not self.workspaces:
+            return ""
+        return self.load_rng.choice(self.workspaces)
+
+    def draw_subject(self, kind, rng=None):
         """Draw the subject of a request of a kind."""
+        rng = rng or self.load_rng
         if (self.hot_subject is not None
-                and self.rng.random() < HOT_SUBJECT_SHARE):
+                and rng.random() < HOT_SUBJECT_SHARE):
             return self.hot_subject
-        return self.rng.choices(
+        return rng.choices(
             range(kind.subjects), self.subject_weights[kind.name])[0]
 
 
+def workspace_names(deployment):
+    """Return the names of a deployment's workspaces."""
+    return [f"w{number}" for number in range(deployment.workspaces)]
+
+
 def _catalog(deployment):
-    routes = [_route(kind) for kind in deployment.kinds]
+    names = workspace_names(deployment)
+    api_keys = {callers.api_key(name): model.Workspace(name, None)
+                for name in names} or None
+    routes = [_route(kind, api_keys is None) for kind in deployment.kinds]
     cfg = deployment.engines
     services = {
         ENGINES: model.Service(ENGINES, 0, model.EngineSpec(
             cfg.slots, cfg.memory, cfg.fetch_token_us / 1e6)),
         PLAIN: model.Service(PLAIN, 0, None)}
-    return model.Catalog(1, 1, {callers.ROUTE_HOST: routes}, services, None,
-                         model.Limits(16384, 1 << 20, 3.0, 15.0))
+    return model.Catalog(1, 1, {callers.ROUTE_HOST: routes}, services,
+                         api_keys, model.Limits(16384, 1 << 20, 3.0, 15.0))
 
 
-def _route(kind):
+def _route(kind, public):
     stream = kind.kind == "stream"
     return model.Route(
         kind.name, callers.ROUTE_HOST, f"/{kind.name}/", model.Kind(kind.kind),
         ((ENGINES if stream else PLAIN, 1),), kind.limit_ms / 1e3,
-        kind.goal_ms / 1e3, 2, kind.priority, True, stream,
-        kind.gap_ms / 1e3)
+        kind.goal_ms / 1e3, kind.servers, kind.priority, public,
+        stream and kind.servers > 1, kind.gap_ms / 1e3)
 
 
 def played(deployment, seed):
--- a/emulator/tally.py
+++ b/emulator/tally.py
@@ -3,9 +3,11 @@
 import collections
 import dataclasses
 
-__all__ = ["OUTCOMES", "Result", "Tally"]
+__all__ = ["OUTCOMES", "Result", "SERVED", "Tally", "served_shares"]
 
 OUTCOMES = ("on time", "late", "refused", "failed", "gave up")
+# Outcomes of requests with a complete response.
+SERVED = ("on time", "late")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,11 +45,15 @@
 
 
 class Tally:
-    """Counters that are updated during a run."""
+    """Counters that are updated during a run.
+
+    ``by_workspace`` counts requests by (workspace, kind, outcome).
+    """
 
     def __init__(self, began):
         self.began = began
         self.outcomes = collections.Counter()
+        self.by_workspace = collections.Counter()
         self.offered = collections.Counter()
         self.earned = collections.Counter()
         self.by_second = collections.defaultdict(lambda: [0.0, 0.0])
@@ -63,6 +69,8 @@
         earned = {"on time": kind.worth, "late": kind.late}.get(
             caller.outcome, 0.0)
         self.outcomes[caller.outcome] += 1
+        self.by_workspace[
+            caller.workspace, kind.name, caller.outcome] += 1
         self.offered[kind.name] += kind.worth
         self.earned[kind.name] += earned
         second = self.by_second[int(caller.at - self.began)]
@@ -102,6 +110,23 @@
             requests=total, seconds=tuple(seconds))
 
 
+def served_shares(counts, outcomes=SERVED, by=("workspace", "kind")):
+    """Return the share of requests with one of some outcomes.
+
+    ``counts`` are a Tally's ``by_workspace``. The shares are given by
+    (workspace, kind), or by the one of them that is named in ``by``.
+    """
+    served = collections.Counter()
+    total = collections.Counter()
+    for (workspace, kind, outcome), count in counts.items():
+        names = {"workspace": workspace, "kind": kind}
+        key = tuple(names[name] for name in by)
+        key = key if len(key) > 1 else key[0]
+        total[key] += count
+        served[key] += count * (outcome in outcomes)
+    return {key: served[key] / count for key, count in total.items()}
+
+
 def _quantile(values, share):
     """Return the value at a quantile, or 0 if there are none."""
     ordered = sorted(values)
