--- a/crocuskeel/core/entry/attempts.py
+++ b/crocuskeel/core/entry/attempts.py
@@ -17,6 +17,7 @@
 from crocuskeel.core.entry import server_load
 from crocuskeel.core.entry import usage
 from crocuskeel.core.scheduling import groups
+from crocuskeel.core.scheduling import placement
 from crocuskeel.core.scheduling import rates
 from crocuskeel.core.scheduling import services
 
@@ -91,7 +92,8 @@
 def _learn_rate(host, pending, target, attempt, now):
     schedule = services.find(host, pending.service)
     if schedule is not None and not attempt.relayed:
-        pending.queued_prefill_s = server_load.queued_prefill_s(target, now)
+        pending.queued_prefill_s = placement.queued_s(
+            schedule.rates, target, now)
         rates.note_first_event(
             schedule.rates, attempt.sid,
             attempt.queued_tokens + max(0, attempt.uncached_tokens),
@@ -117,13 +119,18 @@
 
 
 def _record_gap(host, pending, target, gap_s, now):
-    observed = pause_estimate.estimate_of(host, pending.service)
-    pause_estimate.add_sample(observed, pending.queued_prefill_s, gap_s)
     schedule = services.find(host, pending.service)
-    if schedule is not None:
-        if not pending.queued_prefill_s:
-            groups.note_gap(schedule.group, target.server.sid, gap_s)
-    pending.queued_prefill_s = server_load.queued_prefill_s(target, now)
+    if schedule is None:
+        observed = pause_estimate.estimate_of(host, pending.service)
+        pause_estimate.add_sample(observed, pending.queued_prefill_s, gap_s)
+        pending.queued_prefill_s = server_load.queued_prefill_s(target, now)
+        return
+    rates.note_pause(schedule.rates, target.server.sid,
+                     pending.queued_prefill_s, gap_s)
+    if not pending.queued_prefill_s:
+        groups.note_gap(schedule.group, target.server.sid, gap_s)
+    pending.queued_prefill_s = placement.queued_s(
+        schedule.rates, target, now)
 
 
 def ended(host, event, now):
@@ -132,6 +139,7 @@
     if attempt is None:
         return []
     out = _record_success(host, pending, attempt, event.closed, now)
+    _note_stream(host, pending, attempt, now)
     ending.finish(host, pending)
     out.append(
         ending.log_line("served", pending.request,
@@ -143,6 +151,14 @@
     return out
 
 
+def _note_stream(host, pending, attempt, now):
+    schedule = services.find(host, pending.service)
+    if schedule is not None and not attempt.relayed and (
+            groups.is_interactive(pending.route, schedule.gap_s)):
+        groups.note_stream(schedule.group, max(0, attempt.uncached_tokens),
+                           now - attempt.opened_at)
+
+
 def _record_success(host, pending, attempt, closed, now):
     target = host.servers.get(attempt.sid)
     if target is not None:
--- a/crocuskeel/core/scheduling/arrivals.py
+++ b/crocuskeel/core/scheduling/arrivals.py
@@ -9,9 +9,9 @@
 
 __all__ = ["Arrivals", "new_arrivals", "note", "tokens_per_s"]
 
-# Time constant of the rate at which work arrives, s: bursts begin within a
-# second and last for some.
-ARRIVALS_S = 2.0
+# Time constant of the rate at which work arrives, s: bursts last for some
+# seconds, and a host gets a few requests a second.
+ARRIVALS_S = 4.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/crocuskeel/core/scheduling/engine_choice.py
+++ b/crocuskeel/core/scheduling/engine_choice.py
@@ -17,10 +17,19 @@
 
 def interactive_engines(host, schedule, service, now):
     """Return the ids of the engines that interactive streams use."""
-    if schedule.gap_s is None:
+    gap_s = schedule.gap_s
+    if gap_s is None:
         return frozenset()
+
+    def needed(engines):
+        streams = sum(groups.interactive_streams(state, gap_s)
+                      for state in engines)
+        return groups.engines_needed(
+            schedule.group, streams, learned.tokens_per_s(schedule.rates, ""),
+            learned.prefill_pause_s(schedule.rates, ""), gap_s)
+
     return groups.update(
-        schedule.group, schedule.gap_s,
+        schedule.group, needed,
         lambda: server_choice.healthy_servers(host, service, now), now)
 
 
--- a/crocuskeel/core/scheduling/groups.py
+++ b/crocuskeel/core/scheduling/groups.py
@@ -18,24 +18,33 @@
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import routing
 
-__all__ = ["Group", "interactive_gap_s", "interactive_streams",
-           "is_interactive", "new_group", "note_gap", "update"]
+__all__ = ["Group", "engines_needed", "interactive_gap_s",
+           "interactive_streams", "is_interactive", "new_group", "note_gap",
+           "note_stream", "update"]
 
 # A class is interactive if it allows pauses of at most this share of the
 # longest pause that a class of the service allows: long prompts with the
 # longest one may be prefilled without a pause then.
 SHORT_GAP_SHARE = 0.3
-# Share of an engine's slots that interactive streams may fill: with more of
-# them an event takes half of the pause that they allow, as each step is
-# longer and their own prompts are prefilled between steps.
-SLOT_SHARE = 0.3
-# The group follows the largest number of streams of this span, s: chats end
-# within seconds, and an engine that long prompts have entered is of no use
+# Share of its time that an engine of the group may prefill, by the allowed
+# pause as a share of that during continuous prefill: with the second share or
+# more the pauses do no harm, at the first one any slowed machine makes streams
+# late that pause for prefill.
+PAUSE_RATIOS = (1.0, 1.15)
+PREFILL_SHARES = (0.1, 0.8)
+FIRST_PREFILL_SHARE = 0.2
+# Weight of one stream in the means of its class, and the first values:
+# tokens to prefill, and s from the first event to the last.
+STREAM_WEIGHT = 0.05
+FIRST_TOKENS = 1_000.0
+FIRST_DURATION_S = 2.0
+# The group has the largest size that was needed within this span, s: chats
+# end within seconds, and an engine that long prompts have entered is of no use
 # to them until these are prefilled.
 PEAK_S = 10.0
 # Greatest share of the engines that the group may have: the other classes'
 # prompts need more prefill than the interactive ones.
-MAX_GROUP_SHARE = 0.5
+MAX_GROUP_SHARE = 0.25
 # An engine is slow if its streams' events take so many times as long as at
 # the fastest one, while nothing is queued there for prefill. It joins last.
 SLOW_GAP_FACTOR = 1.5
@@ -52,14 +61,17 @@
     """The engines of a service that interactive streams have to themselves.
 
     ``sids`` are their ids as of ``updated_at``; ``peak`` is the largest
-    number of interactive streams, seen at ``peak_at``.
+    number of engines that was needed, at ``peak_at``.
     """
 
     sids: frozenset = frozenset()
     # By engine: the number of gaps between events and their mean, s.
     gaps: dict = dataclasses.field(default_factory=dict)
     updated_at: float = -math.inf
-    peak: int = 0
+    # Means of the interactive streams that ended at this host.
+    mean_tokens: float = FIRST_TOKENS
+    mean_s: float = FIRST_DURATION_S
+    peak: float = 0.0
     peak_at: float = -math.inf
 
 
@@ -110,24 +122,53 @@
             if mean > SLOW_GAP_FACTOR * fastest}
 
 
-def update(group, gap_s, find_engines, now):
+def note_stream(group, tokens, duration_s):
+    """Sample a stream that ended: the tokens prefilled for it, and its time.
+
+    All hosts count the same streams at the engines, and their means are
+    alike, so they agree on the size of the group. Rates of arrivals would
+    differ: a host gets a few such requests a second.
+    """
+    group.mean_tokens += STREAM_WEIGHT * (tokens - group.mean_tokens)
+    group.mean_s += STREAM_WEIGHT * (max(0.1, duration_s) - group.mean_s)
+
+
+def engines_needed(group, streams, rate, pause_s, gap_s):
+    """Return how many engines so many interactive streams need.
+
+    An engine prefills ``rate`` tokens a second. ``pause_s`` is a stream's
+    pause during continuous prefill, or None if that isn't known.
+    """
+    share = FIRST_PREFILL_SHARE
+    if pause_s:
+        low, high = PAUSE_RATIOS
+        least, most = PREFILL_SHARES
+        part = (gap_s / pause_s - low) / (high - low)
+        share = least + (most - least) * min(1.0, max(0.0, part))
+    tokens_per_s = streams * group.mean_tokens / group.mean_s
+    return tokens_per_s / (rate * share)
+
+
+def update(group, needed, find_engines, now):
     """Return the ids of the group's engines, recomputed at intervals.
 
-    ``find_engines()`` returns the ServerStates that can serve now.
+    ``find_engines()`` returns the ServerStates that can serve now, and
+    ``needed(engines)`` how many the streams at these need.
     """
     if now < group.updated_at + UPDATE_S:
         return group.sids
     group.updated_at = now
     engines = find_engines()
-    streams = sum(interactive_streams(state, gap_s) for state in engines)
-    if streams >= group.peak or now > group.peak_at + PEAK_S:
-        group.peak, group.peak_at = streams, now
+    count = needed(engines)
+    if count >= group.peak or now > group.peak_at + PEAK_S:
+        group.peak, group.peak_at = count, now
     if len(engines) < 2:
         group.sids = frozenset()
         return group.sids
     ranked = _ranked(engines, _slow(group, engines))
-    group.sids = frozenset(
-        state.server.sid for state in ranked[:_size(ranked, group.peak)])
+    largest = max(1, math.floor(MAX_GROUP_SHARE * len(engines)))
+    size = min(largest, max(1, math.ceil(group.peak)))
+    group.sids = frozenset(state.server.sid for state in ranked[:size])
     return group.sids
 
 
@@ -149,12 +190,6 @@
         state.server.sid in slow, turn[state.server.sid]))
 
 
-def _size(engines, streams):
-    slots = max(1.0, SLOT_SHARE * engines[0].server.slots)
-    largest = max(1, math.floor(MAX_GROUP_SHARE * len(engines)))
-    return min(largest, max(1, math.ceil(streams / slots)))
-
-
 def interactive_streams(state, gap_s):
     """Return the streams of all hosts there with pauses up to ``gap_s``."""
     return sum(streams for counts in (state.streams_by_gap,
--- a/crocuskeel/core/scheduling/placement.py
+++ b/crocuskeel/core/scheduling/placement.py
@@ -25,7 +25,7 @@
 FETCH_TARGET_SHARE = 0.15
 # Prefilling a shared part again takes engine time from all other requests:
 # it counts this many times its own time.
-REPEATED_PREFILL_FACTOR = 3.0
+REPEATED_PREFILL_FACTOR = 5.0
 # A long prompt makes each interactive stream at an engine late, and such a
 # stream is late at an engine that prefills without a pause: each counts as
 # so much waiting, s.
@@ -42,9 +42,6 @@
 # A prompt and its events cross a link between failure domains only if that
 # brings the first event forward by this share of the target.
 CROSS_DOMAIN_TARGET_SHARE = 0.05
-# Prompts with a new shared part that arrive at several hosts at once go to
-# one engine if that costs no more than this, s.
-SAME_ENGINE_S = 0.02
 
 
 def queued_s(rates, state, now):
@@ -76,15 +73,19 @@
 def cheapest(host, schedule, states, pending, is_interactive, now):
     """Return the engine with the lowest expected cost for a prompt."""
     rates, gap_s = schedule.rates, schedule.gap_s
-    preferred = _preferred(states, pending.request.prompt)
+    preferred = _preferred(pending.candidates, pending.request.prompt)
     engine = prefix_cache.engine_config(host, pending.service)
     fetch_token_s = engine.fetch_token_s if engine is not None else 0.0
     fetch_s = FETCH_TARGET_SHARE * pending.route.target_s
     cross_s = CROSS_DOMAIN_TARGET_SHARE * pending.route.target_s
 
+    shared = sum(tokens for _, tokens in pending.request.prompt.parts[:-1])
+
     def cost_s(state):
         read, fetched, repeated = prefill_tokens(host, state, pending)
         rate = learned.tokens_per_s(rates, state.server.sid)
+        if preferred is not None and state is not preferred:
+            repeated = shared
         read += (REPEATED_PREFILL_FACTOR - 1.0) * repeated
         cost = (server_load.queued_tokens(state, now) + read) / rate
         if fetched:
@@ -99,8 +100,6 @@
             cost += BUSY_ENGINE_S * state.prefill_share
         elif gap_s is not None:
             cost += LATE_STREAM_S * groups.interactive_streams(state, gap_s)
-        if state is not preferred:
-            cost += SAME_ENGINE_S
         cost += FAILING_S * health.current_failure_rate(state, now)
         cost += max(0.0, state.warm_at - now)
         # Hosts must not all choose the same of equal engines.
@@ -110,7 +109,11 @@
 
 
 def _preferred(states, prompt):
-    """Return the engine for a shared part that no engine holds, or None."""
+    """Return the engine for a shared part that no engine is known to hold.
+
+    All hosts choose the same one: in a large fleet a host hears of most
+    parts that others sent to engines, but not of all. None if it is known.
+    """
     if len(prompt.parts) < 2:
         return None
     shared = prompt.parts[-2][0]
--- a/tests/scheduling/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from crocuskeel.core.entry import model
 from crocuskeel.core.entry import prefix_cache
 from crocuskeel.core.scheduling import backlog
 from crocuskeel.core.scheduling import limits
@@ -12,6 +13,7 @@
 from tests.scheduling import drivers
 
 PROMPT = drivers.audit_prompt("shared")
+UNSHARED = model.Prompt((("own", 17_020),), 17_020, 120)
 
 
 def learn(learned, sid, tokens_per_s):
@@ -35,7 +37,10 @@
         for sid, rate in (("slow", 60_000), ("fast", 130_000),
                           ("far", 130_000)):
             learn(self.rates, sid, rate)
-        self.pending = support.request_state(drivers.AUDIT, prompt=PROMPT)
+        self._ask(UNSHARED)
+
+    def _ask(self, prompt):
+        self.pending = support.request_state(drivers.AUDIT, prompt=prompt)
         self.pending.candidates = [self.slow, self.fast, self.far]
 
     def _choose(self, *states):
@@ -46,6 +51,7 @@
 
     def _hold(self, state):
         """Let an engine hold the shared part since some time."""
+        self._ask(PROMPT)
         prefix_cache.add_part(state, "shared", 13_300, 900_000,
                               support.NOW - 1.0)
         self.pending.cached_elsewhere_tokens = 13_300
@@ -72,12 +78,21 @@
 
     def test_a_part_that_is_being_read_is_not_read_a_second_time(self):
         # It can't be fetched yet, and looked as if no engine had it.
+        self._ask(PROMPT)
         prefix_cache.add_part(self.slow, "shared", 13_300, 900_000,
                               support.NOW + 0.2)
         self.pending.known_tokens = 13_300
         self.slow.own_attempts[8, 0] = 13_300
         self.assertEqual("slow", self._choose(self.slow, self.fast))
 
+    def test_an_unknown_part_goes_to_the_same_engine_on_all_hosts(self):
+        # Hosts that had not heard of each other read it once each: shared
+        # parts were read again twice as often as before.
+        self._ask(PROMPT)
+        first = self._choose()
+        self.host.servers[first].own_attempts[8, 0] = 5_000
+        self.assertEqual(first, self._choose())
+
     def test_the_own_domain_comes_first_unless_it_costs_time(self):
         self.assertEqual("fast", self._choose(self.fast, self.far))
         self.fast.own_attempts[8, 0] = 20_000
@@ -88,7 +103,7 @@
         self.fast.streams_by_gap[0, 250] = 5
         self.assertEqual("slow", self._choose(self.slow, self.fast))
         self.pending = support.request_state(
-            drivers.CHAT, prompt=drivers.CHAT_PROMPT)
+            drivers.CHAT, prompt=model.Prompt((("own", 1_460),), 1_460, 200))
         self.fast.prefill_share = 0.9
         self.assertEqual("slow", self._choose(self.slow, self.fast))
 
