--- a/crocuskeel/core/entry/quarantine.py
+++ b/crocuskeel/core/entry/quarantine.py
@@ -18,9 +18,8 @@
 from crocuskeel.core.entry import ending
 from crocuskeel.core.entry import part_quarantine
 
-__all__ = ["digest_of", "is_quarantined", "may_be_cause", "must_wait",
-           "pending_time_left_s", "standing_reports", "time_left_s",
-           "trial_key"]
+__all__ = ["digest_of", "may_be_cause", "must_wait", "pending_time_left_s",
+           "standing_reports", "time_left_s", "trial_key"]
 
 # Quarantine after the second crash, s, of a cause and of one of several that
 # may be it; each further crash doubles it.
@@ -45,11 +44,6 @@
     return f"{request.digest}.{workspace}" if request.digest else ""
 
 
-def is_quarantined(host, digest, now):
-    """Return whether a request is quarantined."""
-    return time_left_s(host, digest, now) > 0
-
-
 def time_left_s(host, digest, now):
     """Return the time left of a request's quarantine, s."""
     causes = crash_attribution.causes(host)
--- a/tests/entry/test_restart.py
+++ b/tests/entry/test_restart.py
@@ -142,8 +142,8 @@
             self.driver.feed(events.ServersChanged(
                 (_engine(attempt.sid, born=born),), (), 5 + turn), 1.0)
             self.driver.host.servers["e1"].suspect_until = 1e9
-        self.assertTrue(quarantine.is_quarantined(
-            self.driver.host, support.full_digest("d1"), self.driver.now))
+        self.assertGreater(quarantine.time_left_s(
+            self.driver.host, support.full_digest("d1"), self.driver.now), 0)
 
 
 if __name__ == "__main__":
