--- a/crocuskeel/core/entry/quarantine.py
+++ b/crocuskeel/core/entry/quarantine.py
@@ -71,8 +71,11 @@
     return part_quarantine.trial_key(host, pending.part_keys)
 
 
-def must_wait(host, pending, now):
-    """Return whether a request must not run until more is known."""
+def must_wait(host, pending, key, now):
+    """Return whether a request must not run until more is known.
+
+    ``key`` is its :func:`trial_key`.
+    """
     digest = pending.digest
     undecided = updates.undecided(host, digest)
     if undecided:
@@ -81,7 +84,6 @@
         if (crashed + len(undecided) >= MAX_UNDECIDED - bool(crashed)
                 or recent >= MAX_UNDECIDED - 1):
             return True
-    key = trial_key(host, pending)
     if not key:
         return False
     if key != digest and part_quarantine.has_undecided(host, key):
--- a/crocuskeel/core/entry/retrying.py
+++ b/crocuskeel/core/entry/retrying.py
@@ -55,7 +55,8 @@
     if _servers_used(host, pending) >= pending.max_servers:
         return False
     if (quarantine.pending_time_left_s(host, pending, now) > 0
-            or quarantine.must_wait(host, pending, now)):
+            or quarantine.must_wait(
+                host, pending, quarantine.trial_key(host, pending), now)):
         return False
     if pending.forwarded_attempt is not None and pending.origin is None:
         # Another host relays the stream, and alone knows where it began.
--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -54,10 +54,10 @@
 
 def _send_to_server(host, pending, left, now):
     """Send a request that may go to servers, or hold or refuse it."""
-    if quarantine.must_wait(host, pending, now) or not trials.may_begin(
-            host, pending, now):
+    key = quarantine.trial_key(host, pending)
+    if not _may_run(host, pending, key, now):
         if now < max(admission.queue_until(pending),
-                     trials.hold_until(host, pending, now)):
+                     trials.hold_until(host, key, now)):
             return _hold(host, pending, now)
         return ending.give_up(host, pending, "crash suspected", now)
     pending.candidates = candidates.pick(host, pending)
@@ -78,7 +78,13 @@
             if now < admission.queue_until(pending):
                 return _hold(host, pending, now)
             return _shed(host, pending, full, now)
-    return _send_to(host, pending, target, now)
+    return _send_to(host, pending, target, key, now)
+
+
+def _may_run(host, pending, key, now):
+    """Return whether a request may run now; ``key`` is its trial_key."""
+    return not quarantine.must_wait(host, pending, key, now) and (
+        trials.may_begin(host, key, now))
 
 
 def dispatch(host, now):
@@ -111,16 +117,16 @@
     While it was queued, its prompt may have been found to crash engines.
     """
     def start(pending, state):
+        key = quarantine.trial_key(host, pending)
         if quarantine.pending_time_left_s(host, pending, now) or (
-                quarantine.must_wait(host, pending, now)
-                or not trials.may_begin(host, pending, now)):
+                not _may_run(host, pending, key, now)):
             return send(host, pending, now)
-        return _send_to(host, pending, state, now)
+        return _send_to(host, pending, state, key, now)
 
     return start
 
 
-def _send_to(host, pending, target, now):
+def _send_to(host, pending, target, key, now):
     left = pending.deadline_at - now
     attempt, source = _start_attempt(host, pending, target, now)
     order = effects.SendRequest(
@@ -129,7 +135,7 @@
         pending.workspace, pending.route.kind is model.Kind.STREAM,
         resume=pending.forwarded_attempt is not None,
         fetch_from=source.server.address if source else None)
-    return [order, *trials.begun_lines(host, pending),
+    return [order, *trials.begun_lines(host, pending, key),
             _sent_line(host, pending, target, attempt, source, now),
             effects.SetRequestTimer(pending.key,
                                     retrying.next_check(pending, now))]
--- a/crocuskeel/core/entry/trials.py
+++ b/crocuskeel/core/entry/trials.py
@@ -15,7 +15,6 @@
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import ending
 from crocuskeel.core.entry import fleet
-from crocuskeel.core.entry import quarantine
 from crocuskeel.core.entry import routing
 
 __all__ = ["begun_lines", "hold_until", "may_begin", "merge", "renew"]
@@ -42,12 +41,12 @@
     at: float
 
 
-def may_begin(host, pending, now):
+def may_begin(host, key, now):
     """Return whether a request may run as far as trials are concerned.
 
-    Claims the trial of one that may crash servers, if nobody else has.
+    ``key`` is the digest or part for which it runs alone, or "". Claims the
+    trial of one that may crash servers, if nobody else has.
     """
-    key = quarantine.trial_key(host, pending)
     if not key:
         return True
     claims = _claims(host, key, now)
@@ -65,16 +64,14 @@
     return True
 
 
-def hold_until(host, pending, now):
-    """Return until when a request waits for the claim that it has made."""
-    key = quarantine.trial_key(host, pending)
+def hold_until(host, key, now):
+    """Return until when a request waits for the claim of its trial."""
     own = _claims(host, key, now).get(host.self_peer.name)
     return own.since + _settle_s(host, now) + CLAIM_TTL_S / 2 if own else now
 
 
-def begun_lines(host, pending):
+def begun_lines(host, pending, key):
     """Return the log line of a trial that begins, if it is one."""
-    key = quarantine.trial_key(host, pending)
     if not key:
         return []
     return [effects.LogEvent("crash_trial", {
