--- a/crocuskeel/gateway/connections.py
+++ b/crocuskeel/gateway/connections.py
@@ -19,6 +19,13 @@
            "next_event"]
 
 
+# A connection's timeout that fires later than this, s, shows that this process
+# was paused or busy, not that the server can't be reached. It connects again
+# then, at most so many times.
+LATE_TIMEOUT_S = 0.05
+MAX_LATE_TIMEOUTS = 2
+
+
 class Failure(enum.Enum):
     """Why an answer is incomplete."""
 
@@ -139,27 +146,52 @@
 
 
 class _ConnectionFactory(protocol.ClientFactory):
+    """Connects again after a timeout that was late.
+
+    The timeout runs from the call that connects, which Twisted carries out in
+    the next turn of its loop. If that turn begins after the timeout, the
+    connection fails before the server can accept it.
+    """
+
     noisy = False
 
-    def __init__(self, connection):
+    def __init__(self, connection, clock, timeout_s):
         self.connection = connection
+        self.clock = clock
+        self.timeout_s = timeout_s
+        self.began_at = clock.seconds()
+        self.late_timeouts = 0
 
     def buildProtocol(self, addr):
         return self.connection
 
     def clientConnectionFailed(self, connector, reason):
+        if self._is_late(reason) and not self.connection.closed:
+            self.late_timeouts += 1
+            self.began_at = self.clock.seconds()
+            connector.connect()
+            return
         failure = Failure.UNREACHABLE
         if reason.check(error.ConnectionRefusedError):
             failure = Failure.REFUSED
         self.connection.fail(failure, reason.type.__name__)
 
+    def _is_late(self, reason):
+        late_s = self.clock.seconds() - self.began_at - self.timeout_s
+        return (reason.check(error.TimeoutError) is not None
+                and late_s > LATE_TIMEOUT_S
+                and self.late_timeouts < MAX_LATE_TIMEOUTS)
+
 
 def connect(reactor, address, handler, timeout_s, is_expired=None):
     """Connect to (ip, port) for one request; return the Connection.
 
-    ``is_expired()``, if given, returns whether it is too late to send.
+    ``timeout_s`` is for each time that it connects, three at most, of which
+    all but the last ended late. ``is_expired()``, if given, returns
+    whether it is too late to send.
     """
     connection = Connection(handler, is_expired)
     connection.connector = reactor.connectTCP(
-        *address, _ConnectionFactory(connection), timeout=timeout_s)
+        *address, _ConnectionFactory(connection, reactor, timeout_s),
+        timeout=timeout_s)
     return connection
--- a/tests/gateway/test_servers.py
+++ b/tests/gateway/test_servers.py
@@ -1,6 +1,7 @@
 """Attempts at a server: outcomes by the bytes of the answer."""
 
 import unittest
+from unittest import mock
 
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import events
@@ -247,22 +248,55 @@
 class ConnectTest(unittest.TestCase):
     """Connections that fail to open."""
 
-    def test_refused_connection_is_reported(self):
-        # Disconnecting a connector that had already failed raised, and the
-        # request hung until its caller gave up.
-        gateway = support.Gateway()
-        gateway.reactor = testing.MemoryReactorClock()
+    def setUp(self):
+        self.gateway = support.Gateway()
+        self.reactor = testing.MemoryReactorClock()
+        self.gateway.reactor = self.reactor
         exchange = callers.Exchange(
             _Caller(), header_codec.Head((), b"GET", b"/"), b"")
         send = effects.SendRequest(1, 0, entry_support.server("s1"), 1.0, 0,
-                                   "",
-                                   False)
-        servers.start_attempt(gateway, exchange, send)
-        _, _, factory, timeout, _ = gateway.reactor.tcpClients[0]
-        connector = gateway.reactor.connectors[0]
-        connector.disconnect = lambda: None
-        factory.clientConnectionFailed(
-            connector, failure.Failure(error.ConnectionRefusedError()))
-        (event,) = gateway.events
-        self.assertEqual(model.Outcome.REFUSED, event.outcome)
+                                   "", False)
+        self.attempt = servers.start_attempt(self.gateway, exchange, send)
+        self.connector = self.reactor.connectors[0]
+        self.connector.disconnect = lambda: None
+        self.connector.connect = mock.Mock()
+
+    def _fail(self, exc, after_s=0.0):
+        """Fail the connection; return the outcomes reported since."""
+        self.gateway.events.clear()
+        self.reactor.advance(after_s)
+        _, _, factory, *_ = self.reactor.tcpClients[0]
+        factory.clientConnectionFailed(self.connector, failure.Failure(exc))
+        return [event.outcome for event in self.gateway.events]
+
+    def test_refused_connection_is_reported(self):
+        # Disconnecting a connector that had already failed raised, and the
+        # request hung until its caller gave up.
+        self.assertEqual([model.Outcome.REFUSED],
+                         self._fail(error.ConnectionRefusedError()))
+        _, _, _, timeout, _ = self.reactor.tcpClients[0]
         self.assertEqual(servers.CONNECT_TIMEOUT_S, timeout)
+
+    def test_server_that_does_not_accept_in_time_is_unreachable(self):
+        self.assertEqual([model.Outcome.UNREACHABLE], self._fail(
+            error.TimeoutError(), servers.CONNECT_TIMEOUT_S + 0.01))
+        self.connector.connect.assert_not_called()
+
+    def test_timeout_that_is_late_says_nothing_of_the_server(self):
+        # A paused host took all servers that it was connecting to for
+        # unreachable as it resumed, did not count them, and ran streams on
+        # three servers where two are allowed.
+        self.assertEqual([], self._fail(error.TimeoutError(), 0.8))
+        self.connector.connect.assert_called_once_with()
+        self.assertEqual([model.Outcome.UNREACHABLE], self._fail(
+            error.TimeoutError(), servers.CONNECT_TIMEOUT_S))
+
+    def test_late_timeouts_are_reported_in_the_end(self):
+        # A host whose timers are always late must give up some time.
+        outcomes = [self._fail(error.TimeoutError(), 0.8) for _ in range(3)]
+        self.assertEqual([[], [], [model.Outcome.UNREACHABLE]], outcomes)
+
+    def test_cancelled_attempt_does_not_connect_again(self):
+        self.attempt.cancel()
+        self.assertEqual([], self._fail(error.TimeoutError(), 0.8))
+        self.connector.connect.assert_not_called()
