--- a/crocuskeel/core/entry/quarantine.py
+++ b/crocuskeel/core/entry/quarantine.py
@@ -18,9 +18,8 @@
 from crocuskeel.core.entry import ending
 from crocuskeel.core.entry import part_quarantine
 
-__all__ = ["digest_of", "is_quarantined", "may_be_cause", "must_wait",
-           "pending_time_left_s", "standing_reports", "time_left_s",
-           "trial_key"]
+__all__ = ["digest_of", "may_be_cause", "must_wait", "pending_time_left_s",
+           "standing_reports", "time_left_s", "trial_key"]
 
 # Quarantine after the second crash, s, of a cause and of one of several that
 # may be it; each further crash doubles it.
@@ -45,11 +44,6 @@
     return f"{request.digest}.{workspace}" if request.digest else ""
 
 
-def is_quarantined(host, digest, now):
-    """Return whether a request is quarantined."""
-    return time_left_s(host, digest, now) > 0
-
-
 def time_left_s(host, digest, now):
     """Return the time left of a request's quarantine, s."""
     causes = crash_attribution.causes(host)
@@ -77,8 +71,11 @@
     return part_quarantine.trial_key(host, pending.part_keys)
 
 
-def must_wait(host, pending, now):
-    """Return whether a request must not run until more is known."""
+def must_wait(host, pending, key, now):
+    """Return whether a request must not run until more is known.
+
+    ``key`` is its :func:`trial_key`.
+    """
     digest = pending.digest
     undecided = updates.undecided(host, digest)
     if undecided:
@@ -87,7 +84,6 @@
         if (crashed + len(undecided) >= MAX_UNDECIDED - bool(crashed)
                 or recent >= MAX_UNDECIDED - 1):
             return True
-    key = trial_key(host, pending)
     if not key:
         return False
     if key != digest and part_quarantine.has_undecided(host, key):
--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -55,10 +55,10 @@
 
 def _send_to_server(host, pending, left, now):
     """Send a request that may go to servers, or hold or refuse it."""
-    if quarantine.must_wait(host, pending, now) or not trials.may_begin(
-            host, pending, now):
+    key = quarantine.trial_key(host, pending)
+    if not _may_run(host, pending, key, now):
         if now < max(admission.queue_until(pending),
-                     trials.hold_until(host, pending, now)):
+                     trials.hold_until(host, key, now)):
             return _hold(host, pending, now)
         return ending.give_up(host, pending, "crash suspected", now)
     pending.candidates = candidates.pick(host, pending)
@@ -79,7 +79,13 @@
             if now < admission.queue_until(pending):
                 return _hold(host, pending, now)
             return _shed(host, pending, full, now)
-    return _send_to(host, pending, target, now)
+    return _send_to(host, pending, target, key, now)
+
+
+def _may_run(host, pending, key, now):
+    """Return whether a request may run now; ``key`` is its trial_key."""
+    return not quarantine.must_wait(host, pending, key, now) and (
+        trials.may_begin(host, key, now))
 
 
 def dispatch(host, now):
@@ -92,7 +98,10 @@
 def _schedule(host, pending, now):
     """Return the Schedule that applies to a request now, or None.
 
-    With no healthy engine, suspect ones are tried as for other services.
+    A request that has tried all healthy engines is treated as those of
+    other services. If none is healthy, it waits in the room: a suspect
+    engine is tried again soon, and a refusal now would be followed by
+    another one.
     """
     if pending.request.prompt is None:
         return None
@@ -100,8 +109,8 @@
     if schedule is None or ending.active_attempts(pending):
         return None
     tried = {attempt.sid for attempt in pending.attempts}
-    if not any(state.server.sid not in tried
-               for state in server_choice.healthy(host, pending, now)):
+    healthy = server_choice.healthy(host, pending, now)
+    if healthy and all(state.server.sid in tried for state in healthy):
         return None
     return schedule
 
@@ -113,27 +122,27 @@
     this host may have been cut off from them: then it is treated as new.
     """
     def start(pending, state):
-        if _needs_checks(host, pending, now):
+        key = quarantine.trial_key(host, pending)
+        if _needs_checks(host, pending, key, now):
             _leave_room(host, pending)
             return send(host, pending, now)
         schedule = services.find(host, pending.service)
         waiting_room.placed(schedule.room, pending.key, now)
-        return _send_to(host, pending, state, now)
+        return _send_to(host, pending, state, key, now)
 
     return start
 
 
-def _needs_checks(host, pending, now):
+def _needs_checks(host, pending, key, now):
     """Say whether ``send`` may do anything else than send a request."""
     return (pending.deadline_at - now < retrying.MIN_SEND_S
             or quarantine.pending_time_left_s(host, pending, now) > 0
             or reachability.is_in_doubt(host, pending.service, now)
             or reachability.is_cut_off(host, pending.service, now)
-            or quarantine.must_wait(host, pending, now)
-            or not trials.may_begin(host, pending, now))
+            or not _may_run(host, pending, key, now))
 
 
-def _send_to(host, pending, target, now):
+def _send_to(host, pending, target, key, now):
     left = pending.deadline_at - now
     attempt, source = _start_attempt(host, pending, target, now)
     order = effects.SendRequest(
@@ -142,7 +151,7 @@
         pending.workspace, pending.route.kind is model.Kind.STREAM,
         resume=pending.forwarded_attempt is not None,
         fetch_from=source.server.address if source else None)
-    return [order, *trials.begun_lines(host, pending),
+    return [order, *trials.begun_lines(host, pending, key),
             _sent_line(host, pending, target, attempt, source, now),
             effects.SetRequestTimer(pending.key,
                                     retrying.next_check(pending, now))]
--- a/crocuskeel/core/scheduling/engine_choice.py
+++ b/crocuskeel/core/scheduling/engine_choice.py
@@ -1,6 +1,7 @@
 """Finds an engine that takes a prompt now, for scheduled services."""
 
 import collections
+import math
 
 from crocuskeel.core.entry import admission
 from crocuskeel.core.entry import candidates
@@ -59,13 +60,13 @@
     target_s = schedule.queue_target_s
     if is_interactive:
         target_s = pending.route.target_s
-    urgent_s = _urgent_s(host, schedule, pending, engines, now)
+    urgent = _urgent(host, schedule, pending, engines, now)
     found = collections.Counter()
     for pool in pools:
         free = []
         for state in pool:
             limit = limits.blocking_limit(host, schedule.rates, pending,
-                                          state, target_s, urgent_s, now)
+                                          state, target_s, urgent, now)
             if limit is None:
                 free.append(state)
             else:
@@ -76,17 +77,20 @@
     return None, found.most_common(1)[0][0] if found else None
 
 
-def _urgent_s(host, schedule, pending, engines, now):
-    """Return the engine time that more urgent prompts elsewhere wait for.
+def _urgent(host, schedule, pending, engines, now):
+    """Return what more urgent prompts elsewhere wait for, as a limits.Urgent.
 
-    In s for each engine. Without it a host would give to its own prompts
-    what other hosts' more urgent ones wait for.
+    Without it a host would give to its own prompts what other hosts' more
+    urgent ones wait for.
     """
-    tokens = fleet_demand.ahead(host.queued_elsewhere, pending.service,
-                                pending.route.priority - 1, now)
-    if not tokens or not engines:
-        return 0.0
-    return tokens / max(1.0, engines_rate(schedule, engines))
+    before = pending.service, pending.route.priority - 1, now
+    requests = fleet_demand.requests_ahead(host.queued_elsewhere, *before)
+    if not requests or not engines:
+        return limits.NO_URGENT
+    tokens = fleet_demand.ahead(host.queued_elsewhere, *before)
+    return limits.Urgent(
+        tokens / max(1.0, engines_rate(schedule, engines)),
+        math.ceil(requests / len(engines)))
 
 
 def engines_rate(schedule, engines):
--- a/crocuskeel/core/scheduling/fleet_demand.py
+++ b/crocuskeel/core/scheduling/fleet_demand.py
@@ -10,7 +10,7 @@
 import math
 
 __all__ = ["Demand", "MAX_ROWS", "Sender", "ahead", "due", "expire", "merge",
-           "new_demand", "new_sender", "queued"]
+           "new_demand", "new_sender", "queued", "requests_ahead"]
 
 # Rows of a host that is silent for this long expire, s: two of its datagrams
 # are missing then.
@@ -115,6 +115,16 @@
                       if other <= priority))
 
 
+def requests_ahead(demand, service, priority, now):
+    """Return the requests queued elsewhere in classes as urgent or more."""
+    expire(demand, now)
+    classes = demand.totals.get(service)
+    if not classes:
+        return 0
+    return max(0, sum(total.requests for (_, other), total in classes.items()
+                      if other <= priority))
+
+
 def queued(demand, service, now):
     """Return {route: (requests, tokens)} queued at other hosts."""
     expire(demand, now)
--- a/crocuskeel/core/scheduling/limits.py
+++ b/crocuskeel/core/scheduling/limits.py
@@ -7,6 +7,7 @@
 time, so engines of any speed are used alike.
 """
 
+import dataclasses
 import enum
 
 from crocuskeel.core.entry import prefix_cache
@@ -14,7 +15,7 @@
 from crocuskeel.core.scheduling import placement
 from crocuskeel.core.scheduling import rates as learned
 
-__all__ = ["Limit", "blocking_limit"]
+__all__ = ["NO_URGENT", "Limit", "Urgent", "blocking_limit"]
 
 # Share of the shortest target of the service's other classes that a prompt
 # may find queued at an engine, by rank, most urgent first. The rest of the
@@ -52,21 +53,35 @@
     REPEAT = "repeat"
 
 
-def blocking_limit(host, rates, pending, state, target_s, urgent_s, now):
+@dataclasses.dataclass(frozen=True, slots=True)
+class Urgent:
+    """What each engine keeps free for more urgent prompts of other hosts.
+
+    ``time_s`` is the time to prefill them, ``slots`` the number of slots.
+    """
+
+    time_s: float
+    slots: int
+
+
+NO_URGENT = Urgent(0.0, 0)
+
+
+def blocking_limit(host, rates, pending, state, target_s, urgent, now):
     """Return the Limit that an engine would exceed, or None.
 
-    ``target_s`` is the target that bounds the queue, s; ``urgent_s`` is the
-    engine time of more urgent prompts that wait at other hosts, s for each
-    engine, which this prompt leaves free.
+    ``target_s`` is the target that bounds the queue, s; ``urgent`` is the
+    Urgent that this prompt leaves free.
     """
     rank = min(pending.rank, len(QUEUE_SHARES) - 1)
     slots = server_load.usable_slots(state, now) * SLOT_SHARES[rank]
-    if server_load.running_requests(state, now) >= slots:
+    if server_load.running_requests(state, now) >= slots - urgent.slots:
         return Limit.SLOTS
     if not _has_memory(host, pending, state, now):
         return Limit.MEMORY
     queue_s = placement.queued_s(rates, state, now)
-    if queue_s > max(LEAST_QUEUE_S, QUEUE_SHARES[rank] * target_s - urgent_s):
+    bound_s = QUEUE_SHARES[rank] * target_s - urgent.time_s
+    if queue_s > max(LEAST_QUEUE_S, bound_s):
         return Limit.QUEUE
     if state.prefill_share > PREFILL_SHARES[rank]:
         return Limit.PREFILL
--- a/crocuskeel/core/scheduling/queueing.py
+++ b/crocuskeel/core/scheduling/queueing.py
@@ -40,6 +40,8 @@
 # Prompts that may find no engine in one pass for reasons of their own, such
 # as the engines that they have tried.
 MAX_TRIES = 16
+# Limit of an expected wait in the log, s.
+MAX_LOGGED_S = 999.0
 # Limits that say something of the engines and not of the one prompt.
 SHARED_LIMITS = (limits.Limit.SLOTS, limits.Limit.QUEUE, limits.Limit.PREFILL)
 
@@ -117,10 +119,10 @@
     A caller that retries after a refusal has less time left than its route
     allows. It is ahead of those that came after its first attempt.
     """
-    if not admission.is_callers_retry(pending):
+    if pending.request.deadline_s is None:
         return pending.arrived_at
-    return pending.arrived_at - (
-        pending.route.timeout_s - pending.request.deadline_s)
+    return pending.arrived_at - max(
+        0.0, pending.route.timeout_s - pending.request.deadline_s)
 
 
 def dispatch_all(host, start, now):
@@ -209,7 +211,7 @@
         out.append(ending.log_line(
             "held", pending.request, route=pending.route.name,
             cause=str(pending.blocked_by), rank=pending.rank,
-            expected_s=round(decision.expected_s, 2),
+            expected_s=_logged_s(decision),
             waiting=waiting_room.size(schedule.room)))
     return out
 
@@ -289,7 +291,7 @@
         "shed", pending.request, route=pending.route.name, cause=cause,
         blocked_by=str(pending.blocked_by), rank=pending.rank,
         waited_s=round(now - pending.arrived_at, 3),
-        expected_s=round(decision.expected_s, 2), retry_s=round(retry_s, 2),
+        expected_s=_logged_s(decision), retry_s=round(retry_s, 2),
         waiting=waiting_room.size(schedule.room),
         back=admission.is_callers_retry(pending))
     ending.finish(host, pending)
@@ -297,6 +299,11 @@
                                 "overload", retry_s), line]
 
 
+def _logged_s(decision):
+    """Return the expected wait for the log, which has no infinite numbers."""
+    return round(min(decision.expected_s, MAX_LOGGED_S), 2)
+
+
 def rows(host):
     """Return what waits here, as fleet_demand's rows."""
     return tuple(
--- a/tests/scheduling/test_placement.py
+++ b/tests/scheduling/test_placement.py
@@ -114,10 +114,10 @@
 
 class LimitsTest(_Engines):
 
-    def _limit(self, state, rank=2, urgent_s=0.0):
+    def _limit(self, state, rank=2, urgent=limits.NO_URGENT):
         self.pending.rank = rank
         return limits.blocking_limit(
-            self.host, self.rates, self.pending, state, 0.5, urgent_s,
+            self.host, self.rates, self.pending, state, 0.5, urgent,
             support.NOW)
 
     def test_the_queue_is_bounded_in_time_and_not_in_tokens(self):
@@ -137,7 +137,10 @@
         self.fast.own_attempts[8, 0] = 9_000
         self.assertIsNone(self._limit(self.fast))
         self.assertEqual(limits.Limit.QUEUE,
-                         self._limit(self.fast, urgent_s=0.1))
+                         self._limit(self.fast, urgent=limits.Urgent(0.1, 0)))
+        self.fast.peer_loads.update("other", 100, 0, 0, support.NOW)
+        self.assertEqual(limits.Limit.SLOTS, self._limit(
+            self.fast, urgent=limits.Urgent(0.0, 10)))
 
     def test_an_engine_never_gets_more_than_its_memory_holds(self):
         # It crashes if the requests that it holds exceed its memory.
--- a/tests/scheduling/test_queueing.py
+++ b/tests/scheduling/test_queueing.py
@@ -90,9 +90,9 @@
         self.assertEqual(1, len(refusals(flood)))
         self.assertEqual([], refusals(other))
 
-    def test_no_healthy_engine_is_left_to_the_usual_way_and_sent_once(self):
-        # The request stayed in the room when it was sent to a suspect
-        # engine, and was sent again once another was healthy.
+    def test_with_no_healthy_engine_a_prompt_waits_and_is_sent_once(self):
+        # It was refused within a second and again as it came back, or sent
+        # to a suspect engine and then to a healthy one as well.
         self.driver.fill()
         key, _ = self.driver.ask(drivers.CHAT)
         other, _ = self.driver.ask(drivers.CHAT)
@@ -101,8 +101,10 @@
             state.suspect_until = self.driver.now + 1.0
         self.driver.free(*SIDS)
         out = self.driver.feed(events.TimerFired(key), 0.3)
+        self.assertEqual([], refusals(out) + drivers.sent_to(out))
         for state in states.values():
             state.suspect_until = 0.0
+        out = self.driver.pass_over()
         out += self.driver.pass_over()
         self.assertEqual([key, other],
                          [sent for sent, _ in drivers.sent_to(out)])
