--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -9,6 +9,7 @@
 from tools.soak import cut_checks
 from tools.soak import cuts
 from tools.soak import engine as engines
+from tools.soak import load_faults
 from tools.soak import part_faults
 
 __all__ = ["FAULTS", "PLANNED_WORK", "choose_kinds", "do_planned_work",
@@ -55,6 +56,9 @@
     if seed in part_faults.PART_SEEDS and (
             part_faults.send_bad_part not in kinds):
         kinds[0] = part_faults.send_bad_part
+    if seed in load_faults.CLASS_BURST_SEEDS and (
+            load_faults.burst_class not in kinds):
+        kinds[0] = load_faults.burst_class
     return kinds
 
 
@@ -378,4 +382,5 @@
     (500, (_need,)), (600, (_leave_unlisted, _rest)), (1000, (_sever,)),
     (1100, (_restore,)), (1200, (_poison_in_each_form,)),
     (1300, (_cut_off,)), (1400, (_roll_version,)),
-    (1500, (part_faults.send_bad_part,)))
+    (1500, (part_faults.send_bad_part,)),
+    (1600, (load_faults.burst_class,)))
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -57,6 +57,7 @@
         self.last_number = 0
         self.unfinished = 0
         self.load_factor = 1.0
+        self.class_burst_until = 0.0
         self.unframed = False
         # The software versions of the engines so far, and whether callers
         # take up streams.
