--- a/crocuskeel/core/entry/admission.py
+++ b/crocuskeel/core/entry/admission.py
@@ -19,7 +19,7 @@
 from crocuskeel.core.entry import server_choice
 from crocuskeel.core.entry import server_load
 
-__all__ = ["QUEUE_TIME_SHARE", "admits", "is_callers_retry",
+__all__ = ["QUEUE_TIME_SHARE", "admits", "has_memory", "is_callers_retry",
            "may_prefill_again", "next_check", "queue_until", "rank",
            "retry_delay_s"]
 
@@ -129,7 +129,7 @@
     limit, share = _bounds(pending, rank)
     if server_load.queued_prompts(target, now) >= limit:
         return False
-    if not _has_memory(host, pending, target, now):
+    if not has_memory(host, pending, target, now):
         return False
     if not _keeps_streams_on_time(host, pending, target, now):
         return False
@@ -137,7 +137,7 @@
                                         now) <= share * pending.route.target_s
 
 
-def _has_memory(host, pending, target, now):
+def has_memory(host, pending, target, now):
     """Say whether an engine has memory for one more prompt.
 
     An engine that runs out of memory preempts running requests and
--- a/crocuskeel/core/scheduling/limits.py
+++ b/crocuskeel/core/scheduling/limits.py
@@ -10,7 +10,7 @@
 import dataclasses
 import enum
 
-from crocuskeel.core.entry import prefix_cache
+from crocuskeel.core.entry import admission
 from crocuskeel.core.entry import server_load
 from crocuskeel.core.scheduling import placement
 from crocuskeel.core.scheduling import rates as learned
@@ -23,15 +23,9 @@
 QUEUE_SHARES = (0.6, 0.35, 0.2)
 # Share of an engine's slots that each rank may fill.
 SLOT_SHARES = (1.0, 0.95, 0.85)
-# Share of an engine's memory that its requests may come to use: a host
-# learns of other hosts' requests with a delay, in which they may use the
-# rest.
-MEMORY_SHARE = 0.9
 # The bound on the queue is at least this, s: hosts hear of each other's
 # requests that late, and an engine would run idle meanwhile.
 LEAST_QUEUE_S = 0.05
-
-
 # Share of its time that an engine may spend on prefill, by rank: during
 # continuous prefill a token takes several times as long, and long answers
 # run out of time.
@@ -77,7 +71,7 @@
     slots = server_load.usable_slots(state, now) * SLOT_SHARES[rank]
     if server_load.running_requests(state, now) >= slots - urgent.slots:
         return Limit.SLOTS
-    if not _has_memory(host, pending, state, now):
+    if not admission.has_memory(host, pending, state, now):
         return Limit.MEMORY
     queue_s = placement.queued_s(rates, state, now)
     bound_s = QUEUE_SHARES[rank] * target_s - urgent.time_s
@@ -96,13 +90,3 @@
     read, _, repeated = placement.prefill_tokens(host, state, pending)
     rate = learned.tokens_per_s(rates, state.server.sid)
     return bool(repeated) and read / rate > SHORT_PREFILL_S
-
-
-def _has_memory(host, pending, state, now):
-    engine = prefix_cache.engine_config(host, pending.service)
-    used = server_load.reserved_memory(state, now)
-    if engine is None or not used:
-        return True
-    prompt = pending.request.prompt
-    return used + prompt.tokens + prompt.max_output_tokens <= (
-        engine.memory * MEMORY_SHARE)
--- a/tests/scheduling/test_queueing.py
+++ b/tests/scheduling/test_queueing.py
@@ -47,8 +47,8 @@
         self.assertEqual([chat, check, audit], self.driver.waiting())
 
     def test_chats_find_an_engine_without_long_prompts(self):
-        # Chats on engines that prefill long prompts paused for too long:
-        # 79 of 469 were late on a day of high load.
+        # Chats on engines that prefill long prompts pause for too long:
+        # each of their events waits behind a chunk of a long prompt.
         self.driver.ask(drivers.CHAT)
         taken = {sid for number in range(6)
                  for _, sid in drivers.sent_to(self._audit(f"p{number}")[1])}
