--- a/review/common/case.py
+++ b/review/common/case.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import shutil
+import signal
 import sys
 import tempfile
 import traceback
@@ -29,6 +30,8 @@
 
 def main(folder, run):
     """Run ``run(record, folder)``, which returns the faults it found."""
+    # An ended run ends its processes, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(CANNOT_RUN))
     record = records.Record(pathlib.Path(folder) / "record.txt")
     scratch = tempfile.mkdtemp(prefix="review-")
     try:
