Bound what a host holds for callers by its memory

Change: the core plans the memory of large bodies (body_memory): a body over 64 KB gets its memory before it is read; it waits unread for 0.5 s at most, the most urgent class first and each fourth time the oldest, or is refused with 503 and the time until memory is free at the observed rate. The budget is what the measured memory of the process leaves of the limit. Beside it, by bytes too: answers being read or sent (servers are read one large answer at a time while callers read more slowly), incomplete heads, and requests sent ahead. With all of it used new requests are refused, the most urgent class last. Bodies and answers over 64 KB are sent piece by piece instead of copied into the buffer of each connection.

--- a/crocuskeel/core/entry/effects.py
+++ b/crocuskeel/core/entry/effects.py
@@ -6,7 +6,7 @@
 
 __all__ = ["AbortStream", "Answer", "Cancel", "CloseListener", "Exit",
            "FetchCatalog", "ForwardResponse", "LogEvent", "ProbeServer",
-           "ScheduleLoadsDue",
+           "ReadBody", "RefuseBody", "ScheduleLoadsDue",
            "SendDuty", "SendRequest", "SendToPeer", "SetRequestTimer"]
 
 
@@ -72,6 +72,26 @@
     retry_delay_s: float | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadBody:
+    """Read the body of an announced request up to the size announced."""
+
+    key: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RefuseBody:
+    """Send a final response instead of reading an announced body.
+
+    ``retry_delay_s`` is as for Answer.
+    """
+
+    key: int
+    status: int
+    reason: str
+    retry_delay_s: float | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AbortStream:
     """Abort the caller's stream so that it can't appear complete."""
--- a/crocuskeel/core/entry/events.py
+++ b/crocuskeel/core/entry/events.py
@@ -14,13 +14,14 @@
 
 __all__ = [
     "AttemptFailed", "CallerDisconnected", "CatalogRead", "DutyAnswered",
-    "HintsReceived", "LoadsDue", "OriginAsked", "OriginUnknown", "OriginsTold",
-    "PeerDemandReceived", "PeerHintsReceived", "PeerLoadsReceived",
-    "PeerStateReceived", "PeersListed", "RequestReceived", "ResponseReceived",
-    "ServerProbed", "ServersChanged", "ServersListed", "SettingsRead",
-    "Started", "StopAsked", "StoreAvailable", "StoreEraSeen",
-    "StoreReadingStopped", "StoreUnavailable", "StreamEnded", "StreamOpened",
-    "StreamProgressed", "Ticked", "TimerFired",
+    "HintsReceived", "LoadsDue", "OriginAsked", "OriginUnknown",
+    "OriginsTold", "PeerDemandReceived", "PeerHintsReceived",
+    "PeerLoadsReceived", "PeerStateReceived", "PeersListed",
+    "RequestReceived", "ResponseReceived", "ServerProbed",
+    "ServersChanged", "ServersListed", "SettingsRead", "Started",
+    "StopAsked", "StoreAvailable", "StoreEraSeen", "StoreReadingStopped",
+    "StoreUnavailable", "StreamEnded", "StreamOpened", "StreamProgressed",
+    "Ticked", "TimerFired",
 ]
 
 
--- a/crocuskeel/core/entry/reducer.py
+++ b/crocuskeel/core/entry/reducer.py
@@ -3,6 +3,7 @@
 from crocuskeel.core.duties import model as duties_model
 from crocuskeel.core.entry import attempts
 from crocuskeel.core.entry import backoff
+from crocuskeel.core.entry import body_memory
 from crocuskeel.core.entry import brittle
 from crocuskeel.core.entry import crashes
 from crocuskeel.core.entry import draining
@@ -12,6 +13,7 @@
 from crocuskeel.core.entry import gossip
 from crocuskeel.core.entry import lifecycle
 from crocuskeel.core.entry import lookups
+from crocuskeel.core.entry import memory_events
 from crocuskeel.core.entry import origins
 from crocuskeel.core.entry import peers
 from crocuskeel.core.entry import ratelimits
@@ -53,6 +55,7 @@
     origins.forget(host, now)
     return (registry.drop_expired(host, now) + crashes.forget(host, now)
             + reachability.step(host, now)
+            + body_memory.step(host, now)
             + gossip.send_state(host, now)
             + gossip.send_demand(host, now)
             + duties.step(host, event.wall, now)
@@ -83,6 +86,9 @@
     events.Started: _started,
     events.Ticked: _ticked,
     events.StopAsked: lifecycle.stop_asked,
+    memory_events.BodyAnnounced: body_memory.announced,
+    memory_events.BodyReleased: body_memory.released,
+    memory_events.MemoryMeasured: body_memory.measured,
     events.RequestReceived: requests.request_arrived,
     events.CallerDisconnected: requests.caller_left,
     events.TimerFired: requests.timer_fired,
--- a/crocuskeel/core/entry/requests.py
+++ b/crocuskeel/core/entry/requests.py
@@ -1,5 +1,6 @@
 """Handles the arrival, timers and cancellation of a caller's request."""
 
+from crocuskeel.core.entry import body_memory
 from crocuskeel.core.entry import class_minimums
 from crocuskeel.core.entry import crashes
 from crocuskeel.core.entry import effects
@@ -44,6 +45,8 @@
                                 version_age_s=round(
                                     now - host.catalog_applied_at, 3))]
     destination = resolved.unwrap()
+    if body_memory.is_short(host.memory, destination.priority):
+        return _shed(event, destination, host.memory)
     pending = _new_pending(event, destination, now)
     quarantine_s = quarantine.pending_time_left_s(host, pending, now)
     if quarantine_s:
@@ -52,6 +55,17 @@
     return sending.send(host, pending, now)
 
 
+def _shed(event, destination, memory):
+    """Refuse a request until the memory is measured again."""
+    request = event.request
+    return [ending.refuse(event.key, request.deadline_s, "host memory",
+                          ending.BUSY_RETRY_S),
+            ending.log_line("shed", request, route=destination.route.name,
+                            priority=destination.priority,
+                            cause="host_memory", held=memory.held,
+                            budget=memory.total)]
+
+
 def _quarantined(host, pending, retry_delay_s):
     """Refuse a request that crashes servers until its quarantine ends.
 
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -7,6 +7,7 @@
 
 from crocuskeel.core.duties import capacity
 from crocuskeel.core.duties import state
+from crocuskeel.core.entry import body_memory
 from crocuskeel.core.entry import crash_records as records
 from crocuskeel.core.entry import loads
 from crocuskeel.core.entry import model
@@ -321,6 +322,9 @@
     # the configuration for which these were chosen.
     schedules: dict = dataclasses.field(default_factory=dict)
     scheduled_catalog: model.Catalog | None = None
+    # Memory of large request bodies.
+    memory: body_memory.BodyMemory = dataclasses.field(
+        default_factory=body_memory.BodyMemory)
     stop_at: float | None = None
     listener_closed: bool = False
     exited: bool = False
--- a/crocuskeel/gateway/callers.py
+++ b/crocuskeel/gateway/callers.py
@@ -1,15 +1,21 @@
 """HTTP/1.1 server for callers."""
 
-import itertools
+import json
 
+from crocuskeel.core.entry import body_memory
 from crocuskeel.gateway import connections
+from crocuskeel.gateway import exchanges
 from crocuskeel.gateway import header_codec
+from crocuskeel.gateway import memory as host_memory
+from crocuskeel.gateway import pieces
 from crocuskeel.gateway import sockets
 import h11
 from twisted.internet import protocol
 
 __all__ = ["CallerConnection", "Exchange", "new_listener"]
 
+Exchange = exchanges.Exchange
+
 # Bytes of pipelined requests that a caller may send before its answer ends.
 MAX_PIPELINED_BYTES = 1 << 16
 # Unsent bytes of an answer at which a slow caller is disconnected.
@@ -17,63 +23,8 @@
 # After an early answer the rest of a request is read for this long, s: a
 # close with unread bytes would reset the connection and lose the answer.
 LINGER_S = 1.0
-_exchange_keys = itertools.count()
-
-
-class Exchange:
-    """One request of a caller and its answer.
-
-    ``attempts`` maps the number of an attempt at a server to it.
-    ``last_event_id`` is that of the last event that was sent to the caller.
-    """
-
-    __slots__ = ("answer_begun", "attempts", "body", "connection", "finished",
-                 "head", "key", "last_event_id", "request", "timer")
-
-    def __init__(self, connection, head, body):
-        self.key = next(_exchange_keys)
-        self.connection = connection
-        self.head = head
-        self.body = body
-        self.request = None
-        self.attempts = {}
-        self.timer = None
-        self.last_event_id = None
-        self.answer_begun = False
-        self.finished = False
-
-    def answer(self, status, headers, body):
-        """Send a complete answer, unless one has begun."""
-        if self.finished or self.answer_begun:
-            return
-        self.finished = True
-        headers = [*headers, (b"Content-Length", b"%d" % len(body))]
-        self.connection.send_answer(status, headers, body)
-
-    def begin_answer(self, status, headers):
-        """Begin an answer of unknown length."""
-        if self.answer_begun or self.finished:
-            return
-        self.answer_begun = True
-        headers = [*headers, (b"Transfer-Encoding", b"chunked")]
-        self.connection.send_head(status, headers)
-
-    def send_data(self, data):
-        """Send a piece of the answer."""
-        if not self.finished:
-            self.connection.send_data(data)
-
-    def end_answer(self):
-        """Complete the answer."""
-        if not self.finished:
-            self.finished = True
-            self.connection.send_end()
-
-    def abort(self):
-        """Reset the connection, so that the answer can't seem complete."""
-        if not self.finished:
-            self.finished = True
-            self.connection.transport.abortConnection()
+# Factor by which a body of unknown length gets more memory.
+BODY_GROWTH = 4
 
 
 class CallerConnection(protocol.Protocol):
@@ -81,7 +32,8 @@
 
     ``handler`` has ``request_received(exchange)``,
     ``caller_disconnected(exchange)``, ``request_rejected(status, why)``
-    and ``limits()``.
+    and ``limits()``. The listener's ``memory`` is that of the host; a body
+    of unknown or large size is read once it has memory.
     """
 
     def __init__(self, reactor, handler, listener):
@@ -92,15 +44,25 @@
         self.h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self.limits.header_bytes)
         self.exchange = None
+        self.memory = listener.memory
         self.lingering = False
         self.timer = None
-        self.pipelined = 0
+        self.unread = 0
+        self.reading_paused = False
         self._reset_request()
 
     def _reset_request(self):
         self.request = None
-        self.body = []
-        self.size = 0
+        self.body = bytearray()
+        self.body_key = None
+        # Size up to which the body has memory, bytes.
+        self.body_room = body_memory.SMALL_BODY_BYTES
+        self.awaits_memory = False
+
+    @property
+    def size(self):
+        """What was read of the body, bytes."""
+        return len(self.body)
 
     def connectionMade(self):
         sockets.configure(self.transport)
@@ -110,6 +72,8 @@
     def connectionLost(self, reason):
         self.listener.open_connections.discard(self)
         self._cancel_timer()
+        self._free_request()
+        self.memory.forget(self)
         exchange, self.exchange = self.exchange, None
         if exchange is not None and not exchange.finished:
             exchange.finished = True
@@ -119,17 +83,36 @@
         if self.lingering:
             return
         if self.exchange is not None:
-            self.pipelined += len(data)
-            if self.pipelined > MAX_PIPELINED_BYTES:
+            self._count_unread(len(data))
+            if self.unread > MAX_PIPELINED_BYTES:
                 self.transport.abortConnection()
                 return
         elif self.request is None:
             self._set_timer(self.limits.header_s, self._head_timed_out)
         self.h11.receive_data(data)
         self._process_events()
+        if self.lingering:
+            return
+        if self.exchange is not None:
+            if self.unread and self.memory.is_unread_full():
+                self._pause_reading()
+        elif self.request is None:
+            self._note_partial_head(len(data))
+
+    def _note_partial_head(self, size):
+        """Count what was read of a head, which isn't complete yet."""
+        self._count_unread(size)
+        if self.memory.is_unread_full():
+            self._reject(503, "host memory")
+
+    def _count_unread(self, size):
+        """Count bytes that belong to no request that has begun."""
+        self.unread += size
+        self.memory.add_unread(size)
 
     def _process_events(self):
-        while self.exchange is None and not self.lingering:
+        while (self.exchange is None and not self.lingering
+               and not self.awaits_memory):
             try:
                 event = connections.next_event(self.h11)
             except h11.RemoteProtocolError as exc:
@@ -139,6 +122,15 @@
                 return
             self._handle_event(event)
 
+    def _pause_reading(self):
+        self.reading_paused = True
+        self.transport.pauseProducing()
+
+    def _resume_reading(self):
+        if self.reading_paused:
+            self.reading_paused = False
+            self.transport.resumeProducing()
+
     def _handle_event(self, event):
         match event:
             case h11.Request():
@@ -154,18 +146,65 @@
     def _start_request(self, event):
         headers = tuple(event.headers.raw_items())
         self.request = header_codec.Head(headers, event.method, event.target)
+        self._count_unread(-self.unread)
         if self._has_ambiguous_length():
             self._reject(400, "both Content-Length and Transfer-Encoding")
             return
-        declared = self.request.get(b"content-length")
-        if declared and int(declared) > self.limits.body_bytes:
+        declared = int(self.request.get(b"content-length") or 0)
+        if declared > self.limits.body_bytes:
             self._reject(413, "body too large")
             return
         self._set_timer(self.limits.idle_s, self._idle_timed_out)
+        if declared > self.body_room:
+            self._announce_body(declared)
+        else:
+            self._continue_request()
+
+    def _continue_request(self):
         if self.h11.they_are_waiting_for_100_continue:
             self._send(h11.InformationalResponse(
                 status_code=100, headers=[]))
 
+    def _announce_body(self, size):
+        """Ask for memory, and read nothing until there is some."""
+        if self.body_key is None:
+            self.body_key = exchanges.new_key()
+        self.body_room = size
+        self.awaits_memory = True
+        self.memory.announce(self, self.body_key, self.request, size)
+        if self.awaits_memory:
+            self._pause_reading()
+
+    def read_body(self):
+        """Read the body on: there is memory for it."""
+        self.awaits_memory = False
+        self._continue_request()
+        if self.reading_paused:
+            self._resume_reading()
+            self._process_events()
+
+    def refuse_body(self, status, why, retry_delay_s):
+        """Send a final answer instead of reading the body, and close.
+
+        What the caller still sends is discarded, for as long as it may take
+        to send a body: it may read the answer only then.
+        """
+        self.awaits_memory = False
+        self.body_key = None
+        headers = [(b"Content-Type", b"application/json")]
+        if retry_delay_s is not None:
+            headers.append((b"Retry-After", b"%.3f" % retry_delay_s))
+        self._reject(status, why, headers,
+                     json.dumps({"error": why}).encode(), self.limits.idle_s)
+
+    def _free_request(self):
+        """Free the memory of a request that won't be delivered."""
+        key = self.body_key
+        self._reset_request()
+        if key is not None:
+            self.memory.release_body(key)
+        self._count_unread(-self.unread)
+
     def _has_ambiguous_length(self):
         # Servers may disagree on which header frames the body, which allows
         # to smuggle a second request past one of them.
@@ -173,32 +212,44 @@
                 and self.request.get(b"transfer-encoding") is not None)
 
     def _collect_body(self, data):
-        self.size += len(data)
-        if self.size > self.limits.body_bytes:
+        if self.size + len(data) > self.limits.body_bytes:
             self._reject(413, "body too large")
             return
-        self.body.append(bytes(data))
+        self.body += data
+        if self.size > self.body_room:
+            # Its length is unknown.
+            self._announce_body(min(self.limits.body_bytes,
+                                    self.body_room * BODY_GROWTH))
 
     def _deliver_request(self):
         self._cancel_timer()
-        self.pipelined = 0
-        self.exchange = Exchange(self, self.request, b"".join(self.body))
+        if self.body_key is not None:
+            self.memory.body_read(self.body_key)
+        self.exchange = exchanges.Exchange(
+            self, self.request, self.body, self.body_key)
         self._reset_request()
         self.handler.request_received(self.exchange)
 
-    def _reject(self, status, why):
-        """Reject a malformed or late request, and close."""
+    def _reject(self, status, why, headers=(), body=b"", linger_s=LINGER_S):
+        """Reject a malformed, late or too large request, and close."""
         self.handler.request_rejected(status, why)
+        self._free_request()
         if self.h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self._send(h11.Response(status_code=status, headers=[
-                (b"Content-Length", b"0"), (b"Connection", b"close")]))
+                *headers, (b"Content-Length", b"%d" % len(body)),
+                (b"Connection", b"close")]))
+            if body:
+                self._send(h11.Data(data=body))
             self._send(h11.EndOfMessage())
-        self._linger()
+        self._linger(linger_s)
 
-    def _linger(self):
+    def _linger(self, linger_s=LINGER_S):
         self.lingering = True
+        # What was read of a refused body is in the parser, too.
+        self.h11 = None
+        self._resume_reading()
         self.transport.loseWriteConnection()
-        self._set_timer(LINGER_S, self.transport.abortConnection)
+        self._set_timer(linger_s, self.transport.abortConnection)
 
     def _set_timer(self, delay_s, callback):
         self._cancel_timer()
@@ -252,25 +303,38 @@
         """Send a complete answer."""
         if self.listener.closing:
             headers = [*headers, (b"Connection", b"close")]
+        if len(body) > pieces.PIECE_BYTES:
+            self._send(h11.Response(status_code=status, headers=headers))
+            self.memory.begin_sending(self, len(body))
+            pieces.send(self.transport, body, self._encode_data,
+                        self.send_end)
+            return
         parts = [self.h11.send(h11.Response(
             status_code=status, headers=headers))]
         if body:
             parts.append(self.h11.send(h11.Data(data=body)))
         parts.append(self.h11.send(h11.EndOfMessage()))
         sockets.write(self.transport, b"".join(parts))
+        self.memory.note_write(self)
         self._finish_answer()
 
     def _finish_answer(self):
+        self.memory.end_sending(self)
         self.exchange = None
         if self.h11.our_state is not h11.DONE:
             self._linger()
             return
         self.h11.start_next_cycle()
         self._set_timer(self.limits.idle_s, self._idle_timed_out)
+        self._resume_reading()
         self.reactor.callLater(0, self._process_events)
 
+    def _encode_data(self, piece):
+        return self.h11.send(h11.Data(data=piece))
+
     def _send(self, event):
         sockets.write(self.transport, self.h11.send(event))
+        self.memory.note_write(self)
 
 
 class _Listener(protocol.Factory):
@@ -278,9 +342,10 @@
 
     noisy = False
 
-    def __init__(self, reactor, handler):
+    def __init__(self, reactor, handler, memory):
         self.reactor = reactor
         self.handler = handler
+        self.memory = memory
         self.open_connections = set()
         self.closing = False
 
@@ -294,6 +359,11 @@
             conn.close_idle()
 
 
-def new_listener(reactor, handler):
-    """Return a factory of caller connections."""
-    return _Listener(reactor, handler)
+def new_listener(reactor, handler, memory=None):
+    """Return a factory of caller connections.
+
+    ``memory`` is a memory.HostMemory; None for no limits.
+    """
+    if memory is None:
+        memory = host_memory.UnlimitedMemory()
+    return _Listener(reactor, handler, memory)
--- a/crocuskeel/gateway/connections.py
+++ b/crocuskeel/gateway/connections.py
@@ -10,6 +10,7 @@
 
 import enum
 
+from crocuskeel.gateway import pieces
 from crocuskeel.gateway import sockets
 import h11
 from twisted.internet import error
@@ -88,8 +89,20 @@
                 self.fail(Failure.UNREACHABLE,
                           "deadline passed before sending")
                 return
-        sockets.write(self.transport,
-                      encode(self.h11, *self.handler.request()))
+        method, target, headers, body = self.handler.request()
+        if len(body) <= pieces.PIECE_BYTES:
+            sockets.write(self.transport, encode(
+                self.h11, method, target, headers, body))
+            return
+        sockets.write(self.transport, self.h11.send(h11.Request(
+            method=method, target=target, headers=headers)))
+        pieces.send(self.transport, body, self._encode_data, self._end_request)
+
+    def _encode_data(self, piece):
+        return self.h11.send(h11.Data(data=piece))
+
+    def _end_request(self):
+        sockets.write(self.transport, self.h11.send(h11.EndOfMessage()))
 
     def dataReceived(self, data):
         if not self.closed:
--- a/crocuskeel/gateway/loop.py
+++ b/crocuskeel/gateway/loop.py
@@ -10,6 +10,7 @@
 from crocuskeel.core.leadership import effects as lease_effects
 from crocuskeel.gateway import calls
 from crocuskeel.gateway import exceptions
+from crocuskeel.gateway import memory
 from crocuskeel.gateway import servers
 
 __all__ = ["Gateway", "new_gateway"]
@@ -38,6 +39,7 @@
         self.codec = codec
         self.log = log
         self.exchanges = {}
+        self.memory = memory.new_host_memory(self)
         self.gossip = None
         self.fetch_snapshot = None
         self.duty_executor = None
@@ -52,6 +54,7 @@
     def tick(self):
         """Feed a tick to the core and schedule the next one."""
         self.reactor.callLater(TICK_INTERVAL_S, self.tick)
+        self.memory.measure()
         self.feed(events.Ticked(self.wall_clock()))
 
     def feed(self, event):
@@ -73,6 +76,7 @@
         except ValueError as exc:
             self.log("bad_request", {"why": str(exc)})
             _answer(exchange, 400, str(exc), None)
+            self.release(exchange)
             return
         self.exchanges[exchange.key] = exchange
         self.feed(events.RequestReceived(exchange.key, exchange.request))
@@ -99,6 +103,9 @@
         for attempt in attempts.values():
             attempt.release()
         exchange.body = b""
+        if exchange.announced:
+            exchange.announced = False
+            self.memory.release_body(exchange.key)
 
     def addresses(self):
         """Return the addresses that callers may connect to."""
@@ -125,6 +132,14 @@
         exchange.attempts[effect.attempt_number].cancel()
 
 
+def _read_body(gateway, effect):
+    gateway.memory.read_body(effect.key)
+
+
+def _refuse_body(gateway, effect):
+    gateway.memory.refuse_body(effect)
+
+
 def _forward_response(gateway, effect):
     exchange = gateway.exchanges.get(effect.key)
     if exchange is None:
@@ -210,6 +225,8 @@
 EFFECT_HANDLERS = {
     effects.SendRequest: _send_request,
     effects.Cancel: _cancel,
+    effects.ReadBody: _read_body,
+    effects.RefuseBody: _refuse_body,
     effects.ForwardResponse: _forward_response,
     effects.Answer: _answer_effect,
     effects.AbortStream: _abort_stream,
--- /dev/null
+++ b/crocuskeel/gateway/memory.py
@@ -0,0 +1,206 @@
+"""What a host holds in memory for callers and servers."""
+
+import os
+
+from crocuskeel.core.entry import answer_flow
+from crocuskeel.core.entry import memory_events
+from crocuskeel.gateway import sockets
+
+__all__ = ["HostMemory", "UnlimitedMemory", "new_host_memory"]
+
+STATM_PATH = "/proc/self/statm"
+
+
+class HostMemory:
+    """Bytes held for requests and answers, by where they are held.
+
+    ``limit`` is the memory that this process may use, bytes; 0 for no limit.
+    ``readers`` maps the keys of announced bodies to the connections that
+    read them. ``answers`` maps answers that are read from servers to what is
+    held of them, ``sending`` connections to answers that their callers have
+    not read yet, and ``writers`` are connections with unsent bytes.
+    """
+
+    def __init__(self, gateway, limit, read_resident):
+        self.gateway = gateway
+        self.limit = limit
+        self.read_resident = read_resident
+        self.resident = None
+        self.readers = {}
+        self.answers = {}
+        self.sending = {}
+        self.answer_bytes = 0
+        self.paused = frozenset()
+        self.writers = set()
+        self.unread_bytes = 0
+
+    def measure(self):
+        """Feed a measurement to the core, and apply its new budgets."""
+        if not self.limit:
+            return
+        self.resident = self.read_resident()
+        self.gateway.feed(memory_events.MemoryMeasured(
+            self.limit, self.resident, self.held_bytes()))
+        self._pace_answers()
+
+    def held_bytes(self):
+        """Return how much is held for requests and answers."""
+        return sum(self.held_by_kind().values())
+
+    def held_by_kind(self):
+        """Return what is held, bytes by kind."""
+        exchanges = self.gateway.exchanges.values()
+        self.writers = {conn for conn in self.writers
+                        if sockets.unsent_bytes(conn.transport)}
+        return {
+            "bodies": (sum(len(exchange.body) for exchange in exchanges)
+                       + sum(conn.size for conn in self.readers.values())),
+            "answers": self.answer_bytes,
+            "unsent": sum(sockets.unsent_bytes(conn.transport)
+                          for conn in self.writers),
+            "unread": self.unread_bytes}
+
+    def announce(self, conn, key, head, size):
+        """Ask for memory for the body of a request.
+
+        The connection's ``read_body`` or ``refuse_body`` follows, at once or
+        later.
+        """
+        try:
+            request = self.gateway.codec.read_request(head, b"")
+        except ValueError as exc:
+            conn.refuse_body(400, str(exc), None)
+            return
+        self.readers[key] = conn
+        self.gateway.feed(memory_events.BodyAnnounced(key, request, size))
+
+    def read_body(self, key):
+        """Carry out a ReadBody effect."""
+        conn = self.readers.get(key)
+        if conn is not None:
+            conn.read_body()
+
+    def refuse_body(self, effect):
+        """Carry out a RefuseBody effect."""
+        conn = self.readers.pop(effect.key, None)
+        if conn is not None:
+            conn.refuse_body(effect.status, effect.reason,
+                             effect.retry_delay_s)
+
+    def body_read(self, key):
+        """Handle the end of a body; its exchange holds it from now on."""
+        self.readers.pop(key, None)
+
+    def release_body(self, key):
+        """Release the memory of an announced body."""
+        self.readers.pop(key, None)
+        # Other bodies may be read as a result: not within an effect.
+        self.gateway.reactor.callLater(
+            0, self.gateway.feed, memory_events.BodyReleased(key))
+
+    def hold_answer(self, answer, size):
+        """Record how much is held of an answer that is being read."""
+        self.answer_bytes += size - self.answers.get(answer, 0)
+        self.answers[answer] = size
+        if self.answer_bytes > self._answer_budget():
+            self._pace_answers()
+
+    def drop_answer(self, answer):
+        """Handle the end of an answer, or that it was forwarded."""
+        self.answer_bytes -= self.answers.pop(answer, 0)
+        if self.paused:
+            self._pace_answers()
+
+    def begin_sending(self, conn, size):
+        """Record a whole answer that a caller's connection sends."""
+        self.sending[conn] = size
+        self.answer_bytes += size
+
+    def end_sending(self, conn):
+        """Handle the end of such an answer."""
+        self.answer_bytes -= self.sending.pop(conn, 0)
+        if self.paused:
+            self._pace_answers()
+
+    def forget(self, conn):
+        """Handle the loss of a caller's connection."""
+        self.writers.discard(conn)
+        self.end_sending(conn)
+
+    def note_write(self, conn):
+        """Note that a connection may have unsent bytes."""
+        if sockets.unsent_bytes(conn.transport):
+            self.writers.add(conn)
+
+    def add_unread(self, size):
+        """Count bytes of requests that have not begun; may be negative."""
+        self.unread_bytes += size
+
+    def is_unread_full(self):
+        """Return whether no more bytes of later requests may be read."""
+        return bool(self.limit) and (
+            self.unread_bytes > self.gateway.host.memory.for_unread)
+
+    def _answer_budget(self):
+        return self.gateway.host.memory.for_answers
+
+    def _pace_answers(self):
+        paused = answer_flow.to_pause(
+            self.answers, self.answer_bytes, self._answer_budget())
+        before, self.paused = self.paused, paused
+        if bool(before) != bool(paused):
+            self.gateway.log("answers_paused", {
+                "count": len(paused), "held": self.answer_bytes,
+                "budget": self._answer_budget()})
+        for answer in paused - before:
+            answer.pause_reading()
+        for answer in before - paused:
+            answer.resume_reading()
+
+
+class UnlimitedMemory:
+    """Memory of a listener that limits nothing, with the same methods."""
+
+    def announce(self, conn, key, head, size):
+        """Read the body at once."""
+        conn.read_body()
+
+    def is_unread_full(self):
+        """Return False."""
+        return False
+
+    def add_unread(self, size):
+        """Do nothing, like all that follow."""
+
+    def body_read(self, key):
+        """Do nothing."""
+
+    def release_body(self, key):
+        """Do nothing."""
+
+    def begin_sending(self, conn, size):
+        """Do nothing."""
+
+    def end_sending(self, conn):
+        """Do nothing."""
+
+    def forget(self, conn):
+        """Do nothing."""
+
+    def note_write(self, conn):
+        """Do nothing."""
+
+
+def _read_resident():
+    """Return the memory of this process, bytes; None if it is unknown."""
+    try:
+        with open(STATM_PATH, encoding="ascii") as rows:
+            pages = int(rows.read().split()[1])
+    except (OSError, ValueError, IndexError):
+        return None
+    return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+def new_host_memory(gateway, limit=0, read_resident=_read_resident):
+    """Return the memory of a gateway; ``limit`` in bytes, 0 for none."""
+    return HostMemory(gateway, limit, read_resident)
--- a/crocuskeel/gateway/metrics.py
+++ b/crocuskeel/gateway/metrics.py
@@ -150,6 +150,48 @@
     return prefill_rates.tokens_per_s(rates, sid)
 
 
+class _MemoryCollector:
+    """Collects the memory of the process, and what requests hold of it."""
+
+    def __init__(self, host, memory):
+        self.host = host
+        self.memory = memory
+
+    def collect(self):
+        """Yield the families of metrics; no budgets without a limit."""
+        held = core.GaugeMetricFamily(
+            "crocuskeel_memory_held_bytes",
+            "Memory that is held for requests and answers, by kind.",
+            labels=["kind"])
+        for kind, size in self.memory.held_by_kind().items():
+            held.add_metric([kind], size)
+        yield held
+        if not self.memory.limit:
+            return
+        budget = core.GaugeMetricFamily(
+            "crocuskeel_memory_budget_bytes",
+            "Memory for requests and answers, and its parts.",
+            labels=["kind"])
+        known = self.host.memory
+        for kind, size in (("total", known.total),
+                           ("bodies", known.for_bodies),
+                           ("answers", known.for_answers),
+                           ("unread", known.for_unread)):
+            budget.add_metric([kind], size)
+        yield budget
+        yield core.GaugeMetricFamily(
+            "crocuskeel_memory_limit_bytes",
+            "Memory that the process may use.", value=self.memory.limit)
+        yield core.GaugeMetricFamily(
+            "crocuskeel_memory_resident_bytes",
+            "Memory that the process uses; 0 if it is unknown.",
+            value=self.memory.resident or 0)
+        yield core.GaugeMetricFamily(
+            "crocuskeel_bodies_waiting",
+            "Large request bodies that wait for memory.",
+            value=len(known.waiting))
+
+
 class _LastAnswerAgeCollector:
     """Collects the time since the store last answered.
 
@@ -178,6 +220,7 @@
 
     def __init__(self, host, statsd):
         self.statsd = statsd
+        self.host = host
         self.registry = prometheus_client.CollectorRegistry()
         self.decisions = prometheus_client.Counter(
             "crocuskeel_decisions", "Decisions and changes, by kind.",
@@ -226,6 +269,10 @@
             name, text, registry=self.registry)
         gauge.set_function(read)
 
+    def register_memory(self, memory):
+        """Add the metrics of a memory.HostMemory."""
+        self.registry.register(_MemoryCollector(self.host, memory))
+
     def register_last_answer_age(self, last_answer_age_s):
         """Add the metric of the time since the store last answered."""
         self.registry.register(_LastAnswerAgeCollector(last_answer_age_s))
--- a/crocuskeel/gateway/servers.py
+++ b/crocuskeel/gateway/servers.py
@@ -14,6 +14,8 @@
 # An answer that is not a stream is buffered up to this size, bytes: it is
 # passed on only once it is known to be complete.
 MAX_ANSWER_BYTES = 4 << 20
+# Smaller parts of an event aren't counted.
+MIN_COUNTED_BYTES = 4096
 # Verdicts on heads that were certainly sent by the server itself.
 AUTHENTIC_VERDICTS = (header_codec.Verdict.ANSWER,
                       header_codec.Verdict.NOT_RUN)
@@ -97,15 +99,35 @@
         except ValueError as exc:
             self._fail(model.Outcome.MALFORMED, str(exc))
             return
+        self._hold_partial(len(self.splitter.partial))
         if found and self._ids_increase(found):
             self._handle_events(found)
 
+    def _hold_partial(self, size):
+        """Count an incomplete event that is large."""
+        if size <= MIN_COUNTED_BYTES:
+            size = 0
+        if size or self.size:
+            self.size = size
+            self.gateway.memory.hold_answer(self, size)
+
     def _collect_body(self, data):
         self.size += len(data)
         if self.size > MAX_ANSWER_BYTES:
             self._fail(model.Outcome.MALFORMED, "answer too large")
             return
         self.body.append(data)
+        self.gateway.memory.hold_answer(self, self.size)
+
+    def pause_reading(self):
+        """Read no more of the answer for now."""
+        if not self.finished:
+            self.connection.transport.pauseProducing()
+
+    def resume_reading(self):
+        """Read on."""
+        if not self.finished:
+            self.connection.transport.resumeProducing()
 
     def _ids_increase(self, found):
         """Check that event ids increase, also in a resumed stream."""
@@ -176,6 +198,7 @@
     def release(self):
         """End the attempt, and free what it holds of the answer."""
         self.connection.close()
+        self.gateway.memory.drop_answer(self)
         self.body = []
         self.events = []
         self.splitter = None
--- a/crocuskeel/platform/assembly.py
+++ b/crocuskeel/platform/assembly.py
@@ -54,6 +54,8 @@
 
     gateway = loop.new_gateway(
         reactor, host, headers.new_header_codec(), log_and_count)
+    gateway.memory.limit = boot.memory_mb << 20
+    host_metrics.register_memory(gateway.memory)
     store = stores.new_store(reactor, boot.store)
     gateway.duty_executor = duties.new_duty_executor(
         reactor, gateway, store, boot)
@@ -78,7 +80,8 @@
 
 
 def _listen(reactor, boot, gateway, watcher, host_metrics):
-    caller_listener = callers.new_listener(reactor, gateway)
+    caller_listener = callers.new_listener(
+        reactor, gateway, gateway.memory)
     port = reactor.listenTCP(boot.front[1], caller_listener, LISTEN_BACKLOG,
                              boot.front[0])
     endpoint_listener = endpoints.new_endpoints(
--- a/crocuskeel/platform/endpoints.py
+++ b/crocuskeel/platform/endpoints.py
@@ -1,6 +1,7 @@
 """HTTP endpoints for the platform and other hosts: readiness, the addresses
 for callers, snapshots of a host's state, and metrics."""
 
+import dataclasses
 import json
 import urllib.parse
 import zlib
@@ -16,6 +17,8 @@
 SNAPSHOT_PATH = "/snapshot"
 METRICS_PATH = "/metrics"
 JSON_HEADERS = [(b"Content-Type", b"application/json")]
+# Requests to these endpoints have no bodies.
+LIMITS = dataclasses.replace(loop.DEFAULT_LIMITS, body_bytes=1 << 10)
 # Snapshots that are cached until the state changes; most hosts request the
 # same one.
 MAX_CACHED_SNAPSHOTS = 16
@@ -30,7 +33,7 @@
 
     def limits(self):
         """Return the limits on requests."""
-        return loop.DEFAULT_LIMITS
+        return LIMITS
 
     def request_received(self, exchange):
         """Answer a request."""
@@ -130,4 +133,5 @@
 
     return callers.new_listener(reactor, _EndpointHandler(gateway, {
         READY_PATH: ready, RESOLVE_PATH: resolve, SNAPSHOT_PATH: snapshot,
-        METRICS_PATH: lambda exchange: (200, metrics.text())}))
+        METRICS_PATH: lambda exchange: (200, metrics.text())}),
+        gateway.memory)
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -1,7 +1,11 @@
 """Fake transports and a gateway that records its events."""
 
+import random
+
+from crocuskeel.core import entry
 from crocuskeel.core.entry import model
 from crocuskeel.gateway import header_codec
+from crocuskeel.gateway import memory
 from twisted.internet import task
 from twisted.internet import testing
 
@@ -35,6 +39,12 @@
         """Return an object that accepts socket options."""
         return _Socket()
 
+    def registerProducer(self, producer, streaming):
+        """Let a pull producer write all that it has."""
+        super().registerProducer(producer, streaming)
+        while self.producer is producer and not streaming:
+            producer.resumeProducing()
+
     def abortConnection(self):
         """Record the abort."""
         self.aborted = True
@@ -75,6 +85,9 @@
         self.codec = new_header_codec()
         self.events = []
         self.forgotten = []
+        self.memory = memory.new_host_memory(self)
+        self.host = entry.new_host(entry.Settings(), random.Random(1))
+        self.exchanges = {}
         self.on_event = lambda event: None
 
     def feed(self, event):
