Read streams as fast as their callers read them

Change: an exchange is the producer of its caller's connection. Once 64 KB wait there, the server's connection isn't read until they are sent. The core knows: a stream that this host doesn't read isn't taken for a silent one and moved.

Test: PausedStreamTest and test_stream_is_read_as_fast_as_its_caller_reads; on the former code the first one fails, as the stream is moved to another engine, and the second one has no producer to pause.

--- a/crocuskeel/core/entry/attempts.py
+++ b/crocuskeel/core/entry/attempts.py
@@ -21,7 +21,7 @@
 from crocuskeel.core.scheduling import rates
 from crocuskeel.core.scheduling import services
 
-__all__ = ["answered", "broken", "ended", "opened", "progressed"]
+__all__ = ["answered", "broken", "ended", "opened", "paused", "progressed"]
 
 FIRST_REDIRECT = 300
 SERVER_ERROR = 500
@@ -63,6 +63,7 @@
         or pending.forwarded_attempt is not None)
     pending.forwarded_attempt = attempt.attempt_number
     pending.last_event_at = now
+    pending.is_paused = False
     out = ending.cancel_others(host, pending, attempt)
     out += origins.note_opened(host, pending, attempt, now)
     out.append(effects.ForwardResponse(pending.key, attempt.attempt_number))
@@ -118,6 +119,17 @@
     return []
 
 
+def paused(host, event, now):
+    """Handle that a stream is not read for a while, or is read again."""
+    pending, attempt = ending.find_attempt(host, event)
+    if attempt is None:
+        return []
+    pending.is_paused = event.paused
+    # The pause was this host's own; its engine isn't judged by it.
+    pending.last_event_at = now
+    return []
+
+
 def _record_gap(host, pending, target, gap_s, now):
     schedule = services.find(host, pending.service)
     if schedule is None:
--- a/crocuskeel/core/entry/memory_events.py
+++ b/crocuskeel/core/entry/memory_events.py
@@ -4,7 +4,7 @@
 
 from crocuskeel.core.entry import model
 
-__all__ = ["BodyAnnounced", "BodyReleased", "MemoryMeasured"]
+__all__ = ["BodyAnnounced", "BodyReleased", "MemoryMeasured", "StreamPaused"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,3 +38,12 @@
     limit: int
     resident: int | None
     held: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamPaused:
+    """A stream isn't read, as its caller reads slowly, or is read again."""
+
+    key: int
+    attempt_number: int
+    paused: bool
--- a/crocuskeel/core/entry/reducer.py
+++ b/crocuskeel/core/entry/reducer.py
@@ -97,6 +97,7 @@
     events.StreamOpened: attempts.opened,
     events.StreamProgressed: attempts.progressed,
     events.StreamEnded: attempts.ended,
+    memory_events.StreamPaused: attempts.paused,
     events.ResponseReceived: attempts.answered,
     events.AttemptFailed: attempts.broken,
     events.CatalogRead: registry.catalog_seen,
--- a/crocuskeel/core/entry/requests.py
+++ b/crocuskeel/core/entry/requests.py
@@ -152,7 +152,8 @@
     target = host.servers.get(attempt.sid)
     if attempt.opened:
         limit_s = retrying.stall_limit_s(pending) - 0.001
-        silent = now - pending.last_event_at >= limit_s
+        silent = (not pending.is_paused
+                  and now - pending.last_event_at >= limit_s)
     else:
         silent = (target is None or server_load.is_silent(target, now)
                   or reachability.is_cut_off(host, pending.service, now))
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -116,6 +116,8 @@
     # stream last made progress.
     forwarded_attempt: int | None = None
     last_event_at: float = 0.0
+    # This host doesn't read the stream now: its caller reads slowly.
+    is_paused: bool = False
     # Where its stream began, once that is known, and the search for it.
     origin: model.Origin | None = None
     lookup: stream_records.Lookup | None = None
--- a/crocuskeel/gateway/callers.py
+++ b/crocuskeel/gateway/callers.py
@@ -49,6 +49,7 @@
         self.timer = None
         self.unread = 0
         self.reading_paused = False
+        self.has_producer = False
         self._reset_request()
 
     def _reset_request(self):
@@ -287,6 +288,11 @@
             headers = [*headers, (b"Connection", b"close")]
         self._send(h11.Response(status_code=status, headers=headers))
 
+    def begin_stream(self, exchange):
+        """Let an exchange produce the answer as fast as it is read."""
+        self.has_producer = True
+        self.transport.registerProducer(exchange, True)
+
     def send_data(self, data):
         """Send a piece of an answer."""
         self._send(h11.Data(data=data))
@@ -296,6 +302,9 @@
 
     def send_end(self):
         """End an answer and process the next request, if any."""
+        if self.has_producer:
+            self.has_producer = False
+            self.transport.unregisterProducer()
         self._send(h11.EndOfMessage())
         self._finish_answer()
 
--- a/crocuskeel/gateway/exchanges.py
+++ b/crocuskeel/gateway/exchanges.py
@@ -2,6 +2,9 @@
 
 import itertools
 
+from twisted.internet import interfaces
+from zope import interface
+
 __all__ = ["Exchange", "new_key"]
 
 _keys = itertools.count()
@@ -12,17 +15,20 @@
     return next(_keys)
 
 
+@interface.implementer(interfaces.IPushProducer)
 class Exchange:
     """One request of a caller and its answer.
 
     ``attempts`` maps the number of an attempt at a server to it.
     ``last_event_id`` is that of the last event that was sent to the caller.
-    ``announced``: memory was asked for its body.
+    ``announced``: memory was asked for its body. ``source`` is the attempt
+    whose stream is forwarded; as the producer of the caller's connection an
+    exchange pauses it while the caller reads too slowly.
     """
 
     __slots__ = ("announced", "answer_begun", "attempts", "body",
                  "connection", "finished", "head", "key", "last_event_id",
-                 "request", "timer")
+                 "paused", "request", "source", "timer")
 
     def __init__(self, connection, head, body, key=None):
         self.key = new_key() if key is None else key
@@ -36,6 +42,8 @@
         self.last_event_id = None
         self.answer_begun = False
         self.finished = False
+        self.source = None
+        self.paused = False
 
     def answer(self, status, headers, body):
         """Send a complete answer, unless one has begun."""
@@ -45,13 +53,36 @@
         headers = [*headers, (b"Content-Length", b"%d" % len(body))]
         self.connection.send_answer(status, headers, body)
 
-    def begin_answer(self, status, headers):
-        """Begin an answer of unknown length."""
-        if self.answer_begun or self.finished:
+    def begin_answer(self, status, headers, source=None):
+        """Begin an answer of unknown length, or go on from another source.
+
+        A source is paused while the caller reads too slowly.
+        """
+        if self.finished:
+            return
+        self.source = source
+        if self.paused:
+            source.pause_reading(self)
+        if self.answer_begun:
             return
         self.answer_begun = True
         headers = [*headers, (b"Transfer-Encoding", b"chunked")]
         self.connection.send_head(status, headers)
+        if source is not None:
+            self.connection.begin_stream(self)
+
+    def pauseProducing(self):
+        """Read no more of the stream: its caller reads too slowly."""
+        self.paused = True
+        self.source.pause_reading(self)
+
+    def resumeProducing(self):
+        """Read the stream on."""
+        self.paused = False
+        self.source.resume_reading(self)
+
+    def stopProducing(self):
+        """Do nothing: the loss of the connection ends the exchange."""
 
     def send_data(self, data):
         """Send a piece of the answer."""
--- a/crocuskeel/gateway/memory.py
+++ b/crocuskeel/gateway/memory.py
@@ -153,9 +153,9 @@
                 "count": len(paused), "held": self.answer_bytes,
                 "budget": self._answer_budget()})
         for answer in paused - before:
-            answer.pause_reading()
+            answer.pause_reading(self)
         for answer in before - paused:
-            answer.resume_reading()
+            answer.resume_reading(self)
 
 
 class UnlimitedMemory:
--- a/crocuskeel/gateway/servers.py
+++ b/crocuskeel/gateway/servers.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client of backend servers: one connection per attempt."""
 
 from crocuskeel.core.entry import events
+from crocuskeel.core.entry import memory_events
 from crocuskeel.core.entry import model
 from crocuskeel.gateway import connections
 from crocuskeel.gateway import event_stream
@@ -42,6 +43,8 @@
         self.body = []
         self.size = 0
         self.forwarding = False
+        # Causes for which nothing is read, by id.
+        self.pauses = set()
         self.has_events = False
         self.last_event_id = exchange.last_event_id
 
@@ -119,15 +122,30 @@
         self.body.append(data)
         self.gateway.memory.hold_answer(self, self.size)
 
-    def pause_reading(self):
-        """Read no more of the answer for now."""
-        if not self.finished:
-            self.connection.transport.pauseProducing()
+    def pause_reading(self, cause):
+        """Read no more of the answer until each cause has resumed it."""
+        self.pauses.add(id(cause))
+        self._set_reading(False)
 
-    def resume_reading(self):
-        """Read on."""
-        if not self.finished:
-            self.connection.transport.resumeProducing()
+    def resume_reading(self, cause):
+        """Read on, unless there is another cause not to."""
+        self.pauses.discard(id(cause))
+        if not self.pauses:
+            self._set_reading(True)
+
+    def _set_reading(self, reading):
+        if self.finished:
+            return
+        transport = self.connection.transport
+        if reading:
+            transport.resumeProducing()
+        else:
+            transport.pauseProducing()
+        if self.splitter is not None:
+            # The event that led to this may not have been handled yet.
+            self.gateway.reactor.callLater(
+                0, self.gateway.feed, memory_events.StreamPaused(
+                    self.exchange.key, self.attempt_number, not reading))
 
     def _ids_increase(self, found):
         """Check that event ids increase, also in a resumed stream."""
@@ -188,7 +206,7 @@
             self.exchange.answer(self.head.status, headers,
                                  b"".join(self.body))
             return
-        self.exchange.begin_answer(self.head.status, headers)
+        self.exchange.begin_answer(self.head.status, headers, self)
         self._flush()
 
     def cancel(self):
--- a/tests/entry/test_body_memory.py
+++ b/tests/entry/test_body_memory.py
@@ -166,5 +166,28 @@
             LIMIT, None, 10 * MB))
 
 
+class PausedStreamTest(unittest.TestCase):
+    """Streams that this host doesn't read, as their callers read slowly."""
+
+    def _moved(self, *paused):
+        """Return whether a stream moves after its limit of silence."""
+        driver = support.Driver(
+            support.stream(), servers=(support.server("e1", "engines"),
+                                       support.server("e2", "engines")))
+        driver.feed(events.RequestReceived(
+            1, support.request("/advice/1", support.prompt())))
+        driver.feed(events.StreamOpened(1, 0, None))
+        for value in paused:
+            driver.feed(memory_events.StreamPaused(1, 0, value), 0.1)
+        out = driver.feed(events.TimerFired(1), 1.0)
+        return any(type(effect) is effects.SendRequest for effect in out)
+
+    def test_stream_of_a_slow_caller_is_not_moved(self):
+        # Its engine looks silent, but it is this host that doesn't read.
+        self.assertTrue(self._moved())
+        self.assertFalse(self._moved(True))
+        self.assertTrue(self._moved(True, False))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/gateway/test_memory_limits.py
+++ b/tests/gateway/test_memory_limits.py
@@ -20,6 +20,8 @@
 # Of 36 MB usable half is for large bodies.
 ROOM = 18 * MB
 CALL = entry_support.route("call", timeout_s=8.0, target_s=4.0)
+STREAM = entry_support.stream()
+STREAM_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 HEAD = b"POST /call/1 HTTP/1.1\r\nHost: h\r\n"
 LARGE = HEAD + b"Content-Length: %d\r\n\r\n" % MB
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -69,9 +71,11 @@
             self.gateway, LIMIT, lambda: self.memory.held_bytes())
         self.gateway.memory = self.memory
         self.gateway.feed(events.Started(entry_support.peer("me")))
-        self.gateway.feed(events.CatalogRead(entry_support.catalog(CALL)))
+        self.gateway.feed(events.CatalogRead(entry_support.catalog(CALL, STREAM)))
         self.gateway.feed(events.ServersListed(
-            (entry_support.server("p1", slots=10_000),), 5))
+            (entry_support.server("p1", slots=10_000),
+             entry_support.server("e1", "engines"),
+             entry_support.server("e2", "engines")), 5))
         self.listener = callers.new_listener(
             self.reactor, self.gateway, self.memory)
         self.memory.measure()
@@ -249,6 +253,50 @@
                     server.dataReceived(bytes(65536))
         self.assertEqual({}, self._held())
 
+    def test_stream_is_read_as_fast_as_its_caller_reads(self):
+        # Each slow reader of a stream could hold a megabyte.
+        conn, server = self._open_stream()
+        exchange = conn.exchange
+        exchange.pauseProducing()
+        self.assertEqual("paused", server.transport.producerState)
+        self.reactor.advance(0)
+        (pending,) = self.gateway.host.pending.values()
+        self.assertTrue(pending.is_paused)
+        exchange.resumeProducing()
+        self.assertEqual("producing", server.transport.producerState)
+        self.reactor.advance(0)
+        self.assertFalse(pending.is_paused)
+        server.dataReceived(b"0\r\n\r\n")
+        self.assertIsNone(conn.transport.producer)
+        self.assertEqual({}, self._held())
+
+    def test_stream_that_moves_stays_paused(self):
+        conn, server = self._open_stream()
+        conn.exchange.pauseProducing()
+        server.connectionLost(LOST)
+        self.reactor.advance(0)
+        other = self._server()
+        self.assertNotEqual(server, other)
+        other.dataReceived(STREAM_HEAD + b"f\r\nid: 2\ndata: b\n\n\r\n")
+        self.reactor.advance(0)
+        self.assertEqual("paused", other.transport.producerState)
+        (pending,) = self.gateway.host.pending.values()
+        self.assertTrue(pending.is_paused)
+        conn.exchange.resumeProducing()
+        self.assertEqual("producing", other.transport.producerState)
+
+    def _open_stream(self):
+        request = entry_support.request(
+            "/advice/1", entry_support.prompt(), deadline_s=8.0)
+        self.gateway.codec = dataclasses.replace(
+            self.gateway.codec, read_request=lambda head, body: request)
+        conn = self._caller()
+        conn.dataReceived(GET)
+        server = self._server()
+        server.dataReceived(STREAM_HEAD + b"f\r\nid: 1\ndata: a\n\n\r\n")
+        self.assertIs(conn.exchange, conn.transport.producer)
+        return conn, server
+
     def test_pipelined_requests_are_not_read_without_memory(self):
         # Each connection may send 64 KB ahead, and a host has thousands.
         conns = [self._caller() for _ in range(60)]
--- a/tests/gateway/test_servers.py
+++ b/tests/gateway/test_servers.py
@@ -32,6 +32,9 @@
     def send_head(self, status, headers):
         self.sent.append(status)
 
+    def begin_stream(self, exchange):
+        """Do nothing: this caller reads all at once."""
+
     def send_data(self, data):
         self.sent.append(data)
 
--- a/tests/platform/test_silent_connections.py
+++ b/tests/platform/test_silent_connections.py
@@ -73,6 +73,9 @@
     def send_head(self, status, headers):
         """Record nothing; the stream has only begun."""
 
+    def begin_stream(self, exchange):
+        """Do nothing: this caller reads all at once."""
+
     def send_data(self, data):
         """Accept data."""
 
