Don't reset answers that callers are still reading

Cause: the time for which a closing connection is still read ended with abortConnection, which drops what is unsent in the process and the kernel. The host could also exit while an answer was unsent, as a request ends when its answer is handed to the socket.

Change: a lingering connection is closed in order, once all is in the kernel, which delivers the rest. A host that stops waits until its callers have read their answers, until the end of its grace period.

Test: test_end_of_an_answer_is_not_lost_to_a_slow_caller failed before ("True is not false": aborted); test_host_exits_once_callers_have_read_their_answers needs the new measurement, which the former code lacks.

--- a/crocuskeel/core/entry/body_memory.py
+++ b/crocuskeel/core/entry/body_memory.py
@@ -74,7 +74,8 @@
     """Memory of large bodies; all sizes in bytes.
 
     ``bodies`` and ``waiting`` map the key of a request to a body. ``total``
-    is the budget of all that is held, ``held`` the last measurement of it.
+    is the budget of all that is held, ``held`` the last measurement of it,
+    and ``unsent`` that of ended requests' answers that wait for callers.
     ``free_rate`` is the rate at which bodies are released, bytes a second,
     None before the first one.
     """
@@ -82,6 +83,7 @@
     limit: int = 0
     total: int = 1 << 62
     held: int = 0
+    unsent: int = 0
     reserved: int = 0
     bodies: dict = dataclasses.field(default_factory=dict)
     waiting: dict = dataclasses.field(default_factory=dict)
@@ -125,6 +127,7 @@
     memory.total = budget_bytes(event.limit, event.resident, event.held)
     was_short = memory.held > memory.total
     memory.held = event.held
+    memory.unsent = event.unsent
     out = []
     if was_short != (memory.held > memory.total):
         out.append(effects.LogEvent("memory_short", {
--- a/crocuskeel/core/entry/lifecycle.py
+++ b/crocuskeel/core/entry/lifecycle.py
@@ -35,9 +35,10 @@
         host.listener_closed = True
         out.append(effects.CloseListener())
     must_exit = now >= host.stop_at + host.cfg.grace_s - EXIT_MARGIN_S
-    if must_exit or (host.listener_closed and not host.pending):
+    if must_exit or (host.listener_closed and not host.pending
+                     and not host.memory.unsent):
         host.exited = True
         out.append(effects.LogEvent("stopped", {
-            "pending": len(host.pending)}))
+            "pending": len(host.pending), "unsent": host.memory.unsent}))
         out.append(effects.Exit())
     return out
--- a/crocuskeel/core/entry/memory_events.py
+++ b/crocuskeel/core/entry/memory_events.py
@@ -33,11 +33,13 @@
 
     ``limit`` is the most that it may use, ``resident`` what it uses, None if
     that is unknown, and ``held`` how much of it requests and answers take.
+    ``unsent`` is what callers have not read yet of their answers.
     """
 
     limit: int
     resident: int | None
     held: int
+    unsent: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/crocuskeel/gateway/callers.py
+++ b/crocuskeel/gateway/callers.py
@@ -250,7 +250,17 @@
         self.h11 = None
         self._resume_reading()
         self.transport.loseWriteConnection()
-        self._set_timer(linger_s, self.transport.abortConnection)
+        self._set_timer(linger_s, self._linger_timed_out)
+
+    def _linger_timed_out(self):
+        """Close in order: what a slow caller hasn't read yet isn't lost.
+
+        A reset would make the kernel drop the end of the answer.
+        """
+        if sockets.unsent_bytes(self.transport):
+            self._set_timer(LINGER_S, self._linger_timed_out)
+            return
+        self.transport.loseConnection()
 
     def _set_timer(self, delay_s, callback):
         self._cancel_timer()
--- a/crocuskeel/gateway/memory.py
+++ b/crocuskeel/gateway/memory.py
@@ -39,8 +39,10 @@
         if not self.limit:
             return
         self.resident = self.read_resident()
+        held = self.held_by_kind()
         self.gateway.feed(memory_events.MemoryMeasured(
-            self.limit, self.resident, self.held_bytes()))
+            self.limit, self.resident, sum(held.values()),
+            held["unsent"] + sum(self.sending.values())))
         self._pace_answers()
 
     def held_bytes(self):
--- a/tests/entry/test_body_memory.py
+++ b/tests/entry/test_body_memory.py
@@ -189,5 +189,23 @@
         self.assertTrue(self._moved(True, False))
 
 
+class StopTest(unittest.TestCase):
+    """A host that stops."""
+
+    def test_host_exits_once_callers_have_read_their_answers(self):
+        # It exited while callers were still reading slowly.
+        driver = support.Driver(UPLOAD, grace_s=8.0)
+        driver.feed(events.StopAsked())
+        driver.feed(memory_events.MemoryMeasured(LIMIT, RESIDENT, 9, 9))
+
+        def exits(after_s):
+            return [effect for effect in driver.feed(events.Ticked(), after_s)
+                    if type(effect) is effects.Exit]
+
+        self.assertEqual([], exits(5.0))
+        driver.feed(memory_events.MemoryMeasured(LIMIT, RESIDENT, 0, 0))
+        self.assertEqual([effects.Exit()], exits(0.3))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -118,6 +118,21 @@
         exchange.send_data(b"data: 1\n\n")
         self.assertTrue(self.transport.aborted)
 
+    def test_end_of_an_answer_is_not_lost_to_a_slow_caller(self):
+        # A connection that was to be closed was reset 1 s after its answer
+        # was handed to the socket, whatever the caller had read by then.
+        self.conn.dataReceived(POST)
+        self.listener.close_idle()
+        self.handler.exchanges[0].answer(200, [], b"one")
+        self.transport.dataBuffer = b"ne"
+        self.clock.advance(3 * callers.LINGER_S)
+        self.assertFalse(self.transport.aborted)
+        self.assertFalse(self.transport.disconnecting)
+        self.transport.dataBuffer = b""
+        self.clock.advance(callers.LINGER_S)
+        self.assertFalse(self.transport.aborted)
+        self.assertTrue(self.transport.disconnecting)
+
     def test_shutdown_closes_idle_connections_first(self):
         self.conn.dataReceived(POST)
         idle = self.listener.buildProtocol(None)
--- a/tests/gateway/test_memory_limits.py
+++ b/tests/gateway/test_memory_limits.py
@@ -68,10 +68,11 @@
         self.gateway.codec = dataclasses.replace(
             self.gateway.codec, read_request=lambda head, body: request)
         self.memory = memory.new_host_memory(
-            self.gateway, LIMIT, lambda: self.memory.held_bytes())
+            self.gateway, LIMIT, self._read_resident)
         self.gateway.memory = self.memory
         self.gateway.feed(events.Started(entry_support.peer("me")))
-        self.gateway.feed(events.CatalogRead(entry_support.catalog(CALL, STREAM)))
+        self.gateway.feed(events.CatalogRead(
+            entry_support.catalog(CALL, STREAM)))
         self.gateway.feed(events.ServersListed(
             (entry_support.server("p1", slots=10_000),
              entry_support.server("e1", "engines"),
@@ -80,6 +81,9 @@
             self.reactor, self.gateway, self.memory)
         self.memory.measure()
 
+    def _read_resident(self):
+        return self.memory.held_bytes()
+
     def _caller(self):
         conn = self.listener.buildProtocol(None)
         conn.makeConnection(_Transport())
