Check names and fields of entries where they are decoded

What callers saw: after one entry of another program, whose name holds half of a surrogate pair, hosts learned of no change of the engines named after it. A host that was started again had no engines.

Cause: objects.name took any text. state.new_server hashes the id, and its encode() raised UnicodeEncodeError within registry._apply, in the middle of the change; the watch listed the servers again each second and failed at the same entry (follower_died with this traceback in the host's log of the case). Ruled out: the page itself (the entry decodes, all later ones are in the list), the store's order or a lost watch (the list fails at the same place).

Change: what is a name is decided in one place (objects.is_name): printable text of one line, at most 253 characters, with bytes in UTF-8, no U+FFFD. Ids, services, failure domains and hosts' names are checked by it, numbers by what they may be.

--- a/crocuskeel/gateway/calls.py
+++ b/crocuskeel/gateway/calls.py
@@ -24,14 +24,14 @@
 class _Call:
     """One call; ``request_parts`` is (method, target, headers, body)."""
 
-    def __init__(self, request_parts, done):
+    def __init__(self, request_parts, done, max_bytes):
         self.request_parts = request_parts
         self.done = done
+        self.max_bytes = max_bytes
         self.connection = None
         self.status = 0
         self.headers = ()
-        self.body = []
-        self.size = 0
+        self.body = bytearray()
 
     def request(self):
         """Return the parts of the request."""
@@ -44,17 +44,16 @@
 
     def data_received(self, data):
         """Collect a piece of the answer."""
-        self.size += len(data)
-        if self.size > MAX_BODY_BYTES:
+        if len(self.body) + len(data) > self.max_bytes:
             self.abort("answer too large")
             return
-        self.body.append(data)
+        self.body += data
 
     def end_received(self):
         """Deliver the complete answer."""
         self.connection.close()
         self.done.callback(Reply(
-            self.status, b"".join(self.body), self.headers))
+            self.status, bytes(self.body), self.headers))
 
     def failed(self, failure, detail):
         """Report that the call failed."""
@@ -66,13 +65,14 @@
 
 
 def call(reactor, address, method, target, timeout_s, body=b"",
-         headers=None, until=None):
+         headers=None, until=None, max_bytes=MAX_BODY_BYTES):
     """Make one call; return a Deferred of its Reply.
 
     ``address`` is (ip, port). ``headers`` follow a Host header of the address,
     unless they contain one. From ``until`` on, by the reactor's clock, nothing
     is sent. Fails with CallFailed if no complete answer arrives within
-    ``timeout_s``; the call may have been carried out.
+    ``timeout_s``, or its body has more than ``max_bytes``; the call may have
+    been carried out.
     """
     headers = list(headers or ())
     if all(name != b"Host" for name, _ in headers):
@@ -83,7 +83,7 @@
         headers += [(b"Content-Type", b"application/json"),
                     (b"Content-Length", b"%d" % len(body))]
     done = defer.Deferred(lambda _: pending.connection.close())
-    pending = _Call((method, target, headers, body), done)
+    pending = _Call((method, target, headers, body), done, max_bytes)
 
     def is_expired():
         return until is not None and reactor.seconds() >= until
--- a/crocuskeel/gateway/loop.py
+++ b/crocuskeel/gateway/loop.py
@@ -20,6 +20,8 @@
 TICK_INTERVAL_S = fleet.STATE_INTERVAL_S
 # A server that reports its health later than this counts as unreachable, s.
 PROBE_TIMEOUT_S = 0.8
+# Only the status of its answer is used.
+MAX_PROBE_BYTES = 1 << 16
 JSON_HEADER = (b"Content-Type", b"application/json")
 
 
@@ -196,7 +198,8 @@
 def _probe_server(gateway, effect):
     done = calls.call(
         gateway.reactor, effect.server.address, b"GET",
-        effect.path.encode("latin-1"), PROBE_TIMEOUT_S)
+        effect.path.encode("latin-1"), PROBE_TIMEOUT_S,
+        max_bytes=MAX_PROBE_BYTES)
     done.addCallbacks(
         lambda _: gateway.feed(events.ServerProbed(effect.server.service)),
         lambda failure: failure.trap(exceptions.CallFailed))
--- a/crocuskeel/platform/assembly.py
+++ b/crocuskeel/platform/assembly.py
@@ -1,8 +1,6 @@
 """Builds and starts an entry host on the platform."""
 
-import json
 import random
-import zlib
 
 from crocuskeel.core import entry
 from crocuskeel.core.entry import model
@@ -13,10 +11,12 @@
 from crocuskeel.gateway import gossip
 from crocuskeel.gateway import loop
 from crocuskeel.gateway import metrics
+from crocuskeel.platform import decoding
 from crocuskeel.platform import duties
 from crocuskeel.platform import endpoints
 from crocuskeel.platform import headers
 from crocuskeel.platform import reloading
+from crocuskeel.platform import snapshots
 from crocuskeel.platform import store as stores
 from crocuskeel.platform import store_watcher
 from twisted.internet import defer
@@ -105,12 +105,12 @@
             reply = await calls.call(
                 reactor, address, b"GET", endpoints.snapshot_target(
                     gateway.host.catalog, watcher.revision),
-                SNAPSHOT_TIMEOUT_S)
+                SNAPSHOT_TIMEOUT_S, max_bytes=snapshots.MAX_BYTES)
             if reply.status != 200:
                 return
-            watcher.apply_snapshot(json.loads(zlib.decompress(reply.body)))
-        except (gateway_exceptions.CallFailed, ValueError, KeyError,
-                zlib.error) as exc:
+            watcher.apply_snapshot(snapshots.decode(reply.body))
+        except (gateway_exceptions.CallFailed,
+                *decoding.DECODING_ERRORS) as exc:
             gateway.log("no_snapshot", {"peer": name, "why": str(exc)})
 
     def begin(peer):
--- /dev/null
+++ b/crocuskeel/platform/decoding.py
@@ -0,0 +1,50 @@
+"""Decodes JSON of which other programs have written parts.
+
+One part that Python can't represent must not hide the others.
+"""
+
+import json
+import re
+
+__all__ = ["DECODING_ERRORS", "loads"]
+
+# What ``loads`` and a look into its result may raise.
+DECODING_ERRORS = (ValueError, KeyError, TypeError, RecursionError)
+# Deeper values are replaced by null: they would exceed the stack.
+MAX_DEPTH = 64
+# Python refuses integers with many digits, and no field needs more.
+MAX_DIGITS = 20
+_TOKENS = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
+
+
+def loads(data):
+    """Return the value of JSON in bytes; raises ValueError.
+
+    Invalid UTF-8 becomes U+FFFD, an integer of many digits a float.
+    """
+    text = data.decode("utf-8", "replace")
+    try:
+        return json.loads(text, parse_int=_parse_int)
+    except RecursionError:
+        return json.loads(_without_deep_values(text), parse_int=_parse_int)
+
+
+def _parse_int(text):
+    return int(text) if len(text) <= MAX_DIGITS else float(text)
+
+
+def _without_deep_values(text):
+    kept = []
+    depth = start = 0
+    for token in _TOKENS.finditer(text):
+        if token[0] in "[{":
+            depth += 1
+            if depth == MAX_DEPTH + 1:
+                kept += [text[start:token.start()], "null"]
+        elif token[0] in "]}":
+            if depth == MAX_DEPTH + 1:
+                start = token.end()
+            depth -= 1
+    if depth > MAX_DEPTH:
+        raise ValueError("unterminated value")
+    return "".join([*kept, text[start:]])
--- a/crocuskeel/platform/objects.py
+++ b/crocuskeel/platform/objects.py
@@ -6,14 +6,24 @@
 from crocuskeel.core.entry import model
 from crocuskeel.platform import exceptions
 
-__all__ = ["catalog", "name", "peer", "peer_spec", "server",
-           "service"]
+__all__ = ["catalog", "is_name", "name", "peer", "peer_spec", "server",
+           "server_record", "service"]
 
 READY = "ready"
 DRAINING = "draining"
 # Counts fit the 64-bit integers of the store, ports 16 bits.
 MAX_COUNT = 2 ** 63 - 1
 MAX_PORT = 65535
+# Longest name of an object, a service or a failure domain.
+MAX_NAME_CHARS = 253
+# Bounds of what one server or host may claim to be, and the longest warm-up,
+# ms.
+MAX_SLOTS = 2 ** 31 - 1
+MAX_CORES = 4096
+MAX_WARMUP_MS = 24 * 3600 * 1000
+# Numbers of a configuration are exact as floats, and so are their sums with
+# others in 64 bits.
+MAX_NUMBER = 2 ** 53
 MAX_VERSION_CHARS = 64
 MAX_PORT_DIGITS = 5
 # A host that restarts keeps its address and its entry, which is written once;
@@ -21,6 +31,18 @@
 UNKNOWN_BOOT = 0
 
 
+def is_name(value):
+    """Return whether a value can be the name of something.
+
+    Names are written to headers, datagrams and logs, and hashed: they are
+    text that has bytes in UTF-8, on one line. Bytes that could not be read
+    are U+FFFD, which may stand for different names.
+    """
+    return (isinstance(value, str) and 0 < len(value) <= MAX_NAME_CHARS
+            and value.isprintable() and value == value.strip()
+            and "\ufffd" not in value)
+
+
 def name(obj):
     """Return an object's name; raises InvalidObjectError if it has none."""
     try:
@@ -28,8 +50,9 @@
     except (KeyError, TypeError) as exc:
         raise exceptions.InvalidObjectError(
             f"object has no name: {exc!r}") from exc
-    if not _is_text(found):
-        raise exceptions.InvalidObjectError("object has no name")
+    if not is_name(found):
+        raise exceptions.InvalidObjectError(
+            f"object has no valid name: {str(found)[:MAX_NAME_CHARS]!a}")
     return found
 
 
@@ -40,8 +63,9 @@
     """
     try:
         spec = obj["Spec"]
+        _check_values(spec)
         return model.Catalog(
-            revision=obj["Meta"]["Rev"], version=_version(spec),
+            revision=_revision(obj), version=_version(spec),
             routes=_routes(spec.get("Routes") or ()),
             services={row["Name"]: service(row)
                       for row in spec.get("Services") or ()},
@@ -52,6 +76,28 @@
             f"invalid configuration: {exc!r}") from exc
 
 
+def _check_values(value):
+    """Raise ValueError for text without bytes and for huge numbers."""
+    waiting = [value]
+    while waiting:
+        found = waiting.pop()
+        if isinstance(found, dict):
+            waiting += found
+            waiting += found.values()
+        elif isinstance(found, list):
+            waiting += found
+        elif isinstance(found, str):
+            found.encode()
+        elif isinstance(found, int | float) and not abs(found) <= MAX_NUMBER:
+            raise ValueError("number out of range")
+
+
+def _revision(obj):
+    if not _is_count(obj["Meta"]["Rev"]):
+        raise ValueError("Rev is no count")
+    return obj["Meta"]["Rev"]
+
+
 def _version(spec):
     if not _is_count(spec["Version"]):
         raise ValueError("Version is no count")
@@ -96,7 +142,13 @@
                                   _fetch_token_s(engine))
     return model.Service(row["Name"], row.get("MaxConns", 0),
                          engine or None, _scaling(row.get("Autoscale")),
-                         row.get("HealthPath") or "/")
+                         _health_path(row.get("HealthPath") or "/"))
+
+
+def _health_path(text):
+    if not (text.isascii() and is_name(text)):
+        raise ValueError("HealthPath is no path")
+    return text
 
 
 def _scaling(row):
@@ -142,12 +194,7 @@
     programs write entries too.
     """
     sid = name(obj)
-    # Servers write their own entries; the protocol doesn't say whether the
-    # fields are in Spec or in Status.
-    spec = obj.get("Spec") or obj.get("Status")
-    if not isinstance(spec, dict):
-        raise exceptions.InvalidObjectError(
-            f"server {sid}: neither Spec nor Status")
+    spec = _server_spec(obj, sid)
     for field, is_valid in SERVER_FIELDS.items():
         if not is_valid(spec.get(field)):
             raise exceptions.InvalidObjectError(
@@ -165,6 +212,31 @@
         version=_software_version(spec["Version"]))
 
 
+def _server_spec(obj, sid):
+    # Servers write their own entries; the protocol doesn't say whether the
+    # fields are in Spec or in Status.
+    spec = obj.get("Spec") or obj.get("Status")
+    if not isinstance(spec, dict):
+        raise exceptions.InvalidObjectError(
+            f"server {sid}: neither Spec nor Status")
+    return spec
+
+
+def server_record(obj):
+    """Return a valid entry of a server with only the fields that are used.
+
+    The rest of an entry may be as large as the store allows.
+    """
+    sid = name(obj)
+    spec = _server_spec(obj, sid)
+    kept = {field: spec[field] for field in (*SERVER_FIELDS, *OPTIONAL_FIELDS)
+            if field in spec}
+    if len(kept["Version"]) > MAX_VERSION_CHARS:
+        kept["Version"] = _software_version(kept["Version"])
+    meta = {"Name": sid, "Deleting": bool(obj["Meta"].get("Deleting"))}
+    return {"Meta": meta, "Spec": kept}
+
+
 def _software_version(text):
     """Return what identifies a version, which hosts send to each other.
 
@@ -185,13 +257,16 @@
             and 0 <= value <= MAX_COUNT)
 
 
-def _is_positive_count(value):
-    return _is_count(value) and value > 0
+def _is_slots(value):
+    return _is_count(value) and 0 < value <= MAX_SLOTS
+
 
+def _is_number_up_to(most):
+    def is_valid(value):
+        return (isinstance(value, int | float) and not isinstance(value, bool)
+                and 0 <= value <= most)
 
-def _is_non_negative(value):
-    return _is_count(value) or (
-        isinstance(value, float) and 0 <= value <= MAX_COUNT)
+    return is_valid
 
 
 def _is_state(value):
@@ -206,16 +281,22 @@
         ipaddress.IPv4Address(ip)
     except ValueError:
         return False
-    return (port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
-            and 0 < int(port) <= MAX_PORT)
+    return _is_port(port)
+
+
+def _is_port(text):
+    return (text.isascii() and text.isdigit() and len(text) <= MAX_PORT_DIGITS
+            and 0 < int(text) <= MAX_PORT)
 
 
 # Required fields of an entry, with their checks.
 SERVER_FIELDS = {
-    "Service": _is_text, "Addr": _is_address, "Zone": _is_text,
-    "Version": _is_text, "Slots": _is_positive_count, "State": _is_state,
-    "ColdLeftMs": _is_non_negative, "Seq": _is_count,
+    "Service": is_name, "Addr": _is_address, "Zone": is_name,
+    "Version": _is_text, "Slots": _is_slots, "State": _is_state,
+    "ColdLeftMs": _is_number_up_to(MAX_WARMUP_MS), "Seq": _is_count,
 }
+OPTIONAL_FIELDS = ("born", "Spot")
+_is_cores = _is_number_up_to(MAX_CORES)
 
 
 def peer_spec(me):
@@ -240,9 +321,10 @@
 
 def _check_peer(spec):
     """Raise ValueError unless the fields of a host's entry are valid."""
-    if not (_is_text(spec["Zone"]) and _is_text(spec["Front"])
-            and _is_non_negative(spec["Cores"])):
+    if not (is_name(spec["Zone"]) and is_name(spec["Front"])
+            and _is_cores(spec["Cores"])):
         raise ValueError("invalid Zone, Front or Cores")
-    for ip, port in (spec["Control"], spec["Gossip"]):
-        if not (_is_text(ip) and _is_count(port) and port <= MAX_PORT):
+    front, _, front_port = spec["Front"].rpartition(":")
+    for ip, port in ((front, front_port), spec["Control"], spec["Gossip"]):
+        if not (is_name(ip) and _is_port(str(port))):
             raise ValueError("invalid address")
--- a/crocuskeel/platform/snapshots.py
+++ b/crocuskeel/platform/snapshots.py
@@ -5,11 +5,72 @@
 revision decides whether that is newer.
 """
 
+import zlib
+
 from crocuskeel.core.entry import changelog
 from crocuskeel.core.entry import registry
 from crocuskeel.core import revisions
+from crocuskeel.platform import decoding
+from crocuskeel.platform import objects
+
+__all__ = ["MAX_BYTES", "decode", "make", "revisions_of"]
+
+# Largest snapshot that is read, bytes: some 15,000 servers.
+MAX_BYTES = 4 << 20
+
+
+def decode(body):
+    """Return the snapshot in another host's answer.
+
+    Raises ValueError if it is none: another program may answer at the
+    address of a host. Its entries are checked where they are used.
+    """
+    decompressor = zlib.decompressobj()
+    try:
+        data = decompressor.decompress(body, MAX_BYTES)
+    except zlib.error as exc:
+        raise ValueError(f"invalid snapshot: {exc}") from exc
+    if decompressor.unconsumed_tail or not decompressor.eof:
+        raise ValueError("snapshot is incomplete or too large")
+    found = decoding.loads(data)
+    if not isinstance(found, dict):
+        raise ValueError("snapshot is no object")
+    for field, is_valid in FIELDS.items():
+        if not is_valid(found.get(field)):
+            raise ValueError(f"snapshot has an invalid {field}")
+    if "since" in found and not isinstance(found.get("removed"), list):
+        raise ValueError("snapshot has no removed")
+    return found
+
+
+def _is_revision(value):
+    return (isinstance(value, int) and not isinstance(value, bool)
+            and 0 <= value < 1 << 63)
+
+
+def _is_names(value):
+    return value is None or (isinstance(value, list)
+                             and all(map(objects.is_name, value)))
+
+
+def _is_lapsing(value):
+    return value is None or (isinstance(value, list) and all(
+        isinstance(row, list) and len(row) == 2 and objects.is_name(row[0])
+        and isinstance(row[1], int | float)
+        and 0 <= row[1] <= registry.GRACE_S for row in value))
+
 
-__all__ = ["make", "revisions_of"]
+# Fields with their checks; former versions of this program lack some.
+FIELDS = {
+    "config": lambda value: value is None or isinstance(value, dict),
+    "revision": _is_revision,
+    "era": lambda value: value is None or (
+        _is_revision(value) and value <= revisions.MAX_ERA),
+    "since": lambda value: value is None or _is_revision(value),
+    "servers": lambda value: isinstance(value, list),
+    "removed": _is_names,
+    "lapsing": _is_lapsing,
+}
 
 
 def make(watcher, config_version, servers_revision=0, is_former=False):
--- a/crocuskeel/platform/store.py
+++ b/crocuskeel/platform/store.py
@@ -8,7 +8,9 @@
 from crocuskeel.core import revisions
 from crocuskeel.gateway import calls
 from crocuskeel.gateway import exceptions as gateway_exceptions
+from crocuskeel.platform import decoding
 from crocuskeel.platform import exceptions
+from crocuskeel.platform import objects
 
 __all__ = ["Changes", "Listing", "Store", "new_store"]
 
@@ -80,7 +82,11 @@
             items += _list_field(page, "Items")
             if not page.get("More"):
                 break
-            after = f"?AfterRev={_quote(_last_readable_name(items))}"
+            following = f"?AfterRev={_quote(_last_readable_name(items))}"
+            if following == after:
+                raise exceptions.StoreError(
+                    0, f"list {kind}: a page has no object with a name")
+            after = following
         return Listing(tuple(items),
                        revisions.combine(self.era, page["AsOf"]))
 
@@ -166,10 +172,9 @@
         if reply.status != OK:
             raise exceptions.StoreError(reply.status, f"{operation} {kind}")
         try:
-            # Invalid UTF-8 in one object must not hide the others.
-            page = json.loads(reply.body.decode("utf-8", "replace"))
-            operator.index(page["AsOf"])
-        except (ValueError, KeyError, TypeError, RecursionError) as exc:
+            page = decoding.loads(reply.body)
+            _check_revision(page["AsOf"])
+        except decoding.DECODING_ERRORS as exc:
             raise exceptions.StoreError(
                 0, f"{operation} {kind}: {exc!r}") from exc
         return page
@@ -207,13 +212,18 @@
     if reply.status not in (OK, CREATED):
         raise exceptions.StoreError(reply.status, operation)
     try:
-        found = json.loads(reply.body)
-        operator.index(found["Meta"]["Rev"])
-    except (ValueError, KeyError, TypeError) as exc:
+        found = decoding.loads(reply.body)
+        _check_revision(found["Meta"]["Rev"])
+    except decoding.DECODING_ERRORS as exc:
         raise exceptions.StoreError(0, f"{operation}: {exc!r}") from exc
     return found
 
 
+def _check_revision(number):
+    if operator.index(number) != revisions.number(number):
+        raise ValueError(f"invalid revision {number!r}")
+
+
 def _list_field(page, field):
     rows = page.get(field)
     return rows if isinstance(rows, list) else []
@@ -227,8 +237,8 @@
     """
     for obj in reversed(items):
         try:
-            return obj["Meta"]["Name"] + ""
-        except (KeyError, TypeError):
+            return objects.name(obj)
+        except exceptions.InvalidObjectError:
             continue
     raise exceptions.StoreError(0, "list: no object of the page has a name")
 
@@ -236,8 +246,8 @@
 def _has_spec(body, spec):
     """Return whether the object in an answer has this content."""
     try:
-        return json.loads(body)["Spec"] == spec
-    except (ValueError, KeyError, TypeError):
+        return decoding.loads(body)["Spec"] == spec
+    except decoding.DECODING_ERRORS:
         return False
 
 
--- a/crocuskeel/platform/store_watcher.py
+++ b/crocuskeel/platform/store_watcher.py
@@ -328,8 +328,9 @@
         unreadable = []
         for obj in items:
             try:
-                servers.append(objects.server(obj))
-                self.raw_servers[objects.name(obj)] = obj
+                server = objects.server(obj)
+                self.raw_servers[server.sid] = objects.server_record(obj)
+                servers.append(server)
             except exceptions.InvalidObjectError as exc:
                 self.gateway.log("bad_object", {"why": str(exc)})
                 sid = self._object_name(obj)
