Check all fields of datagrams, and send those that are too large in part

Cause: rows without a limit, counts from callers' and servers' headers without a bound, and a loop over effects that the first error ends. Most fields of datagrams were taken as they came; a wrong type raised within a handler, in the middle of a change.

Change: each field is checked as a datagram is decoded (datagram_checks). A datagram that doesn't fit is sent with half of its rows, again until it does. An effect that fails is logged and doesn't prevent the others. Counts in headers and ids of events have a bounded number of digits: int() refuses long ones, and in a server's load header that left the request without an outcome.

Two rows in test_pieces had five of the seven fields that a load row has; the core refuses these in the middle of a change. They have seven now.

--- a/crocuskeel/gateway/calls.py
+++ b/crocuskeel/gateway/calls.py
@@ -24,7 +24,7 @@
 class _Call:
     """One call; ``request_parts`` is (method, target, headers, body)."""
 
-    def __init__(self, request_parts, done, max_bytes):
+    def __init__(self, request_parts, done, max_bytes=MAX_BODY_BYTES):
         self.request_parts = request_parts
         self.done = done
         self.max_bytes = max_bytes
--- a/crocuskeel/gateway/event_stream.py
+++ b/crocuskeel/gateway/event_stream.py
@@ -6,6 +6,7 @@
 
 # Maximum size of an event, bytes; engines send none that is larger.
 MAX_EVENT_BYTES = 1 << 20
+MAX_ID_DIGITS = 18
 _EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
 
 
@@ -43,6 +44,8 @@
     """Return the id of an event as a number, or None."""
     for line in event.splitlines():
         name, _, value = line.partition(b":")
-        if name.strip() == b"id" and value.strip().isdigit():
+        value = value.strip()
+        if (name.strip() == b"id" and value.isdigit()
+                and len(value) <= MAX_ID_DIGITS):
             return int(value)
     return None
--- a/crocuskeel/gateway/gossip.py
+++ b/crocuskeel/gateway/gossip.py
@@ -15,6 +15,7 @@
 from crocuskeel.core.entry import serving
 from crocuskeel.core import revisions
 from crocuskeel.core.scheduling import fleet_demand
+from crocuskeel.gateway import datagram_checks as checks
 import msgpack
 from twisted.internet import protocol
 
@@ -41,6 +42,19 @@
 # Maximum of requests and of tokens in a row of queued requests: the sum of
 # much larger numbers may be infinite.
 MAX_QUEUED = 1e15
+# Most that UDP carries over IPv4, bytes.
+MAX_DATAGRAM_BYTES = 65507
+# Fields of events with rows that a receiver can do without for a while.
+SAMPLED_FIELDS = ("parts", "loads", "rate_limits", "servers_leaving", "rows",
+                  "refused", "reports", "crashes", "crash_reports", "brittle",
+                  "former_versions")
+# Checks of the fields that hosts of all versions send, from their first on.
+STATE_CHECKS = (
+    checks.is_flag, checks.is_flag, checks.is_revision, checks.is_revision,
+    checks.is_pairs, checks.is_load_rows, checks.is_part_rows,
+    checks.is_flag, checks.is_texts, checks.is_age,
+    lambda wall: wall is None or checks.is_number(wall))
+USAGE_CHECKS = (checks.is_text, checks.is_revision, checks.is_usage_rows)
 KINDS = frozenset(map(str, crash_records.Kind))
 SIGNS = frozenset(map(str, crash_records.Sign)) | {""}
 
@@ -131,14 +145,19 @@
     try:
         first, *rest = fields
         if first == USAGE_MARK:
-            return duties.Usage(*rest)
+            name, boot, rows = rest
+            _check(USAGE_CHECKS, rest)
+            return duties.Usage(name, boot, rows)
         if first == HINTS_MARK:
             name, limits, leaving = rest
             return events.PeerHintsReceived(
-                name, _rate_limits(limits), _servers_leaving(leaving))
+                *_texts(name), _rate_limits(limits), _servers_leaving(leaving))
         if first == CRASHES_MARK:
             name, reports = rest
-            return events.CrashReportsReceived(name, _crash_reports(reports))
+            if reports is None:
+                raise ValueError("no reports")
+            return events.CrashReportsReceived(
+                *_texts(name), _crash_reports(reports))
         if first == ORIGINS_MARK:
             name, rows = rest
             return events.OriginsTold(*_texts(name), tuple(
@@ -153,13 +172,23 @@
             return events.PeerDemandReceived(*_texts(name), _demand(rows))
         if isinstance(first, str):
             loads, refused = rest
+            _check((checks.is_load_rows, checks.is_texts), rest)
             return events.PeerLoadsReceived(first, loads, refused)
         return _decode_state(first, rest)
     except (TypeError, ValueError) as exc:
         raise ValueError(f"invalid datagram: {exc}") from exc
 
 
+def _check(field_checks, fields):
+    """Raise ValueError unless each field is valid."""
+    for number, (is_valid, value) in enumerate(zip(field_checks, fields)):
+        if not is_valid(value):
+            raise ValueError(f"field {number}: {str(value)[:100]!a}")
+
+
 def _decode_state(peer, rest):
+    _check((checks.is_peer,), (peer,))
+    _check(STATE_CHECKS, rest)
     name, boot, domain, front, control, gossip, capacity = peer
     sender = model.Peer(
         name, boot, domain, front, control, gossip, capacity)
@@ -175,8 +204,8 @@
     (limits, leaving, versions, reports, cut_off, former, brittle,
      takes_demand) = (*added, *ADDED_DEFAULTS[len(added):])
     state = events.PeerStateReceived(sender, *previous, wall,
-                                     duties.Leader(*leader),
-                                     serving.ServingDemand(*wanted),
+                                     _leader(*leader),
+                                     _serving_demand(*wanted),
                                      _rate_limits(limits),
                                      _servers_leaving(leaving))
     if not versions:
@@ -194,8 +223,19 @@
             state.leader, version=leader_version, fence=fence))
 
 
+def _leader(version, host, fence):
+    _check((checks.is_revision, checks.is_text, checks.is_revision),
+           (version, host, fence))
+    return duties.Leader(version, host, fence)
+
+
+def _serving_demand(count, age_s):
+    _check((checks.is_count, checks.is_age), (count, age_s))
+    return serving.ServingDemand(count, age_s)
+
+
 def _integer(value):
-    if not isinstance(value, int):
+    if not checks.is_revision(value):
         raise ValueError(f"invalid version {value!r}")
     return value
 
@@ -211,7 +251,8 @@
     for incarnation, rate, age_ms in rows:
         if not isinstance(incarnation, str):
             raise ValueError(f"invalid incarnation {incarnation!r}")
-        if min(0.0 if rate is None else rate, age_ms) < 0:
+        if not (checks.is_count(age_ms) and age_ms >= 0 and (
+                rate is None or checks.is_number(rate) and rate >= 0)):
             raise ValueError(f"invalid rate {rate!r} or age {age_ms!r} ms")
     return rows
 
@@ -224,9 +265,11 @@
     if rows is None:
         return None
     for kind, age_ms, digest, sid, incarnation, sign, span_ms in rows:
-        if min(age_ms, span_ms or 0) < 0 or not all(
-                isinstance(text, str)
-                for text in (kind, digest, sid, incarnation, sign)):
+        spans_ms = (age_ms,) if span_ms is None else (age_ms, span_ms)
+        if (not all(checks.is_count(value) and value >= 0
+                    for value in spans_ms)
+                or not checks.is_texts((kind, digest, sid, incarnation,
+                                        sign))):
             raise ValueError(f"invalid report {kind!r} on {incarnation!r}")
     return tuple(row for row in rows if row[0] in KINDS and row[5] in SIGNS)
 
@@ -266,7 +309,7 @@
 
 
 def _duration_ms(value):
-    if _integer(value) < 0:
+    if not checks.is_count(value) or value < 0:
         raise ValueError(f"invalid duration {value!r} ms")
     return value
 
@@ -314,7 +357,7 @@
     def send(self, effect):
         """Send an event to a peer."""
         if effect.peer.name in self.previous_version_hosts:
-            data = encode_previous(effect.event)
+            data = self._encode_to_fit(effect.event, encode_previous)
         else:
             data = self._encode_cached(effect.event)
         if data is not None:
@@ -323,5 +366,32 @@
     def _encode_cached(self, event):
         if event is not self.last_event:
             self.last_event = event
-            self.last_datagram = encode(event)
+            self.last_datagram = self._encode_to_fit(event, encode)
         return self.last_datagram
+
+    def _encode_to_fit(self, event, encode_event):
+        """Return a datagram, or None if there is none of the event.
+
+        Of one that is too large half of the rows are left out until it fits:
+        they are samples, which the next state replaces.
+        """
+        data = encode_event(event)
+        while data is not None and len(data) > MAX_DATAGRAM_BYTES:
+            shorter = _without_half_of_rows(event)
+            self.gateway.log("datagram_shortened", {
+                "kind": type(event).__name__, "bytes": len(data),
+                "left_out": shorter is None})
+            if shorter is None:
+                return None
+            event, data = shorter, encode_event(shorter)
+        return data
+
+
+def _without_half_of_rows(event):
+    """Return an event with half of each kind of rows, None without any."""
+    rows = {field: getattr(event, field) for field in SAMPLED_FIELDS
+            if getattr(event, field, None)}
+    if not rows:
+        return None
+    return dataclasses.replace(event, **{
+        field: found[:len(found) // 2] for field, found in rows.items()})
--- a/crocuskeel/gateway/loop.py
+++ b/crocuskeel/gateway/loop.py
@@ -2,6 +2,7 @@
 
 import json
 import time
+import traceback
 
 from crocuskeel.core import entry
 from crocuskeel.core.entry import effects
@@ -60,10 +61,19 @@
         self.feed(events.Ticked(self.wall_clock()))
 
     def feed(self, event):
-        """Feed an event to the core and carry out its effects in order."""
+        """Feed an event to the core and carry out its effects in order.
+
+        An effect that can't be carried out doesn't prevent the others: an
+        exit of the process may be among them.
+        """
         now = self.reactor.seconds()
         for effect in entry.reduce(self.host, event, now):
-            EFFECT_HANDLERS[type(effect)](self, effect)
+            try:
+                EFFECT_HANDLERS[type(effect)](self, effect)
+            except Exception:
+                self.log("effect_failed", {
+                    "effect": type(effect).__name__,
+                    "where": traceback.format_exc(limit=-4)})
 
     def limits(self):
         """Return the limits on requests of callers."""
--- a/crocuskeel/platform/endpoints.py
+++ b/crocuskeel/platform/endpoints.py
@@ -19,6 +19,8 @@
 JSON_HEADERS = [(b"Content-Type", b"application/json")]
 # Requests to these endpoints have no bodies.
 LIMITS = dataclasses.replace(loop.DEFAULT_LIMITS, body_bytes=1 << 10)
+# Revisions fit 64 bits.
+MAX_REVISION_DIGITS = 19
 # Snapshots that are cached until the state changes; most hosts request the
 # same one.
 MAX_CACHED_SNAPSHOTS = 16
@@ -104,7 +106,9 @@
 
 def _parse_revision(text):
     """Return the revision that a host sent; 0 if it sent none."""
-    return int(text) if text and text.isdigit() else 0
+    is_number = (text and text.isascii() and text.isdigit()
+                 and len(text) <= MAX_REVISION_DIGITS)
+    return int(text) if is_number else 0
 
 
 def new_endpoints(reactor, gateway, watcher, metrics):
--- a/crocuskeel/platform/headers.py
+++ b/crocuskeel/platform/headers.py
@@ -62,6 +62,8 @@
 MISDIRECTED = 421
 REFUSALS = (429, 503)
 MAX_PRIORITY = 9
+# No count of tokens, requests or slots in a header has more digits.
+MAX_DIGITS = 9
 
 
 def new_header_codec():
@@ -130,13 +132,13 @@
 
 def _max_servers(head):
     text = (head.get(RELAY.lower()) or b"").decode("latin-1")
-    return max(1, int(text)) if text.isascii() and text.isdigit() else None
+    return max(1, int(text)) if _is_count(text) else None
 
 
 def _prompt(head):
     tokens = (head.get(_TOKENS) or b"").decode("latin-1")
     counts = [part.strip() for part in tokens.split(",")]
-    if len(counts) != 2 or not all(map(str.isdigit, counts)):
+    if len(counts) != 2 or not all(map(_is_count, counts)):
         return None
     parts = (head.get(_PARTS) or b"").decode("latin-1")
     return model.Prompt(
@@ -144,10 +146,15 @@
         _text(head, _MODEL))
 
 
+def _is_count(text):
+    # str.isdigit accepts superscripts, for which int raises an error.
+    return (text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS)
+
+
 def _parse_parts(text):
     for row in text.split(","):
         name, _, tokens = row.strip().partition(":")
-        if name and tokens.isdigit():
+        if name and _is_count(tokens):
             yield name, int(tokens)
 
 
@@ -246,8 +253,7 @@
     """
     text = (head.get(_LOAD) or b"").decode("latin-1")
     counts = [part.strip() for part in text.split(",")]
-    # str.isdigit accepts superscripts, for which int raises an error.
-    if len(counts) not in (3, 4) or not all(map(str.isdecimal, counts)):
+    if len(counts) not in (3, 4) or not all(map(_is_count, counts)):
         return None
     running, waiting, slots, *rest = map(int, counts)
     work_percent = rest[0] if rest else 100
--- a/tests/gateway/test_pieces.py
+++ b/tests/gateway/test_pieces.py
@@ -44,15 +44,16 @@
     def test_round_trip_of_all_events(self):
         for event in (
                 events.PeerStateReceived(support.peer(), True, False, 3, 4,
-                                         (("d", "s"),), (("s", 1, 2, 1, 30),),
+                                         (("d", "s"),),
+                                         (("s", 1, 2, 1, 30, (), 7),),
                                          (("s", "p", 9),), True, ("host-2",)),
                 events.PeerStateReceived(
                     support.peer(), True, False, 3, 4, wall=1.7e9 + 0.25,
                     leader=duties.Leader(9, "host-2", 7),
                     serving_demand=serving.ServingDemand(30, 1.5)),
                 duties.Usage("host-1", 4, ((7, (("hire", 3),)),)),
-                events.PeerLoadsReceived("host-1", (("s", 1, 2, 1, 30),),
-                                         ("t",))):
+                events.PeerLoadsReceived(
+                    "host-1", (("s", 1, 2, 1, 30, (), 7),), ("t",))):
             self.assertEqual(event, gossip.decode(gossip.encode(event)))
 
     def test_state_with_thousands_of_servers_fits_a_datagram(self):
