Mark no server as replaced before there is a configuration

Cause: entries of services that are not configured are ignored when servers are marked as former owners of their address, but without a configuration no entry was ignored.

Change: without a configuration none marks a server. One whose address really was given to another is found by the answer of that one (421, not run).

Test: test_foreign_entries_before_the_configuration_mark_no_server failed before ("1 != 0" requests sent).

--- a/crocuskeel/core/entry/registry.py
+++ b/crocuskeel/core/entry/registry.py
@@ -181,9 +181,12 @@
     """Mark servers whose address now belongs to a new server.
 
     Entries of services that are not configured are ignored: they are no
-    servers of this system and may name any address.
+    servers of this system and may name any address. Before there is a
+    configuration none is known to be one; a server at a former address says
+    so in its answer.
     """
-    if host.catalog and server.service not in host.catalog.services:
+    if (host.catalog is None
+            or server.service not in host.catalog.services):
         return []
     out = []
     for state in addresses.get(server.address, ()):
--- a/tests/entry/test_registry.py
+++ b/tests/entry/test_registry.py
@@ -111,6 +111,20 @@
         self.driver.feed(events.Ticked(), 1.7)
         self.assertNotIn("s1", self.host.servers)
 
+    def test_foreign_entries_before_the_configuration_mark_no_server(self):
+        # Entries of another program name the addresses of the engines. Hosts
+        # that read them before their first configuration refused everything.
+        foreign = [support.server(f"x{number}", "notes", address=(
+            f"host-of-s{number}", 80)) for number in (1, 2, 3, 4)]
+        for first in (SERVERS, foreign):
+            driver = support.Driver()
+            rest = foreign if first is SERVERS else SERVERS
+            driver.feed(events.ServersListed((*first, *rest), 5))
+            driver.feed(events.CatalogRead(support.catalog(support.route())))
+            out = driver.feed(events.RequestReceived(1, support.request()))
+            self.assertEqual(1, len(support.effects_of(
+                out, effects.SendRequest)))
+
     def test_an_older_configuration_is_ignored(self):
         # A stale read, or a slow peer, may return an older one.
         older = support.catalog(support.route("old"), revision=9)
