Watch from the first page of a list

Cause: Store.list went on from the AsOf of the last page, so that changes of objects of earlier pages between the pages were not seen.

Change: a listing has the revision of its first page. The watch repeats changes that later pages show already, which changes nothing.

Test: test_changes_between_two_pages_are_not_lost failed before ("4 != 9").

--- a/crocuskeel/platform/store.py
+++ b/crocuskeel/platform/store.py
@@ -69,16 +69,22 @@
             self.on_restored()
 
     async def list(self, kind):
-        """Return the Listing of a kind; raises StoreError."""
+        """Return the Listing of a kind; raises StoreError.
+
+        Its revision is that of the first page: an object of it may change
+        before the last page is read, and a watch from there on shows that.
+        """
         items = []
         after = ""
-        era = None
+        era = first_number = None
         for _ in range(MAX_PAGES):
             page = await self._get("list", kind, after)
             if era is not None and era != self.era:
                 raise exceptions.StoreError(
                     GONE, f"list {kind}: the store was restored")
             era = self.era
+            if first_number is None:
+                first_number = page["AsOf"]
             items += _list_field(page, "Items")
             if not page.get("More"):
                 break
@@ -88,7 +94,7 @@
                     0, f"list {kind}: a page has no object with a name")
             after = following
         return Listing(tuple(items),
-                       revisions.combine(self.era, page["AsOf"]))
+                       revisions.combine(self.era, first_number))
 
     async def watch(self, kind, revision, wait_s):
         """Wait for changes after a revision, ``wait_s`` at most.
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -143,6 +143,15 @@
         self.assertEqual(4, len(found.items))
         self.assertTrue(requests[1].endswith(b"?AfterRev=s1"))
 
+    def test_changes_between_two_pages_are_not_lost(self):
+        # A draining engine of the first page got requests until it exited:
+        # its change came between the pages, and the watch began after it.
+        first = {"Items": [{"Meta": {"Name": "s1"}}], "More": True, "AsOf": 4}
+        last = {"Items": [{"Meta": {"Name": "s2"}}], "AsOf": 9}
+        found, _ = self._list(*(
+            json.dumps(page).encode() for page in (first, last)))
+        self.assertEqual(4, found.revision)
+
     def test_invalid_utf8_does_not_hide_other_entries(self):
         # One entry with invalid UTF-8 made the whole list unreadable, and the
         # store counted as lost.
