Take a cut watch for a loss of the store only if the next call fails

Cause: each cut counted as a loss of the store, which sets the end of the grace period of lapsed entries to infinity, and 1.6 s after its return.

Change: a store that closes a connection is asked again at once with a watch of 0.1 s; it is lost if that fails, too.

Test: test_cut_watches_do_not_keep_a_server_that_left failed before (three servers left); test_store_that_cuts_watches_and_answers_nothing_is_lost holds with both.

--- a/crocuskeel/gateway/calls.py
+++ b/crocuskeel/gateway/calls.py
@@ -57,7 +57,8 @@
 
     def failed(self, failure, detail):
         """Report that the call failed."""
-        self.done.errback(exceptions.CallFailed(detail))
+        self.done.errback(exceptions.CallFailed(
+            detail, cut=self.connection.lost))
 
     def abort(self, why):
         """Fail the call, unless it has ended."""
--- a/crocuskeel/gateway/exceptions.py
+++ b/crocuskeel/gateway/exceptions.py
@@ -8,4 +8,11 @@
 
 
 class CallFailed(GatewayError):
-    """A call got no complete answer; it may have been carried out."""
+    """A call got no complete answer; it may have been carried out.
+
+    ``cut``: its connection was established, and ended from the other side.
+    """
+
+    def __init__(self, why, cut=False):
+        super().__init__(why)
+        self.cut = cut
--- a/crocuskeel/platform/exceptions.py
+++ b/crocuskeel/platform/exceptions.py
@@ -21,8 +21,12 @@
 
 
 class StoreError(PlatformError):
-    """A call to the store failed; ``status`` is 0 without an answer."""
+    """A call to the store failed; ``status`` is 0 without an answer.
 
-    def __init__(self, status, why):
+    ``cut``: the store closed the connection instead.
+    """
+
+    def __init__(self, status, why, cut=False):
         super().__init__(f"{why} ({status})" if status else why)
         self.status = status
+        self.cut = cut
--- a/crocuskeel/platform/store.py
+++ b/crocuskeel/platform/store.py
@@ -194,7 +194,8 @@
                 self.reactor, self.address, method,
                 (PATH + target).encode(), timeout_s, data)
         except gateway_exceptions.CallFailed as exc:
-            raise exceptions.StoreError(0, f"{operation}: {exc}") from exc
+            raise exceptions.StoreError(
+                0, f"{operation}: {exc}", exc.cut) from exc
         era = _era(reply, self.era)
         if era < self.era:
             raise exceptions.StoreError(
--- a/crocuskeel/platform/store_watcher.py
+++ b/crocuskeel/platform/store_watcher.py
@@ -32,8 +32,7 @@
 # nothing stays open and is never answered; only its timeout shows that. With
 # the time to detect this and to ask again a host recovers within 3 s.
 WATCH_MAX_S = 1.75
-# Wait of a watch while the store counts as lost, s: its answer shows that the
-# store is back.
+# Wait of a watch after a failure, s: its answer shows that the store is back.
 PROBE_WATCH_S = 0.1
 # How often a host that doesn't read the store checks whether it should, s.
 ROLE_CHECK_INTERVAL_S = 0.3
@@ -161,7 +160,7 @@
         kind.on_list(listing)
 
     async def _watch(self, kind):
-        span_s = self._watch_span_s()
+        span_s = self._watch_span_s(kind)
         if kind.is_resuming:
             kind.is_resuming = False
             self.gateway.log("watch_begun", {
@@ -188,7 +187,8 @@
             kind.revision = None
             kind.failures = 1
             self._store_answered(kind)
-        elif kind.failures > 1 or not exc.status:
+        elif kind.failures > 1 or not (exc.status or exc.cut):
+            # The store may cut off a watch. The next call shows if it answers.
             self._report_lost(str(exc))
 
     def store_restored(self):
@@ -229,9 +229,9 @@
         return fleet.reads_store(self.gateway.host,
                                  self.reactor.seconds())
 
-    def _watch_span_s(self):
+    def _watch_span_s(self, kind):
         host = self.gateway.host
-        if host.store_down_since is not None:
+        if host.store_down_since is not None or kind.failures:
             return PROBE_WATCH_S
         return min(WATCH_MAX_S, host.cfg.config_apply_s)
 
--- a/tests/platform/store_server.py
+++ b/tests/platform/store_server.py
@@ -70,7 +70,7 @@
         """Reset the connections of all open watches."""
         waiting, self.waiting = self.waiting, []
         for _, _, deferred in waiting:
-            _fail(deferred, "ConnectionLost")
+            _fail(deferred, "ConnectionLost", cut=True)
 
     def resume(self):
         """Answer again."""
@@ -143,9 +143,9 @@
             deferred.callback(reply)
 
 
-def _fail(deferred, why):
+def _fail(deferred, why, cut=False):
     if not deferred.called:
-        deferred.errback(gateway_exceptions.CallFailed(why))
+        deferred.errback(gateway_exceptions.CallFailed(why, cut))
 
 
 class Gateway:
--- a/tests/platform/test_store_outage.py
+++ b/tests/platform/test_store_outage.py
@@ -4,6 +4,8 @@
 import unittest
 from unittest import mock
 
+from crocuskeel.core import entry
+from crocuskeel.core.entry import events
 from crocuskeel.gateway import calls
 from crocuskeel.platform import store as stores
 from crocuskeel.platform import store_watcher
@@ -106,6 +108,29 @@
             gone = host.servers.get("s1")
             self.assertTrue(gone is None or gone.lapses_at is not None)
 
+    def test_cut_watches_do_not_keep_a_server_that_left(self):
+        # Each cut counted as a loss of the store and began the grace period
+        # of lapsed entries anew: calls went to an engine that was gone.
+        for sid in ("s2", "s3"):
+            self._write_server(sid)
+        self._advance(1.0)
+        for sid in ("s1", "s2", "s3"):
+            self.store.write("servers", sid, None)
+        for _ in range(4):
+            self._advance(0.7)
+            self.store.cut()
+            self._advance(0.7)
+        self.assertEqual([None] * 3, [
+            host.store_down_since for host in self.hosts])
+        for host in self.hosts:
+            entry.reduce(host, events.Ticked(), self.clock.seconds())
+            self.assertEqual({}, host.servers)
+
+    def test_store_that_cuts_watches_and_answers_nothing_is_lost(self):
+        self.store.stop()
+        self._advance(0.5)
+        self.assertTrue(all(host.store_down_since for host in self.hosts))
+
     def test_recovery_is_detected_without_changes(self):
         # Servers with expired entries are kept for some time after that.
         for seed in range(20):
