Ignore SIGHUP from the start until its handler is installed

Cause: the handler is installed after all imports; until then the default of the signal ends the process.

Change: main ignores the signal before it imports anything large. The settings file is read after that, so nothing is missed. Beside it: the memory limit is applied on a reload, and a settings file that is no text, or holds numbers that aren't finite, is refused like other errors.

Between the start of the interpreter and main the default still holds (some 40 ms).

--- a/crocuskeel/platform/boot.py
+++ b/crocuskeel/platform/boot.py
@@ -1,6 +1,7 @@
 """Parser of the settings file from the platform: lines name=value."""
 
 import dataclasses
+import math
 
 from crocuskeel.core import entry
 from crocuskeel.platform import exceptions
@@ -80,10 +81,13 @@
         if not text:
             return default
         try:
-            return float(text)
+            value = float(text)
         except ValueError:
-            self.errors.append(f"{name}: {text!r} is not a number")
-            return default
+            value = math.nan
+        if math.isfinite(value):
+            return value
+        self.errors.append(f"{name}: {text!r} is not a number")
+        return default
 
     def address(self, name, text=None):
         """Return (ip, port) from the field, or from ``text`` if given."""
--- a/crocuskeel/platform/reloading.py
+++ b/crocuskeel/platform/reloading.py
@@ -14,7 +14,7 @@
 # Settings that take effect while the process runs. All others wait for the
 # next start, as the process already listens on its addresses and other hosts
 # know it by them.
-RELOADABLE = ("settings", "store", "cloud")
+RELOADABLE = ("settings", "store", "cloud", "memory_mb")
 
 
 class Reloader:
@@ -43,7 +43,8 @@
         """Apply the file; keep the active settings if it is invalid."""
         try:
             new_settings = boot_settings.parse_boot_settings(self.read())
-        except (OSError, exceptions.BootSettingsError) as exc:
+        except (OSError, UnicodeDecodeError,
+                exceptions.BootSettingsError) as exc:
             self._reject(exc, is_requested)
             return
         self.rejected = ()
@@ -67,6 +68,7 @@
     def _apply(self, new_settings):
         self.boot = new_settings
         self.store.address = new_settings.store
+        self.gateway.memory.limit = new_settings.memory_mb << 20
         if self.gateway.duty_executor is not None:
             self.gateway.duty_executor.address = new_settings.cloud
         self.gateway.feed(events.SettingsRead(new_settings.settings))
--- a/crocuskeel/programs/entry.py
+++ b/crocuskeel/programs/entry.py
@@ -7,14 +7,6 @@
 import sys
 import time
 
-from crocuskeel.core.duties import capacity
-from crocuskeel.core.scheduling import settings as scheduling_settings
-from crocuskeel.platform import boot as boot_settings
-from crocuskeel.platform import exceptions
-from crocuskeel.programs import config_files
-from crocuskeel.programs import policy
-from crocuskeel.programs import scheduling_file
-
 __all__ = ["main", "new_parser"]
 
 SETTINGS_VARIABLE = "CROCUSKEEL_BOOT"
@@ -55,6 +47,16 @@
 
 def main(argv=None):
     """Run until stopped; return the exit code."""
+    # Its default would end the process until a handler is installed; the
+    # settings file is read after this.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Imports take some hundred milliseconds on a small host.
+    from crocuskeel.core.duties import capacity
+    from crocuskeel.core.scheduling import settings as scheduling_settings
+    from crocuskeel.platform import boot as boot_settings
+    from crocuskeel.programs import policy
+    from crocuskeel.programs import scheduling_file
+
     args = new_parser().parse_args(argv)
     boot = _read_file(args.settings, boot_settings.parse_boot_settings)
     capacity_policy = capacity.Policy()
@@ -78,11 +80,16 @@
 
     Errors in the file are printed.
     """
+    from crocuskeel.platform import exceptions
+    from crocuskeel.programs import config_files
+
     try:
         with open(path, encoding="utf-8") as lines:
             return read(lines.read())
     except OSError as exc:
         print(f"{path}: {exc.strerror}", file=sys.stderr)
+    except UnicodeDecodeError as exc:
+        print(f"{path}: {exc}", file=sys.stderr)
     except (exceptions.BootSettingsError,
             config_files.InvalidFileError) as exc:
         for error in exc.errors:
--- a/tests/platform/test_reloading.py
+++ b/tests/platform/test_reloading.py
@@ -1,5 +1,6 @@
 """Reloading of a settings file that changes."""
 
+import types
 import unittest
 
 from crocuskeel.core.entry import events
@@ -13,6 +14,7 @@
     duty_executor = None
 
     def __init__(self):
+        self.memory = types.SimpleNamespace(limit=0)
         self.lines = []
         self.events = []
 
@@ -49,6 +51,17 @@
     def _change(self, old, new):
         self.text = test_boot.VALID.replace(old, new)
 
+    def test_memory_limit_is_applied(self):
+        self.text += "\nLimits.MemoryMb=200\n"
+        self.reloader.reload()
+        self.assertEqual(200 << 20, self.gateway.memory.limit)
+
+    def test_file_that_is_no_text_changes_nothing(self):
+        self.reloader.read = lambda: b"\xff".decode()
+        self.reloader.reload()
+        self.assertEqual("reload_refused", self.gateway.lines[0][0])
+        self.assertEqual([], self.gateway.events)
+
     def test_limits_and_store_address_are_applied(self):
         self._change("BudgetSlack=52", "BudgetSlack=7")
         self.text = self.text.replace("10.200.1.7:8223", "10.9.9.9:1")
