Cut off callers that read for longer than they may if others wait

What it guards against: a few callers that read a byte now and then kept the memory of answers for ever, and all other large answers were read one at a time (found by reading the new limits).

Change: while answers are paused for memory, those that have been sent for over 10 s, and for longer than their caller said it would wait, are cut off.

Test: test_slow_callers_do_not_keep_the_memory_of_others_for_ever; without the change the former limits have no such bound.

--- a/crocuskeel/gateway/callers.py
+++ b/crocuskeel/gateway/callers.py
@@ -340,7 +340,9 @@
             headers = [*headers, (b"Connection", b"close")]
         if len(body) > pieces.PIECE_BYTES:
             self._send(h11.Response(status_code=status, headers=headers))
-            self.memory.begin_sending(self, len(body))
+            request = self.exchange.request
+            self.memory.begin_sending(
+                self, len(body), request and request.deadline_s)
             pieces.send(self.transport, body, self._encode_data,
                         self.send_end)
             return
--- a/crocuskeel/gateway/memory.py
+++ b/crocuskeel/gateway/memory.py
@@ -9,6 +9,9 @@
 __all__ = ["HostMemory", "UnlimitedMemory", "new_host_memory"]
 
 STATM_PATH = "/proc/self/statm"
+# An answer may be sent for so long, s, or for the caller's own time limit if
+# that is longer. After that it is cut off if others wait for its memory.
+MIN_SENDING_S = 10.0
 
 
 class HostMemory:
@@ -17,8 +20,9 @@
     ``limit`` is the memory that this process may use, bytes; 0 for no limit.
     ``readers`` maps the keys of announced bodies to the connections that
     read them. ``answers`` maps answers that are read from servers to what is
-    held of them, ``sending`` connections to answers that their callers have
-    not read yet, and ``writers`` are connections with unsent bytes.
+    held of them, ``sending`` connections to (size, until when it may be sent)
+    of answers that their callers have not read yet, and ``writers`` are
+    connections with unsent bytes.
     """
 
     def __init__(self, gateway, limit, read_resident):
@@ -42,8 +46,18 @@
         held = self.held_by_kind()
         self.gateway.feed(memory_events.MemoryMeasured(
             self.limit, self.resident, sum(held.values()),
-            held["unsent"] + sum(self.sending.values())))
+            held["unsent"] + sum(size for size, _ in self.sending.values())))
         self._pace_answers()
+        if self.paused:
+            self._cut_slow_callers()
+
+    def _cut_slow_callers(self):
+        """Reset callers that read an answer for longer than they may."""
+        now = self.gateway.reactor.seconds()
+        for conn, (size, until) in list(self.sending.items()):
+            if now >= until:
+                self.gateway.log("slow_caller_cut", {"size": size})
+                conn.transport.abortConnection()
 
     def held_bytes(self):
         """Return how much is held for requests and answers."""
@@ -113,14 +127,20 @@
         if self.paused:
             self._pace_answers()
 
-    def begin_sending(self, conn, size):
-        """Record a whole answer that a caller's connection sends."""
-        self.sending[conn] = size
+    def begin_sending(self, conn, size, limit_s):
+        """Record a whole answer that a caller's connection sends.
+
+        ``limit_s`` is how long the caller waits for it, None if unknown.
+        """
+        until = self.gateway.reactor.seconds() + max(
+            MIN_SENDING_S, limit_s or 0.0)
+        self.sending[conn] = size, until
         self.answer_bytes += size
 
     def end_sending(self, conn):
         """Handle the end of such an answer."""
-        self.answer_bytes -= self.sending.pop(conn, 0)
+        size, _ = self.sending.pop(conn, (0, 0.0))
+        self.answer_bytes -= size
         if self.paused:
             self._pace_answers()
 
@@ -180,7 +200,7 @@
     def release_body(self, key):
         """Do nothing."""
 
-    def begin_sending(self, conn, size):
+    def begin_sending(self, conn, size, limit_s):
         """Do nothing."""
 
     def end_sending(self, conn):
--- a/tests/gateway/test_memory_limits.py
+++ b/tests/gateway/test_memory_limits.py
@@ -257,6 +257,30 @@
                     server.dataReceived(bytes(65536))
         self.assertEqual({}, self._held())
 
+    def test_slow_callers_do_not_keep_the_memory_of_others_for_ever(self):
+        # A few callers that read a byte now and then stopped all others.
+        slow = []
+        for _ in range(5):
+            slow.append(self._caller())
+            slow[-1].transport.slow = True
+            slow[-1].dataReceived(GET)
+            self._server().dataReceived(
+                OK + b"Content-Length: %d\r\n\r\n" % (3 * MB)
+                + bytes(3 * MB))
+        for after_s, is_cut in ((0.0, False), (memory.MIN_SENDING_S, True)):
+            self.reactor.advance(after_s)
+            servers = []
+            for _ in range(2):
+                self._caller().dataReceived(GET)
+                servers.append(self._server())
+                servers[-1].dataReceived(
+                    OK + b"Content-Length: %d\r\n\r\n" % MB
+                    + bytes(100_000))
+            self.assertEqual("paused", servers[1].transport.producerState)
+            self.memory.measure()
+            self.assertEqual([is_cut] * len(slow), [
+                conn.transport.aborted for conn in slow])
+
     def test_stream_is_read_as_fast_as_its_caller_reads(self):
         # Each slow reader of a stream could hold a megabyte.
         conn, server = self._open_stream()
