Deliver bodies of requests as bytes

The stand-in engine of the soak uses a part of a body as a key, which failed with a bytearray ('unhashable type'): requests that should crash an engine were left without an answer there.

--- a/crocuskeel/gateway/callers.py
+++ b/crocuskeel/gateway/callers.py
@@ -243,7 +243,7 @@
         if self.body_key is not None:
             self.memory.body_read(self.body_key)
         self.exchange = exchanges.Exchange(
-            self, self.request, self.body, self.body_key)
+            self, self.request, bytes(self.body), self.body_key)
         self._reset_request()
         self.handler.request_received(self.exchange)
 
