Count only what the parser holds of a later request

Found on reading the change: what was read of a request that is answered at once, a health check among them, stayed counted until the connection's next request or its end. With thousands of idle connections no caller's partial head would have been read any more.

Change: what counts is what the parser still holds.

Test: test_idle_connections_hold_nothing failed before.

--- a/crocuskeel/gateway/callers.py
+++ b/crocuskeel/gateway/callers.py
@@ -99,19 +99,19 @@
             if self.unread and self.memory.is_unread_full():
                 self._pause_reading()
         elif self.request is None:
-            self._note_partial_head(len(data))
-
-    def _note_partial_head(self, size):
-        """Count what was read of a head, which isn't complete yet."""
-        self._count_unread(size)
-        if self.memory.is_unread_full():
-            self._reject(503, "host memory")
+            self._recount_unread()
+            if self.unread and self.memory.is_unread_full():
+                self._reject(503, "host memory")
 
     def _count_unread(self, size):
         """Count bytes that belong to no request that has begun."""
         self.unread += size
         self.memory.add_unread(size)
 
+    def _recount_unread(self):
+        """Count what the parser still holds."""
+        self._count_unread(len(self.h11.trailing_data[0]) - self.unread)
+
     def _process_events(self):
         handled = 0
         while (self.exchange is None and not self.lingering
@@ -163,7 +163,8 @@
     def _start_request(self, event):
         headers = tuple(event.headers.raw_items())
         self.request = header_codec.Head(headers, event.method, event.target)
-        self._count_unread(-self.unread)
+        if self.unread:
+            self._recount_unread()
         if self._has_ambiguous_length():
             self._reject(400, "both Content-Length and Transfer-Encoding")
             return
--- a/tests/gateway/test_memory_limits.py
+++ b/tests/gateway/test_memory_limits.py
@@ -350,6 +350,19 @@
             OK + b"Content-Length: 0\r\n\r\n")
         self.assertEqual("producing", paused.transport.producerState)
 
+    def test_idle_connections_hold_nothing(self):
+        # What was read of a request that is answered at once stayed counted,
+        # until no caller's head was read any more.
+        self.gateway.codec = dataclasses.replace(
+            self.gateway.codec, read_request=lambda head, body:
+            entry_support.request("/nowhere/1"))
+        conn = self._caller()
+        for size in (1, 2, 30):
+            conn.dataReceived(GET * size)
+            for _ in range(size):
+                self.reactor.advance(0)
+            self.assertEqual({}, self._held())
+
     def test_heads_without_end_are_refused_without_memory(self):
         conns = []
         for _ in range(300):
