Log a shortage of memory as it begins and ends

The line memory_short compared what was held before with the new budget, so that a shortage by a smaller budget was not logged.

Test: test_begin_and_end_of_a_shortage_are_logged failed before.

--- a/crocuskeel/core/entry/body_memory.py
+++ b/crocuskeel/core/entry/body_memory.py
@@ -123,9 +123,9 @@
 def measured(host, event, now):
     """Handle a measurement of the process's memory."""
     memory = host.memory
+    was_short = memory.held > memory.total
     memory.limit = event.limit
     memory.total = budget_bytes(event.limit, event.resident, event.held)
-    was_short = memory.held > memory.total
     memory.held = event.held
     memory.unsent = event.unsent
     out = []
--- a/tests/entry/test_body_memory.py
+++ b/tests/entry/test_body_memory.py
@@ -161,6 +161,18 @@
         self._measure()
         self.assertEqual([[], []], statuses())
 
+    def test_begin_and_end_of_a_shortage_are_logged(self):
+        # The budget may change as well as what is held.
+        def lines(**measured):
+            return [effect.fields["short"] for effect in self._feed(
+                memory_events.MemoryMeasured(LIMIT, **measured))
+                if type(effect) is effects.LogEvent]
+
+        self.assertEqual([], lines(resident=60 * MB, held=20 * MB))
+        self.assertEqual([True], lines(resident=95 * MB, held=20 * MB))
+        self.assertEqual([], lines(resident=95 * MB, held=20 * MB))
+        self.assertEqual([False], lines(resident=60 * MB, held=20 * MB))
+
     def test_unknown_memory_leaves_a_part_of_the_limit(self):
         self.assertEqual(25 * MB, body_memory.budget_bytes(
             LIMIT, None, 10 * MB))
