--- a/crocuskeel/gateway/callers.py
+++ b/crocuskeel/gateway/callers.py
@@ -1,7 +1,5 @@
 """HTTP/1.1 server for callers."""
 
-import json
-
 from crocuskeel.core.entry import body_memory
 from crocuskeel.gateway import connections
 from crocuskeel.gateway import exchanges
@@ -117,7 +115,9 @@
         while (self.exchange is None and not self.lingering
                and not self.awaits_memory):
             if handled == connections.EVENTS_PER_TURN:
-                self._give_way()
+                # Let other connections have their turn.
+                self._pause_reading()
+                self.reactor.callLater(0, self._continue)
                 return
             handled += 1
             try:
@@ -129,11 +129,6 @@
                 return
             self._handle_event(event)
 
-    def _give_way(self):
-        """Let other connections have their turn."""
-        self._pause_reading()
-        self.reactor.callLater(0, self._continue)
-
     def _continue(self):
         if not self.lingering and not self.awaits_memory:
             self._resume_reading()
@@ -209,11 +204,8 @@
         """
         self.awaits_memory = False
         self.body_key = None
-        headers = [(b"Content-Type", b"application/json")]
-        if retry_delay_s is not None:
-            headers.append((b"Retry-After", b"%.3f" % retry_delay_s))
-        self._reject(status, why, headers,
-                     json.dumps({"error": why}).encode(), self.limits.idle_s)
+        headers, body = exchanges.error_answer(why, retry_delay_s)
+        self._reject(status, why, headers, body, self.limits.idle_s)
 
     def _free_request(self):
         """Free the memory of a request that won't be delivered."""
--- a/crocuskeel/gateway/exchanges.py
+++ b/crocuskeel/gateway/exchanges.py
@@ -1,11 +1,12 @@
 """Requests of callers and their answers."""
 
 import itertools
+import json
 
 from twisted.internet import interfaces
 from zope import interface
 
-__all__ = ["Exchange", "new_key"]
+__all__ = ["Exchange", "error_answer", "new_key"]
 
 _keys = itertools.count()
 
@@ -15,6 +16,17 @@
     return next(_keys)
 
 
+def error_answer(reason, retry_delay_s):
+    """Return (headers, body) of an answer of this host's own.
+
+    ``retry_delay_s`` is when the caller may come back, or None.
+    """
+    headers = [(b"Content-Type", b"application/json")]
+    if retry_delay_s is not None:
+        headers.append((b"Retry-After", b"%.3f" % retry_delay_s))
+    return headers, json.dumps({"error": reason}).encode()
+
+
 @interface.implementer(interfaces.IPushProducer)
 class Exchange:
     """One request of a caller and its answer.
--- a/crocuskeel/gateway/loop.py
+++ b/crocuskeel/gateway/loop.py
@@ -1,6 +1,5 @@
 """Feeds events to the core and carries out its effects."""
 
-import json
 import time
 import traceback
 
@@ -11,6 +10,7 @@
 from crocuskeel.core.leadership import effects as lease_effects
 from crocuskeel.gateway import calls
 from crocuskeel.gateway import exceptions
+from crocuskeel.gateway import exchanges
 from crocuskeel.gateway import memory
 from crocuskeel.gateway import servers
 
@@ -23,7 +23,6 @@
 PROBE_TIMEOUT_S = 0.8
 # Only the status of its answer is used.
 MAX_PROBE_BYTES = 1 << 16
-JSON_HEADER = (b"Content-Type", b"application/json")
 
 
 class Gateway:
@@ -170,11 +169,8 @@
 
 
 def _answer(exchange, status, reason, retry_delay_s):
-    headers = [JSON_HEADER]
-    if retry_delay_s is not None:
-        headers.append((b"Retry-After", b"%.3f" % retry_delay_s))
-    exchange.answer(status, headers,
-                    json.dumps({"error": reason}).encode())
+    exchange.answer(
+        status, *exchanges.error_answer(reason, retry_delay_s))
 
 
 def _abort_stream(gateway, effect):
