Decide in one place where an arriving request goes

Found on reading the change again, without a change of what is decided but for the first point:

- The route and the reasons for having none were resolved for large bodies beside the code for all requests.
The copy had no log line for 404 and 401, did not look whether the servers were loaded, and had another retry delay while the host starts.
Both call arrivals.find_destination now.
- The limit of a retry delay by the caller's time left stood twice (ending.limit_retry_delay).
- Two checks of rows in gossip.py were written again in datagram_checks.py.
- The framing of pieces stood in both of their callers; a parameter was unused.

Test: test_request_that_will_be_refused_gets_no_memory also asserts the log line; it failed without the change, as the line was missing there.

--- a/crocuskeel/core/entry/body_memory.py
+++ b/crocuskeel/core/entry/body_memory.py
@@ -14,9 +14,9 @@
 
 import dataclasses
 
+from crocuskeel.core.entry import arrivals
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import ending
-from crocuskeel.core.entry import routing
 
 __all__ = ["BodyMemory", "SMALL_BODY_BYTES", "announced", "budget_bytes",
            "is_short", "measured", "released", "step"]
@@ -133,7 +133,7 @@
         out.append(effects.LogEvent("memory_short", {
             "short": not was_short, "held": memory.held,
             "budget": memory.total, "resident": event.resident}))
-    return out + _grant(memory, now)
+    return out + _grant(memory)
 
 
 def is_short(memory, priority):
@@ -157,18 +157,16 @@
         body.wanted = event.size - body.size
         body.waits_until = now + _wait_s(body.left_s)
     else:
-        if host.catalog is None:
-            return [effects.RefuseBody(event.key, ending.UNAVAILABLE,
-                                       "starting", ending.BUSY_RETRY_S)]
-        resolved = routing.resolve(host.catalog, event.request)
-        if resolved.is_err():
+        found = arrivals.find_destination(host, event.request, now)
+        if found.is_err():
             # The body would change nothing in this answer.
-            refusal = resolved.unwrap_err()
-            return [effects.RefuseBody(event.key, refusal.status,
-                                       refusal.reason)]
-        body = _new_body(event, resolved.unwrap(), now)
+            refused = found.unwrap_err()
+            return [effects.RefuseBody(event.key, refused.status,
+                                       refused.reason, refused.retry_delay_s),
+                    *refused.lines]
+        body = _new_body(event, found.unwrap(), now)
     memory.waiting[event.key] = body
-    out = _grant(memory, now)
+    out = _grant(memory)
     if event.key not in memory.waiting:
         return out
     if _expected_wait_s(memory, body) > body.waits_until - now:
@@ -191,7 +189,7 @@
     return min(MAX_WAIT_S, left_s * MAX_WAIT_SHARE)
 
 
-def _grant(memory, now):
+def _grant(memory):
     """Give memory to waiting bodies while there is some."""
     out = []
     while memory.waiting:
@@ -238,9 +236,9 @@
     retry_s = min(MAX_RETRY_S, max(
         MIN_RETRY_S, _expected_wait_s(memory, body)))
     del memory.waiting[key]
-    if body.left_s is not None:
-        left_s = max(0.0, body.left_s - (now - body.arrived_at))
-        retry_s = min(retry_s, left_s * ending.MAX_RETRY_SHARE)
+    waited_s = now - body.arrived_at
+    retry_s = ending.limit_retry_delay(
+        retry_s, None if body.left_s is None else body.left_s - waited_s)
     memory.reserved -= body.size
     return [effects.RefuseBody(key, ending.UNAVAILABLE, "host memory",
                                retry_s),
@@ -249,7 +247,7 @@
                 "priority": body.priority, "cause": "host_memory",
                 "size": body.size + body.wanted, "reserved": memory.reserved,
                 "budget": memory.for_bodies,
-                "waited_s": round(now - body.arrived_at, 3),
+                "waited_s": round(waited_s, 3),
                 "retry_s": round(retry_s, 3)})]
 
 
@@ -263,7 +261,7 @@
         return []
     memory.reserved -= body.size
     memory.released += body.size
-    return _grant(memory, now)
+    return _grant(memory)
 
 
 def step(host, now):
--- a/crocuskeel/core/entry/ending.py
+++ b/crocuskeel/core/entry/ending.py
@@ -7,7 +7,8 @@
 
 __all__ = ["BUSY_RETRY_S", "UNAVAILABLE", "active_attempts", "cancel_all",
            "cancel_others", "close_attempt", "find_attempt", "finish",
-           "give_up", "log_line", "mark_load_changed", "refuse"]
+           "give_up", "limit_retry_delay", "log_line", "mark_load_changed",
+           "refuse"]
 
 UNAVAILABLE = 503
 BAD_GATEWAY = 502
@@ -48,9 +49,18 @@
 
 def refuse(key, left_s, reason, retry_delay_s):
     """Respond that a request has not run, with a retry delay."""
-    if left_s is not None:
-        retry_delay_s = max(0.0, min(retry_delay_s, left_s * MAX_RETRY_SHARE))
-    return effects.Answer(key, UNAVAILABLE, reason, retry_delay_s)
+    return effects.Answer(key, UNAVAILABLE, reason,
+                          limit_retry_delay(retry_delay_s, left_s))
+
+
+def limit_retry_delay(delay_s, left_s):
+    """Return a retry delay that leaves time for the retry, s.
+
+    ``left_s`` is the caller's time left, None if it has no limit.
+    """
+    if left_s is None:
+        return delay_s
+    return max(0.0, min(delay_s, left_s * MAX_RETRY_SHARE))
 
 
 def cancel_all(host, pending):
--- a/crocuskeel/core/entry/requests.py
+++ b/crocuskeel/core/entry/requests.py
@@ -1,5 +1,6 @@
 """Handles the arrival, timers and cancellation of a caller's request."""
 
+from crocuskeel.core.entry import arrivals
 from crocuskeel.core.entry import body_memory
 from crocuskeel.core.entry import class_minimums
 from crocuskeel.core.entry import crashes
@@ -14,7 +15,6 @@
 from crocuskeel.core.entry import reachability
 from crocuskeel.core.entry import retry_budget
 from crocuskeel.core.entry import retrying
-from crocuskeel.core.entry import routing
 from crocuskeel.core.entry import sending
 from crocuskeel.core.entry import server_load
 from crocuskeel.core.entry import state as states
@@ -26,25 +26,17 @@
 # The answer to a request that times out is sent this long before its caller
 # stops waiting, s: several times the one-way network delay to a caller.
 TIMEOUT_ANSWER_LEAD_S = 0.03
-STARTING_RETRY_S = 0.5
 
 
 def request_arrived(host, event, now):
     """Resolve the route of a request and send it, or refuse it."""
     request = event.request
-    if host.catalog is None or not host.servers_loaded:
-        return [ending.refuse(event.key, request.deadline_s, "starting",
-                              STARTING_RETRY_S)]
-    resolved = routing.resolve(host.catalog, request)
-    if resolved.is_err():
-        refusal = resolved.unwrap_err()
-        return [effects.Answer(event.key, refusal.status, refusal.reason),
-                ending.log_line("refused", request, status=refusal.status,
-                                why=refusal.reason,
-                                version=host.catalog.version,
-                                version_age_s=round(
-                                    now - host.catalog_applied_at, 3))]
-    destination = resolved.unwrap()
+    found = arrivals.find_destination(host, request, now)
+    if found.is_err():
+        refused = found.unwrap_err()
+        return [effects.Answer(event.key, refused.status, refused.reason,
+                               refused.retry_delay_s), *refused.lines]
+    destination = found.unwrap()
     if body_memory.is_short(host.memory, destination.priority):
         return _shed(event, destination, host.memory)
     pending = _new_pending(event, destination, now)
--- a/crocuskeel/gateway/callers.py
+++ b/crocuskeel/gateway/callers.py
@@ -336,8 +336,7 @@
             request = self.exchange.request
             self.memory.begin_sending(
                 self, len(body), request and request.deadline_s)
-            pieces.send(self.transport, body, self._encode_data,
-                        self.send_end)
+            pieces.send(self.transport, self.h11, body, self.send_end)
             return
         parts = [self.h11.send(h11.Response(
             status_code=status, headers=headers))]
@@ -359,9 +358,6 @@
         self._resume_reading()
         self.reactor.callLater(0, self._process_events)
 
-    def _encode_data(self, piece):
-        return self.h11.send(h11.Data(data=piece))
-
     def _send(self, event):
         sockets.write(self.transport, self.h11.send(event))
         self.memory.note_write(self)
--- a/crocuskeel/gateway/connections.py
+++ b/crocuskeel/gateway/connections.py
@@ -117,10 +117,7 @@
             return
         sockets.write(self.transport, self.h11.send(h11.Request(
             method=method, target=target, headers=headers)))
-        pieces.send(self.transport, body, self._encode_data, self._end_request)
-
-    def _encode_data(self, piece):
-        return self.h11.send(h11.Data(data=piece))
+        pieces.send(self.transport, self.h11, body, self._end_request)
 
     def _end_request(self):
         sockets.write(self.transport, self.h11.send(h11.EndOfMessage()))
--- a/crocuskeel/gateway/gossip.py
+++ b/crocuskeel/gateway/gossip.py
@@ -276,7 +276,7 @@
 
 def _texts(*values):
     """Check names and return them."""
-    if not all(isinstance(value, str) for value in values):
+    if not checks.is_texts(values):
         raise ValueError(f"invalid names {values!r}")
     return values
 
@@ -316,10 +316,7 @@
 
 def _servers_leaving(rows):
     """Check rows of (server id, incarnation)."""
-    for sid, incarnation in rows:
-        if not isinstance(sid, str) or not isinstance(incarnation, str):
-            raise ValueError(f"invalid server {sid!r} or incarnation "
-                             f"{incarnation!r}")
+    _check((checks.is_pairs,), (rows,))
     return rows
 
 
--- a/crocuskeel/gateway/pieces.py
+++ b/crocuskeel/gateway/pieces.py
@@ -1,5 +1,6 @@
 """Sends large bodies piece by piece, as fast as the peer reads them."""
 
+import h11
 from twisted.internet import interfaces
 from zope import interface
 
@@ -13,10 +14,10 @@
 class _Sender:
     """Writes the next piece whenever the transport has sent the last one."""
 
-    def __init__(self, transport, body, encode, on_sent):
+    def __init__(self, transport, conn, body, on_sent):
         self.transport = transport
+        self.conn = conn
         self.body = memoryview(body)
-        self.encode = encode
         self.on_sent = on_sent
 
     def resumeProducing(self):
@@ -26,19 +27,18 @@
             self.on_sent()
             return
         piece, self.body = self.body[:PIECE_BYTES], self.body[PIECE_BYTES:]
-        self.transport.write(self.encode(piece))
+        self.transport.write(self.conn.send(h11.Data(data=piece)))
 
     def stopProducing(self):
         """Free the body; the connection is lost."""
         self.body = memoryview(b"")
 
 
-def send(transport, body, encode, on_sent):
-    """Send ``body`` to a transport.
+def send(transport, conn, body, on_sent):
+    """Send ``body`` to a transport, framed by an h11 connection.
 
-    ``encode(piece)`` returns the bytes to write for a piece, and
-    ``on_sent()`` is called once the transport has sent all of them, unless
-    the connection is lost.
+    ``on_sent()`` is called once the transport has sent all of it, unless the
+    connection is lost.
     """
     transport.registerProducer(
-        _Sender(transport, body, encode, on_sent), False)
+        _Sender(transport, conn, body, on_sent), False)
--- a/tests/entry/test_body_memory.py
+++ b/tests/entry/test_body_memory.py
@@ -131,8 +131,12 @@
         self.assertEqual(10, len(self.refused) + len(memory.bodies))
 
     def test_request_that_will_be_refused_gets_no_memory(self):
-        self._feed(memory_events.BodyAnnounced(
+        out = self._feed(memory_events.BodyAnnounced(
             1, support.request("/nowhere/1"), 4 * MB))
+        # Requests without a large body have this log line, too.
+        self.assertEqual(["refused"], [
+            effect.event for effect in out
+            if type(effect) is effects.LogEvent])
         self.assertEqual(404, self.refused[1].status)
         self.assertIsNone(self.refused[1].retry_delay_s)
         self.assertEqual(0, self.driver.host.memory.reserved)
