Soak: judge a run by the requests that some host could have served

Cause: of three hosts two are cut off from all servers, one is left. The planned work then stops that one, which is allowed, so that nobody reaches the servers for 4 to 5 s: all requests end by 502 or 504, whichever form the cut has. The check of hosts that are cut off leaves such requests out already; the served share of the run did not.

Change: the bound stays 0.4. It is of the requests that were sent while some host was connected to the servers and not being stopped as planned; a run without such requests fails. The test fails on the code before (there is no such function); three rows of it break the check on purpose.

--- a/tests/soak/test_cut_checks.py
+++ b/tests/soak/test_cut_checks.py
@@ -70,5 +70,33 @@
                 self.assertEqual([], _violations(record))
 
 
+class ServableTest(unittest.TestCase):
+    """Requests while no host reaches the servers say nothing of a run."""
+
+    def test_requests_count_while_a_host_is_connected_and_not_stopped(self):
+        rows = (
+            ("the other host is connected", 104.0, (), True),
+            ("the other host is being stopped", 104.0, (OTHER,), False),
+            ("before the stop", 102.0, (OTHER,), True),
+            ("after the cut", 106.5, (OTHER,), True),
+            ("after both", 114.0, (OTHER, CUT), True),
+        )
+        for name, at, stopped, counted in rows:
+            record = _record(0, at=at)
+            record.stops += [
+                (ip, 103.0 if ip == OTHER else 107.0, 113.0)
+                for ip in stopped]
+            with self.subTest(name):
+                self.assertEqual(
+                    40 if counted else 0,
+                    len(cut_checks.servable(record, (CUT, OTHER))))
+
+    def test_hosts_that_got_no_request_count(self):
+        record = _record(0)
+        record.stops.append((OTHER, 103.0, 113.0))
+        self.assertEqual(40, len(cut_checks.servable(
+            record, (CUT, OTHER, "127.1.1.3"))))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -12,9 +12,11 @@
 import tempfile
 import time
 
+from tools.soak import cut_checks
 from tools.soak import report
 
-# A run that serves a smaller share of its requests proves nothing.
+# A run that serves a smaller share of the requests that some host could have
+# served proves nothing.
 MIN_SERVED_SHARE = 0.4
 
 
@@ -87,9 +89,18 @@
     holders = {(each.host, each.fence) for each in soak.cloud.arrivals}
     print(f"seed {seed}: {len(soak.cloud.arrivals)} calls of duties by "
           f"{len(holders)} holders, one after the other")
+    enough = _serves_enough(soak.record, soak.fleet.ips, seed)
     print(f"{total} answers, {len(soak.violations)} violations")
-    served = answers[200] >= MIN_SERVED_SHARE * max(1, total)
-    return 0 if served and not soak.violations else 1
+    return 0 if enough and not soak.violations else 1
+
+
+def _serves_enough(record, ips, seed):
+    """Return whether a run shows anything, and print the served share."""
+    counted = cut_checks.servable(record, ips)
+    served = sum(sent.reply.status == 200 for sent in counted)
+    print(f"seed {seed}: {served} of {len(counted)} requests served that some "
+          "host could have served")
+    return served >= MIN_SERVED_SHARE * max(1, len(counted))
 
 
 if __name__ == "__main__":
--- a/tools/soak/cut_checks.py
+++ b/tools/soak/cut_checks.py
@@ -3,7 +3,7 @@
 from tools.soak import engine
 from tools.soak import record as records
 
-__all__ = ["CUT_OFF", "check_cut_off"]
+__all__ = ["CUT_OFF", "check_cut_off", "servable"]
 
 # Name of the fault in which a host is cut off from all servers. From
 # CUT_KNOWN_S later requests there are served MIN_CUT_SHARE as often as at the
@@ -22,7 +22,7 @@
     ``harmless`` or crash servers, while another host is connected that is not
     being stopped as planned: there is nobody to relay to otherwise.
     """
-    cuts = [fault for fault in record.faults if fault[3] == CUT_OFF]
+    cuts = _cuts(record)
     errors = []
     ips = {sent.ip for sent in record.sent.values()}
     for start, end in sorted({fault[:2] for fault in cuts}):
@@ -32,7 +32,8 @@
                     and _shows_path(record, sent, kinds, harmless)):
                 is_cut = (start, end, sent.ip, CUT_OFF) in cuts
                 if is_cut and not any(
-                        _takes_relays(record, cuts, sent, ip)
+                        _is_connected(record, cuts, ip, sent.at,
+                                      sent.ended_at)
                         for ip in ips - {sent.ip}):
                     continue
                 if is_cut or not _overlaps(cuts, sent):
@@ -50,6 +51,22 @@
     return errors
 
 
+def servable(record, ips):
+    """Return the requests that some host could have served.
+
+    As they were sent, one of the hosts ``ips`` was connected to the servers
+    and not being stopped as planned.
+    """
+    cuts = _cuts(record)
+    return [sent for sent in record.sent.values()
+            if any(_is_connected(record, cuts, ip, sent.at, sent.at)
+                   for ip in ips)]
+
+
+def _cuts(record):
+    return [fault for fault in record.faults if fault[3] == CUT_OFF]
+
+
 def _share(served):
     return served.count(True) / len(served)
 
@@ -61,12 +78,11 @@
                if place == sent.ip)
 
 
-def _takes_relays(record, cuts, sent, ip):
-    """Return whether a host is connected and not stopped during a request."""
+def _is_connected(record, cuts, ip, since, until):
+    """Return whether a host is connected and not stopped between two times."""
     out = [(start, end) for start, end, place, _ in cuts if place == ip]
     out += [(start, end) for place, start, end in record.stops if place == ip]
-    return not any(start <= sent.ended_at and end >= sent.at
-                   for start, end in out)
+    return not any(start <= until and end >= since for start, end in out)
 
 
 def _shows_path(record, sent, kinds, harmless):
