Limit the time of a whole head, not of each of its pieces

What callers saw: nothing by themselves. One that sent a byte of a head every 2.9 s kept its connection, its descriptor and up to a whole head's memory for ever, and so could many, until none were left for others.

Cause: the timer of a head was set anew with each piece of it. The rest of a head that had been sent ahead of an answer had the time limit of an idle connection.

Change: the timer is set as the first byte of a head comes, or as the answer before it ends.

On the code before fail, as no 408 comes: FAIL: test_head_in_small_pieces_times_out FAIL: test_pipelined_head_that_does_not_end_times_out

--- a/crocuskeel/gateway/callers.py
+++ b/crocuskeel/gateway/callers.py
@@ -4,6 +4,7 @@
 from crocuskeel.gateway import connections
 from crocuskeel.gateway import exchanges
 from crocuskeel.gateway import header_codec
+from crocuskeel.gateway import listeners
 from crocuskeel.gateway import memory as host_memory
 from crocuskeel.gateway import pieces
 from crocuskeel.gateway import sockets
@@ -87,7 +88,7 @@
             if self.unread > MAX_PIPELINED_BYTES:
                 self.transport.abortConnection()
                 return
-        elif self.request is None:
+        elif self._awaits_head():
             self._set_timer(self.limits.header_s, self._head_timed_out)
         self.h11.receive_data(data)
         self._process_events()
@@ -101,6 +102,10 @@
             if self.unread and self.memory.is_unread_full():
                 self._reject(503, "host memory")
 
+    def _awaits_head(self):
+        """Return whether nothing of the next request has been read."""
+        return self.request is None and not self.h11.trailing_data[0]
+
     def _count_unread(self, size):
         """Count bytes that belong to no request that has begun."""
         self.unread += size
@@ -354,7 +359,10 @@
             self._linger()
             return
         self.h11.start_next_cycle()
-        self._set_timer(self.limits.idle_s, self._idle_timed_out)
+        if self._awaits_head():
+            self._set_timer(self.limits.idle_s, self._idle_timed_out)
+        else:
+            self._set_timer(self.limits.header_s, self._head_timed_out)
         self._resume_reading()
         self.reactor.callLater(0, self._process_events)
 
@@ -363,33 +371,11 @@
         self.memory.note_write(self)
 
 
-class _Listener(protocol.Factory):
-    """Factory that tracks the open connections of a listening port."""
-
-    noisy = False
-
-    def __init__(self, reactor, handler, memory):
-        self.reactor = reactor
-        self.handler = handler
-        self.memory = memory
-        self.open_connections = set()
-        self.closing = False
-
-    def buildProtocol(self, addr):
-        return CallerConnection(self.reactor, self.handler, self)
-
-    def close_idle(self):
-        """Close idle connections now, others after their answers."""
-        self.closing = True
-        for conn in list(self.open_connections):
-            conn.close_idle()
-
-
 def new_listener(reactor, handler, memory=None):
     """Return a factory of caller connections.
 
     ``memory`` is a memory.HostMemory; None for no limits.
     """
-    if memory is None:
-        memory = host_memory.UnlimitedMemory()
-    return _Listener(reactor, handler, memory)
+    return listeners.Listener(
+        lambda listener: CallerConnection(reactor, handler, listener),
+        memory or host_memory.UnlimitedMemory())
--- /dev/null
+++ b/crocuskeel/gateway/listeners.py
@@ -0,0 +1,30 @@
+"""Listening ports for connections of callers."""
+
+from twisted.internet import protocol
+
+__all__ = ["Listener"]
+
+
+class Listener(protocol.Factory):
+    """Factory that tracks the open connections of a listening port.
+
+    ``new_connection(listener)`` returns the protocol of a connection, and
+    ``memory`` is that of the host.
+    """
+
+    noisy = False
+
+    def __init__(self, new_connection, memory):
+        self.new_connection = new_connection
+        self.memory = memory
+        self.open_connections = set()
+        self.closing = False
+
+    def buildProtocol(self, addr):
+        return self.new_connection(self)
+
+    def close_idle(self):
+        """Close idle connections now, others after their answers."""
+        self.closing = True
+        for conn in list(self.open_connections):
+            conn.close_idle()
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -17,9 +17,10 @@
         self.exchanges = []
         self.disconnected = []
         self.rejected = []
+        self.in_force = model.Limits(2048, 100, 3.0, 15.0)
 
     def limits(self):
-        return model.Limits(2048, 100, 3.0, 15.0)
+        return self.in_force
 
     def request_received(self, exchange):
         self.exchanges.append(exchange)
@@ -109,6 +110,22 @@
         self.clock.advance(15.1)
         self.assertTrue(self.transport.disconnecting)
 
+    def test_head_in_small_pieces_times_out(self):
+        # A caller that sends a byte now and then kept a connection for ever.
+        for _ in range(4):
+            self.conn.dataReceived(b"G")
+            self.clock.advance(1.0)
+        self.assertIn(b"408", self._written())
+
+    def test_pipelined_head_that_does_not_end_times_out(self):
+        self.conn.dataReceived(POST)
+        self.conn.dataReceived(b"POST /a/2 HT")
+        self.handler.exchanges[0].answer(200, [], b"one")
+        self.clock.advance(0)
+        self._written()
+        self.clock.advance(3.1)
+        self.assertIn(b"408", self._written())
+
     def test_caller_that_does_not_read_is_disconnected(self):
         # Otherwise its answer would accumulate in this host's memory.
         self.conn.dataReceived(POST)
