Apply the limits in force to requests on kept connections

What callers saw: a request that a newer configuration allows was refused by 413 or 431 on a connection that had been opened before, where a new connection took it. Idle connections were closed after the former idle time.

Cause: the limits of a connection, and of its parser, were those at its accept.

Change: a request has the limits in force as its head begins. If they differ, a new parser goes on with what has been read of later requests. An idle connection whose time is up is kept for what its limit has grown by.

On the code before fail, with 413: FAIL: test_kept_connection_follows_the_limits_in_force (sent_ahead=False) FAIL: test_kept_connection_follows_the_limits_in_force (sent_ahead=True) FAIL: test_idle_connection_is_kept_as_long_as_it_may_be_now

--- a/crocuskeel/gateway/callers.py
+++ b/crocuskeel/gateway/callers.py
@@ -40,8 +40,7 @@
         self.handler = handler
         self.listener = listener
         self.limits = handler.limits()
-        self.h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self.limits.header_bytes)
+        self.h11 = connections.new_server_parser(self.limits.header_bytes)
         self.exchange = None
         self.memory = listener.memory
         self.lingering = False
@@ -59,6 +58,14 @@
         self.body_room = body_memory.SMALL_BODY_BYTES
         self.awaits_memory = False
 
+    def _update_limits(self):
+        """Apply the limits in force to the next request."""
+        limits = self.handler.limits()
+        if limits != self.limits:
+            self.limits = limits
+            self.h11 = connections.new_server_parser(
+                limits.header_bytes, self.h11)
+
     @property
     def size(self):
         """What was read of the body, bytes."""
@@ -89,6 +96,7 @@
                 self.transport.abortConnection()
                 return
         elif self._awaits_head():
+            self._update_limits()
             self._set_timer(self.limits.header_s, self._head_timed_out)
         self.h11.receive_data(data)
         self._process_events()
@@ -292,6 +300,12 @@
         if self.request is not None:
             self._reject(408, "timeout while reading the request body")
             return
+        former_s = self.limits.idle_s
+        self._update_limits()
+        if self.limits.idle_s > former_s:
+            self._set_timer(self.limits.idle_s - former_s,
+                            self._idle_timed_out)
+            return
         self.lingering = True
         self.transport.loseConnection()
 
@@ -359,6 +373,7 @@
             self._linger()
             return
         self.h11.start_next_cycle()
+        self._update_limits()
         if self._awaits_head():
             self._set_timer(self.limits.idle_s, self._idle_timed_out)
         else:
--- a/crocuskeel/gateway/connections.py
+++ b/crocuskeel/gateway/connections.py
@@ -17,7 +17,7 @@
 from twisted.internet import protocol
 
 __all__ = ["Connection", "EVENTS_PER_TURN", "Failure", "connect", "encode",
-           "next_event"]
+           "new_server_parser", "next_event"]
 
 
 # A connection's timeout that fires later than this, s, shows that this process
@@ -73,6 +73,24 @@
     return data + conn.send(h11.EndOfMessage())
 
 
+def new_server_parser(max_head_bytes, former=None):
+    """Return an h11 connection that reads requests.
+
+    It goes on with what ``former`` holds of later requests, which must be
+    between two of them.
+    """
+    parser = h11.Connection(
+        h11.SERVER, max_incomplete_event_size=max_head_bytes)
+    if former is None:
+        return parser
+    unread, is_closed = former.trailing_data
+    if unread:
+        parser.receive_data(unread)
+    if is_closed:
+        parser.receive_data(b"")
+    return parser
+
+
 class Connection(protocol.Protocol):
     """A request and its answer; ``close`` ends all calls of the handler.
 
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -126,6 +126,33 @@
         self.clock.advance(3.1)
         self.assertIn(b"408", self._written())
 
+    def test_kept_connection_follows_the_limits_in_force(self):
+        # It refused what a newer configuration allows: its limits were those
+        # at its accept.
+        post = (b"POST /a/1 HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 3000
+                + b"\r\nContent-Length: 200\r\n\r\n" + b"y" * 200)
+        for sent_ahead in (False, True):
+            with self.subTest(sent_ahead=sent_ahead):
+                self.setUp()
+                self.conn.dataReceived(POST)
+                self.handler.in_force = model.Limits(8192, 1000, 3.0, 15.0)
+                if sent_ahead:
+                    self.conn.dataReceived(post)
+                self.handler.exchanges[0].answer(200, [], b"one")
+                self.clock.advance(0)
+                if not sent_ahead:
+                    self.conn.dataReceived(post)
+                self.assertEqual([], self.handler.rejected)
+                self.assertEqual(b"y" * 200, self.handler.exchanges[1].body)
+
+    def test_idle_connection_is_kept_as_long_as_it_may_be_now(self):
+        self.handler.in_force = model.Limits(2048, 100, 3.0, 30.0)
+        self.clock.advance(15.0)
+        self.clock.advance(14.0)
+        self.assertFalse(self.transport.disconnecting)
+        self.clock.advance(1.0)
+        self.assertTrue(self.transport.disconnecting)
+
     def test_caller_that_does_not_read_is_disconnected(self):
         # Otherwise its answer would accumulate in this host's memory.
         self.conn.dataReceived(POST)
