Soak: a crashed server begins no stream

Cause: a fault of the stand-in. It crashes by closing its connections, which its requests see a turn of the loop later. A stream that was due in the same turn began after the crash, without a length and not in the list of those that the crash cut, and was closed in order after one event.

Evidence: by the hosts' logs the stream opened 3 ms before its server's crash was recorded, and ended 8 ms later at the host that had sent it. A closed stream without length can't be told from a whole one, which is why the check leaves out those that a crash cuts.

Change: a server that is down begins no stream. Servers that go dark now say nothing at all, as their description has it, so the faults are harder.

--- a/tools/soak/engine.py
+++ b/tools/soak/engine.py
@@ -275,7 +275,8 @@
         return uncached
 
     def _begin_stream(self, exchange, rid):
-        if exchange.finished:
+        # The end of a crash's connections is seen a turn of the loop later.
+        if exchange.finished or self.is_down:
             return
         last = int(exchange.head.get(b"last-event-id") or 0)
         part = _bad_part(exchange.head)
