Soak: know the streams that a crash cuts beside an ended run

Cause: a fault of the stand-in. Streams that end with their connections are listed by request. A stream that was moved came to the same server again, by way of another host; the end of its former run, 70 ms later, took the new run off the list, and the crash that then cut it wasn't known as one.

Evidence: by the hosts' logs the request was moved at 1141.0 s, its former run was left at 1141.07 and the new one opened at 1141.13, where the crash closed it at 1141.98.

Change: only the run that is listed is taken off.

--- a/tools/soak/engine.py
+++ b/tools/soak/engine.py
@@ -246,8 +246,9 @@
 
     def _end_work(self, exchange):
         rid = (exchange.head.get(RID) or b"").decode()
-        if exchange.finished:
-            self.unframed.pop(rid, None)
+        if exchange.finished and self.unframed.get(rid) is exchange:
+            # Another run of the request may be in progress here.
+            del self.unframed[rid]
         self.record.working.discard((rid, self.sid))
 
     def _answer(self, exchange, rid):
