Don't reset connections of peers that pause while they read

Cause: TCP_USER_TIMEOUT of 3 s, which finds connections that are silent for good, also ends those whose peer has closed its window, though it acknowledges all probes of that.

Ruled out: a caller cut off for memory (no line slow_caller_cut), and no such timeout at all: then a stream whose caller has gone silent would keep its engine at work until its time limit.

Change: once a tick a host asks the kernel about connections that have sent something. Bytes that wait with no packet in flight mean a closed window, and the peer gets 30 s until it has read everything; a silent peer leaves packets in flight and has 3 s as before.

--- a/crocuskeel/gateway/loop.py
+++ b/crocuskeel/gateway/loop.py
@@ -56,6 +56,7 @@
     def tick(self):
         """Feed a tick to the core and schedule the next one."""
         self.reactor.callLater(TICK_INTERVAL_S, self.tick)
+        self.memory.paused_readers.check()
         self.memory.measure()
         self.feed(events.Ticked(self.wall_clock()))
 
--- a/crocuskeel/gateway/memory.py
+++ b/crocuskeel/gateway/memory.py
@@ -4,6 +4,7 @@
 
 from crocuskeel.core.entry import answer_flow
 from crocuskeel.core.entry import memory_events
+from crocuskeel.gateway import paused_readers
 from crocuskeel.gateway import sockets
 
 __all__ = ["HostMemory", "UnlimitedMemory", "new_host_memory"]
@@ -36,6 +37,7 @@
         self.answer_bytes = 0
         self.paused = frozenset()
         self.writers = set()
+        self.paused_readers = paused_readers.PausedReaders()
         self.unread_bytes = 0
 
     def measure(self):
@@ -147,10 +149,12 @@
     def forget(self, conn):
         """Handle the loss of a caller's connection."""
         self.writers.discard(conn)
+        self.paused_readers.discard(conn)
         self.end_sending(conn)
 
     def note_write(self, conn):
         """Note that a connection may have unsent bytes."""
+        self.paused_readers.add(conn)
         if sockets.unsent_bytes(conn.transport):
             self.writers.add(conn)
 
--- a/crocuskeel/gateway/servers.py
+++ b/crocuskeel/gateway/servers.py
@@ -254,4 +254,5 @@
     attempt = Attempt(gateway, exchange, send)
     attempt.connection = connections.connect(
         gateway.reactor, send.server.address, attempt, CONNECT_TIMEOUT_S)
+    gateway.memory.paused_readers.add(attempt.connection)
     return attempt
--- a/crocuskeel/gateway/sockets.py
+++ b/crocuskeel/gateway/sockets.py
@@ -3,7 +3,8 @@
 import socket
 import struct
 
-__all__ = ["configure", "reset_on_close", "unsent_bytes", "write"]
+__all__ = ["PAUSED_USER_TIMEOUT_MS", "configure", "kernel_backlog",
+           "reset_on_close", "set_user_timeout", "unsent_bytes", "write"]
 
 # Keepalive: a connection can stop delivering data for good while new ones
 # work, because a device on its path lost its state, and a reader would wait
@@ -13,6 +14,12 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 USER_TIMEOUT_MS = 3000
+# A peer that is known to be there may read nothing for so long: no request
+# lasts longer.
+PAUSED_USER_TIMEOUT_MS = 30_000
+# Fields of the kernel's struct tcp_info: packets in flight, and bytes that
+# were not sent yet.
+_TCP_INFO = struct.Struct("=24xI116xI")
 # SO_LINGER with 0 s: a close resets the connection.
 ZERO_LINGER = struct.pack("ii", 1, 0)
 
@@ -25,9 +32,32 @@
     for option, value in (
             (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
             (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-            (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-            (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)):
+            (socket.TCP_KEEPCNT, KEEPALIVE_PROBES)):
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
+    set_user_timeout(transport)
+
+
+def set_user_timeout(transport, timeout_ms=USER_TIMEOUT_MS):
+    """Set for how long data may be unacknowledged or unsent, ms."""
+    transport.getHandle().setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
+
+def kernel_backlog(transport):
+    """Return what the kernel still has of written data.
+
+    That is (bytes that were not sent yet, packets that were and are not
+    acknowledged); zeros where the kernel doesn't say it.
+    """
+    try:
+        info = transport.getHandle().getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size)
+    except OSError:
+        return 0, 0
+    if len(info) < _TCP_INFO.size:
+        return 0, 0
+    in_flight, unsent = _TCP_INFO.unpack(info)
+    return unsent, in_flight
 
 
 def reset_on_close(transport):
