Hold only what is used of the store's pages, and list after large changes

Causes: a list kept the objects of all its pages as they were read, and an entry may have a megabyte: 40 entries with fields of 100,000 wide characters took 38 MB of memory at the last page, so that some 150 of them exceed a host of 150 MB at each start. A watch that returns more than an answer may have (8 MB) failed, and was asked from the same revision again: no change was seen until the store dropped its history.

Change: objects are trimmed page by page, by a function that leaves each entry valid or invalid as it is (all sampled entries are taken for the same). An answer may have 4 MB, as its text may take four times that. A watch over that ends with 410, and the list follows.

On the code before fail: FAIL: test_list_holds_what_is_used_of_its_pages AssertionError: not less than 8388608 FAIL: test_more_changes_than_an_answer_may_hold_are_listed AssertionError: b'Watch' unexpectedly found in b'/crocuskeel/objects/servers?Watch=5&WaitMs=100'

--- a/crocuskeel/gateway/calls.py
+++ b/crocuskeel/gateway/calls.py
@@ -9,7 +9,9 @@
 __all__ = ["Reply", "call"]
 
 CONNECT_TIMEOUT_S = 1.0
-MAX_BODY_BYTES = 8 << 20
+# A text of this size may take four times as much memory, and its values as
+# much again. Pages and objects of the store have a megabyte each.
+MAX_BODY_BYTES = 4 << 20
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,6 +34,7 @@
         self.status = 0
         self.headers = ()
         self.body = bytearray()
+        self.too_large = False
 
     def request(self):
         """Return the parts of the request."""
@@ -45,6 +48,7 @@
     def data_received(self, data):
         """Collect a piece of the answer."""
         if len(self.body) + len(data) > self.max_bytes:
+            self.too_large = True
             self.abort("answer too large")
             return
         self.body += data
@@ -58,7 +62,7 @@
     def failed(self, failure, detail):
         """Report that the call failed."""
         self.done.errback(exceptions.CallFailed(
-            detail, cut=self.connection.lost))
+            detail, self.connection.lost, self.too_large))
 
     def abort(self, why):
         """Fail the call, unless it has ended."""
--- a/crocuskeel/platform/exceptions.py
+++ b/crocuskeel/platform/exceptions.py
@@ -23,10 +23,12 @@
 class StoreError(PlatformError):
     """A call to the store failed; ``status`` is 0 without an answer.
 
-    ``cut``: the store closed the connection instead.
+    ``cut``: the store closed the connection instead. ``too_large``: its answer
+    was not read to its end.
     """
 
-    def __init__(self, status, why, cut=False):
+    def __init__(self, status, why, cut=False, too_large=False):
         super().__init__(f"{why} ({status})" if status else why)
         self.status = status
         self.cut = cut
+        self.too_large = too_large
--- a/crocuskeel/platform/objects.py
+++ b/crocuskeel/platform/objects.py
@@ -7,7 +7,7 @@
 from crocuskeel.platform import exceptions
 
 __all__ = ["catalog", "is_name", "name", "peer", "peer_spec", "server",
-           "server_record", "service"]
+           "server_record", "service", "trimmed_server"]
 
 READY = "ready"
 DRAINING = "draining"
@@ -223,6 +223,34 @@
     return spec
 
 
+def trimmed_server(obj):
+    """Return an entry of a server that ``server`` takes for the same.
+
+    Each field, used or not, may be as large as the store allows. Of invalid
+    ones enough is left to stay invalid.
+    """
+    if not isinstance(obj, dict):
+        return {}
+    meta = obj.get("Meta")
+    kept = {}
+    if isinstance(meta, dict):
+        kept["Meta"] = {"Name": _trimmed(meta.get("Name")),
+                        "Deleting": bool(meta.get("Deleting"))}
+    spec = obj.get("Spec") or obj.get("Status")
+    if isinstance(spec, dict):
+        kept["Spec"] = {
+            field: _trimmed(spec[field], field == "Version")
+            for field in (*SERVER_FIELDS, *OPTIONAL_FIELDS) if field in spec}
+    return kept
+
+
+def _trimmed(value, is_version=False):
+    if isinstance(value, str) and len(value) > MAX_NAME_CHARS:
+        return (_software_version(value) if is_version
+                else value[:MAX_NAME_CHARS + 1])
+    return None if isinstance(value, dict | list) else value
+
+
 def server_record(obj):
     """Return a valid entry of a server with only the fields that are used.
 
--- a/crocuskeel/platform/store.py
+++ b/crocuskeel/platform/store.py
@@ -68,9 +68,11 @@
             self.era = era
             self.on_restored()
 
-    async def list(self, kind):
+    async def list(self, kind, keep=lambda obj: obj):
         """Return the Listing of a kind; raises StoreError.
 
+        Its items are what ``keep(obj)`` returns of each object, without None:
+        all objects as they are may take more memory than this host has.
         Its revision is that of the first page: an object of it may change
         before the last page is read, and a watch from there on shows that.
         """
@@ -85,10 +87,11 @@
             era = self.era
             if first_number is None:
                 first_number = page["AsOf"]
-            items += _list_field(page, "Items")
+            rows = _list_field(page, "Items")
+            items += [kept for kept in map(keep, rows) if kept is not None]
             if not page.get("More"):
                 break
-            following = f"?AfterRev={_quote(_last_readable_name(items))}"
+            following = f"?AfterRev={_quote(_last_readable_name(rows))}"
             if following == after:
                 raise exceptions.StoreError(
                     0, f"list {kind}: a page has no object with a name")
@@ -100,13 +103,22 @@
         """Wait for changes after a revision, ``wait_s`` at most.
 
         Returns Changes. Raises StoreError; its status is 410 if the
-        store no longer keeps the changes after ``revision``, or was restored
-        since: it may have the same number again.
+        store no longer keeps the changes after ``revision``, has too many of
+        them for one answer, or was restored since: it may have the same number
+        again.
         """
         self._check_era(kind, revision)
         query = (f"?Watch={revisions.number(revision)}"
                  f"&WaitMs={int(wait_s * 1000)}")
-        page = await self._get("watch", kind, query, wait_s + WATCH_GRACE_S)
+        try:
+            page = await self._get(
+                "watch", kind, query, wait_s + WATCH_GRACE_S)
+        except exceptions.StoreError as exc:
+            if not exc.too_large:
+                raise
+            # It would be as large again; a list comes in pages.
+            raise exceptions.StoreError(
+                GONE, f"watch {kind}: too many changes") from exc
         self._check_era(kind, revision)
         rows = tuple((row["Object"], bool(row.get("Removed")))
                      for row in _list_field(page, "events")
@@ -195,7 +207,7 @@
                 (PATH + target).encode(), timeout_s, data)
         except gateway_exceptions.CallFailed as exc:
             raise exceptions.StoreError(
-                0, f"{operation}: {exc}", exc.cut) from exc
+                0, f"{operation}: {exc}", exc.cut, exc.too_large) from exc
         era = _era(reply, self.era)
         if era < self.era:
             raise exceptions.StoreError(
--- a/crocuskeel/platform/store_watcher.py
+++ b/crocuskeel/platform/store_watcher.py
@@ -1,8 +1,5 @@
 """Watches the store: configuration, backend servers, other hosts."""
 
-import dataclasses
-import typing
-
 from crocuskeel.core.entry import changelog
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import fleet
@@ -12,6 +9,7 @@
 from crocuskeel.platform import objects
 from crocuskeel.platform import snapshots
 from crocuskeel.platform import store as stores
+from crocuskeel.platform import watched_kind
 from twisted.internet import defer
 from twisted.internet import task
 
@@ -41,29 +39,6 @@
 REGISTRATION_SPREAD_S = 0.01
 
 
-@dataclasses.dataclass(slots=True)
-class _WatchedKind:
-    """State of the watch of a kind of object.
-
-    ``on_list`` and ``on_change`` handle lists and changes from the store. All
-    changes up to ``revision`` are known; it is None until the list was read.
-    ``answered_at`` is when the store last answered, by the reactor's clock.
-    """
-
-    name: str
-    on_list: typing.Callable
-    on_change: typing.Callable
-    answered_at: float
-    revision: int | None = None
-    failures: int = 0
-    called_at: float = 0.0
-    # The open watch, if any.
-    watch: defer.Deferred | None = None
-    # The next watch is the first one since the list was read, or since
-    # a call failed.
-    is_resuming: bool = True
-
-
 class StoreWatcher:
     """Passes the store's content and its changes to the gateway's core.
 
@@ -103,10 +78,12 @@
         self.started = True
         now = self.reactor.seconds()
         self.kinds = [
-            _WatchedKind(CONFIG_KIND, self._on_config_list,
-                         self._on_config_change, now),
-            _WatchedKind(SERVER_KIND, self._on_server_list,
-                         self._on_server_change, now)]
+            watched_kind.WatchedKind(
+                CONFIG_KIND, self._on_config_list, self._on_config_change,
+                now, self._configuration),
+            watched_kind.WatchedKind(
+                SERVER_KIND, self._on_server_list, self._on_server_change,
+                now, objects.trimmed_server)]
         for kind in self.kinds:
             self._run_kind(kind)
 
@@ -153,7 +130,7 @@
                 await self._back_off(kind.failures, self._elapsed_s(kind))
 
     async def _list(self, kind):
-        listing = await self.store.list(kind.name)
+        listing = await self.store.list(kind.name, kind.keep)
         kind.revision = listing.revision
         kind.is_resuming = True
         self._store_answered(kind)
@@ -256,6 +233,9 @@
         delay_s *= 0.75 + 0.5 * self.gateway.host.rng.random()
         return task.deferLater(self.reactor, delay_s)
 
+    def _configuration(self, obj):
+        return obj if self._object_name(obj) == CONFIG_NAME else None
+
     def _on_config_list(self, listing):
         for obj in listing.items:
             self.apply_config(obj)
@@ -316,8 +296,12 @@
             changed, removed, revision, unreadable, lapsing))
 
     def _object_name(self, obj):
+        return self._decoded(objects.name, obj)
+
+    def _decoded(self, decode, obj):
+        """Return ``decode(obj)``, or None with a log line if it is invalid."""
         try:
-            return objects.name(obj)
+            return decode(obj)
         except exceptions.InvalidObjectError as exc:
             self.gateway.log("bad_object", {"why": str(exc)})
             return None
@@ -346,7 +330,8 @@
             try:
                 await self.store.put(HOST_KIND, own_peer.name,
                                      objects.peer_spec(own_peer))
-                listing = await self.store.list(HOST_KIND)
+                listing = await self.store.list(
+                    HOST_KIND, lambda obj: self._decoded(objects.peer, obj))
                 break
             except exceptions.StoreError as exc:
                 failures += 1
@@ -354,17 +339,9 @@
                 # The store may reject writes only.
                 self._start_watching()
                 await self._back_off(failures)
-        self.gateway.feed(events.PeersListed(tuple(
-            peer for peer in map(self._decode_peer, listing.items) if peer)))
+        self.gateway.feed(events.PeersListed(listing.items))
         self._start_watching()
 
-    def _decode_peer(self, obj):
-        try:
-            return objects.peer(obj)
-        except exceptions.InvalidObjectError as exc:
-            self.gateway.log("bad_object", {"why": str(exc)})
-            return None
-
     def state(self):
         """Return a value that changes whenever a snapshot would."""
         catalog = self.gateway.host.catalog
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -2,12 +2,14 @@
 
 import json
 import random
+import tracemalloc
 import unittest
 import zlib
 
 from crocuskeel.core import entry
 from crocuskeel.core.entry import events
 from crocuskeel.gateway import calls
+from crocuskeel.gateway import exceptions as gateway_exceptions
 from crocuskeel.gateway import gossip
 from crocuskeel.platform import decoding
 from crocuskeel.platform import exceptions
@@ -15,6 +17,7 @@
 from crocuskeel.platform import snapshots
 from crocuskeel.platform import store as stores
 from crocuskeel.platform import store_watcher
+from crocuskeel.platform import watched_kind
 from tests.entry import support
 from twisted.internet import defer
 from twisted.internet import task
@@ -85,9 +88,9 @@
         calls.call = call
         test.addCleanup(setattr, calls, "call", original)
         self.watcher.started = True
-        kind = store_watcher._WatchedKind(
+        kind = watched_kind.WatchedKind(
             "servers", self.watcher._on_server_list,
-            self.watcher._on_server_change, 0.0)
+            self.watcher._on_server_change, 0.0, objects.trimmed_server)
         self.watcher.kinds = [kind]
         self.watcher._run_kind(kind)
 
@@ -192,6 +195,55 @@
                 self.assertEqual({"i-1": False}, host.known())
 
 
+class LargeEntriesTest(unittest.TestCase):
+    """Guards against entries that together exceed a host's memory."""
+
+    def _unused(self, number):
+        # Wide characters take four bytes in memory.
+        return json.dumps(
+            {**_entry(f"o-{number:03}", Zone="\U0001f6f6" * 100_000),
+             "Status": {"Note": "\U0001f6f6" * 100_000}}, ensure_ascii=False)
+
+    def test_list_holds_what_is_used_of_its_pages(self):
+        host = _Host()
+        host.start(self)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for number in range(40):
+            host.answer(_page(self._unused(number), More=True))
+        tracemalloc.reset_peak()
+        host.answer(_page(self._unused(99), GOOD))
+        _, peak = tracemalloc.get_traced_memory()
+        self.assertEqual({"i-1": False}, host.known())
+        self.assertLess(peak, 8 << 20)
+
+    def test_trimmed_entry_is_taken_for_the_same(self):
+        for text in ENTRIES:
+            obj = decoding.loads(text.encode())
+            with self.subTest(text[:80]):
+                self.assertEqual(
+                    self._decoded(obj),
+                    self._decoded(objects.trimmed_server(obj)))
+
+    def _decoded(self, obj):
+        try:
+            return objects.server(obj), objects.server_record(obj)
+        except exceptions.InvalidObjectError:
+            return None
+
+    def test_more_changes_than_an_answer_may_hold_are_listed(self):
+        # The watch would get the same answer until its history is dropped.
+        host = _Host()
+        host.start(self)
+        host.answer(_page(GOOD))
+        host.asked.errback(gateway_exceptions.CallFailed(
+            "answer too large", too_large=True))
+        host.clock.advance(1.0)
+        self.assertNotIn(b"Watch", host.target)
+        host.answer(_page(DRAINING))
+        self.assertEqual({"i-1": True}, host.known())
+
+
 class HostEntriesTest(unittest.TestCase):
     """Guards against entries of hosts by other writers."""
 
--- a/tests/platform/test_store_watcher.py
+++ b/tests/platform/test_store_watcher.py
@@ -25,9 +25,8 @@
 
 def _server(sid, state="ready"):
     return {"Meta": {"Name": sid, "Rev": 1}, "Spec": {
-        "Service": "plain", "Addr": "10.0.0.9:80", "Zone": "a",
-        "Version": "v1", "Slots": 6, "State": state, "ColdLeftMs": 0,
-        "Seq": 1}}
+        "Service": "plain", "Addr": "10.0.0.9:80", "Zone": "a", "Seq": 1,
+        "Version": "v1", "Slots": 6, "State": state, "ColdLeftMs": 0}}
 
 
 class _Store:
@@ -38,8 +37,9 @@
         self.spans = []
         self.pending_calls = {}
 
-    async def list(self, kind):
-        return await self._call("list", kind)
+    async def list(self, kind, keep):
+        items, revision = dataclasses.astuple(await self._call("list", kind))
+        return stores.Listing(tuple(map(keep, items)), revision)
 
     async def watch(self, kind, revision, span_s):
         self.spans.append(span_s)
