Cut off slow readers of small answers too while requests are refused

What callers saw: nothing yet; found by reading. While a host holds more than its budget it refuses new requests. Callers that had read large answers for too long were cut off if other answers waited; those of small answers never were, so that some 1,500 callers that don't read 60 KB each had a host refuse everybody else for as long as they liked. And "too long" was the caller's own time limit, which may be infinite.

Change: connections with unsent bytes have a time from when these appear, 10 s or that of a large answer, and are cut off after it while requests are refused. The caller's own limit counts up to 60 s.

Ruled out: the kernel's timeout, which a byte read now and then starts anew.

On the code before fail: FAIL: test_small_answers_are_cut_off_while_others_are_refused FAIL: test_time_limit_of_a_caller_counts_up_to_a_maximum (inf, 1e+300)

--- a/crocuskeel/gateway/memory.py
+++ b/crocuskeel/gateway/memory.py
@@ -3,6 +3,7 @@
 import os
 
 from crocuskeel.core.entry import answer_flow
+from crocuskeel.core.entry import body_memory
 from crocuskeel.core.entry import memory_events
 from crocuskeel.gateway import paused_readers
 from crocuskeel.gateway import sockets
@@ -11,8 +12,10 @@
 
 STATM_PATH = "/proc/self/statm"
 # An answer may be sent for so long, s, or for the caller's own time limit if
-# that is longer. After that it is cut off if others wait for its memory.
+# that is longer, up to a maximum. After that it is cut off if others wait for
+# its memory.
 MIN_SENDING_S = 10.0
+MAX_SENDING_S = 60.0
 
 
 class HostMemory:
@@ -22,8 +25,8 @@
     ``readers`` maps the keys of announced bodies to the connections that
     read them. ``answers`` maps answers that are read from servers to what is
     held of them, ``sending`` connections to (size, until when it may be sent)
-    of answers that their callers have not read yet, and ``writers`` are
-    connections with unsent bytes.
+    of answers that their callers have not read yet, and ``writers`` maps
+    connections with unsent bytes to until when they may have some.
     """
 
     def __init__(self, gateway, limit, read_resident):
@@ -36,7 +39,7 @@
         self.sending = {}
         self.answer_bytes = 0
         self.paused = frozenset()
-        self.writers = set()
+        self.writers = {}
         self.paused_readers = paused_readers.PausedReaders()
         self.unread_bytes = 0
 
@@ -51,15 +54,22 @@
             held["unsent"] + sum(size for size, _ in self.sending.values())))
         self._pace_answers()
         if self.paused:
-            self._cut_slow_callers()
+            self._cut_slow_callers(
+                (conn, until) for conn, (_, until) in self.sending.items())
+        if body_memory.is_short(self.gateway.host.memory, 1):
+            self._cut_slow_callers(self.writers.items())
 
-    def _cut_slow_callers(self):
-        """Reset callers that read an answer for longer than they may."""
+    def _cut_slow_callers(self, rows):
+        """Reset callers that read for longer than they may.
+
+        ``rows`` holds (connection, until when).
+        """
         now = self.gateway.reactor.seconds()
-        for conn, (size, until) in list(self.sending.items()):
-            if now >= until:
-                self.gateway.log("slow_caller_cut", {"size": size})
-                conn.transport.abortConnection()
+        for conn in [conn for conn, until in rows if now >= until]:
+            unsent = sockets.unsent_bytes(conn.transport)
+            size, _ = self.sending.get(conn, (unsent, now))
+            self.gateway.log("slow_caller_cut", {"size": size})
+            conn.transport.abortConnection()
 
     def held_bytes(self):
         """Return how much is held for requests and answers."""
@@ -68,7 +78,7 @@
     def held_by_kind(self):
         """Return what is held, bytes by kind."""
         exchanges = self.gateway.exchanges.values()
-        self.writers = {conn for conn in self.writers
+        self.writers = {conn: until for conn, until in self.writers.items()
                         if sockets.unsent_bytes(conn.transport)}
         return {
             "bodies": (sum(len(exchange.body) for exchange in exchanges)
@@ -134,9 +144,10 @@
 
         ``limit_s`` is how long the caller waits for it, None if unknown.
         """
-        until = self.gateway.reactor.seconds() + max(
-            MIN_SENDING_S, limit_s or 0.0)
+        span_s = min(MAX_SENDING_S, max(MIN_SENDING_S, limit_s or 0.0))
+        until = self.gateway.reactor.seconds() + span_s
         self.sending[conn] = size, until
+        self.writers[conn] = until
         self.answer_bytes += size
 
     def end_sending(self, conn):
@@ -148,7 +159,7 @@
 
     def forget(self, conn):
         """Handle the loss of a caller's connection."""
-        self.writers.discard(conn)
+        self.writers.pop(conn, None)
         self.paused_readers.discard(conn)
         self.end_sending(conn)
 
@@ -156,7 +167,8 @@
         """Note that a connection may have unsent bytes."""
         self.paused_readers.add(conn)
         if sockets.unsent_bytes(conn.transport):
-            self.writers.add(conn)
+            self.writers.setdefault(
+                conn, self.gateway.reactor.seconds() + MIN_SENDING_S)
 
     def add_unread(self, size):
         """Count bytes of requests that have not begun; may be negative."""
