Read no further answers while whole ones wait for their callers

Cause: of answers that exceed their part of the memory the oldest one is read on, so that one of them ends. It ended and waited for its caller, and the next one was the oldest then, until all of them were held whole.

Ruled out: the pauses of servers' connections, which hold (a paused answer didn't grow), and the kernel's buffers, which don't count as resident.

Callers that don't read are cut off after 10 s or their time limit, as before, so that the others go on.

On the code before fails: FAIL: test_answers_that_nobody_reads_stay_within_the_budget AssertionError: not less than or equal to

--- a/crocuskeel/gateway/memory.py
+++ b/crocuskeel/gateway/memory.py
@@ -183,8 +183,9 @@
         return self.gateway.host.memory.for_answers
 
     def _pace_answers(self):
+        whole = sum(size for size, _ in self.sending.values())
         paused = answer_flow.to_pause(
-            self.answers, self.answer_bytes, self._answer_budget())
+            self.answers, whole, self._answer_budget())
         before, self.paused = self.paused, paused
         if bool(before) != bool(paused):
             self.gateway.log("answers_paused", {
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -14,6 +14,10 @@
     def setsockopt(self, *args):
         """Accept any option."""
 
+    def getsockopt(self, *args):
+        """Say nothing, as a kernel that doesn't know the option."""
+        return b""
+
 
 class Transport(testing.StringTransport):
     """A transport that records writes and how it was closed."""
--- a/tests/gateway/test_slow_callers.py
+++ b/tests/gateway/test_slow_callers.py
@@ -12,6 +12,7 @@
 from twisted.internet import task
 
 MB = 1 << 20
+PIECE = 1 << 16
 LIMIT = 16 * MB
 
 
@@ -23,6 +24,37 @@
         self.transport.dataBuffer = bytes(unsent)
 
 
+class _Answer:
+    """An answer that its server sends at once, as far as it is read."""
+
+    def __init__(self, held, size):
+        self.held = held
+        self.missing = size
+        self.size = 0
+        self.conn = _Connection(0)
+        self.paused = False
+
+    def pause_reading(self, cause):
+        """Read nothing."""
+        self.paused = True
+
+    def resume_reading(self, cause):
+        """Read on."""
+        self.paused = False
+
+    def read(self):
+        """Read a piece; the last one hands the answer to its caller."""
+        if self.paused or not self.missing:
+            return False
+        self.size += PIECE
+        self.missing -= PIECE
+        self.held.hold_answer(self, self.size)
+        if not self.missing:
+            self.held.begin_sending(self.conn, self.size, 8.0)
+            self.held.drop_answer(self)
+        return True
+
+
 class SlowCallersTest(unittest.TestCase):
     """Guards against callers that keep the memory of others for ever."""
 
@@ -34,6 +66,7 @@
             lambda event, fields: None, lambda: 0.0)
         self.memory = memory.new_host_memory(
             self.gateway, LIMIT, lambda: self.memory.held_bytes())
+        self.gateway.memory = self.memory
         self.gateway.start(entry_support.peer("me"))
 
     def _aborted(self, conns, after_s):
@@ -70,6 +103,33 @@
                 self.assertEqual({False}, self._aborted([conn], 59.0))
                 self.assertEqual({True}, self._aborted([conn], 1.0))
 
+    def test_answers_that_nobody_reads_stay_within_the_budget(self):
+        # Sixty callers that paused for 5 s took a host over its limit: one
+        # answer after the other was read to its end, as it was the oldest.
+        answers = [_Answer(self.memory, 2 * MB) for _ in range(60)]
+        while any([answer.read() for answer in answers]):
+            self.assertLessEqual(self.memory.held_bytes(),
+                                 self.gateway.host.memory.total)
+        waiting = [answer for answer in answers if answer.missing]
+        self.assertTrue(waiting)
+        # They are read as callers have read the former ones, or are cut off.
+        for _ in answers:
+            self.clock.advance(memory.MIN_SENDING_S)
+            self.memory.measure()
+            for answer in answers:
+                if answer.conn.transport.aborted:
+                    self.memory.forget(answer.conn)
+            while any([answer.read() for answer in answers]):
+                pass
+        self.assertEqual(0, sum(answer.missing for answer in answers))
+
+    def test_answers_that_are_read_go_on_one_after_the_other(self):
+        answers = [_Answer(self.memory, 4 * MB) for _ in range(20)]
+        while any([answer.read() for answer in answers]):
+            for answer in answers:
+                self.memory.end_sending(answer.conn)
+        self.assertEqual(0, sum(answer.missing for answer in answers))
+
 
 if __name__ == "__main__":
     unittest.main()
