Limit what hosts remember of the parts that prompts name

What callers saw: nothing; found by reading, for what a host holds for callers and peers. The parts that an engine is taken to cache are forgotten by the sum of their tokens. Parts of no tokens were never forgotten, and a name may have as many bytes as a header: with 8 kB each, 4,000 of them for each of six engines are more than a host has. A row of another host with a negative number of tokens let the sum fall for good.

Change: 4,096 parts an engine at the most (the deployments' engines cache 2,800 at the most by their memory and the smallest parts on their sheets); a name of over 64 characters is replaced by its digest, in what hosts remember and tell; negative sizes are refused with their datagram.

On the code before fail: ERROR: test_parts_without_tokens_are_limited_in_number (no such limit) FAIL: test_long_names_of_parts_are_replaced_by_digests: [32, 32] != [8000, 8000] FAIL: test_parts_have_no_negative_sizes: ValueError not raised

--- a/crocuskeel/core/entry/prefix_cache.py
+++ b/crocuskeel/core/entry/prefix_cache.py
@@ -19,6 +19,9 @@
 # Share of an engine's memory that is assumed to cache parts: running
 # requests use the rest.
 CACHE_SHARE = 0.7
+# Parts of an engine that are remembered: more than it caches of those with
+# some hundred tokens. Requests may name any number of smaller ones.
+MAX_PARTS = 4096
 # Time for the messages between two engines before a fetch, s: parts whose
 # fetch saves no more than this are prefilled instead.
 FETCH_OVERHEAD_S = 0.01
@@ -163,6 +166,7 @@
         prefilled_at = min(prefilled_at, known.prefilled_at)
     state.parts[part] = CachedPart(tokens, prefilled_at)
     state.parts_tokens += tokens
-    while state.parts_tokens > memory * CACHE_SHARE:
+    while (state.parts_tokens > memory * CACHE_SHARE
+           or len(state.parts) > MAX_PARTS):
         _, evicted = state.parts.popitem(last=False)
         state.parts_tokens -= evicted.tokens
--- a/crocuskeel/gateway/datagram_checks.py
+++ b/crocuskeel/gateway/datagram_checks.py
@@ -78,7 +78,8 @@
     """Check rows of (server id, part, tokens)."""
     return type(rows) is tuple and all(
         type(row) is tuple and len(row) == 3 and type(row[0]) is str
-        and type(row[1]) is str and is_count(row[2]) for row in rows)
+        and type(row[1]) is str and is_count(row[2]) and row[2] >= 0
+        for row in rows)
 
 
 def is_usage_rows(rows):
--- a/crocuskeel/platform/headers.py
+++ b/crocuskeel/platform/headers.py
@@ -64,6 +64,7 @@
 MAX_PRIORITY = 9
 # No count of tokens, requests or slots in a header has more digits.
 MAX_DIGITS = 9
+MAX_PART_CHARS = 64
 
 
 def new_header_codec():
@@ -155,7 +156,17 @@
     for row in text.split(","):
         name, _, tokens = row.strip().partition(":")
         if name and _is_count(tokens):
-            yield name, int(tokens)
+            yield _part_id(name), int(tokens)
+
+
+def _part_id(name):
+    """Return what identifies a part, which hosts remember and tell.
+
+    Callers send short hashes, but may send anything that a header holds.
+    """
+    if len(name) <= MAX_PART_CHARS:
+        return name
+    return hashlib.blake2b(name.encode("latin-1"), digest_size=16).hexdigest()
 
 
 def _digest(head, body):
--- a/tests/entry/test_prefix_cache.py
+++ b/tests/entry/test_prefix_cache.py
@@ -173,3 +173,16 @@
         self.assertEqual(
             500 + SHARED * FETCH_TOKEN_S * prefix_cache.PREFILL_TOKENS_PER_S,
             tokens)
+
+
+class RememberedPartsTest(unittest.TestCase):
+    """Guards against requests that fill a host's memory with part names."""
+
+    def test_parts_without_tokens_are_limited_in_number(self):
+        driver = _driver()
+        for number in range(2 * prefix_cache.MAX_PARTS):
+            _cache(driver, "e0", f"part-{number}", number % 2)
+        state = driver.host.servers["e0"]
+        self.assertEqual(prefix_cache.MAX_PARTS, len(state.parts))
+        self.assertIn(f"part-{2 * prefix_cache.MAX_PARTS - 1}", state.parts)
+        self.assertEqual(prefix_cache.MAX_PARTS // 2, state.parts_tokens)
--- a/tests/gateway/test_datagrams.py
+++ b/tests/gateway/test_datagrams.py
@@ -100,6 +100,15 @@
                         driver, msgpack.packb(variant))
         self.assertGreater(accepted, 100)
 
+    def test_parts_have_no_negative_sizes(self):
+        # Their sum decides which ones are forgotten.
+        state = next(event for event in EVENTS
+                     if isinstance(event, events.PeerStateReceived))
+        data = gossip.encode(dataclasses.replace(
+            state, parts=(("e1", "p", -1),)))
+        with self.assertRaises(ValueError):
+            gossip.decode(data)
+
     def test_no_datagrams(self):
         for data in (b"", b"\xc1", b"\x90", b"\x91" * 5000, b"\xff" * 1000,
                      bytes(65507)):
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -175,6 +175,17 @@
                     1, 0, support.server("i-1"), 1.5, 0, "hire", True),
                     None)))
 
+    def test_long_names_of_parts_are_replaced_by_digests(self):
+        # Each was remembered for each engine, and told to other hosts.
+        head = header_codec.Head((
+            (b"X-Crocuskeel-Token-Count", b"900,80"),
+            (b"X-Crocuskeel-Prefix-Hash", b"5c1e:400,%s:300,%s:200" % (
+                b"a" * 8000, b"a" * 7999 + b"b"))), b"POST", b"/a/1")
+        parts = self.codec.read_request(head, b"").prompt.parts
+        self.assertEqual(("5c1e", 400), parts[0])
+        self.assertEqual([32, 32], [len(name) for name, _ in parts[1:]])
+        self.assertNotEqual(parts[1][0], parts[2][0])
+
     def test_reserved_headers_of_a_caller_are_dropped(self):
         # A caller that sets its own priority, or another caller's cache,
         # would be served first, or from the prompts of others.
