Watch only connections that send

Cause: connections to servers were watched for pauses of their peers from the moment they were begun, and those that failed to connect were never forgotten: each left an object behind, for as long as the host ran. Found by reading the change before its landing.

Change: a connection is watched as its request is sent, and forgotten at the next tick after its end.

On the code before fails: FAIL: test_only_connections_that_send_are_watched AssertionError: Items in the second set but not the first

--- a/crocuskeel/gateway/paused_readers.py
+++ b/crocuskeel/gateway/paused_readers.py
@@ -22,7 +22,7 @@
         self.extended = set()
 
     def add(self, conn):
-        """Watch a connection that has sent data."""
+        """Watch a connection that sends data."""
         self.sending.add(conn)
 
     def discard(self, conn):
@@ -34,9 +34,6 @@
         """Give more time to peers that read nothing; once a tick."""
         for conn in list(self.sending):
             transport = conn.transport
-            if transport is None:
-                # It is not connected yet.
-                continue
             if not transport.connected:
                 self.discard(conn)
                 continue
--- a/crocuskeel/gateway/servers.py
+++ b/crocuskeel/gateway/servers.py
@@ -70,7 +70,8 @@
         return self.connection.closed
 
     def request(self):
-        """Return the parts of the request."""
+        """Return the parts of the request, which is sent now."""
+        self.gateway.memory.paused_readers.add(self.connection)
         exchange = self.exchange
         head = exchange.head
         headers = self.gateway.codec.server_headers(
@@ -254,5 +255,4 @@
     attempt = Attempt(gateway, exchange, send)
     attempt.connection = connections.connect(
         gateway.reactor, send.server.address, attempt, CONNECT_TIMEOUT_S)
-    gateway.memory.paused_readers.add(attempt.connection)
     return attempt
--- a/tests/gateway/test_servers.py
+++ b/tests/gateway/test_servers.py
@@ -280,6 +280,19 @@
         _, _, _, timeout, _ = self.reactor.tcpClients[0]
         self.assertEqual(servers.CONNECT_TIMEOUT_S, timeout)
 
+    def test_only_connections_that_send_are_watched(self):
+        # Each one that failed was kept for good, with its server's address.
+        readers = self.gateway.memory.paused_readers
+        self._fail(error.ConnectionRefusedError())
+        self.assertEqual(set(), readers.sending)
+        connection = self.attempt.connection
+        connection.closed = False
+        connection.handler = self.attempt
+        connection.makeConnection(support.Transport())
+        self.assertEqual({connection}, readers.sending)
+        readers.check()
+        self.assertEqual(set(), readers.sending)
+
     def test_server_that_does_not_accept_in_time_is_unreachable(self):
         self.assertEqual([model.Outcome.UNREACHABLE], self._fail(
             error.TimeoutError(), servers.CONNECT_TIMEOUT_S + 0.01))
