Name the check whether a host holds more than its budget

The same comparison stood twice in body_memory, and memory.py asked for it as the shortage of a class by a bare 1, which reads like a priority that matters. It is a property now; what is decided is the same: for every class but the most urgent one a shortage is just that.

Found on reading the whole change once more.

--- a/crocuskeel/core/entry/body_memory.py
+++ b/crocuskeel/core/entry/body_memory.py
@@ -92,6 +92,11 @@
     released_since: float | None = None
     free_rate: float | None = None
 
+    @property
+    def is_exceeded(self):
+        """Whether more is held than the budget."""
+        return self.held > self.total
+
     @property
     def for_bodies(self):
         """Budget of large bodies."""
@@ -123,13 +128,13 @@
 def measured(host, event, now):
     """Handle a measurement of the process's memory."""
     memory = host.memory
-    was_short = memory.held > memory.total
+    was_short = memory.is_exceeded
     memory.limit = event.limit
     memory.total = budget_bytes(event.limit, event.resident, event.held)
     memory.held = event.held
     memory.unsent = event.unsent
     out = []
-    if was_short != (memory.held > memory.total):
+    if was_short != memory.is_exceeded:
         out.append(effects.LogEvent("memory_short", {
             "short": not was_short, "held": memory.held,
             "budget": memory.total, "resident": event.resident}))
--- a/crocuskeel/gateway/memory.py
+++ b/crocuskeel/gateway/memory.py
@@ -3,7 +3,6 @@
 import os
 
 from crocuskeel.core.entry import answer_flow
-from crocuskeel.core.entry import body_memory
 from crocuskeel.core.entry import memory_events
 from crocuskeel.gateway import paused_readers
 from crocuskeel.gateway import sockets
@@ -56,7 +55,7 @@
         if self.paused:
             self._cut_slow_callers(
                 (conn, until) for conn, (_, until) in self.sending.items())
-        if body_memory.is_short(self.gateway.host.memory, 1):
+        if self.gateway.host.memory.is_exceeded:
             self._cut_slow_callers(self.writers.items())
 
     def _cut_slow_callers(self, rows):
