Log what a stop finds, begins and breaks off, before a kill

A stream that broke off as its host was stopped left no line that said so: `stopped` had a count, and comes when nothing more can be lost to SIGKILL. So the users' record couldn't tell a request that was taken too late from one that was in progress, nor a host that ended from one that was killed.

`sent` and `relayed` now say how long ago SIGTERM came and in how many seconds the host exits; `stopping` and, each second, `still_stopping` name the requests in progress; `cut_by_stop` names each one that the exit breaks off, with when it came and at which servers it runs. While a host stops, lines are written with the event that they tell of, and these kinds aren't left out by the limit on lines. `crocuskeelctl explain` knows the new end.

--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -19,6 +19,7 @@
 from crocuskeel.core.entry import server_choice
 from crocuskeel.core.entry import server_load
 from crocuskeel.core.entry import state as states
+from crocuskeel.core.entry import stopping
 from crocuskeel.core.entry import trials
 from crocuskeel.core.scheduling import placement
 from crocuskeel.core.scheduling import queueing
@@ -192,7 +193,8 @@
         relay_servers=attempt.servers, relay_origin=pending.origin)
     line = ending.log_line(
         "relayed", pending.request, turn=attempt.attempt_number,
-        peer=peer.name, service=pending.service, left_s=round(left, 2))
+        peer=peer.name, service=pending.service, left_s=round(left, 2),
+        **stopping.log_fields(host, now))
     return [order, line, effects.SetRequestTimer(
         pending.key, retrying.next_check(pending, now))]
 
@@ -216,7 +218,7 @@
         left_s=round(pending.deadline_at - now, 2),
         software=target.server.version, resumes=pending.request.resumes,
         last_event=pending.request.last_event_id,
-        version=host.catalog.version)
+        version=host.catalog.version, **stopping.log_fields(host, now))
 
 
 def _hold(host, pending, now):
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -340,7 +340,10 @@
     # Memory of large request bodies.
     memory: body_memory.BodyMemory = dataclasses.field(
         default_factory=body_memory.BodyMemory)
+    # When this host was asked to stop, and when it last logged what is in
+    # progress since.
     stop_at: float | None = None
+    stop_logged_at: float = 0.0
     listener_closed: bool = False
     exited: bool = False
 
--- a/crocuskeel/ctl/entry_logs.py
+++ b/crocuskeel/ctl/entry_logs.py
@@ -9,8 +9,8 @@
 # Events about a host's environment, shown as context of a request.
 CONTEXT_EVENTS = frozenset((
     "catalog", "peer_up", "reload", "server_added", "server_gone",
-    "server_removed", "server_state", "started", "stopped", "stopping",
-    "store_back", "store_left", "store_lost"))
+    "server_removed", "server_state", "started", "still_stopping", "stopped",
+    "stopping", "store_back", "store_left", "store_lost"))
 # Events up to this long before a request may explain it, in seconds:
 # expired servers are kept for 1.6 s, and an unresponsive host stays listed
 # for 1.3 s.
@@ -25,6 +25,8 @@
     "refused": "refused: the configuration doesn't allow it; see its version",
     "quarantined": "refused: this request crashed servers",
     "caller_left": "the caller disconnected first",
+    "cut_by_stop": "broken off: its host had to exit at the end of a stop. "
+                   "\"arrived_s\" is when it came, in seconds after SIGTERM",
     "gave_up": "abandoned: \"why\" is the reason, \"ran\" tells whether a "
                "server may have run it",
 }
--- a/crocuskeel/gateway/logs.py
+++ b/crocuskeel/gateway/logs.py
@@ -16,6 +16,10 @@
 # Limits on the written lines: average rate per second, and burst.
 LINES_PER_S = 400.0
 LINES_BURST = 1500.0
+# Lines without which nobody knows what a stop has broken off. They are few,
+# and come when a busy host may have used up its rate.
+UNLIMITED_EVENTS = frozenset((
+    "cut_by_stop", "still_stopping", "stopped", "stopping"))
 
 
 class _Log:
@@ -34,7 +38,7 @@
 
     def write(self, event, fields):
         """Queue a line; ``fields`` must not change later."""
-        if not self._take_token():
+        if not self._take_token() and event not in UNLIMITED_EVENTS:
             self.dropped += 1
             return
         logger.bind(event=event, fields=fields).info(event)
@@ -70,6 +74,8 @@
             logger.bind(event="lines_left_out",
                         fields={"count": count}).info("lines_left_out")
         data = self.unwritten + b"".join(self.lines)
+        if not data:
+            return
         self.lines.clear()
         try:
             done = os.write(self.fd, data)
--- a/crocuskeel/gateway/loop.py
+++ b/crocuskeel/gateway/loop.py
@@ -32,8 +32,8 @@
     ``wall_clock()`` returns the time of day, s. ``fetch_snapshot(peer)``
     reads a peer's configuration. ``duty_executor(effect)`` carries out
     effects of duties, and ``record_executor(effect)`` those of records of
-    streams. ``on_stop_accepting`` stops listening, and
-    ``on_exit`` ends the process.
+    streams. ``on_stop_accepting`` stops listening,
+    ``on_exit`` ends the process, and ``flush_log`` writes the log's lines.
     """
 
     def __init__(self, reactor, host, codec, log, wall_clock):
@@ -50,6 +50,7 @@
         self.record_executor = None
         self.on_stop_accepting = None
         self.on_exit = None
+        self.flush_log = None
 
     def start(self, me):
         """Start the core and the periodic tick."""
@@ -77,6 +78,9 @@
                 self.log("effect_failed", {
                     "effect": type(effect).__name__,
                     "where": traceback.format_exc(limit=-4)})
+        if self.host.stop_at is not None and self.flush_log is not None:
+            # A kill at the end of the grace period would lose lines.
+            self.flush_log()
 
     def limits(self):
         """Return the limits on requests of callers."""
--- a/crocuskeel/programs/entry.py
+++ b/crocuskeel/programs/entry.py
@@ -116,6 +116,7 @@
     gateway, reloader = assembly.start(
         reactor, boot, path, log, reactor.stop, capacity_policy,
         statsd_address, scheduling)
+    gateway.flush_log = flush
     reactor._asyncioEventloop.add_signal_handler(
         signal.SIGTERM, gateway.feed, events.StopAsked())
     reactor._asyncioEventloop.add_signal_handler(
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -6,7 +6,7 @@
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import fleet
-from crocuskeel.core.entry import lifecycle
+from crocuskeel.core.entry import stopping
 from crocuskeel.core import revisions
 from tests.entry import support
 
@@ -213,6 +213,6 @@
         driver = support.Driver(support.route(), servers=PAIR)
         driver.arrive()
         driver.feed(events.StopAsked())
-        deadline_s = driver.host.cfg.grace_s - lifecycle.EXIT_MARGIN_S
+        deadline_s = driver.host.cfg.grace_s - stopping.EXIT_MARGIN_S
         out = driver.feed(events.Ticked(), deadline_s)
         self.assertEqual(1, len(support.effects_of(out, effects.Exit)))
--- a/tests/gateway/test_pieces.py
+++ b/tests/gateway/test_pieces.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import tempfile
 import unittest
 
 from crocuskeel.core import duties
@@ -89,6 +90,21 @@
 class LogTest(unittest.TestCase):
     """Limits on log lines."""
 
+    def test_lines_of_a_stop_are_not_left_out(self):
+        # A busy host has used up its rate as it ends.
+        with tempfile.TemporaryFile() as target:
+            write, flush = logs.new_log(
+                task.Clock(), target.fileno(), "host-1")
+            for _ in range(2 * int(logs.LINES_BURST)):
+                write("sent", {})
+            for event in ("sent", "cut_by_stop", "stopped"):
+                write(event, {})
+            flush()
+            target.seek(0)
+            written = [json.loads(line)["event"] for line in target]
+        self.assertEqual(["sent", "cut_by_stop", "stopped"], written[-3:])
+        self.assertEqual(logs.LINES_BURST, written.count("sent"))
+
     def test_unread_pipe_does_not_block(self):
         # A full pipe would block the only thread, and so the host.
         reader, writer = os.pipe()
