Close kept connections of a stopping host after their answers

Callers: a stream that a stopping host began seconds after it had closed its listener was broken off as the host exited, or killed.

Cause: only the head of an answer looked at whether the listener had closed. A connection whose answer had begun before stayed open after it, and took the next request up to the last moment; long streams one after the other on a kept connection are just that. Evidence: a real host, stopped with a stream in progress on a kept connection, began the next one 3.93 s after SIGTERM (log: `sent` with stop_s 3.932, listener closed at 3.0 s).

Now a connection is closed once its answer has ended, if the listener is closed. It is closed for writing and no more read, so that a request that crosses the close hasn't been read and may be repeated, and a reset doesn't drop the end of the answer. A request that was read behind the answer is still answered. While callers may keep the address, connections stay open, and their next answer says `Connection: close`.

--- a/crocuskeel/gateway/callers.py
+++ b/crocuskeel/gateway/callers.py
@@ -276,6 +276,18 @@
         self.transport.loseWriteConnection()
         self._set_timer(linger_s, self._linger_timed_out)
 
+    def _close_unread(self):
+        """Close after the last answer, and read no request that crosses it.
+
+        A caller may repeat a request that hasn't been read.
+        """
+        self.lingering = True
+        self.h11 = None
+        self._pause_reading()
+        sockets.allow_close(self.transport)
+        self.transport.loseWriteConnection()
+        self._set_timer(LINGER_S, self._linger_timed_out)
+
     def _linger_timed_out(self):
         """Close in order: what a slow caller hasn't read yet isn't lost.
 
@@ -316,6 +328,10 @@
         """Return whether no request is being read or answered."""
         return not (self.exchange or self.request or self.lingering)
 
+    def is_reading(self):
+        """Return whether a request has been read in part."""
+        return not (self.exchange or self.lingering or self._awaits_head())
+
     def close_idle(self):
         """Close if idle; otherwise after the current answer."""
         if self.is_idle():
@@ -323,7 +339,7 @@
             self.transport.loseConnection()
 
     def _encode_head(self, status, headers):
-        if self.listener.closing:
+        if self.listener.ends_keep_alive:
             headers = [*headers, (b"Connection", b"close")]
         data = connections.encode_head(self.h11, status, headers)
         if connections.ends_with_close(
@@ -381,10 +397,13 @@
             return
         self.h11.start_next_cycle()
         self._update_limits()
-        if self._awaits_head():
-            self._set_timer(self.limits.idle_s, self._idle_timed_out)
-        else:
+        if not self._awaits_head():
             self._set_timer(self.limits.header_s, self._head_timed_out)
+        elif self.listener.closing:
+            self._close_unread()
+            return
+        else:
+            self._set_timer(self.limits.idle_s, self._idle_timed_out)
         self._resume_reading()
         self.reactor.callLater(0, self._process_events)
 
--- a/crocuskeel/gateway/listeners.py
+++ b/crocuskeel/gateway/listeners.py
@@ -21,6 +21,7 @@
         self.new_connection = new_connection
         self.memory = memory
         self.open_connections = set()
+        self.ends_keep_alive = False
         self.closing = False
 
     def startFactory(self):
@@ -30,8 +31,17 @@
     def buildProtocol(self, addr):
         return self.new_connection(self)
 
+    def end_keep_alive(self):
+        """Have each answer that begins from now on end its connection."""
+        self.ends_keep_alive = True
+
+    def reading(self):
+        """Return the number of requests that are being read."""
+        return sum(conn.is_reading() for conn in self.open_connections)
+
     def close_idle(self):
         """Close idle connections now, others after their answers."""
+        self.ends_keep_alive = True
         self.closing = True
         for conn in list(self.open_connections):
             conn.close_idle()
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -177,6 +177,52 @@
         self.assertFalse(self.transport.aborted)
         self.assertTrue(self.transport.disconnecting)
 
+    def _end_stream_after(self, stop):
+        """End a stream whose head was sent before a step of a shutdown."""
+        self.conn.dataReceived(POST)
+        self.handler.exchanges[0].begin_answer(200, [])
+        stop()
+        self.handler.exchanges[0].end_answer()
+        self.clock.advance(0)
+
+    def test_shutdown_closes_a_connection_whose_answer_had_begun(self):
+        # It took the next request, up to the end of the process.
+        self._end_stream_after(self.listener.close_idle)
+        self.assertTrue(self.transport.write_closed)
+        self.assertEqual("paused", self.transport.producerState)
+        self.assertFalse(self.transport.aborted)
+        self.clock.advance(callers.LINGER_S)
+        self.assertTrue(self.transport.disconnecting)
+
+    def test_request_that_came_behind_an_answer_is_read_at_a_shutdown(self):
+        # Its caller may not know that it hasn't been read.
+        self.conn.dataReceived(POST)
+        self.handler.exchanges[0].begin_answer(200, [])
+        self.conn.dataReceived(POST)
+        self.listener.close_idle()
+        self.handler.exchanges[0].end_answer()
+        self.clock.advance(0)
+        self.assertFalse(self.transport.write_closed)
+        self.handler.exchanges[1].answer(200, [], b"two")
+        self.assertIn(b"Connection: close", self._written())
+        self.assertTrue(self.transport.write_closed)
+
+    def test_connection_stays_open_while_addresses_are_kept(self):
+        # Closing it at once could cross its caller's next request.
+        self._end_stream_after(self.listener.end_keep_alive)
+        self.assertFalse(self.transport.write_closed)
+        self.conn.dataReceived(POST)
+        self.handler.exchanges[1].answer(200, [], b"two")
+        self.assertIn(b"Connection: close", self._written())
+        self.assertTrue(self.transport.write_closed)
+
+    def test_reading_counts_requests_that_are_read_in_part(self):
+        self.assertEqual(0, self.listener.reading())
+        self.conn.dataReceived(POST[:-1])
+        self.assertEqual(1, self.listener.reading())
+        self.conn.dataReceived(POST[-1:])
+        self.assertEqual(0, self.listener.reading())
+
     def test_shutdown_closes_idle_connections_first(self):
         self.conn.dataReceived(POST)
         idle = self.listener.buildProtocol(None)
