Begin on a stopping host only what ends before it does

Cause: a host that is asked to stop goes on accepting for three TTLs, as callers keep addresses for so long, and took whatever came. Nothing asked how long the work takes or how long the host still lives, so what lasts longer than the rest of the grace period was begun and broken off at 7.6 s. The class of fault: a host goes on taking what it can't finish, as others learn late that it leaves. Ruled out by the record: relays (each server names the host that the caller was connected to).

Now a host learns how long the requests of each route take: the time to the first event, and per token from there, of the latest 64; the longest of them, and a quarter more, is what is expected (core/entry/durations.py). A stopping host refuses a request that isn't expected to end before it exits, as not run and with Retry-After 0 while other hosts serve (core/entry/stopping.py), also one that waits here for a place; all others are served. With `Connection: close` on each answer from SIGTERM on callers leave early.

The end comes in time: the grace period is counted from the signal and not from when the loop comes to it, the exit has a timer in place of the next tick, and a host whose events are handled late exits as much earlier. A request that is being read is waited for; one without an answer at the exit gets an error in place of a closed connection.

Evidence: tests/stops runs real hosts, a real store and server stand-in, and SIGTERM.

--- a/crocuskeel/core/entry/attempts.py
+++ b/crocuskeel/core/entry/attempts.py
@@ -2,6 +2,7 @@
 
 from crocuskeel.core.entry import crash_records
 from crocuskeel.core.entry import crashes
+from crocuskeel.core.entry import durations
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import ending
 from crocuskeel.core.entry import first_events
@@ -175,6 +176,7 @@
     if attempt is None:
         return []
     out = _record_success(host, pending, attempt, event.closed, now)
+    durations.note_served(host.known_durations, pending, attempt, now)
     _note_stream(host, pending, attempt, now)
     ending.finish(host, pending)
     out.append(
@@ -241,6 +243,7 @@
     attempt.opened_at = attempt.sent_at
     attempt.is_first_run = (event.status < FIRST_REDIRECT
                             and not attempt.relayed)
+    durations.note_served(host.known_durations, pending, attempt, now)
     out = _record_success(host, pending, attempt, event.closed, now)
     out += ending.cancel_others(host, pending, attempt)
     out.append(effects.ForwardResponse(pending.key, attempt.attempt_number))
--- /dev/null
+++ b/crocuskeel/core/entry/durations.py
@@ -0,0 +1,87 @@
+"""How long requests take, from their sending to the end of their answer.
+
+The load that it answers: streams whose lengths nobody knows in advance, at a
+host that has only seconds left. What is expected of a request is what the
+longest of the latest ones of its route took, in proportion to the tokens
+that it may generate: a mean would be exceeded by every second stream. For a
+route with few requests so far, those of all routes of its service count.
+"""
+
+import collections
+import dataclasses
+
+__all__ = ["Durations", "expected_s", "new_durations", "note_served"]
+
+# Number of requests of a route that are remembered, and that are needed.
+SAMPLES = 64
+MIN_SAMPLES = 3
+# Routes that are remembered; those that served least recently yield.
+MAX_ROUTES = 1024
+# What is expected exceeds the longest request by this share, as load may
+# rise while a request runs.
+MARGIN_SHARE = 0.25
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Sample:
+    """One request: time to its first event, and from there per token, s.
+
+    The answer to a call is its first event.
+    """
+
+    first_s: float
+    token_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class Durations:
+    """The latest requests by (service, route)."""
+
+    routes: dict = dataclasses.field(default_factory=dict)
+
+
+def new_durations():
+    """Return the durations of a host that has served nothing."""
+    return Durations()
+
+
+def _key(pending):
+    return pending.service, pending.route.name
+
+
+def _tokens(pending):
+    prompt = pending.request.prompt
+    return max(1, prompt.max_output_tokens) if prompt is not None else 1
+
+
+def note_served(known, pending, attempt, now):
+    """Record a request whose whole answer has ended now.
+
+    ``attempt`` is the one that was forwarded. One whose stream began at
+    another attempt says nothing about a whole one.
+    """
+    if pending.request.is_taken_up or pending.attempts[0] is not attempt:
+        return
+    samples = known.routes.pop(_key(pending), None)
+    if samples is None:
+        samples = collections.deque(maxlen=SAMPLES)
+        if len(known.routes) >= MAX_ROUTES:
+            del known.routes[next(iter(known.routes))]
+    known.routes[_key(pending)] = samples
+    first_at = min(attempt.opened_at, now)
+    samples.append(_Sample(first_at - attempt.sent_at,
+                           (now - first_at) / _tokens(pending)))
+
+
+def expected_s(known, pending):
+    """Return the time within which a request ends, s; None if unknown."""
+    samples = known.routes.get(_key(pending), ())
+    if len(samples) < MIN_SAMPLES:
+        samples = [sample for (service, _), latest in known.routes.items()
+                   if service == pending.service for sample in latest]
+    if len(samples) < MIN_SAMPLES:
+        return None
+    longest_s = max(sample.first_s for sample in samples)
+    longest_s += _tokens(pending) * max(
+        sample.token_s for sample in samples)
+    return longest_s * (1.0 + MARGIN_SHARE)
--- a/crocuskeel/core/entry/effects.py
+++ b/crocuskeel/core/entry/effects.py
@@ -4,10 +4,11 @@
 
 from crocuskeel.core.entry import model
 
-__all__ = ["AbortStream", "Answer", "Cancel", "CloseListener", "Exit",
-           "FetchCatalog", "ForwardResponse", "LogEvent", "ProbeServer",
-           "ReadBody", "RefuseBody", "ScheduleLoadsDue",
-           "SendDuty", "SendRequest", "SendToPeer", "SetRequestTimer"]
+__all__ = ["AbortStream", "Answer", "Cancel", "CloseListener", "EndKeepAlive",
+           "Exit", "FetchCatalog", "ForwardResponse", "LogEvent",
+           "ProbeServer", "ReadBody", "RefuseBody", "ScheduleLoadsDue",
+           "ScheduleStopDue", "SendDuty",
+           "SendRequest", "SendToPeer", "SetRequestTimer"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -130,9 +131,21 @@
     peer: model.Peer
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndKeepAlive:
+    """Have callers close their connections after the next answers."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ScheduleStopDue:
+    """Deliver StopDue at this time."""
+
+    at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CloseListener:
-    """Accept no more connections and close the idle ones."""
+    """Accept no more connections, and close each one once it is idle."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/crocuskeel/core/entry/events.py
+++ b/crocuskeel/core/entry/events.py
@@ -19,9 +19,9 @@
     "PeerLoadsReceived", "PeerStateReceived", "PeersListed",
     "RequestReceived", "ResponseReceived", "ServerProbed",
     "ServersChanged", "ServersListed", "SettingsRead", "Started",
-    "StopAsked", "StoreAvailable", "StoreEraSeen", "StoreReadingStopped",
-    "StoreUnavailable", "StreamEnded", "StreamOpened", "StreamProgressed",
-    "Ticked", "TimerFired",
+    "StopAsked", "StopDue", "StoreAvailable", "StoreEraSeen",
+    "StoreReadingStopped", "StoreUnavailable", "StreamEnded", "StreamOpened",
+    "StreamProgressed", "Ticked", "TimerFired",
 ]
 
 
@@ -36,15 +36,28 @@
 class Ticked:
     """A periodic tick, about every quarter of a second.
 
-    ``wall`` is the host's wall clock time, s since 1970.
+    ``wall`` is the host's wall clock time, s since 1970. The tick came
+    ``late_s`` after it was due. ``reading`` is the number of requests that
+    are being read.
     """
 
     wall: float = 0.0
+    late_s: float = 0.0
+    reading: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopAsked:
-    """The process was asked to stop."""
+    """The process was asked to stop, at ``asked_at`` or just now."""
+
+    asked_at: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopDue:
+    """It is time for a step of the shutdown; ``reading`` as in Ticked."""
+
+    reading: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/crocuskeel/core/entry/lifecycle.py
+++ b/crocuskeel/core/entry/lifecycle.py
@@ -7,7 +7,7 @@
 from crocuskeel.core.entry import gossip
 from crocuskeel.core.entry import stopping
 
-__all__ = ["step", "stop_asked"]
+__all__ = ["note_lateness", "step", "stop_asked", "stop_due"]
 
 # Callers cache an address for its time to live, some of them three times
 # as long; connections are accepted for this many TTLs after the stop.
@@ -16,17 +16,34 @@
 LOG_INTERVAL_S = 1.0
 # Maximum number of requests that such a line names.
 MAX_NAMED = 64
+# What remains of an observed lateness after each tick.
+LATENESS_DECAY = 0.95
+
+
+def note_lateness(host, late_s):
+    """Record by how much the latest tick was late, s."""
+    host.late_s = max(late_s, LATENESS_DECAY * host.late_s)
 
 
 def stop_asked(host, event, now):
     """Begin the shutdown: stop advertising this host, keep serving."""
     if host.stop_at is not None:
         return []
-    host.stop_at = now
+    stopping.begin(host, now if event.asked_at is None else event.asked_at)
     host.stop_logged_at = now
     fleet.invalidate_serving_hosts(host)
-    return ([effects.LogEvent("stopping", _progress(host, now))]
-            + gossip.send_state(host, now) + duty_lease.stop(host, now))
+    return ([effects.LogEvent("stopping", {
+        **_progress(host, now), "late_s": round(now - host.stop_at, 3)}),
+        effects.EndKeepAlive(),
+        effects.ScheduleStopDue(host.stop_at + _accept_s(host)),
+        effects.ScheduleStopDue(stopping.ends_at(host))]
+        + gossip.send_state(host, now) + duty_lease.stop(host, now)
+        + step(host, 0, now))
+
+
+def _accept_s(host):
+    """Return for how long connections are accepted after the stop, s."""
+    return min(ACCEPT_TTLS * host.cfg.address_ttl_s, host.cfg.grace_s / 2)
 
 
 def _progress(host, now):
@@ -39,41 +56,64 @@
             "ends_in_s": round(stopping.ends_at(host) - now, 3)}
 
 
-def step(host, now):
-    """Close the listener after the address TTLs; exit once idle."""
+def stop_due(host, event, now):
+    """Handle that a step of the shutdown is due."""
+    return step(host, event.reading, now)
+
+
+def step(host, reading, now):
+    """Close the listener after the address TTLs; exit once idle.
+
+    ``reading`` is the number of requests that are being read.
+    """
     if host.stop_at is None or host.exited:
         return []
-    out = []
-    accept_s = min(ACCEPT_TTLS * host.cfg.address_ttl_s,
-                   host.cfg.grace_s / 2)
-    if not host.listener_closed and now >= host.stop_at + accept_s:
+    out = _refuse_waiting(host, now)
+    if not host.listener_closed and now >= host.stop_at + _accept_s(host):
         host.listener_closed = True
         out.append(effects.CloseListener())
     if now >= stopping.ends_at(host):
-        return out + _cut_off(host, now) + _exit(host)
-    if (host.listener_closed and not host.pending
-            and not host.memory.unsent):
-        return out + _exit(host)
+        return out + _exit(host, now)
+    if host.listener_closed and not (
+            host.pending or reading or host.memory.unsent):
+        return out + _exit(host, now)
     if now >= host.stop_logged_at + LOG_INTERVAL_S:
         host.stop_logged_at = now
         out.append(effects.LogEvent("still_stopping", _progress(host, now)))
     return out
 
 
-def _cut_off(host, now):
-    """Return a log line for each request that the exit breaks off."""
-    return [ending.log_line(
-        "cut_by_stop", pending.request, route=pending.route.name,
-        service=pending.service,
-        servers=[attempt.sid for attempt in ending.active_attempts(pending)],
-        begun=pending.forwarded_attempt is not None,
-        after_s=round(now - pending.arrived_at, 3),
-        arrived_s=round(pending.arrived_at - host.stop_at, 3))
-        for pending in host.pending.values()]
-
-
-def _exit(host):
+def _refuse_waiting(host, now):
+    """Refuse requests that wait here and would outlast this host."""
+    waiting = [pending for pending in host.pending.values()
+               if stopping.must_refuse(host, pending, now)]
+    return [effect for pending in waiting
+            for effect in stopping.refuse(host, pending, now)]
+
+
+def _exit(host, now):
     host.exited = True
-    return [effects.LogEvent("stopped", {
-        "pending": len(host.pending), "unsent": host.memory.unsent}),
-        effects.Exit()]
+    stopped = effects.LogEvent("stopped", {
+        "pending": len(host.pending), "unsent": host.memory.unsent})
+    return [*_cut_off(host, now), stopped, effects.Exit()]
+
+
+def _cut_off(host, now):
+    """End what the exit breaks off, with a log line for each request.
+
+    Callers of streams have what was forwarded; all others get an error.
+    """
+    out = []
+    for pending in list(host.pending.values()):
+        out.append(ending.log_line(
+            "cut_by_stop", pending.request, route=pending.route.name,
+            service=pending.service,
+            servers=[attempt.sid
+                     for attempt in ending.active_attempts(pending)],
+            begun=pending.forwarded_attempt is not None,
+            after_s=round(now - pending.arrived_at, 3),
+            arrived_s=round(pending.arrived_at - host.stop_at, 3)))
+        out += ending.cancel_all(host, pending)
+        if pending.forwarded_attempt is None:
+            out += ending.give_up(host, pending, "stopping", now)
+    return out
--- a/crocuskeel/core/entry/reducer.py
+++ b/crocuskeel/core/entry/reducer.py
@@ -53,6 +53,7 @@
 
 
 def _ticked(host, event, now):
+    lifecycle.note_lateness(host, event.late_s)
     server_load.sample_prefill(host, now)
     ratelimits.refill_buckets(host, now)
     draining.remove_unlisted(host, now)
@@ -69,7 +70,7 @@
             + duties.step(host, event.wall, now)
             + _record_streams(host, now)
             + crash_store.step(host, event.wall, now)
-            + lifecycle.step(host, now))
+            + lifecycle.step(host, event.reading, now))
 
 
 def _record_streams(host, now):
@@ -149,6 +150,7 @@
     events.Started: _started,
     events.Ticked: _ticked,
     events.StopAsked: lifecycle.stop_asked,
+    events.StopDue: lifecycle.stop_due,
     memory_events.BodyAnnounced: body_memory.announced,
     memory_events.BodyReleased: body_memory.released,
     memory_events.MemoryMeasured: body_memory.measured,
--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -37,6 +37,8 @@
     quarantine_s = quarantine.pending_time_left_s(host, pending, now)
     if quarantine_s:
         return ending.give_up(host, pending, "quarantined", now, quarantine_s)
+    if stopping.must_refuse(host, pending, now):
+        return stopping.refuse(host, pending, now)
     if (reachability.is_in_doubt(host, pending.service, now)
             and not ending.active_attempts(pending)
             and reachability.relay_host(host, pending, now) is not None):
@@ -138,6 +140,7 @@
     """Say whether ``send`` may do anything else than send a request."""
     return (pending.deadline_at - now < retrying.MIN_SEND_S
             or quarantine.pending_time_left_s(host, pending, now) > 0
+            or stopping.must_refuse(host, pending, now)
             or reachability.is_in_doubt(host, pending.service, now)
             or reachability.is_cut_off(host, pending.service, now)
             or not _may_run(host, pending, key, now))
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -9,6 +9,7 @@
 from crocuskeel.core.duties import state
 from crocuskeel.core.entry import body_memory
 from crocuskeel.core.entry import crash_records as records
+from crocuskeel.core.entry import durations
 from crocuskeel.core.entry import loads
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import routing
@@ -344,6 +345,13 @@
     # progress since.
     stop_at: float | None = None
     stop_logged_at: float = 0.0
+    # How long before the end of its grace period it exits.
+    exit_margin_s: float = 0.0
+    # By how much ticks were late lately, s.
+    late_s: float = 0.0
+    # How long the latest requests took.
+    known_durations: durations.Durations = dataclasses.field(
+        default_factory=durations.new_durations)
     listener_closed: bool = False
     exited: bool = False
 
--- a/crocuskeel/gateway/loop.py
+++ b/crocuskeel/gateway/loop.py
@@ -32,8 +32,9 @@
     ``wall_clock()`` returns the time of day, s. ``fetch_snapshot(peer)``
     reads a peer's configuration. ``duty_executor(effect)`` carries out
     effects of duties, and ``record_executor(effect)`` those of records of
-    streams. ``on_stop_accepting`` stops listening,
-    ``on_exit`` ends the process, and ``flush_log`` writes the log's lines.
+    streams. ``listener`` has the connections of callers,
+    ``on_stop_accepting`` stops listening for more, ``on_exit`` ends the
+    process, and ``flush_log`` writes the log's lines.
     """
 
     def __init__(self, reactor, host, codec, log, wall_clock):
@@ -50,6 +51,8 @@
         self.record_executor = None
         self.on_stop_accepting = None
         self.on_exit = None
+        self.listener = None
+        self.tick_due = None
         self.flush_log = None
 
     def start(self, me):
@@ -59,10 +62,26 @@
 
     def tick(self):
         """Feed a tick to the core and schedule the next one."""
+        now = self.reactor.seconds()
+        late_s = 0.0 if self.tick_due is None else now - self.tick_due
+        self.tick_due = now + TICK_INTERVAL_S
         self.reactor.callLater(TICK_INTERVAL_S, self.tick)
         self.memory.paused_readers.check()
         self.memory.measure()
-        self.feed(events.Ticked(self.wall_clock()))
+        self.feed(events.Ticked(self.wall_clock(), late_s, self._reading()))
+
+    def _reading(self):
+        """Return the number of callers' requests that are being read.
+
+        Only a stopping host needs it.
+        """
+        if self.host.stop_at is None or self.listener is None:
+            return 0
+        return self.listener.reading()
+
+    def stop_due(self):
+        """Feed that a step of the shutdown is due."""
+        self.feed(events.StopDue(self._reading()))
 
     def feed(self, event):
         """Feed an event to the core and carry out its effects in order.
@@ -223,8 +242,20 @@
     gateway.fetch_snapshot(effect.peer)
 
 
+def _end_keep_alive(gateway, effect):
+    if gateway.listener is not None:
+        gateway.listener.end_keep_alive()
+
+
+def _schedule_stop_due(gateway, effect):
+    delay = max(0.0, effect.at - gateway.reactor.seconds())
+    gateway.reactor.callLater(delay, gateway.stop_due)
+
+
 def _stop_accepting(gateway, effect):
     gateway.on_stop_accepting()
+    if gateway.listener is not None:
+        gateway.listener.close_idle()
 
 
 def _exit(gateway, effect):
@@ -257,6 +288,8 @@
     effects.ScheduleLoadsDue: _schedule_loads,
     effects.FetchCatalog: _fetch_snapshot,
     effects.ProbeServer: _probe_server,
+    effects.EndKeepAlive: _end_keep_alive,
+    effects.ScheduleStopDue: _schedule_stop_due,
     effects.CloseListener: _stop_accepting,
     effects.Exit: _exit,
     effects.LogEvent: _log_event,
--- a/crocuskeel/platform/assembly.py
+++ b/crocuskeel/platform/assembly.py
@@ -95,11 +95,8 @@
     gateway.gossip = gossip.Gossip(gateway)
     reactor.listenUDP(boot.gossip[1], gateway.gossip, boot.gossip[0])
 
-    def stop_accepting():
-        port.stopListening()
-        caller_listener.close_idle()
-
-    gateway.on_stop_accepting = stop_accepting
+    gateway.listener = caller_listener
+    gateway.on_stop_accepting = port.stopListening
 
 
 def _new_snapshot_fetcher(reactor, gateway, watcher):
--- a/crocuskeel/programs/entry.py
+++ b/crocuskeel/programs/entry.py
@@ -117,8 +117,8 @@
         reactor, boot, path, log, reactor.stop, capacity_policy,
         statsd_address, scheduling)
     gateway.flush_log = flush
-    reactor._asyncioEventloop.add_signal_handler(
-        signal.SIGTERM, gateway.feed, events.StopAsked())
+    _stop_at_sigterm(reactor, lambda asked_at: gateway.feed(
+        events.StopAsked(asked_at)))
     reactor._asyncioEventloop.add_signal_handler(
         signal.SIGHUP, reloader.reload)
     reactor.run(installSignalHandlers=False)
@@ -126,5 +126,23 @@
     return 0
 
 
+def _stop_at_sigterm(reactor, stop):
+    """Call ``stop`` with the time of a SIGTERM, in a turn of the loop.
+
+    The grace period runs from the signal, and a busy loop comes to it late.
+    """
+    asked_at = []
+
+    def note_time(signum, frame):
+        asked_at.append(reactor.seconds())
+
+    reactor._asyncioEventloop.add_signal_handler(
+        signal.SIGTERM, lambda: stop(asked_at[0] if asked_at else None))
+    # The loop is woken by the signal's number and goes on without the handler
+    # that it installed, which does nothing.
+    signal.signal(signal.SIGTERM, note_time)
+    signal.siginterrupt(signal.SIGTERM, False)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/tests/entry/test_stops.py
+++ b/tests/entry/test_stops.py
@@ -4,7 +4,9 @@
 
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import events
+from crocuskeel.core.entry import fleet
 from crocuskeel.core.entry import model
+from crocuskeel.core.entry import state as states
 from crocuskeel.core.entry import stopping
 from tests.entry import support
 
@@ -63,5 +65,123 @@
         self.assertEqual({}, stopping.log_fields(driver.host, 0.0))
 
 
+def prompt_of(tokens):
+    """Return a prompt whose answer may have so many tokens."""
+    return model.Prompt((("own", 100),), 100, tokens)
+
+
+STREAM = {"kind": model.Kind.STREAM, "timeout_s": 60.0}
+
+
+class TakenTest(unittest.TestCase):
+    """Guards against work that a stopping host begins and can't end."""
+
+    def _serve(self, driver, key, took_s, tokens=100):
+        """Have a stream served whole in some seconds."""
+        driver.arrive(key, deadline_s=60.0, prompt=prompt_of(tokens))
+        driver.feed(events.StreamOpened(key, 0, None))
+        driver.feed(events.StreamEnded(key, 0), took_s)
+
+    def _stopping(self, took_s):
+        driver = support.Driver(support.route(**STREAM), servers=SERVERS)
+        for key in range(3):
+            self._serve(driver, 100 + key, took_s)
+        driver.feed(events.StopAsked())
+        return driver
+
+    def _is_begun(self, driver, key=1, after=0.0, **kwargs):
+        driver.feed(events.Ticked(), after)
+        out = driver.arrive(key, **{"deadline_s": 60.0,
+                                    "prompt": prompt_of(100), **kwargs})
+        if support.effects_of(out, effects.SendRequest):
+            return True
+        refused, = support.effects_of(out, effects.Answer)
+        self.assertEqual((503, "stopping"), (refused.status, refused.reason))
+        self.assertNotIn(key, driver.host.pending)
+        return False
+
+    def test_stream_is_begun_only_if_it_ends_in_time(self):
+        driver = self._stopping(4.0)
+        self.assertTrue(self._is_begun(driver, 1))
+        self.assertTrue(self._is_begun(driver, 2, 2.0))
+        self.assertFalse(self._is_begun(driver, 3, 1.0))
+
+    def test_longer_answers_take_longer(self):
+        driver = self._stopping(4.0)
+        self.assertTrue(self._is_begun(driver, 1, prompt=prompt_of(140)))
+        self.assertFalse(self._is_begun(driver, 2, prompt=prompt_of(200)))
+        self.assertTrue(self._is_begun(driver, 3, 5.0,
+                                       prompt=prompt_of(30)))
+
+    def test_request_without_experience_has_until_its_time_limit(self):
+        driver = stopping_driver(support.route(**STREAM))
+        self.assertTrue(self._is_begun(driver, 1, deadline_s=7.0))
+        self.assertFalse(self._is_begun(driver, 2))
+
+    def test_time_limit_ends_a_long_request(self):
+        driver = self._stopping(20.0)
+        self.assertTrue(self._is_begun(driver, 1, deadline_s=7.0))
+        self.assertFalse(self._is_begun(driver, 2))
+
+    def test_refused_caller_goes_to_another_host_at_once(self):
+        driver = self._stopping(20.0)
+        driver.host.peers["a"] = states.PeerState(
+            support.peer("a"), driver.now, ready=True)
+        fleet.invalidate_serving_hosts(driver.host)
+        refused, = support.effects_of(driver.arrive(
+            deadline_s=60.0, prompt=prompt_of(100)), effects.Answer)
+        self.assertEqual(0.0, refused.retry_delay_s)
+
+    def test_refused_caller_comes_back_later_if_no_host_serves(self):
+        # At once it would be refused again, and has few retries.
+        driver = self._stopping(20.0)
+        refused, = support.effects_of(driver.arrive(
+            deadline_s=60.0, prompt=prompt_of(100)), effects.Answer)
+        self.assertLess(7.0, refused.retry_delay_s)
+
+    def test_request_that_waits_is_refused_once_it_is_too_late(self):
+        # It was broken off in the queue, although it had not run.
+        driver = support.Driver(support.route(**STREAM, target_s=4.0),
+                                servers=SERVERS[:1])
+        driver.feed(events.PeerHintsReceived(
+            "a", ((SERVERS[0].incarnation, 0.5, 0),)))
+        waiting = [key for key in range(5) if not support.effects_of(
+            driver.arrive(key, deadline_s=60.0), effects.SendRequest)]
+        self.assertEqual(set(waiting), driver.host.held)
+        self.assertTrue(waiting)
+        out = driver.feed(events.StopAsked())
+        self.assertEqual(waiting, [
+            answer.key for answer in support.effects_of(out, effects.Answer)
+            if answer.status == 503])
+        self.assertEqual(set(), driver.host.held)
+
+    def test_call_without_an_answer_gets_an_error_at_the_exit(self):
+        # Its connection was closed, which told its caller nothing.
+        driver = support.Driver(support.route(timeout_s=60.0),
+                                servers=SERVERS)
+        driver.arrive(deadline_s=60.0)
+        driver.feed(events.StopAsked())
+        out = driver.feed(events.StopDue(), driver.host.cfg.grace_s)
+        self.assertEqual([502], [answer.status for answer in
+                                 support.effects_of(out, effects.Answer)])
+        self.assertEqual({}, driver.host.pending)
+
+    def test_host_with_late_events_exits_earlier(self):
+        # It was killed before it came to its own end.
+        driver = support.Driver(support.route(), servers=SERVERS)
+        driver.feed(events.Ticked(late_s=0.5))
+        driver.feed(events.StopAsked(driver.now - 0.3))
+        self.assertEqual(
+            driver.now - 0.3 + 8.0 - stopping.EXIT_MARGIN_S - 0.5,
+            stopping.ends_at(driver.host))
+
+    def test_host_that_reads_a_request_exits_after_it(self):
+        driver = stopping_driver()
+        out = driver.feed(events.Ticked(reading=1), 4.0)
+        self.assertEqual([], support.effects_of(out, effects.Exit))
+        out = driver.feed(events.Ticked(), 0.3)
+        self.assertEqual(1, len(support.effects_of(out, effects.Exit)))
+
+
 if __name__ == "__main__":
     unittest.main()
--- /dev/null
+++ b/tests/stops/platform.py
@@ -0,0 +1,111 @@
+"""A store and a server, as a process: ``python -m tests.stops.platform``.
+
+Prints the port of the store. The server runs a request by its body, JSON: a
+stream of ``events``, ``gap_s`` apart, with the first one after ``first_s``,
+or on other routes one answer after ``first_s``. Each request that it begins
+or ends is a line of its own, (time, what, request id), on standard output.
+"""
+
+import json
+import sys
+import time
+
+from crocuskeel.gateway import callers
+from crocuskeel.gateway import loop
+from tools.soak import store as stores
+
+HOST = "desk"
+SERVICE = "engines"
+KINDS = {"stream": "stream", "unsafe": "unsafe"}
+TIMEOUT_MS = 20_000
+RID = b"x-crocuskeel-request-id"
+EVENT = b"id: %d\ndata: %s\n\n"
+
+
+class _Server:
+    """Runs requests; one that its caller leaves ends."""
+
+    def __init__(self, reactor, note):
+        self.reactor = reactor
+        self.note = note
+        self.listener = callers.new_listener(reactor, self)
+
+    def limits(self):
+        return loop.DEFAULT_LIMITS
+
+    def request_rejected(self, status, why):
+        """Ignore a malformed request."""
+
+    def caller_disconnected(self, exchange):
+        self.note("left", exchange.head.get(RID).decode())
+
+    def request_received(self, exchange):
+        """Run a request as its body says."""
+        rid = exchange.head.get(RID)
+        if rid is None:
+            # A question for the server's health.
+            exchange.answer(200, [], b"")
+            return
+        self.note("began", rid.decode())
+        work = json.loads(exchange.body)
+        headers = [(b"X-Crocuskeel-Request-Id", rid),
+                   (b"X-Crocuskeel-Server-Stamp", b"stamp")]
+        self.reactor.callLater(
+            work.get("first_s", 0.0), self._answer, exchange, headers, rid,
+            work)
+
+    def _answer(self, exchange, headers, rid, work):
+        if exchange.finished:
+            return
+        if "events" not in work:
+            self.note("ended", rid.decode())
+            exchange.answer(200, headers, b"answer to " + rid)
+            return
+        exchange.begin_answer(200, headers)
+        self._send_event(exchange, rid, 1, work)
+
+    def _send_event(self, exchange, rid, number, work):
+        if exchange.finished:
+            return
+        exchange.send_data(EVENT % (number, rid))
+        if number == work["events"]:
+            self.note("ended", rid.decode())
+            exchange.end_answer()
+            return
+        self.reactor.callLater(work["gap_s"], self._send_event, exchange,
+                               rid, number + 1, work)
+
+
+def _config():
+    routes = [{"Name": name, "Host": HOST, "Prefix": f"/{name}/",
+               "Kind": kind, "TimeoutMs": TIMEOUT_MS, "GoalMs": 500,
+               "Attempts": 1, "Resumable": False, "GapAimMs": 300,
+               "Priority": 0, "Public": True, "Service": SERVICE}
+              for name, kind in KINDS.items()]
+    services = [{"Name": SERVICE, "MaxConns": 1000, "HealthPath": "/health",
+                 "Engine": {"Slots": 64, "KvTokens": 400_000}}]
+    return {"Version": 1, "Routes": routes, "Services": services}
+
+
+def main():
+    """Serve until the process is ended."""
+    from twisted.internet import reactor
+
+    def note(what, rid):
+        print(json.dumps([time.monotonic(), what, rid]), flush=True)
+
+    store = stores.Store(reactor)
+    port = reactor.listenTCP(0, store.listener, 50, "127.0.0.1")
+    server = reactor.listenTCP(
+        0, _Server(reactor, note).listener, 200, "127.0.0.1")
+    store.put("servers", "s-1", {
+        "Service": SERVICE, "Zone": "zone-0", "Version": "v1", "Slots": 64,
+        "Addr": f"127.0.0.1:{server.getHost().port}", "State": "ready",
+        "ColdLeftMs": 0, "Seq": 1, "born": 1})
+    store.put("config", "main", _config())
+    print(port.getHost().port, flush=True)
+    reactor.run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
