Learn no durations from streams whose callers read slowly

One caller that reads a stream slowly lengthens it by as much as it likes, and the longest of the latest 64 is what a stopping host expects of all: it would refuse every stream of the route that it could have served. Found by reading. A stream that was paused for its caller isn't recorded; the new test failed before, as the next stream was refused (503, stopping).

--- a/crocuskeel/core/entry/attempts.py
+++ b/crocuskeel/core/entry/attempts.py
@@ -150,6 +150,7 @@
     if attempt is None:
         return []
     pending.is_paused = event.paused
+    pending.was_paused |= event.paused
     # The pause was this host's own; its engine isn't judged by it.
     pending.last_event_at = now
     return []
--- a/crocuskeel/core/entry/durations.py
+++ b/crocuskeel/core/entry/durations.py
@@ -57,10 +57,12 @@
 def note_served(known, pending, attempt, now):
     """Record a request whose whole answer has ended now.
 
-    ``attempt`` is the one that was forwarded. One whose stream began at
-    another attempt says nothing about a whole one.
+    ``attempt`` is the one that was forwarded. A stream that began at another
+    attempt says nothing about a whole one, and one whose caller read slowly
+    nothing about others.
     """
-    if pending.request.is_taken_up or pending.attempts[0] is not attempt:
+    if (pending.request.is_taken_up or pending.was_paused
+            or pending.attempts[0] is not attempt):
         return
     samples = known.routes.pop(_key(pending), None)
     if samples is None:
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -118,8 +118,10 @@
     # stream last made progress.
     forwarded_attempt: int | None = None
     last_event_at: float = 0.0
-    # This host doesn't read the stream now: its caller reads slowly.
+    # This host doesn't read the stream now: its caller reads slowly. And
+    # whether that has happened.
     is_paused: bool = False
+    was_paused: bool = False
     # The origin of its stream that the store is to have, the keys of which it
     # hasn't confirmed that, and the attempt whose first event waits for that.
     log_origin: model.Origin | None = None
--- a/tests/entry/test_stops.py
+++ b/tests/entry/test_stops.py
@@ -5,6 +5,7 @@
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import fleet
+from crocuskeel.core.entry import memory_events
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import state as states
 from crocuskeel.core.entry import stopping
@@ -113,6 +114,18 @@
         self.assertTrue(self._is_begun(driver, 3, 5.0,
                                        prompt=prompt_of(30)))
 
+    def test_caller_that_reads_slowly_says_nothing_about_others(self):
+        # All streams of its route were refused.
+        driver = self._stopping(1.0)
+        driver.host.stop_at = None
+        driver.arrive(9, deadline_s=60.0, prompt=prompt_of(100))
+        driver.feed(events.StreamOpened(9, 0, None))
+        driver.feed(memory_events.StreamPaused(9, 0, True))
+        driver.feed(memory_events.StreamPaused(9, 0, False))
+        driver.feed(events.StreamEnded(9, 0), 50.0)
+        driver.feed(events.StopAsked())
+        self.assertTrue(self._is_begun(driver, 1))
+
     def test_request_without_experience_has_until_its_time_limit(self):
         driver = stopping_driver(support.route(**STREAM))
         self.assertTrue(self._is_begun(driver, 1, deadline_s=7.0))
