Keep stopping hosts and the others told of each other's requests

Callers: engines were given more than they had room for while hosts were replaced, and callers were sent to a stopping host for some tenths of a second more.

Cause: a host that is asked to stop is no serving host from that moment on, and so sent its state, without loads, to three contacts each 0.6 s, and to none of those that it had written to within 0.6 s, which are all in a mesh. Others that heard of the stop sent it nothing more. A load counts for 1 s (loads.REPORT_TTL_S), so that from 1 s after SIGTERM on the others took its requests to have ended, for up to 7 s, and it took theirs to have. If all hosts stopped at once none told another anything, reports on crashes included.

Ruled out: that others name the host for the whole 1.3 s of a silent one; its replies to their states said that it leaves.

Now a stop is told to all serving hosts at once, and a host that served callers keeps the contacts, the interval and the loads of a serving host until it exits. Others go on telling hosts that leave, as long as they are heard.

--- a/crocuskeel/core/entry/fleet.py
+++ b/crocuskeel/core/entry/fleet.py
@@ -13,7 +13,8 @@
 __all__ = ["HOP_DELAY_S", "MAX_FANOUT", "PEER_TIMEOUT_S", "STATE_INTERVAL_S",
            "caller_addresses", "invalidate_serving_hosts", "is_in_touch",
            "is_large", "is_peer_ready", "is_ready", "is_serving_host",
-           "reads_store", "serving_hosts", "store_data_age_s"]
+           "leaving_hosts", "reads_store", "serving_hosts",
+           "store_data_age_s"]
 
 # Interval at which hosts send their state, s.
 STATE_INTERVAL_S = 0.3
@@ -94,6 +95,12 @@
                for peer in serving_hosts(host, now))
 
 
+def leaving_hosts(host, now):
+    """Return the peers that are stopping and that this host still hears."""
+    return [known.peer for known in host.peers.values()
+            if known.leaving and now - known.last_seen_at <= PEER_TIMEOUT_S]
+
+
 def is_peer_ready(known, now):
     """Return whether a peer that this host hears directly is ready."""
     return known.ready and now - known.last_seen_at <= PEER_TIMEOUT_S
--- a/crocuskeel/core/entry/gossip.py
+++ b/crocuskeel/core/entry/gossip.py
@@ -27,9 +27,10 @@
 from crocuskeel.core.scheduling import fleet_demand
 from crocuskeel.core.scheduling import queueing
 
-__all__ = ["broadcast_change", "broadcast_hints", "broadcast_lease",
-           "broadcast_state", "reply", "schedule_load_update",
-           "send_demand", "send_load_update", "send_state"]
+__all__ = ["announce_stop", "broadcast_change", "broadcast_hints",
+           "broadcast_lease", "broadcast_state", "reply",
+           "schedule_load_update", "send_demand", "send_load_update",
+           "send_state"]
 
 # Limit of rows in one datagram, which holds 64 kB: a row with streams takes
 # up to 100 bytes.
@@ -64,9 +65,10 @@
         serving.note_own_demand(
             host, len(fleet.serving_hosts(host, now)), now)
     contacts += _silent_contacts(host, now, contacts)
-    state = _state(host, now, is_serving)
+    has_loads = is_serving or host.was_serving
+    state = _state(host, now, has_loads)
     out = []
-    interval = 0.0 if is_serving else CONTACT_INTERVAL_S
+    interval = 0.0 if has_loads else CONTACT_INTERVAL_S
     for peer in contacts:
         known = host.peers[peer.name]
         if now >= known.last_sent_at + interval - 0.01:
@@ -75,6 +77,13 @@
     return out
 
 
+def announce_stop(host, now):
+    """Tell all hosts that name this one to callers that it is stopping."""
+    state = _state(host, now, False)
+    return [effects.SendToPeer(peer, state)
+            for peer in fleet.serving_hosts(host, now)]
+
+
 def broadcast_change(host, now):
     """Send the state to all contacts at once, as newer data is known."""
     if now < host.state_pushed_at + MIN_CHANGE_INTERVAL_S:
@@ -195,13 +204,17 @@
 
 
 def _contacts(host, now):
-    """Return the peers that this host sends its state to unasked."""
+    """Return the peers that this host sends its state to unasked.
+
+    Hosts that are stopping still have requests at engines, and begin some.
+    """
     serving = fleet.serving_hosts(host, now)
     others = [peer for peer in serving if peer.name != host.self_peer.name]
-    if len(others) == len(serving):
+    if len(others) == len(serving) and not host.was_serving:
         others.sort(key=lambda peer: routing.cached_unit_hash(
             host.self_peer.name, peer.name))
         return others[:CONTACT_COUNT]
+    others += fleet.leaving_hosts(host, now)
     if len(others) > fleet.MAX_FANOUT:
         return host.rng.sample(others, fleet.MAX_FANOUT)
     return others
--- a/crocuskeel/core/entry/lifecycle.py
+++ b/crocuskeel/core/entry/lifecycle.py
@@ -29,6 +29,7 @@
     """Begin the shutdown: stop advertising this host, keep serving."""
     if host.stop_at is not None:
         return []
+    host.was_serving = fleet.is_serving_host(host, now)
     stopping.begin(host, now if event.asked_at is None else event.asked_at)
     host.stop_logged_at = now
     fleet.invalidate_serving_hosts(host)
@@ -37,7 +38,7 @@
         effects.EndKeepAlive(),
         effects.ScheduleStopDue(host.stop_at + _accept_s(host)),
         effects.ScheduleStopDue(stopping.ends_at(host))]
-        + gossip.send_state(host, now) + duty_lease.stop(host, now)
+        + gossip.announce_stop(host, now) + duty_lease.stop(host, now)
         + step(host, 0, now))
 
 
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -344,6 +344,8 @@
     # When this host was asked to stop, and when it last logged what is in
     # progress since.
     stop_at: float | None = None
+    # It was a serving host as it was asked to stop.
+    was_serving: bool = False
     stop_logged_at: float = 0.0
     # How long before the end of its grace period it exits.
     exit_margin_s: float = 0.0
