Have stopping hosts write the crashes that nobody else will

Callers and engines: a request that had crashed servers as all hosts were stopped crashed more of them at the hosts that started next.

Cause: crashes are written to the store by the first serving host, and a host that is asked to stop is none from then on. So what was confirmed after SIGTERM, up to 8 s, was written by hosts that stayed, or by nobody if none did: one host alone, or all stopped at once. A write that had failed before SIGTERM wasn't repeated either, and an idle host exited at 3 s whether or not it had been done.

Now hosts that served callers and are stopping write after all that serve, in the same order, and the first of them exits only once nothing is unwritten, at the end of the grace period at the latest. With others that serve nothing changes.

--- a/crocuskeel/core/entry/crash_store.py
+++ b/crocuskeel/core/entry/crash_store.py
@@ -29,8 +29,8 @@
 from crocuskeel.core.entry import routing
 from crocuskeel.core.entry import stored_crashes
 
-__all__ = ["begin", "crashes_changed", "read", "restored", "step", "wanted",
-           "write_changes", "written"]
+__all__ = ["begin", "crashes_changed", "is_unwritten", "read", "restored",
+           "step", "wanted", "write_changes", "written"]
 
 # What was read may be some seconds old, so that it is read again after this,
 # s.
@@ -101,6 +101,16 @@
     return _write_in_turn(host, rows, now)
 
 
+def is_unwritten(host, now):
+    """Return whether this host is to write what nobody else will."""
+    log = host.crash_log
+    if log.writing is not None:
+        return True
+    return (log.wall_offset is not None and crashes_changed(host)
+            and _turn(host, now) == 0
+            and _differs(host, wanted(host), now))
+
+
 def _settle(log, causes):
     log.settled = causes
     log.due_at = math.inf
@@ -165,16 +175,26 @@
 def _turn(host, now):
     """Return how many serving hosts write before this one.
 
-    Those that are listed but that nobody has heard may not run.
+    Those that are listed but that nobody has heard may not run. Those that
+    are stopping come last.
     """
-    serving = fleet.serving_hosts(host, now)
     me = host.self_peer.name
-    if all(peer.name != me for peer in serving):
+    heard = [peer for peer in fleet.serving_hosts(host, now)
+             if peer.name != me and _is_heard(host.peers[peer.name], now)]
+    if host.stop_at is not None:
+        if not host.was_serving:
+            return math.inf
+        return len(heard) + _count_before(
+            me, fleet.leaving_hosts(host, now))
+    if not fleet.is_serving_host(host, now):
         return math.inf
+    return _count_before(me, heard)
+
+
+def _count_before(me, others):
     own = routing.cached_unit_hash(me, STORE)
     return sum(routing.cached_unit_hash(peer.name, STORE) < own
-               for peer in serving if peer.name != me
-               and _is_heard(host.peers[peer.name], now))
+               for peer in others)
 
 
 def _is_heard(known, now):
--- a/crocuskeel/core/entry/fleet.py
+++ b/crocuskeel/core/entry/fleet.py
@@ -96,9 +96,10 @@
 
 
 def leaving_hosts(host, now):
-    """Return the peers that are stopping and that this host still hears."""
+    """Return the serving hosts that are stopping and still heard."""
     return [known.peer for known in host.peers.values()
-            if known.leaving and now - known.last_seen_at <= PEER_TIMEOUT_S]
+            if known.leaving and known.was_serving
+            and now - known.last_seen_at <= PEER_TIMEOUT_S]
 
 
 def is_peer_ready(known, now):
--- a/crocuskeel/core/entry/lifecycle.py
+++ b/crocuskeel/core/entry/lifecycle.py
@@ -1,5 +1,6 @@
 """Graceful shutdown of a host, which lets requests in progress finish."""
 
+from crocuskeel.core.entry import crash_store
 from crocuskeel.core.entry import duty_lease
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import ending
@@ -76,7 +77,8 @@
     if now >= stopping.ends_at(host):
         return out + _exit(host, now)
     if host.listener_closed and not (
-            host.pending or reading or host.memory.unsent):
+            host.pending or reading or host.memory.unsent
+            or crash_store.is_unwritten(host, now)):
         return out + _exit(host, now)
     if now >= host.stop_logged_at + LOG_INTERVAL_S:
         host.stop_logged_at = now
--- a/crocuskeel/core/entry/peers.py
+++ b/crocuskeel/core/entry/peers.py
@@ -56,6 +56,7 @@
     known.last_seen_at = now
     known.ready = event.ready
     if known.leaving != event.leaving:
+        known.was_serving = known.peer in fleet.serving_hosts(host, now)
         known.leaving = event.leaving
         fleet.invalidate_serving_hosts(host)
     known.catalog_revision = event.catalog_revision
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -217,6 +217,8 @@
     last_seen_at: float
     ready: bool = False
     leaving: bool = False
+    # It was a serving host as it announced that.
+    was_serving: bool = False
     catalog_revision: int = 0
     # None if it runs the former version of this program.
     catalog_version: int | None = None
