--- a/crocuskeel/core/entry/lifecycle.py
+++ b/crocuskeel/core/entry/lifecycle.py
@@ -1,5 +1,6 @@
 """Graceful shutdown of a host, which lets requests in progress finish."""
 
+from crocuskeel.core.entry import crash_store
 from crocuskeel.core.entry import duty_lease
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import ending
@@ -29,6 +30,7 @@
     """Begin the shutdown: stop advertising this host, keep serving."""
     if host.stop_at is not None:
         return []
+    host.was_serving = fleet.is_serving_host(host, now)
     stopping.begin(host, now if event.asked_at is None else event.asked_at)
     host.stop_logged_at = now
     fleet.invalidate_serving_hosts(host)
@@ -37,7 +39,7 @@
         effects.EndKeepAlive(),
         effects.ScheduleStopDue(host.stop_at + _accept_s(host)),
         effects.ScheduleStopDue(stopping.ends_at(host))]
-        + gossip.send_state(host, now) + duty_lease.stop(host, now)
+        + gossip.announce_stop(host, now) + duty_lease.stop(host, now)
         + step(host, 0, now))
 
 
@@ -75,7 +77,8 @@
     if now >= stopping.ends_at(host):
         return out + _exit(host, now)
     if host.listener_closed and not (
-            host.pending or reading or host.memory.unsent):
+            host.pending or reading or host.memory.unsent
+            or crash_store.is_unwritten(host, now)):
         return out + _exit(host, now)
     if now >= host.stop_logged_at + LOG_INTERVAL_S:
         host.stop_logged_at = now
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -219,6 +219,8 @@
     last_seen_at: float
     ready: bool = False
     leaving: bool = False
+    # It was a serving host as it announced that.
+    was_serving: bool = False
     catalog_revision: int = 0
     # None if it runs the former version of this program.
     catalog_version: int | None = None
@@ -346,6 +348,8 @@
     # When this host was asked to stop, and when it last logged what is in
     # progress since.
     stop_at: float | None = None
+    # It was a serving host as it was asked to stop.
+    was_serving: bool = False
     stop_logged_at: float = 0.0
     # How long before the end of its grace period it exits.
     exit_margin_s: float = 0.0
