Leave out entries of the host list that can't be used

One odd engine in the platform's list ended the view of all engines. With a port of 1e400, or a field nested 1,000 deep, the call of the list failed with an error that no caller handles: the host asked for no list any more, and the control program waited for it forever. With a port of 5,000 digits or NaN, or a name that is no text, the whole list counted as no answer as long as the entry stood there. Ports 99999, -1 and "１２" were passed on and failed with each request to such an engine; so did texts without bytes in UTF-8.

Cause: the list was decoded as a whole, with a JSON reader that raises RecursionError and with int(), which raises OverflowError for infinity; only KeyError, TypeError and ValueError were caught. Now each entry is decoded by itself with bounds (name, address, port, texts); what can't be used is left out, counted, and logged once a list with the first four reasons. Positions and versions fit 64 bits, a Retry-After that isn't finite is none.

Ruled out: the transport, which gives up a call of its own errors. Not tried: real daemons on a stand-in.

--- a/crocuskeel/control/platform_calls.py
+++ b/crocuskeel/control/platform_calls.py
@@ -1,5 +1,7 @@
 """Calls to the Object API and the host list."""
 
+from loguru import logger
+
 from crocuskeel import conf
 from crocuskeel.conf import parts
 from crocuskeel.conf import storage
@@ -88,6 +90,9 @@
     result = await ctx.platform.hosts()
     if not isinstance(result, objectapi.HostList):
         return events.HostsSeen(None)
+    if result.fault_count:
+        logger.warning("host list: {} entries can't be used: {}",
+                       result.fault_count, "; ".join(result.faults))
     return events.HostsSeen(tuple(
         _engine_entry(each) for each in result.hosts if each.role == "engine"))
 
--- a/crocuskeel/objectapi/responses.py
+++ b/crocuskeel/objectapi/responses.py
@@ -1,8 +1,10 @@
 """Converts HTTP responses of the platform into results."""
 
 import functools
-import json
+import math
+import re
 
+from crocuskeel import decoding
 from crocuskeel.objectapi import results
 
 __all__ = [
@@ -30,6 +32,15 @@
 _PRECONDITION_FAILED = 412
 _TOO_MANY_REQUESTS = 429
 _MIN_SERVER_ERROR = 500
+# Positions and versions fit 64 bits, ports 16.
+_MAX_COUNT = 2 ** 63 - 1
+_MAX_PORT = 65535
+_MAX_TEXT_CHARS = 253
+# Faults of entries that are described.
+_MAX_FAULTS = 4
+_DIGITS = re.compile(r"[0-9]{1,19}")
+# An address is part of a URL.
+_ADDRESS = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]*")
 
 
 def etag(version):
@@ -38,14 +49,34 @@
 
 
 def _version(response):
-    return int(response.headers["etag"].strip('"'))
+    return _count(response.headers["etag"].strip('"'))
+
+
+def _count(value, most=_MAX_COUNT):
+    """Return a number, or the one in a text; raises ValueError."""
+    if isinstance(value, str) and _DIGITS.fullmatch(value):
+        value = int(value)
+    if type(value) is not int or not 0 <= value <= most:
+        raise ValueError("invalid number")
+    return value
+
+
+def _text(value, default=None):
+    """Return a text that is checked, ``default`` if it is missing."""
+    if value is None and default is not None:
+        return default
+    if not (isinstance(value, str) and len(value) <= _MAX_TEXT_CHARS
+            and value.isprintable() and "\ufffd" not in value):
+        raise ValueError("not a short text")
+    return value
 
 
 def _retry_after_s(response):
     try:
-        return max(0.0, float(response.headers.get("retry-after", "0")))
+        wait_s = float(response.headers.get("retry-after", "0"))
     except ValueError:
         return 0.0
+    return max(0.0, wait_s) if math.isfinite(wait_s) else 0.0
 
 
 def lost_result(is_write, reason):
@@ -73,7 +104,7 @@
         return results.Rejected(response.status), True
     try:
         return parse(response), True
-    except (KeyError, TypeError, ValueError):
+    except decoding.DECODING_ERRORS:
         return lost_result(is_write, BAD_RESPONSE), False
 
 
@@ -105,20 +136,38 @@
 
 def parse_listing(response):
     """Parse the response to a listing."""
-    data = json.loads(response.body)
+    data = decoding.loads(response.body)
     return results.ObjectList(tuple(
-        results.ObjectRef(each["path"], int(each["version"]))
+        results.ObjectRef(each["path"], _count(each["version"]))
         for each in data["objects"]))
 
 
 def parse_hosts(response):
-    """Parse the host list."""
-    data = json.loads(response.body)
-    return results.HostList(int(data["at"]), tuple(
-        results.HostEntry(
-            name=each["name"], address=each["address"],
-            port=int(each["port"]), domain=each.get("domain", ""),
-            region=each.get("region", ""), role=each["role"],
-            service=each.get("service", ""),
-            state=each.get("state", "live"))
-        for each in data["hosts"]))
+    """Parse the host list; an entry that can't be used is left out."""
+    data = decoding.loads(response.body)
+    if not isinstance(data["hosts"], list):
+        raise ValueError("hosts is no list")
+    hosts = []
+    faults = []
+    for each in data["hosts"]:
+        try:
+            hosts.append(_host(each))
+        except decoding.DECODING_ERRORS as exc:
+            faults.append(repr(exc)[:_MAX_TEXT_CHARS])
+    return results.HostList(_count(data["at"]), tuple(hosts), len(faults),
+                            tuple(faults[:_MAX_FAULTS]))
+
+
+def _host(entry):
+    if not (_text(entry["name"]) and _ADDRESS.fullmatch(
+            _text(entry["address"]))):
+        raise ValueError("invalid name or address")
+    port = _count(entry["port"], _MAX_PORT)
+    if not port:
+        raise ValueError("invalid port")
+    return results.HostEntry(
+        name=entry["name"], address=entry["address"], port=port,
+        domain=_text(entry.get("domain"), ""),
+        region=_text(entry.get("region"), ""), role=_text(entry["role"]),
+        service=_text(entry.get("service"), ""),
+        state=_text(entry.get("state"), "live"))
--- a/crocuskeel/objectapi/results.py
+++ b/crocuskeel/objectapi/results.py
@@ -118,10 +118,16 @@
 
 @_result
 class HostList:
-    """The host list as of ``revision``."""
+    """The host list as of ``revision``.
+
+    ``fault_count`` entries that can't be used were left out; ``faults`` says
+    why, for some of them.
+    """
 
     revision: int
     hosts: tuple[HostEntry, ...]
+    fault_count: int = 0
+    faults: tuple[str, ...] = ()
 
 
 ReadResult = (
--- a/crocuskeel/runtime/platform_calls.py
+++ b/crocuskeel/runtime/platform_calls.py
@@ -1,5 +1,7 @@
 """Executes the core's calls to the platform."""
 
+from loguru import logger
+
 from crocuskeel.core import effects
 from crocuskeel.core import events
 from crocuskeel.core import messages
@@ -53,8 +55,25 @@
             effect.op, Status.UNAVAILABLE))
         return
     deferred = send(ctx.platform)
-    deferred.addCallback(
-        lambda result: loop.feed(ctx, _store_event(effect.op, result)))
+    _deliver(ctx, deferred,
+             lambda result: _store_event(effect.op, result),
+             events.StoreAnswered(effect.op, Status.UNAVAILABLE))
+
+
+def _deliver(ctx, deferred, new_event, failed_event):
+    """Feed the event of a call's result, or after an error another.
+
+    The core makes no other call while it waits for this one.
+    """
+    deferred.addCallback(new_event)
+    deferred.addErrback(_log_failure, failed_event)
+    deferred.addCallback(lambda event: loop.feed(ctx, event))
+
+
+def _log_failure(failure, event):
+    logger.error("call to the platform failed: {}",
+                 failure.getErrorMessage())
+    return event
 
 
 def _store_event(op, result):
@@ -73,13 +92,16 @@
         ctx.reactor.callLater(
             0, loop.feed, ctx, events.HostListFailed())
         return
-    ctx.platform.hosts().addCallback(
-        lambda result: loop.feed(ctx, _host_list_event(result)))
+    _deliver(ctx, ctx.platform.hosts(), _host_list_event,
+             events.HostListFailed())
 
 
 def _host_list_event(result):
     if not isinstance(result, objectapi.HostList):
         return events.HostListFailed()
+    if result.fault_count:
+        logger.warning("host list: {} entries can't be used: {}",
+                       result.fault_count, "; ".join(result.faults))
     entries = tuple(_member_update(host) for host in result.hosts
                     if host.role == "entry")
     backends = tuple(_backend(host) for host in result.hosts
