Go on reading hosts, settings and the lease after an unexpected error

A call of the control program to the platform that ended with an error that nobody foresaw was logged and gave no event. The core waits for one before it asks again, so that the program read the host list, or the settings, never again, and kept engines that had long left; nothing but a restart ended that. An odd entry that raises in a decoder is such an error.

Cause: the error was handled after the event was fed, instead of before. Now each call leads to one event: after an unexpected error that of a failed call, with the outcome unknown where a write or an order may have been done.

Ruled out: the entry daemon on the platform, whose duties and records already did so.

--- a/crocuskeel/control/event_loop.py
+++ b/crocuskeel/control/event_loop.py
@@ -66,10 +66,29 @@
     else:
         call = _CALLS[type(effect)](ctx, effect)
         deferred = defer.Deferred.fromCoroutine(call)
-        deferred.addCallback(lambda answer: feed(ctx, answer))
         deferred.addErrback(_log_failure, effect)
+        deferred.addCallback(lambda answer: feed(ctx, answer))
 
 
 def _log_failure(failure, effect):
+    """Return the event of a call that failed unexpectedly.
+
+    The core makes no other such call while it waits for this one.
+    """
     logger.error("effect {} failed: {}", type(effect).__name__,
                  failure.getErrorMessage())
+    match effect:
+        case effects.ReadLease():
+            return events.LeaseRead(events.Status.UNAVAILABLE)
+        case effects.WriteLease():
+            return events.LeaseWritten(
+                effect.nonce, effect.number, events.Status.UNKNOWN)
+        case effects.CheckSettings():
+            return events.SettingsChecked(False)
+        case effects.ReadHosts():
+            return events.HostsSeen(None)
+        case effects.ReadEngine():
+            return events.EngineSeen(effect.engine, False)
+    return events.OrderAnswered(
+        effect.order.order_id, effect.order.engine, events.Outcome.UNKNOWN,
+        "unexpected error")
