Refuse a head of the settings whose generation is no number

A head whose generation is 1e400 or has 24 digits was taken as a newer one: a host then counts as behind for good, since no generation is ever that high, and no later head is newer. One nested 1,000 deep, or with texts and lists as ids, raised in the reducer, or in the encoding for other hosts.

Cause: the head's fields were not checked, and neither was the JSON of a part for what Python can't read. The decoders of heads, indexes, deltas and parts now check numbers and ids and raise PartCorrupt, which all users handle: the former generation stays, the fault is recorded, and the head is read again.

Ruled out: damaged parts, whose digest doesn't match.

--- a/crocuskeel/conf/parts.py
+++ b/crocuskeel/conf/parts.py
@@ -14,6 +14,7 @@
 
 from crocuskeel.conf import exceptions
 from crocuskeel.conf import model
+from crocuskeel import decoding
 
 SHARD_COUNT = 256
 # The platform stores values up to 1 MB; the rest is for its envelope.
@@ -58,7 +59,10 @@
     if hashlib.sha256(plain).hexdigest() != part.digest:
         raise exceptions.PartCorrupt(
             f'blob does not match digest {part.digest}')
-    return json.loads(plain)
+    try:
+        return decoding.loads(plain)
+    except ValueError as exc:
+        raise exceptions.PartCorrupt(f'not JSON: {exc}') from exc
 
 
 def shard_of(workspace: str) -> int:
--- a/crocuskeel/conf/storage.py
+++ b/crocuskeel/conf/storage.py
@@ -13,7 +13,7 @@
 """
 
 import dataclasses
-import json
+from typing import Any
 from typing import Mapping
 
 from result import Err
@@ -26,10 +26,14 @@
 from crocuskeel.conf import model
 from crocuskeel.conf import parts
 from crocuskeel.conf import tree as trees
+from crocuskeel import decoding
 
 HEAD_KEY = 'settings/head'
 PART_PREFIX = 'settings/parts/'
 RECENT_BATCHES = 64
+# Hosts send generations to each other as 64-bit integers.
+MAX_GENERATION = 2 ** 63 - 1
+MAX_TEXT_CHARS = 253
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -113,14 +117,33 @@
     Raises ``PartCorrupt``.
     """
     try:
-        body = json.loads(stored)
-        recent = tuple(RecentBatch(*entry) for entry in body['recent'])
+        body = decoding.loads(stored)
+        recent = tuple(
+            RecentBatch(_generation(number), _text(batch_id), _text(digest))
+            for number, batch_id, digest in body['recent'])
         return Head(
-            body['generation'], body['batch_id'], body['index'], recent)
-    except (ValueError, KeyError, TypeError) as exc:
+            _generation(body['generation']), _text(body['batch_id']),
+            _text(body['index']), recent)
+    except decoding.DECODING_ERRORS as exc:
         raise exceptions.PartCorrupt(f'head: {exc!r}') from exc
 
 
+def _generation(value: Any) -> int:
+    """Return a generation that is checked; raises ``ValueError``."""
+    if (not isinstance(value, int) or isinstance(value, bool)
+            or not 0 <= value <= MAX_GENERATION):
+        raise ValueError('invalid generation')
+    return value
+
+
+def _text(value: Any) -> str:
+    """Return an id or digest that is checked; raises ``ValueError``."""
+    if not (isinstance(value, str) and len(value) <= MAX_TEXT_CHARS
+            and value.isprintable()):
+        raise ValueError('invalid text')
+    return value
+
+
 def index_part(tree: model.Tree) -> model.Part:
     """Return the part that references all parts of ``tree``."""
     shards = {
@@ -139,9 +162,12 @@
         if body['shard_count'] != parts.SHARD_COUNT:
             raise exceptions.PartCorrupt('unexpected number of shards')
         shards = {
-            int(number): digest for number, digest in body['shards'].items()}
-        return Index(body['common'], shards)
-    except (ValueError, KeyError, TypeError) as exc:
+            int(number): _text(digest)
+            for number, digest in body['shards'].items()}
+        if not all(0 <= number < parts.SHARD_COUNT for number in shards):
+            raise exceptions.PartCorrupt('unexpected shard')
+        return Index(_text(body['common']), shards)
+    except decoding.DECODING_ERRORS as exc:
         raise exceptions.PartCorrupt(f'index: {exc!r}') from exc
 
 
@@ -161,8 +187,9 @@
     try:
         batch = batches.decode_batch(body['batch'])
         return Delta(
-            body['generation'], batch, body['index'], body['parent'])
-    except (KeyError, TypeError) as exc:
+            _generation(body['generation']), batch, _text(body['index']),
+            _text(body['parent']))
+    except decoding.DECODING_ERRORS as exc:
         raise exceptions.PartCorrupt(f'delta: {exc!r}') from exc
 
 
