Take over the duties from a lease object of any form

One odd value in the lease object and no host did the duties any more (no usage reports, no orders of engines): with a span of 1e400 the lease never ended; with renewals of 1e400, or lists in the record's orders, each read raised, or the new holder raised at each step; a record with NaN or 1e400 was written back as text that is no JSON, which a store refuses. A holder's name with half of a surrogate pair could not be encoded in the state that hosts send to each other: each state was lost, so that a host would count as gone.

Cause: the object's fields were converted, not checked. The lease's decoder checks all of them now and takes an object of another form as one whose writer may act for 60 s, as it did for missing fields; the record's decoder checks names, orders and counts. The JSON decoder turns numbers that aren't finite into null, and a negative revision of an object or a page is no revision.

--- a/crocuskeel/core/duties/handover.py
+++ b/crocuskeel/core/duties/handover.py
@@ -9,8 +9,14 @@
 
 import dataclasses
 
+from crocuskeel.core.duties import model
+
 __all__ = ["HandoverState", "read", "write"]
 
+# Sums of thousands of counts fit the 64-bit integers of a datagram.
+MAX_COUNT = 1 << 52
+MAX_BOOT = (1 << 63) - 1
+
 
 @dataclasses.dataclass(slots=True)
 class HandoverState:
@@ -58,28 +64,43 @@
         done = record["done"]
         state = HandoverState(
             None if done is None else _integer(done),
-            {int(window): _counts(counts)
+            {_integer(int(window)): _counts(counts)
              for window, counts in record["decided"].items()},
-            {tuple(row[:-1]): _integer(row[-1]) for row in record["asked"]})
+            dict(_asked(*row) for row in record["asked"]))
         tables = [
-            (name, boot, [(_integer(window), tuple(_counts(counts).items()))
-                          for window, counts in rows])
+            (_text(name), _integer(boot, MAX_BOOT), [
+                (_integer(window), tuple(_counts(counts).items()))
+                for window, counts in rows])
             for name, boot, rows in record["tables"]]
     except (KeyError, TypeError, ValueError, AttributeError) as exc:
         raise ValueError(f"invalid holder record: {exc!r}") from exc
     return state, tables
 
 
-def _integer(value):
-    """Return an integer unchanged; raise TypeError for any other type.
+def _asked(kind, service, domain, spot, count):
+    """Return the subject of an order and what it asked for."""
+    subject = model.Order(_text(service), _text(domain), spot, 0).subject
+    if kind != subject[0] or not isinstance(spot, bool):
+        raise ValueError("invalid order")
+    return subject, _integer(count)
+
+
+def _integer(value, most=MAX_COUNT):
+    """Return a count unchanged; raise ValueError for anything else.
 
     A holder that took over a value of another type would fail at each
     step.
     """
-    if not isinstance(value, int) or isinstance(value, bool):
-        raise TypeError(value)
+    if type(value) is not int or not 0 <= value <= most:
+        raise ValueError(value)
+    return value
+
+
+def _text(value):
+    if not (isinstance(value, str) and value.isprintable()):
+        raise ValueError("invalid text")
     return value
 
 
 def _counts(rows):
-    return {str(name): _integer(count) for name, count in rows.items()}
+    return {_text(name): _integer(count) for name, count in rows.items()}
--- a/crocuskeel/core/leadership/lease.py
+++ b/crocuskeel/core/leadership/lease.py
@@ -32,6 +32,7 @@
 from crocuskeel.core.leadership import events
 from crocuskeel.core.leadership import state as states
 from crocuskeel.core import revisions
+from crocuskeel import decoding
 
 __all__ = ["check_fence", "detect_pause", "ends_at", "is_valid", "lapses_at",
            "note_era", "note_version", "on_read", "on_written", "release",
@@ -39,6 +40,10 @@
 
 _NONCE_BITS = 128
 _UNKNOWN_SPAN_S = 60.0
+# Bounds of what an object may claim.
+_MAX_SPAN_S = 3600.0
+_MAX_COUNT = 2 ** 63 - 1
+_MAX_NAME_CHARS = 253
 Status = events.Status
 
 
@@ -65,18 +70,38 @@
 
 def _decode(body):
     try:
-        doc = json.loads(body)
+        doc = decoding.loads(body)
         return _Stored(
-            str(doc["holder"]), str(doc["nonce"]), int(doc["renewals"]),
-            float(doc["span_s"]), float(doc["order_s"]),
-            doc.get("record"), _era(doc.get("era")))
-    except (KeyError, TypeError, ValueError):
+            _text(doc["holder"]), _text(doc["nonce"]),
+            _integer(doc["renewals"], -_MAX_COUNT, _MAX_COUNT),
+            _span_s(doc["span_s"]), _span_s(doc["order_s"]), doc.get("record"), _era(doc.get("era")))
+    except decoding.DECODING_ERRORS:
         # The writer of this may act as the holder: assume a long span.
         return _Stored("?", "?", 0, _UNKNOWN_SPAN_S, _UNKNOWN_SPAN_S)
 
 
+def _text(value):
+    """Return a text that is checked; hosts tell each other the holder."""
+    if not (isinstance(value, str) and len(value) <= _MAX_NAME_CHARS
+            and value.isprintable()):
+        raise ValueError("invalid text")
+    return value
+
+
+def _integer(value, least, most):
+    if type(value) is not int or not least <= value <= most:
+        raise ValueError("invalid number")
+    return value
+
+
+def _span_s(value):
+    if type(value) not in (int, float) or not 0 <= value <= _MAX_SPAN_S:
+        raise ValueError("invalid span")
+    return float(value)
+
+
 def _era(value):
-    return None if value is None else int(value)
+    return None if value is None else _integer(value, 0, revisions.MAX_ERA)
 
 
 def is_valid(state, now):
--- a/crocuskeel/decoding.py
+++ b/crocuskeel/decoding.py
@@ -3,7 +3,9 @@
 One part that Python can't represent must not hide the others.
 """
 
+import functools
 import json
+import math
 import re
 
 __all__ = ["DECODING_ERRORS", "loads"]
@@ -22,17 +24,32 @@
 def loads(data):
     """Return the value of JSON in bytes; raises ValueError.
 
-    Invalid UTF-8 becomes U+FFFD, an integer of many digits a float.
+    Invalid UTF-8 becomes U+FFFD, an integer of many digits a float, and a
+    number that isn't finite null.
     """
     text = data.decode("utf-8", "replace")
     try:
-        found = json.loads(text, parse_int=_parse_int)
+        found = _loads(text)
     except RecursionError:
         pass
     else:
         if not _is_deep(found):
             return found
-    return json.loads(_without_deep_values(text), parse_int=_parse_int)
+    return _loads(_without_deep_values(text))
+
+
+def _parse_int(text):
+    return int(text) if len(text) <= MAX_DIGITS else _parse_float(text)
+
+
+def _parse_float(text):
+    number = float(text)
+    return number if math.isfinite(number) else None
+
+
+_loads = functools.partial(
+    json.loads, parse_int=_parse_int, parse_float=_parse_float,
+    parse_constant=lambda name: None)
 
 
 def _is_deep(value):
@@ -46,10 +63,6 @@
     return True
 
 
-def _parse_int(text):
-    return int(text) if len(text) <= MAX_DIGITS else float(text)
-
-
 def _without_deep_values(text):
     kept = []
     depth = start = 0
--- a/crocuskeel/platform/store.py
+++ b/crocuskeel/platform/store.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import json
-import operator
 import urllib.parse
 
 from crocuskeel.core import revisions
@@ -256,7 +255,7 @@
 
 
 def _check_revision(number):
-    if operator.index(number) != revisions.number(number):
+    if type(number) is not int or not 0 <= number == revisions.number(number):
         raise ValueError(f"invalid revision {number!r}")
 
 
--- a/tests/odd_forms.py
+++ b/tests/odd_forms.py
@@ -5,11 +5,11 @@
 
 import json
 
-__all__ = ["ADDRESSES", "DEPTHS", "FORMS", "NUMBERS", "OBJECTS", "PORTS",
+__all__ = ["ADDRESSES", "BRIEF", "DEPTHS", "FORMS", "NUMBERS", "OBJECTS", "PORTS",
            "TEXTS", "VALUES", "nested", "replaced"]
 
 DIGITS = "9" * 5_000
-# Some are about at Python's limit, which the stack at that point lowers.
+# Some are about at Python's limit, which the stack lowers.
 DEPTHS = (50, 65, 985, 1_000, 100_000)
 
 
@@ -37,6 +37,10 @@
        "10.0.0.256:80", "10.0.0.9:80:80", "\uff11.0.0.9:80", "a@b/c:80"])
 VALUES = DEEP + NUMBERS + TEXTS + OTHERS
 FORMS = VALUES + tuple(map(json.dumps, ADDRESSES + PORTS[1:]))
+# One of each sort, for long tests.
+BRIEF = ("1e400", "NaN", "-1", "0.5", "true", "9223372036854775808", DIGITS,
+         *(json.dumps(text) for text in ("", "\ud83d", "x", "x" * 9_000)),
+         "null", "[]", "{}", '["a"]', '{"a": 1}', DEEP[2], DEEP[-1])
 # Whole objects of a store.
 OBJECTS = (
     *DEEP, *NUMBERS, *OTHERS, '"x"', '{"Meta": null}', '{"Meta": 7}',
