Check each field of a configuration before it is taken

A configuration with a field of another type was taken and failed later: a weight of null, a route whose name is a list, a prefix that is a list or a workspace whose name is a number raised an error at each request, a priority that is a text in the choice of an engine, a number as the name of a service in each tick, whose effects were lost with it, the host's state for its peers among them. GapAimMs of 0 divided the rank of streams by zero.

Cause: the decoder checked that numbers are in range and that texts have bytes, not which field holds what. All fields are checked where they are decoded now (platform/catalogs.py, out of objects.py); a configuration that fails is refused whole with a log line, as before, and the last one holds. GapAimMs of 0 counts as missing.

Evidence: tests.platform.test_odd_entries, with the former decoder: "FAILED (failures=19)", each "InvalidObjectError not raised" but one; now OK. Ruled out as other causes: entries of hosts and servers, records of streams and versions, which held. tests.platform OK; soak's configurations are decoded as before.

--- a/crocuskeel/core/leadership/lease.py
+++ b/crocuskeel/core/leadership/lease.py
@@ -74,7 +74,8 @@
         return _Stored(
             _text(doc["holder"]), _text(doc["nonce"]),
             _integer(doc["renewals"], -_MAX_COUNT, _MAX_COUNT),
-            _span_s(doc["span_s"]), _span_s(doc["order_s"]), doc.get("record"), _era(doc.get("era")))
+            _span_s(doc["span_s"]), _span_s(doc["order_s"]), doc.get("record"),
+            _era(doc.get("era")))
     except decoding.DECODING_ERRORS:
         # The writer of this may act as the holder: assume a long span.
         return _Stored("?", "?", 0, _UNKNOWN_SPAN_S, _UNKNOWN_SPAN_S)
--- a/crocuskeel/platform/objects.py
+++ b/crocuskeel/platform/objects.py
@@ -6,9 +6,9 @@
 from crocuskeel.core.entry import model
 from crocuskeel.platform import exceptions
 
-__all__ = ["catalog", "is_name", "is_software_version", "name", "peer",
-           "peer_spec", "server", "server_record", "service",
-           "trimmed_server", "writes_records"]
+__all__ = ["is_count", "is_name", "is_software_version", "name", "peer",
+           "peer_spec", "server", "server_record", "trimmed_server",
+           "writes_records"]
 
 READY = "ready"
 DRAINING = "draining"
@@ -22,9 +22,6 @@
 MAX_SLOTS = 2 ** 31 - 1
 MAX_CORES = 4096
 MAX_WARMUP_MS = 24 * 3600 * 1000
-# Numbers of a configuration are exact as floats, and so are their sums with
-# others in 64 bits.
-MAX_NUMBER = 2 ** 53
 MAX_VERSION_CHARS = 64
 MAX_PORT_DIGITS = 5
 # A host that restarts keeps its address and its entry, which is written once;
@@ -57,138 +54,6 @@
     return found
 
 
-def catalog(obj):
-    """Return the Catalog that the configuration's object holds.
-
-    Raises InvalidObjectError if fields are missing or invalid.
-    """
-    try:
-        spec = obj["Spec"]
-        _check_values([value for field, value in spec.items()
-                       if field != "Version"])
-        return model.Catalog(
-            revision=_revision(obj), version=_version(spec),
-            routes=_routes(spec.get("Routes") or ()),
-            services={row["Name"]: service(row)
-                      for row in spec.get("Services") or ()},
-            api_keys=_api_keys(spec.get("Tenants")),
-            limits=_limits(spec.get("Limits") or {}))
-    except (AttributeError, KeyError, TypeError, ValueError) as exc:
-        raise exceptions.InvalidObjectError(
-            f"invalid configuration: {exc!r}") from exc
-
-
-def _check_values(value):
-    """Raise ValueError for text without bytes and for huge numbers."""
-    waiting = [value]
-    while waiting:
-        found = waiting.pop()
-        if isinstance(found, dict):
-            waiting += found
-            waiting += found.values()
-        elif isinstance(found, list):
-            waiting += found
-        elif isinstance(found, str):
-            found.encode()
-        elif isinstance(found, int | float) and not abs(found) <= MAX_NUMBER:
-            raise ValueError("number out of range")
-
-
-def _revision(obj):
-    if not _is_count(obj["Meta"]["Rev"]):
-        raise ValueError("Rev is no count")
-    return obj["Meta"]["Rev"]
-
-
-def _version(spec):
-    if not _is_count(spec["Version"]):
-        raise ValueError("Version is no count")
-    return spec["Version"]
-
-
-def _routes(rows):
-    found = {}
-    for row in rows:
-        route = _route(row)
-        found.setdefault(route.host, []).append(route)
-    for routes in found.values():
-        routes.sort(key=lambda route: len(route.prefix), reverse=True)
-    return found
-
-
-def _route(row):
-    split = tuple((part["Service"], part["Weight"])
-                  for part in row.get("Split") or ())
-    timeout_s = row["TimeoutMs"] / 1000
-    return model.Route(
-        name=row["Name"], host=row["Host"].lower(), prefix=row["Prefix"],
-        kind=model.Kind(row["Kind"]),
-        split=split or ((row["Service"], 1),),
-        timeout_s=timeout_s,
-        target_s=row.get("GoalMs", row["TimeoutMs"]) / 1000,
-        max_servers=max(1, row.get("Attempts", 1)),
-        priority=row.get("Priority", 0),
-        public=bool(row.get("Public")),
-        resumable=bool(row.get("Resumable")),
-        gap_s=row.get("GapAimMs", 1000) / 1000)
-
-
-def service(row):
-    """Return the Service of a row of the configuration.
-
-    Raises KeyError, TypeError or ValueError if the row is invalid.
-    """
-    engine = row.get("Engine")
-    if engine:
-        engine = model.EngineSpec(engine["Slots"], engine["KvTokens"],
-                                  _fetch_token_s(engine))
-    return model.Service(row["Name"], row.get("MaxConns", 0),
-                         engine or None, _scaling(row.get("Autoscale")),
-                         _health_path(row.get("HealthPath") or "/"))
-
-
-def _health_path(text):
-    if not (text.isascii() and is_name(text)):
-        raise ValueError("HealthPath is no path")
-    return text
-
-
-def _scaling(row):
-    if not row:
-        return None
-    return model.Scaling(
-        min_engines=row["Min"], max_engines=row["Max"],
-        boot_s=row["BootTimeoutS"],
-        prices=dict(row.get("ZonePrices") or {}),
-        # Missing or 0: the service has no spot engines.
-        spot_price=row.get("SpotPrice") or None)
-
-
-def _fetch_token_s(row):
-    """Return the time to send the KV cache of a token, s."""
-    size = row.get("KvBytes") or 0
-    speed = row.get("LinkMbps") or 0
-    return size * 8 / (speed * 1e6) if speed else 0.0
-
-
-def _api_keys(rows):
-    if not rows:
-        return None
-    keys = {}
-    for row in rows:
-        workspace = model.Workspace(row["Name"], row.get("Priority"))
-        keys.update(dict.fromkeys(row.get("ApiKeys") or (), workspace))
-    return keys
-
-
-def _limits(row):
-    return model.Limits(
-        header_bytes=row.get("MaxHeaderBytes", 16384),
-        body_bytes=row.get("MaxBodyBytes", 4 << 20),
-        header_s=row.get("HeaderTimeoutMs", 3000) / 1000,
-        idle_s=row.get("IdleTimeoutMs", 15000) / 1000)
-
-
 def server(obj):
     """Return the Server that an entry of the store describes.
 
@@ -201,7 +66,7 @@
         if not is_valid(spec.get(field)):
             raise exceptions.InvalidObjectError(
                 f"server {sid}: invalid {field}")
-    if "born" in spec and not _is_count(spec["born"]):
+    if "born" in spec and not is_count(spec["born"]):
         raise exceptions.InvalidObjectError(f"server {sid}: invalid born")
     ip, _, port = spec["Addr"].rpartition(":")
     return model.Server(
@@ -288,13 +153,14 @@
     return isinstance(value, str) and bool(value)
 
 
-def _is_count(value):
+def is_count(value):
+    """Return whether a value is a count that fits the store's integers."""
     return (isinstance(value, int) and not isinstance(value, bool)
             and 0 <= value <= MAX_COUNT)
 
 
 def _is_slots(value):
-    return _is_count(value) and 0 < value <= MAX_SLOTS
+    return is_count(value) and 0 < value <= MAX_SLOTS
 
 
 def _is_number_up_to(most):
@@ -329,7 +195,7 @@
 SERVER_FIELDS = {
     "Service": is_name, "Addr": _is_address, "Zone": is_name,
     "Version": _is_text, "Slots": _is_slots, "State": _is_state,
-    "ColdLeftMs": _is_number_up_to(MAX_WARMUP_MS), "Seq": _is_count,
+    "ColdLeftMs": _is_number_up_to(MAX_WARMUP_MS), "Seq": is_count,
 }
 OPTIONAL_FIELDS = ("born", "Spot")
 _is_cores = _is_number_up_to(MAX_CORES)
--- a/crocuskeel/platform/store_watcher.py
+++ b/crocuskeel/platform/store_watcher.py
@@ -5,6 +5,7 @@
 from crocuskeel.core.entry import fleet
 from crocuskeel.core.entry import registry
 from crocuskeel.core import revisions
+from crocuskeel.platform import catalogs
 from crocuskeel.platform import exceptions
 from crocuskeel.platform import objects
 from crocuskeel.platform import snapshots
@@ -250,7 +251,7 @@
         if self._object_name(obj) != CONFIG_NAME:
             return
         try:
-            catalog = objects.catalog(obj)
+            catalog = catalogs.catalog(obj)
         except exceptions.InvalidObjectError as exc:
             self.gateway.log("bad_object", {"why": str(exc)})
             return
--- a/tests/odd_forms.py
+++ b/tests/odd_forms.py
@@ -5,11 +5,11 @@
 
 import json
 
-__all__ = ["ADDRESSES", "BRIEF", "DEPTHS", "FORMS", "NUMBERS", "OBJECTS", "PORTS",
-           "TEXTS", "VALUES", "nested", "replaced"]
+__all__ = ["ADDRESSES", "BRIEF", "DEPTHS", "FORMS", "NUMBERS", "OBJECTS",
+           "PORTS", "TEXTS", "VALUES", "nested", "replaced"]
 
 DIGITS = "9" * 5_000
-# Some are about at Python's limit, which the stack lowers.
+# Some are near Python's limit, which the stack lowers.
 DEPTHS = (50, 65, 985, 1_000, 100_000)
 
 
--- a/tests/platform/test_duties.py
+++ b/tests/platform/test_duties.py
@@ -12,8 +12,8 @@
 from crocuskeel.gateway import calls
 from crocuskeel.gateway import exceptions as gateway_exceptions
 from crocuskeel.platform import boot as boot_settings
+from crocuskeel.platform import catalogs
 from crocuskeel.platform import duties
-from crocuskeel.platform import objects
 from crocuskeel.platform import store as stores
 from tests.platform import test_boot
 from twisted.internet import defer
@@ -199,16 +199,16 @@
         "ZonePrices": {"a": 0.85}}}
 
     def test_limits_and_prices(self):
-        found = objects.service(self.ROW).scaling
+        found = catalogs.service(self.ROW).scaling
         self.assertEqual((1, 20, 4.0, {"a": 0.85}, 0.18), (
             found.min_engines, found.max_engines, found.boot_s, found.prices,
             found.spot_price))
-        self.assertIsNone(objects.service({"Name": "llm"}).scaling)
+        self.assertIsNone(catalogs.service({"Name": "llm"}).scaling)
 
     def test_service_without_spot_engines(self):
         row = {"Name": "llm", "Autoscale": {
             "Min": 1, "Max": 20, "BootTimeoutS": 4.0}}
-        found = objects.service(row).scaling
+        found = catalogs.service(row).scaling
         self.assertEqual((None, {}), (found.spot_price, found.prices))
 
 
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -12,6 +12,7 @@
 from crocuskeel.gateway import calls
 from crocuskeel.gateway import exceptions as gateway_exceptions
 from crocuskeel.gateway import gossip
+from crocuskeel.platform import catalogs
 from crocuskeel.platform import exceptions
 from crocuskeel.platform import objects
 from crocuskeel.platform import snapshots
@@ -286,13 +287,13 @@
                     "Version": 1, "Routes": [{**route, field: value}]}}
                 with self.subTest(field=field, value=repr(value)[:20]):
                     with self.assertRaises(exceptions.InvalidObjectError):
-                        objects.catalog(obj)
+                        catalogs.catalog(obj)
 
     def test_version_may_have_64_bits(self):
         # A bound of the other numbers refused a configuration by its version.
         obj = {"Meta": {"Name": "main", "Rev": 1},
                "Spec": {"Version": 2 ** 63 - 1, "Routes": []}}
-        self.assertEqual(2 ** 63 - 1, objects.catalog(obj).version)
+        self.assertEqual(2 ** 63 - 1, catalogs.catalog(obj).version)
 
 
 class SnapshotTest(unittest.TestCase):
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -4,6 +4,7 @@
 import random
 import unittest
 
+from crocuskeel.platform import catalogs
 from crocuskeel.platform import exceptions
 from crocuskeel.platform import objects
 
@@ -106,7 +107,7 @@
     def _engine(self, **fields):
         row = {"Name": "guide", "Engine": {
             "Slots": 64, "KvTokens": 500_000, **fields}}
-        return objects.service(row).engine
+        return catalogs.service(row).engine
 
     def test_transfer_time_of_the_kv_cache(self):
         # 327,680 bytes a token over 550 Gbit/s.
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -4,8 +4,12 @@
 import unittest
 
 from crocuskeel import decoding
+from crocuskeel.platform import catalogs
+from crocuskeel.platform import exceptions
+from tests import fuzz_entries
 from tests import odd_forms
 from tests.platform import test_foreign_entries as foreign
+from tools.soak import configs
 
 ROUTE = {"Name": "r", "Host": "h", "Prefix": "/a/", "Kind": "safe",
          "Service": "plain", "TimeoutMs": 900}
@@ -47,5 +51,54 @@
         return json.loads(json.dumps(value))
 
 
+class ConfigurationTest(unittest.TestCase):
+    """Guards against a configuration that fails after it was taken."""
+
+    def test_values_of_other_types_are_refused(self):
+        # Requests of the route, or each tick of the host, raised an error.
+        spec = fuzz_entries.CONFIG["Spec"]
+        for section, number, field, value in (
+                ("Routes", 0, "Name", []), ("Routes", 0, "Prefix", ["a"]),
+                ("Routes", 0, "Priority", None),
+                ("Routes", 0, "Priority", -1),
+                ("Routes", 0, "Attempts", 1.5),
+                ("Routes", 0, "TimeoutMs", True),
+                ("Routes", 0, "GapAimMs", "1"),
+                ("Routes", 0, "Split", [{"Service": "a", "Weight": None}]),
+                ("Routes", 0, "Split", [{"Service": 7, "Weight": 1}]),
+                ("Routes", 0, "Split", [{"Service": "a", "Weight": 0}]),
+                ("Routes", 0, "Split", {"a": 1}),
+                ("Routes", 1, "Service", 7),
+                ("Services", 0, "MaxConns", "9"),
+                ("Services", 0, "HealthPath", "/a b"),
+                ("Services", 1, "Engine", {"Slots": 0, "KvTokens": 9}),
+                ("Services", 1, "Engine", {"Slots": 9, "KvTokens": "9"}),
+                ("Services", 1, "Autoscale", {
+                    "Min": "1", "Max": 2, "BootTimeoutS": 1}),
+                ("Tenants", 0, "Name", 7), ("Tenants", 0, "ApiKeys", "key"),
+                ("Tenants", 0, "Priority", "1")):
+            rows = list(spec[section])
+            rows[number] = {**rows[number], field: value}
+            with self.subTest(field=field, value=value):
+                with self.assertRaises(exceptions.InvalidObjectError):
+                    catalogs.catalog({**fuzz_entries.CONFIG, "Spec": {
+                        **spec, section: rows}})
+
+    def test_valid_configurations(self):
+        for spec in (configs.new_config(3, "k"), fuzz_entries.CONFIG["Spec"],
+                     CONFIG["Spec"], {"Version": 1}):
+            found = catalogs.catalog({"Meta": {"Name": "main", "Rev": 3},
+                                      "Spec": spec})
+            self.assertEqual(spec["Version"], found.version)
+
+    def test_pause_of_0_is_that_of_a_route_without_one(self):
+        # The rank of a stream was divided by it.
+        for gap in ({}, {"GapAimMs": 0}):
+            found = catalogs.catalog({"Meta": {"Name": "main", "Rev": 3},
+                                      "Spec": {"Version": 1, "Routes": [
+                                          {**ROUTE, **gap}]}})
+            self.assertEqual(1.0, found.routes["h"][0].gap_s)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_store_watcher.py
+++ b/tests/platform/test_store_watcher.py
@@ -9,6 +9,7 @@
 from crocuskeel.core import entry
 from crocuskeel.core.entry import events
 from crocuskeel.gateway import metrics
+from crocuskeel.platform import catalogs
 from crocuskeel.platform import exceptions
 from crocuskeel.platform import objects
 from crocuskeel.platform import store as stores
@@ -380,7 +381,7 @@
                "Kind": "stream", "TimeoutMs": 8000, "GoalMs": 2000,
                "Priority": 2, "Service": "engines", "Attempts": 2,
                "Resumable": True, "GapAimMs": 250}
-        found = objects.catalog(_config(
+        found = catalogs.catalog(_config(
             5, Routes=[row, {**row, "Prefix": "/a/b/"}],
             Tenants=[{"Name": "w", "ApiKeys": ["k"], "Priority": 1}],
             Services=[{"Name": "engines", "MaxConns": 360,
