--- a/crocuskeel/platform/decoding.py
+++ b/crocuskeel/decoding.py
@@ -3,14 +3,18 @@
 One part that Python can't represent must not hide the others.
 """
 
+import functools
 import json
+import math
 import re
 
 __all__ = ["DECODING_ERRORS", "loads"]
 
 # What ``loads`` and a look into its result may raise.
-DECODING_ERRORS = (ValueError, KeyError, TypeError, RecursionError)
-# Deeper values are replaced by null: they would exceed the stack.
+DECODING_ERRORS = (AttributeError, KeyError, OverflowError, RecursionError,
+                   TypeError, ValueError)
+# Deeper values are replaced by null: they would exceed the stack, here or
+# where they are written again.
 MAX_DEPTH = 64
 # Python refuses integers with many digits, and no field needs more.
 MAX_DIGITS = 20
@@ -20,17 +24,43 @@
 def loads(data):
     """Return the value of JSON in bytes; raises ValueError.
 
-    Invalid UTF-8 becomes U+FFFD, an integer of many digits a float.
+    Invalid UTF-8 becomes U+FFFD, an integer of many digits a float, and a
+    number that isn't finite null.
     """
     text = data.decode("utf-8", "replace")
     try:
-        return json.loads(text, parse_int=_parse_int)
+        found = _loads(text)
     except RecursionError:
-        return json.loads(_without_deep_values(text), parse_int=_parse_int)
+        pass
+    else:
+        if not _is_deep(found):
+            return found
+    return _loads(_without_deep_values(text))
 
 
 def _parse_int(text):
-    return int(text) if len(text) <= MAX_DIGITS else float(text)
+    return int(text) if len(text) <= MAX_DIGITS else _parse_float(text)
+
+
+def _parse_float(text):
+    number = float(text)
+    return number if math.isfinite(number) else None
+
+
+_loads = functools.partial(
+    json.loads, parse_int=_parse_int, parse_float=_parse_float,
+    parse_constant=lambda name: None)
+
+
+def _is_deep(value):
+    level = [value]
+    for _ in range(MAX_DEPTH):
+        level = [part for each in level if type(each) in (dict, list)
+                 for part in (each.values() if type(each) is dict else each)
+                 if type(part) in (dict, list)]
+        if not level:
+            return False
+    return True
 
 
 def _without_deep_values(text):
--- a/crocuskeel/platform/store.py
+++ b/crocuskeel/platform/store.py
@@ -2,13 +2,12 @@
 
 import dataclasses
 import json
-import operator
 import urllib.parse
 
 from crocuskeel.core import revisions
+from crocuskeel import decoding
 from crocuskeel.gateway import calls
 from crocuskeel.gateway import exceptions as gateway_exceptions
-from crocuskeel.platform import decoding
 from crocuskeel.platform import exceptions
 from crocuskeel.platform import objects
 
@@ -256,7 +255,7 @@
 
 
 def _check_revision(number):
-    if operator.index(number) != revisions.number(number):
+    if type(number) is not int or not 0 <= number == revisions.number(number):
         raise ValueError(f"invalid revision {number!r}")
 
 
