Answer requests that were read behind an answer of a stopping host

Callers that send requests one behind the other on a connection, without waiting for the answers, would see all but the first closed without an answer once their host had got SIGTERM; those bytes had been read long before.

Cause: from SIGTERM on each head says `Connection: close`, whether or not further requests have been read, and the connection is closed after that answer.

Now only the last answer says so: a head of an answer with requests behind it keeps the connection. A request that comes after such a head may still be closed on, as its caller is told.

--- a/crocuskeel/gateway/callers.py
+++ b/crocuskeel/gateway/callers.py
@@ -339,7 +339,8 @@
             self.transport.loseConnection()
 
     def _encode_head(self, status, headers):
-        if self.listener.ends_keep_alive:
+        # A request behind this one has been read and is answered, too.
+        if self.listener.ends_keep_alive and self._awaits_head():
             headers = [*headers, (b"Connection", b"close")]
         data = connections.encode_head(self.h11, status, headers)
         if connections.ends_with_close(
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -207,6 +207,16 @@
         self.assertIn(b"Connection: close", self._written())
         self.assertTrue(self.transport.write_closed)
 
+    def test_request_that_came_behind_one_is_answered_at_a_shutdown(self):
+        # The answer before it said that it is the last one.
+        self.listener.end_keep_alive()
+        self.conn.dataReceived(POST * 3)
+        for number, is_last in enumerate((False, False, True)):
+            self.handler.exchanges[number].answer(200, [], b"answer")
+            self.assertEqual(is_last, b"Connection: close" in self._written())
+            self.clock.advance(0)
+        self.assertTrue(self.transport.write_closed)
+
     def test_connection_stays_open_while_addresses_are_kept(self):
         # Closing it at once could cross its caller's next request.
         self._end_stream_after(self.listener.end_keep_alive)
