--- a/tests/stops/hosts.py
+++ b/tests/stops/hosts.py
@@ -1,5 +1,6 @@
 """Entry hosts as real processes, their platform, and their callers."""
 
+import itertools
 import json
 import os
 import pathlib
@@ -13,7 +14,8 @@
 
 from tests.stops import platform
 
-__all__ = ["Answer", "Caller", "Hosts"]
+__all__ = ["Answer", "Caller", "GRACE_S", "Hosts", "request",
+           "wait_until_ready"]
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 GRACE_S = 8.0
@@ -37,24 +39,42 @@
     """Some hosts, each on a loopback address of its own.
 
     Its network is that of this process, as the ports are the same for all.
-    The addresses below are those of soak runs.
+    The addresses below are those of soak runs. Several Hosts at a time have
+    other addresses there.
     """
 
-    def __init__(self, count):
+    _FIRST_NUMBERS = itertools.cycle(range(1, 241, 16))
+
+    def __init__(self, count, slots=64):
         high, low = divmod(os.getpid(), 250)
         net = f"127.{220 + high % 30}.{low}"
-        self.ips = [f"{net}.{number + 1}" for number in range(count)]
+        first = next(self._FIRST_NUMBERS)
+        self.ips = [f"{net}.{first + number}" for number in range(count)]
         self.processes = {}
         self.stopped_at = {}
+        self.ended_after = {}
         self.work = []
         self._folder = tempfile.TemporaryDirectory()
-        self._platform = _run("-m", "tests.stops.platform")
+        self._platform = _run("-m", "tests.stops.platform", "--slots",
+                              str(slots), stdin=subprocess.PIPE)
         self._store = int(self._platform.stdout.readline())
         threading.Thread(target=self._read_work, daemon=True).start()
         for ip in self.ips:
             self.start(ip)
         for ip in self.ips:
-            _wait_until_ready(ip)
+            wait_until_ready(ip)
+
+    def ended_in_order(self, ip):
+        """Return whether a host that is stopped ended by itself, in time.
+
+        Its log has the line of its end then, unless it had not started.
+        """
+        code = self.wait_for_end(ip)
+        if self.ended_after[ip] >= GRACE_S:
+            return False
+        events = [row["event"] for row in self.log(ip)]
+        return (code in (0, -signal.SIGTERM)
+                and events.count("stopping") == events.count("stopped"))
 
     def _read_work(self):
         for line in self._platform.stdout:
@@ -81,11 +101,34 @@
         process = self.processes[ip]
         process.send_signal(signal.SIGTERM)
         self.stopped_at[ip] = time.monotonic()
+        self.ended_after.pop(ip, None)
         timer = threading.Timer(GRACE_S, process.kill)
         timer.daemon = True
         timer.start()
+        threading.Thread(target=self._note_end, daemon=True, args=(
+            ip, process, self.stopped_at[ip])).start()
         return self.stopped_at[ip]
 
+    def _note_end(self, ip, process, stopped_at):
+        process.wait()
+        self.ended_after[ip] = time.monotonic() - stopped_at
+
+    def wait_for_end(self, ip):
+        """Wait for the end of a stopped host; return its exit code."""
+        code = self.processes[ip].wait(GRACE_S + 2.0)
+        while ip not in self.ended_after:
+            time.sleep(0.01)
+        return code
+
+    def signal(self, ip, number):
+        """Send a host a signal."""
+        self.processes[ip].send_signal(number)
+
+    def set_store(self, fault, begins):
+        """Begin or end a fault of the store: ``down`` or ``silent``."""
+        self._platform.stdin.write(json.dumps([fault, begins]) + "\n")
+        self._platform.stdin.flush()
+
     def begun(self, rid):
         """Return whether the server began to run a request."""
         return any(row[1:] == ("began", rid) for row in list(self.work))
@@ -103,15 +146,16 @@
         for process in (*self.processes.values(), self._platform):
             process.wait()
         self._platform.stdout.close()
+        self._platform.stdin.close()
         self._folder.cleanup()
 
 
-def _run(*args, stdout=subprocess.PIPE):
+def _run(*args, stdout=subprocess.PIPE, stdin=subprocess.DEVNULL):
     return subprocess.Popen([sys.executable, *args], cwd=ROOT, stdout=stdout,
-                            text=True)
+                            stdin=stdin, text=True)
 
 
-def _wait_until_ready(ip):
+def wait_until_ready(ip):
     until = time.monotonic() + START_TIMEOUT_S
     while time.monotonic() < until:
         try:
--- a/tests/stops/platform.py
+++ b/tests/stops/platform.py
@@ -4,10 +4,13 @@
 stream of ``events``, ``gap_s`` apart, with the first one after ``first_s``,
 or on other routes one answer after ``first_s``. Each request that it begins
 or ends is a line of its own, (time, what, request id), on standard output.
+Faults of the store are lines on standard input: (down or silent, begins).
 """
 
+import argparse
 import json
 import sys
+import threading
 import time
 
 from crocuskeel.gateway import callers
@@ -76,21 +79,33 @@
                                rid, number + 1, work)
 
 
-def _config():
+def _config(slots):
     routes = [{"Name": name, "Host": HOST, "Prefix": f"/{name}/",
                "Kind": kind, "TimeoutMs": TIMEOUT_MS, "GoalMs": 500,
                "Attempts": 1, "Resumable": False, "GapAimMs": 300,
                "Priority": 0, "Public": True, "Service": SERVICE}
               for name, kind in KINDS.items()]
     services = [{"Name": SERVICE, "MaxConns": 1000, "HealthPath": "/health",
-                 "Engine": {"Slots": 64, "KvTokens": 400_000}}]
+                 "Engine": {"Slots": slots, "KvTokens": 400_000}}]
     return {"Version": 1, "Routes": routes, "Services": services}
 
 
+def _follow(reactor, store):
+    """Have the store do what the lines on standard input say."""
+    faults = {"down": store.set_down, "silent": store.set_silent}
+    for line in sys.stdin:
+        name, begins = json.loads(line)
+        reactor.callFromThread(faults[name], begins)
+
+
 def main():
     """Serve until the process is ended."""
     from twisted.internet import reactor
 
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--slots", type=int, default=64)
+    slots = parser.parse_args().slots
+
     def note(what, rid):
         print(json.dumps([time.monotonic(), what, rid]), flush=True)
 
@@ -99,10 +114,12 @@
     server = reactor.listenTCP(
         0, _Server(reactor, note).listener, 200, "127.0.0.1")
     store.put("servers", "s-1", {
-        "Service": SERVICE, "Zone": "zone-0", "Version": "v1", "Slots": 64,
+        "Service": SERVICE, "Zone": "zone-0", "Version": "v1", "Slots": slots,
         "Addr": f"127.0.0.1:{server.getHost().port}", "State": "ready",
         "ColdLeftMs": 0, "Seq": 1, "born": 1})
-    store.put("config", "main", _config())
+    store.put("config", "main", _config(slots))
+    threading.Thread(target=_follow, daemon=True,
+                     args=(reactor, store)).start()
     print(port.getHost().port, flush=True)
     reactor.run()
 
