Take up streams only where the host is shown to be in step

Callers saw a stream go on at an engine of another version than the one that began it: they took it up at a host that was cut off from the store and the others, or had stood still, while engines of a new version joined.

Cause: a host that lists one version went on at it without asking anybody. It took its list for up to date as long as it had not noticed that its watch of the store gets no answer, which takes some 2 s, and a host that stood still for any time doesn't notice at all. A host whose questions nobody answered concluded the same. Two hosts that were cut off together confirmed each other's list for as long as the cut lasted: the age of the list counted from when they noticed, so that the others were no longer among those to be heard.

Now a host goes on at its only version at once only if it has heard all other hosts in the last 0.35 s. Otherwise it asks, and needs the answers of half of those asked and of half of up to eight of all hosts that have not left, and to be in touch with most of those that it heard up to 3 s before. If they don't answer, the store's records of versions and of streams have to show where the stream began; a version is named there before streams begin at it. If neither is to be had, the caller gets a 503 that was not run. As soon as enough hosts have answered that know one version only, the rest aren't waited for.

A changed test: test_versions_that_the_other_host_has_from_the_store let a host that had heard nobody for 5 s and didn't reach the store go on at the version that it lists, which is the fault. The host hears the others now, and the rest of the test is as it was. The changes that a host has missed moved from test_missed_versions to emulator/silent_faults.py.

--- a/crocuskeel/core/entry/fleet.py
+++ b/crocuskeel/core/entry/fleet.py
@@ -11,9 +11,10 @@
 from crocuskeel.core.entry import serving
 
 __all__ = ["HOP_DELAY_S", "MAX_FANOUT", "PEER_TIMEOUT_S", "STATE_INTERVAL_S",
-           "caller_addresses", "invalidate_serving_hosts", "is_in_touch",
-           "is_large", "is_peer_ready", "is_ready", "is_serving_host",
-           "reads_store", "serving_hosts", "store_data_age_s"]
+           "caller_addresses", "hears_all", "invalidate_serving_hosts",
+           "is_in_touch", "is_large", "is_peer_ready", "is_ready",
+           "is_serving_host", "reads_store", "serving_hosts",
+           "store_data_age_s"]
 
 # Interval at which hosts send their state, s.
 STATE_INTERVAL_S = 0.3
@@ -23,6 +24,8 @@
 # A host that was silent for this long is not named to callers, s: four
 # of its datagrams are missing.
 PEER_TIMEOUT_S = 1.3
+# A host that hears all others has heard each within this, s.
+ALL_HEARD_S = 0.35
 MAX_ADDRESSES = 64
 # Minimum number of serving hosts, so that the failure of one affects at most
 # a fifth of the requests in progress. Hosts with at least half of the largest
@@ -181,13 +184,26 @@
     return [front for _, front in reachable[:MAX_ADDRESSES]]
 
 
-def is_in_touch(host, now):
+def hears_all(host, now):
+    """Return whether all hosts but those that leave were heard just now.
+
+    A host that stood still, or is cut off, may not have noticed anything else.
+    """
+    return all(known.leaving or known.last_seen_at >= now - ALL_HEARD_S
+               for known in host.peers.values())
+
+
+def is_in_touch(host, now, unnoticed_s=0.0):
     """Return whether most hosts are heard that were when the list was new.
 
     Hosts that are cut off from the others and from the store together know
-    only each other.
+    only each other. They may have been so for ``unnoticed_s`` longer than the
+    age of the list shows; in a large fleet, where each host hears only some of
+    the others, that isn't counted.
     """
     before = now - store_data_age_s(host, now) - PEER_TIMEOUT_S
+    if not is_large(host):
+        before -= unnoticed_s
     known = [peer.last_seen_at for peer in host.peers.values()
              if peer.last_seen_at >= before]
     heard = sum(at >= now - PEER_TIMEOUT_S for at in known)
--- a/crocuskeel/core/entry/lookups.py
+++ b/crocuskeel/core/entry/lookups.py
@@ -4,9 +4,11 @@
 killed hosts wrote to the store. If nobody knows, the stream goes on only where
 all streams can have begun at one version: a guess could join parts that don't
 fit together, and the caller can begin anew after a refusal. A host that has
-just started can't say that by the servers that it lists (version_history). If
-a route leads to several services, the store has to show that the name of a
-stream leads to its own (origins).
+just started can't say that by the servers that it lists (version_history). Nor
+can one that stood still or was cut off, and may not have noticed: unless it
+has just heard all others, their answers or a read of the store have to show
+that it is in step. If a route leads to several services, the store has to show
+that the name of a stream leads to its own (origins).
 """
 
 import enum
@@ -38,6 +40,9 @@
 ASK_AGAIN_S = 0.25
 # What the store knows is waited for until then, s.
 STORE_TIMEOUT_S = 1.2
+# A host may be cut off from the store for so long without noticing, s: it
+# waits for the end of its watch.
+UNNOTICED_S = 3.0
 
 
 class Finding(enum.Enum):
@@ -76,6 +81,7 @@
     if pending.lookup is None:
         if (_knows_versions(host, pending, now) and _is_up_to_date(host, now)
                 and fleet.reads_store(host, now)
+                and fleet.hears_all(host, now)
                 and (key is None or _has_one_origin(host, pending, now))):
             return _bound_to_only_version(host, pending, set(), now)
         _begin(host, pending, key, now)
@@ -229,9 +235,31 @@
             and not lookup.readers & lookup.unanswered)
 
 
+def _may_conclude_early(host, pending, now):
+    """Return whether enough hosts have answered that know one version only."""
+    versions = version_history.possible_versions(host, pending.service, now)
+    return (len(versions | pending.lookup.versions) == 1
+            and _knows_versions(host, pending, now)
+            and _has_one_origin(host, pending, now)
+            and _is_up_to_date(host, now)
+            and _is_in_step(host, pending.lookup, now))
+
+
+def _is_in_step(host, lookup, now):
+    """Return whether other hosts' answers show that this one is in step.
+
+    Those that it doesn't hear count, too: it may hear only others that were
+    cut off with it, or none as it stood still.
+    """
+    others = sum(not peer.leaving for peer in host.peers.values())
+    answers = lookup.asked - len(lookup.unanswered)
+    return (2 * answers >= max(lookup.asked, min(ASKED, others))
+            and fleet.is_in_touch(host, now, UNNOTICED_S))
+
+
 def _continue(host, pending, key, now):
     lookup = pending.lookup
-    if _is_answered(lookup, now):
+    if _is_answered(lookup, now) or _may_conclude_early(host, pending, now):
         if now < lookup.began_at + STORE_TIMEOUT_S:
             reading = _read_store(host, pending, key, now)
             if reading is not None:
@@ -259,7 +287,9 @@
     knows = _knows_versions(host, pending, now)
     has_read = host.streams.history.is_read
     if (key is None or not (knows or has_read)
-            or knows and _has_one_origin(host, pending, now)
+            or knows and _has_one_origin(host, pending, now) and (
+                host.store_down_since is not None
+                or _is_in_step(host, pending.lookup, now))
             or not recorders.may_read(host, now)
             or stream_reads.is_failing(host)
             or stream_reads.has_read_since(
@@ -282,20 +312,14 @@
 
 
 def _concluded(host, pending, key, now):
-    """Return the Finding if neither other hosts nor the store know.
-
-    A host whose list may be old needs the word of half of those asked, and
-    has to be in touch with most of the fleet.
-    """
+    """Return the Finding if neither other hosts nor the store know."""
     lookup = pending.lookup
-    answers = lookup.asked - len(lookup.unanswered)
     is_elsewhere = _may_be_elsewhere(host, pending, now) and not (
         stream_reads.is_in_no_segment(
             host, pending.service, key,
             stream_reads.sought_since(host, key, now)))
-    if not is_elsewhere and _knows_versions(host, pending, now) and (
-            _is_up_to_date(host, now) or (
-                2 * answers >= lookup.asked and fleet.is_in_touch(host, now))):
+    if (not is_elsewhere and _knows_versions(host, pending, now)
+            and _is_in_step(host, lookup, now)):
         return _bound_to_only_version(host, pending, lookup.versions, now)
     versions = version_history.possible_versions(host, pending.service, now)
     return _unknown(host, pending, versions | lookup.versions, now)
--- a/emulator/faults.py
+++ b/emulator/faults.py
@@ -7,6 +7,7 @@
 from emulator import listeners
 from emulator import load_faults
 from emulator import part_faults
+from emulator import silent_faults
 from emulator import store_faults
 from emulator import version_faults
 
@@ -272,4 +273,5 @@
           "cut_silent": _cut_off(listeners.Cut.SILENT),
           "cut_timeout": _cut_off(listeners.Cut.TIMEOUT),
           **host_faults.FAULTS, **load_faults.FAULTS, **part_faults.FAULTS,
-          **store_faults.FAULTS, **version_faults.FAULTS}
+          **silent_faults.FAULTS, **store_faults.FAULTS,
+          **version_faults.FAULTS}
--- a/emulator/hosts.py
+++ b/emulator/hosts.py
@@ -118,7 +118,8 @@
 
     def _tick(self, boot):
         if self.core is not None and boot == self.boot:
-            self.feed(events.Ticked(self.world.clock.now))
+            if self.name not in self.world.standing:
+                self.feed(events.Ticked(self.world.clock.now))
             self.world.clock.after(TICK_S, self._tick, boot)
 
     def is_ready(self):
--- a/emulator/run.py
+++ b/emulator/run.py
@@ -99,6 +99,11 @@
         # that are cut off from the store.
         self.partitioned = set()
         self.without_store = set()
+        # Names of the hosts that get no datagrams, and that stand still.
+        self.deaf = set()
+        self.standing = set()
+        # Names of the hosts that callers go to for now, if any.
+        self.preferred = []
         # Whether callers use any host that runs.
         self.uses_any_host = False
         # Share of the datagrams between hosts that is lost.
@@ -306,15 +311,18 @@
             self._send_server_change((), ended)
 
     def are_connected(self, host, other):
-        """Return whether two hosts are in the same network partition."""
-        return (host.name in self.partitioned) == (
-            other.name in self.partitioned)
+        """Return whether a host's datagrams reach another one."""
+        return other.name not in self.deaf and (
+            (host.name in self.partitioned) == (
+                other.name in self.partitioned))
 
     def host_for_caller(self):
         """Return a host for a caller to use, or None if none is known."""
         if self.uses_any_host:
-            running = [name for name in self.names if self.hosts[name].core]
-            return self.hosts[self.rng.choice(running or self.names)]
+            running = [name for name in self.names if self.hosts[name].core
+                       and name not in self.standing]
+            return self.hosts[self.rng.choice(
+                self.preferred or running or self.names)]
         if (self.clock.now >= self.addresses_expire_at
                 or not self.known_addresses):
             asked_host = self.hosts[self.rng.choice(self.names)]
--- a/tests/emulator/test_missed_versions.py
+++ b/tests/emulator/test_missed_versions.py
@@ -9,10 +9,10 @@
 from unittest import mock
 
 from crocuskeel.core.entry import events
-from crocuskeel.core import revisions
 from emulator import deployment as deployments
 from emulator import faults
 from emulator import run
+from emulator import silent_faults
 
 CHAT = deployments.Kind(
     "chat", "stream", 20.0, 0, 300, 900, 60, 40, 1_000.0, 250.0, 8_000.0,
@@ -39,22 +39,13 @@
     _fault("take_back", 8.0, 0.0, 2, 0.0), _fault("kill", 12.0, 1.0, 6))
 
 
-def _missed_changes(world, host):
-    """Return the event of all changes since a host was cut off."""
-    known = {sid: state.server for sid, state in host.core.servers.items()}
-    changed = tuple(entry for sid, entry in world.entries.items()
-                    if known.get(sid) != entry)
-    removed = tuple(sid for sid in known if sid not in world.entries)
-    return events.ServersChanged(changed, removed, revisions.combine(
-        world.era, world.revision))
-
-
 def _end_isolation(world):
     names, world.without_store = world.without_store, set()
     world.partitioned.clear()
     for name in names:
         host = world.hosts[name]
-        for event in (events.StoreAvailable(), _missed_changes(world, host)):
+        for event in (events.StoreAvailable(),
+                      silent_faults.missed_changes(world, host)):
             host.receive_broadcast(event)
 
 
--- a/tests/entry/test_version_history.py
+++ b/tests/entry/test_version_history.py
@@ -245,7 +245,7 @@
         host.feed(versions.state(knows_versions=True, recorded_versions=(
             ("engines", "v0", 4_000), )))
         self.assertTrue(versions.refused(host))
-        versions.run(host, 5.0)
+        versions.run(host, 5.0, *streams.NAMES)
         self.assertFalse(versions.refused(host))
 
     def test_host_that_starts_does_not_renew_versions_at_others(self):
