Play planned stops of hosts in the emulator

Callers of hosts that are stopped in series could be played on real processes only (tests/stops, three hosts), so that ways to stop couldn't be compared at more hosts and with callers that keep addresses and connections.

The fault `stop` sends hosts SIGTERM one after the other; the host's own effects close the listener, end keep-alive, come back when a step is due and exit, and what hasn't exited by the end of the grace period is killed. Callers may be of `clients` that keep an address for its TTL, three times as long or for good, and use connections for one caller after the other. Streams may have a `spread` of lengths. `tally.stops` counts what was broken off, refused, and refused in vain. Without these fields runs draw as before.

--- a/emulator/callers.py
+++ b/emulator/callers.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from crocuskeel.core.entry import model
+from emulator import stops
 
 __all__ = ["Caller", "api_key", "new_request", "start"]
 
@@ -101,6 +102,15 @@
     loses_connection_at: int = 0
     # The name of its workspace, empty if it is anonymous.
     workspace: str = ""
+    # How many events its stream has.
+    length: int = 0
+    # Its client, None if it shares addresses with all, and the connection of
+    # its attempt, which was sent at this time.
+    client: object = None
+    connection: object = None
+    sent_at: float = 0.0
+    # Refusals by hosts that were stopping.
+    stop_refusals: list = dataclasses.field(default_factory=list)
 
     def send(self):
         """Send the request to one of the known hosts."""
@@ -109,7 +119,8 @@
             self._finish("gave up")
             return
         self.attempts += 1
-        self.host = self.world.host_for_caller()
+        self.sent_at = self.world.clock.now
+        self.host = self._connect()
         if self.attempts == 1 and self.host is not None:
             self.first_host = self.host.name
         request = new_request(
@@ -126,6 +137,23 @@
         if self.key is None and not self.outcome:
             self._retry_after(0.2)
 
+    def _connect(self):
+        """Return the host to send to, or None."""
+        if self.client is None:
+            host = self.world.host_for_caller()
+            return host if host is not None and stops.accepts(host) else None
+        self.connection = self.client.connect()
+        return None if self.connection is None else self.connection.host
+
+    def _head_arrived(self):
+        if self.connection is not None:
+            self.connection.head_arrived()
+
+    def _release_connection(self):
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            self.client.release(connection)
+
     def _note_take_up(self):
         servers = sum(server.version in self.versions and not server.down
                       for server in self.world.engines())
@@ -149,6 +177,7 @@
             self.versions = set()
             self.begun_rid = f"{self.rid}-{self.attempts}"
         self.versions.add(version)
+        self._head_arrived()
         if self.went_on:
             self.went_on[-1] = True
         if self.take_ups:
@@ -178,12 +207,16 @@
         if self.first_event_at is None:
             self.first_event_at = self.world.clock.now
         self._end_first_attempt(True)
+        self._head_arrived()
+        self._release_connection()
         on_time = (self.first_event_at - self.at <= self.kind.goal_ms / 1e3
                    and self.longest_gap_s <= self.kind.gap_ms / 1e3)
         self._finish("on time" if on_time else "late")
 
     def request_refused(self, status, retry_s):
         """Handle an error response; a 503 may be retried after a delay."""
+        self._head_arrived()
+        self._release_connection()
         self._end_first_attempt(False)
         if self.take_ups:
             self.take_ups[-1].is_refused = True
@@ -237,6 +270,15 @@
                 self.world.identical[self.digest].append(self)
             if not self.crashes_servers:
                 self.world.tally.record_outcome(self)
+                self.world.tally.stops.record_outcome(
+                    self, self.world.clock.now)
+
+
+def _draw_length(world, kind):
+    if not kind.spread:
+        return kind.events
+    return max(1, round(kind.events * world.load_rng.uniform(
+        1.0 - kind.spread, 1.0 + kind.spread)))
 
 
 def start(world, kind, subject, **fields):
@@ -246,6 +288,10 @@
     """
     if "workspace" not in fields:
         fields["workspace"] = world.draw_workspace()
+    if world.clients:
+        fields["client"] = world.clients[0].rng.choice(world.clients)
+    if kind.events and "length" not in fields:
+        fields["length"] = _draw_length(world, kind)
     world.last_number += 1
     caller = Caller(world, f"r{world.last_number}", kind, subject,
                     world.clock.now, **fields)
--- a/emulator/deployment.py
+++ b/emulator/deployment.py
@@ -70,7 +70,8 @@
     ``resumes`` times, ``resume_ms`` after they lost its connection; a share
     ``resume_anew`` of them without the id of the last event. A request may
     be sent to ``servers``; a stream that may be sent to one only is not
-    resumable.
+    resumable. Streams have ``events`` events, or with a ``spread`` up to such
+    a share of them fewer or more.
     """
 
     name: str
@@ -91,6 +92,7 @@
     servers: int = 2
     resume_ms: float = 50.0
     resume_anew: float = 0.0
+    spread: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,7 +120,10 @@
 
     Callers belong to one of ``workspaces``, with a key each; 0: they are
     anonymous. ``scheduling`` holds the settings of the hosts' scheduling
-    by name; None: they have none.
+    by name; None: they have none. Callers are of one of ``clients``, with
+    addresses of hosts of its own; 0: all have the same. A share
+    ``keeps_addresses`` of them never asks for others, and a share
+    ``keeps_connections`` uses connections for one caller after the other.
     """
 
     name: str
@@ -131,6 +136,9 @@
     faults: tuple
     workspaces: int = 0
     scheduling: dict | None = None
+    clients: int = 0
+    keeps_addresses: float = 0.0
+    keeps_connections: float = 0.0
 
 
 def bundled_names():
@@ -168,7 +176,11 @@
         kinds=_parse_list(Kind, found.get("kinds"), problems),
         faults=_parse_list(Fault, found.get("faults", []), problems),
         workspaces=_parse_count(found, "workspaces", problems),
-        scheduling=found.get("scheduling"))
+        scheduling=found.get("scheduling"),
+        clients=_parse_count(found, "clients", problems),
+        keeps_addresses=_parse_share(found, "keeps_addresses", problems),
+        keeps_connections=_parse_share(
+            found, "keeps_connections", problems))
     unknown = set(found) - {field.name for field
                             in dataclasses.fields(Deployment)}
     problems += [_unknown_name(each) for each in sorted(unknown)]
@@ -219,6 +231,15 @@
     return value
 
 
+def _parse_share(found, name, problems):
+    value = found.get(name, 0.0)
+    if not _is_valid(value, float) or value > 1:
+        problems.append(config_files.FileError(
+            "emulator.E003", f"{name} is {value!r}", "a number from 0 to 1"))
+        return 0.0
+    return value
+
+
 def _parse_list(kind, rows, problems):
     if not isinstance(rows, list):
         problems.append(config_files.FileError(
--- a/emulator/host_faults.py
+++ b/emulator/host_faults.py
@@ -1,4 +1,6 @@
-"""Hosts that are killed, and replaced by hosts of another program."""
+"""Hosts that are killed, stopped, and replaced by another program's."""
+
+from emulator import stops
 
 __all__ = ["FAULTS"]
 
@@ -26,6 +28,17 @@
         world.clock.after(away_s, host.start)
 
 
+def _stop_hosts(world, fault):
+    """Hosts are stopped as planned, one ``times`` s after the other.
+
+    Each starts again ``for_s`` after its end.
+    """
+    names = world.rng.sample(world.names, min(fault.count, len(world.names)))
+    for number, name in enumerate(names):
+        world.clock.after(number * fault.times, stops.stop,
+                          world.hosts[name], fault.for_s)
+
+
 def _kill_partition(world, fault):
     """All hosts that are partitioned from the others are killed."""
     for name in sorted(world.partitioned):
@@ -58,5 +71,5 @@
 
 
 FAULTS = {"kill": _kill_hosts, "kill_in_turn": _kill_in_turn,
-          "kill_partition": _kill_partition,
+          "kill_partition": _kill_partition, "stop": _stop_hosts,
           "former_program": _run_former_program, "upgrade": _upgrade}
--- a/emulator/hosts.py
+++ b/emulator/hosts.py
@@ -13,6 +13,7 @@
 from emulator import former_program
 from emulator import listeners
 from emulator import relays
+from emulator import stops
 
 __all__ = ["EntryHost"]
 
@@ -77,6 +78,8 @@
         self.lost = frozenset()
         # Whether its program is the one before records in the store.
         self.is_former = False
+        # The planned stop in progress, None without one.
+        self.stopping = None
 
     def cut_off(self, cut, sids):
         """Cut this host off from servers."""
@@ -111,7 +114,7 @@
 
     def stop(self):
         """Lose power: all connections to callers and servers break."""
-        self.core = None
+        self.core = self.stopping = None
         for key, pending in list(self.pending.items()):
             self.discard_request(key)
             pending.caller.connection_lost()
@@ -224,11 +227,11 @@
     if host.cut is not None and server.sid in host.lost:
         _fail_cut_off(host, listener)
         return
-    kind = pending.caller.kind
     prompt = pending.request.prompt
     pending.unsent_events = 0
     pending.unsent_end = None
-    run = engines.Run(listener, prompt, kind.events, effect.priority,
+    run = engines.Run(listener, prompt, pending.caller.length,
+                      effect.priority,
                       crashes_server=pending.caller.crashes_servers,
                       crash_after=pending.caller.crash_after,
                       bad_part=pending.caller.bad_part)
@@ -336,6 +339,7 @@
 
 def _refuse(host, effect):
     host.world.tally.refusals[effect.reason] += 1
+    stops.note_answer(host, effect)
     host.pending[effect.key].caller.request_refused(
         effect.status, effect.retry_delay_s)
     host.discard_request(effect.key)
@@ -388,6 +392,7 @@
     effects.ProbeServer: _probe_server,
     effects.SendToPeer: _send_to_peer,
     effects.ScheduleLoadsDue: _schedule_loads_due,
+    **stops.EFFECT_HANDLERS,
     **{getattr(record_effects, name): _access_records
        for name in record_effects.__all__},
 }
--- a/emulator/relays.py
+++ b/emulator/relays.py
@@ -9,7 +9,8 @@
 class Relay:
     """A request that another host relays: a caller there, a server here.
 
-    ``kind``, ``events`` and what it does to servers are those of its caller.
+    ``kind``, ``length``, ``events`` and what it does to servers are those of
+    its caller.
     """
 
     sid = ""
@@ -19,6 +20,8 @@
         self.other = other
         self.key = None
         self.kind = caller.kind
+        self.length = caller.length
+        self.stop_refusals = []
         self.events = caller.events
         self.crashes_servers = caller.crashes_servers
         self.crash_after = caller.crash_after
--- a/emulator/run.py
+++ b/emulator/run.py
@@ -10,6 +10,7 @@
 from crocuskeel.core import revisions
 from emulator import callers
 from emulator import catalogs
+from emulator import clients
 from emulator import clock as clocks
 from emulator import engine as engines
 from emulator import faults
@@ -115,6 +116,7 @@
         self.part_crashes = collections.defaultdict(list)
         self.part_arrivals = collections.defaultdict(list)
         self.subject_weights = {}
+        self.clients = clients.new_clients(self)
         self.known_addresses = []
         self.addresses_expire_at = 0.0
 
--- a/emulator/tally.py
+++ b/emulator/tally.py
@@ -3,6 +3,8 @@
 import collections
 import dataclasses
 
+from emulator import stops
+
 __all__ = ["OUTCOMES", "Result", "SERVED", "Tally", "served_shares"]
 
 OUTCOMES = ("on time", "late", "refused", "failed", "gave up")
@@ -52,7 +54,8 @@
     ``by_workspace`` counts requests by (workspace, kind, outcome),
     ``refusals`` those that hosts refused by reason, ``messages`` what hosts
     sent each other by the name of its event, and ``store_calls`` their calls
-    for records of streams by the name of the effect.
+    for records of streams by the name of the effect. ``stops`` is about
+    planned stops of hosts.
     """
 
     def __init__(self, began):
@@ -64,6 +67,7 @@
         self.store_calls = collections.Counter()
         self.refusals = collections.Counter()
         self.messages = collections.Counter()
+        self.stops = stops.StopTally()
         self.by_second = collections.defaultdict(lambda: [0.0, 0.0])
         self.first_event_waits = []
         self.prefilled_parts = set()
