--- a/crocuskeel/core/entry/events.py
+++ b/crocuskeel/core/entry/events.py
@@ -36,9 +36,8 @@
 class Ticked:
     """A periodic tick, about every quarter of a second.
 
-    ``wall`` is the host's wall clock time, s since 1970. The tick came
-    ``late_s`` after it was due. ``reading`` is the number of requests that
-    are being read.
+    ``wall`` is the wall clock, s since 1970. The tick came ``late_s`` late,
+    and ``reading`` requests are being read.
     """
 
     wall: float = 0.0
@@ -55,8 +54,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopDue:
-    """It is time for a step of the shutdown; ``reading`` as in Ticked."""
-
+    """A step of the shutdown is due; ``reading`` as in Ticked."""
     reading: int = 0
 
 
--- a/crocuskeel/core/leadership/lease.py
+++ b/crocuskeel/core/leadership/lease.py
@@ -23,88 +23,20 @@
 free.
 """
 
-import dataclasses
-import json
-
-import typing
-
 from crocuskeel.core.leadership import effects
 from crocuskeel.core.leadership import events
 from crocuskeel.core.leadership import state as states
+from crocuskeel.core.leadership import stored_lease
 from crocuskeel.core import revisions
-from crocuskeel import decoding
 
 __all__ = ["check_fence", "detect_pause", "ends_at", "is_valid", "lapses_at",
            "note_era", "note_version", "on_read", "on_written", "release",
            "step", "step_down"]
 
 _NONCE_BITS = 128
-_UNKNOWN_SPAN_S = 60.0
-# Bounds of what an object may claim.
-_MAX_SPAN_S = 3600.0
-_MAX_COUNT = 2 ** 63 - 1
-_MAX_NAME_CHARS = 253
 Status = events.Status
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Stored:
-    """The lease object; ``nonce`` is empty after a release.
-
-    ``era`` is the store's era that the record is of; None if the writer ran
-    a version of this program without eras.
-    """
-
-    holder: str
-    nonce: str
-    renewals: int
-    span_s: float
-    order_s: float
-    record: typing.Any = None
-    era: int | None = None
-
-
-def _encode(stored):
-    return json.dumps(dataclasses.asdict(stored)).encode()
-
-
-def _decode(body):
-    try:
-        doc = decoding.loads(body)
-        return _Stored(
-            _text(doc["holder"]), _text(doc["nonce"]),
-            _integer(doc["renewals"], -_MAX_COUNT, _MAX_COUNT),
-            _span_s(doc["span_s"]), _span_s(doc["order_s"]), doc.get("record"),
-            _era(doc.get("era")))
-    except decoding.DECODING_ERRORS:
-        # The writer of this may act as the holder: assume a long span.
-        return _Stored("?", "?", 0, _UNKNOWN_SPAN_S, _UNKNOWN_SPAN_S)
-
-
-def _text(value):
-    """Return a text that is checked; hosts tell each other the holder."""
-    if not (isinstance(value, str) and len(value) <= _MAX_NAME_CHARS
-            and value.isprintable()):
-        raise ValueError("invalid text")
-    return value
-
-
-def _integer(value, least, most):
-    if type(value) is not int or not least <= value <= most:
-        raise ValueError("invalid number")
-    return value
-
-
-def _span_s(value):
-    if type(value) not in (int, float) or not 0 <= value <= _MAX_SPAN_S:
-        raise ValueError("invalid span")
-    return float(value)
-
-
-def _era(value):
-    return None if value is None else _integer(value, 0, revisions.MAX_ERA)
-
-
 def is_valid(state, now):
     """Return whether this process may act as the holder now."""
     lease = state.lease
@@ -205,7 +137,7 @@
     # writes took effect, the span is measured from the first sending.
     sent = lease.sent.setdefault(
         lease.number, states.Sent(now, lease.record, era))
-    body = _encode(_Stored(
+    body = stored_lease.encode(stored_lease.StoredLease(
         holder, nonce, lease.number, cfg.span_s, cfg.order_s, sent.record,
         sent.era))
     return effects.WriteLease(
@@ -228,9 +160,9 @@
     lease.call_in_progress = False
     if event.status not in (Status.FOUND, Status.NOT_FOUND):
         return []
-    stored = _Stored("", "", 0, 0.0, 0.0)
+    stored = stored_lease.StoredLease("", "", 0, 0.0, 0.0)
     if event.status is Status.FOUND:
-        stored = _decode(event.body)
+        stored = stored_lease.decode(event.body)
     note_era(state, revisions.era(event.version), now)
     valid = is_valid(state, now)
     restored = _is_of_former_era(lease, event.version)
--- a/crocuskeel/gateway/callers.py
+++ b/crocuskeel/gateway/callers.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server for callers."""
 
 from crocuskeel.core.entry import body_memory
+from crocuskeel.gateway import closing
 from crocuskeel.gateway import connections
 from crocuskeel.gateway import exchanges
 from crocuskeel.gateway import header_codec
@@ -19,9 +20,6 @@
 MAX_PIPELINED_BYTES = 1 << 16
 # Unsent bytes of an answer at which a slow caller is disconnected.
 MAX_UNSENT_BYTES = 1 << 20
-# After an early answer the rest of a request is read for this long, s: a
-# close with unread bytes would reset the connection and lose the answer.
-LINGER_S = 1.0
 # Factor by which a body of unknown length gets more memory.
 BODY_GROWTH = 4
 
@@ -74,7 +72,7 @@
     def connectionMade(self):
         sockets.configure(self.transport)
         self.listener.open_connections.add(self)
-        self._set_timer(self.limits.idle_s, self._idle_timed_out)
+        self.set_timer(self.limits.idle_s, self._idle_timed_out)
 
     def connectionLost(self, reason):
         self.listener.open_connections.discard(self)
@@ -97,14 +95,14 @@
                 return
         elif self._awaits_head():
             self._update_limits()
-            self._set_timer(self.limits.header_s, self._head_timed_out)
+            self.set_timer(self.limits.header_s, self._head_timed_out)
         self.h11.receive_data(data)
         self._process_events()
         if self.lingering:
             return
         if self.exchange is not None:
             if self.unread and self.memory.is_unread_full():
-                self._pause_reading()
+                self.pause_reading()
         elif self.request is None:
             self._recount_unread()
             if self.unread and self.memory.is_unread_full():
@@ -129,7 +127,7 @@
                and not self.awaits_memory):
             if handled == connections.EVENTS_PER_TURN:
                 # Let other connections have their turn.
-                self._pause_reading()
+                self.pause_reading()
                 self.reactor.callLater(0, self._continue)
                 return
             handled += 1
@@ -144,14 +142,16 @@
 
     def _continue(self):
         if not self.lingering and not self.awaits_memory:
-            self._resume_reading()
+            self.resume_reading()
             self._process_events()
 
-    def _pause_reading(self):
+    def pause_reading(self):
+        """Read nothing more for now."""
         self.reading_paused = True
         self.transport.pauseProducing()
 
-    def _resume_reading(self):
+    def resume_reading(self):
+        """Read on."""
         if self.reading_paused:
             self.reading_paused = False
             self.transport.resumeProducing()
@@ -180,7 +180,7 @@
         if declared > self.limits.body_bytes:
             self._reject(413, "body too large")
             return
-        self._set_timer(self.limits.idle_s, self._idle_timed_out)
+        self.set_timer(self.limits.idle_s, self._idle_timed_out)
         if declared > self.body_room:
             self._announce_body(declared)
         else:
@@ -199,14 +199,14 @@
         self.awaits_memory = True
         self.memory.announce(self, self.body_key, self.request, size)
         if self.awaits_memory:
-            self._pause_reading()
+            self.pause_reading()
 
     def read_body(self):
         """Read the body on: there is memory for it."""
         self.awaits_memory = False
         self._continue_request()
         if self.reading_paused:
-            self._resume_reading()
+            self.resume_reading()
             self._process_events()
 
     def refuse_body(self, status, why, retry_delay_s):
@@ -253,7 +253,8 @@
         self._reset_request()
         self.handler.request_received(self.exchange)
 
-    def _reject(self, status, why, headers=(), body=b"", linger_s=LINGER_S):
+    def _reject(self, status, why, headers=(), body=b"",
+                linger_s=closing.LINGER_S):
         """Reject a malformed, late or too large request, and close."""
         self.handler.request_rejected(status, why)
         is_head = self.request is not None and self.request.method == b"HEAD"
@@ -265,43 +266,12 @@
             if body and not is_head:
                 self._send(h11.Data(data=body))
             self._send(h11.EndOfMessage())
-        self._linger(linger_s)
+        closing.linger(self, linger_s)
 
-    def _linger(self, linger_s=LINGER_S):
-        self.lingering = True
-        # What was read of a refused body is in the parser, too.
-        self.h11 = None
-        self._resume_reading()
-        sockets.allow_close(self.transport)
-        self.transport.loseWriteConnection()
-        self._set_timer(linger_s, self._linger_timed_out)
-
-    def _close_unread(self):
-        """Close after the last answer, and read no request that crosses it.
-
-        A caller may repeat a request that hasn't been read.
-        """
-        self.lingering = True
-        self.h11 = None
-        self._pause_reading()
-        sockets.allow_close(self.transport)
-        self.transport.loseWriteConnection()
-        self._set_timer(LINGER_S, self._linger_timed_out)
-
-    def _linger_timed_out(self):
-        """Close in order: what a slow caller hasn't read yet isn't lost.
-
-        A reset would make the kernel drop the end of the answer.
-        """
-        if sockets.unsent_bytes(self.transport):
-            self._set_timer(LINGER_S, self._linger_timed_out)
-            return
-        sockets.allow_close(self.transport)
-        self.transport.loseConnection()
-
-    def _set_timer(self, delay_s, callback):
+    def set_timer(self, delay_s, callback, *args):
+        """Call back after a while, in place of any earlier timer."""
         self._cancel_timer()
-        self.timer = self.reactor.callLater(delay_s, callback)
+        self.timer = self.reactor.callLater(delay_s, callback, *args)
 
     def _cancel_timer(self):
         if self.timer is not None and self.timer.active():
@@ -318,8 +288,8 @@
         former_s = self.limits.idle_s
         self._update_limits()
         if self.limits.idle_s > former_s:
-            self._set_timer(self.limits.idle_s - former_s,
-                            self._idle_timed_out)
+            self.set_timer(self.limits.idle_s - former_s,
+                           self._idle_timed_out)
             return
         self.lingering = True
         self.transport.loseConnection()
@@ -394,18 +364,18 @@
         self.memory.end_sending(self)
         self.exchange = None
         if self.h11.our_state is not h11.DONE:
-            self._linger()
+            closing.linger(self)
             return
         self.h11.start_next_cycle()
         self._update_limits()
         if not self._awaits_head():
-            self._set_timer(self.limits.header_s, self._head_timed_out)
+            self.set_timer(self.limits.header_s, self._head_timed_out)
         elif self.listener.closing:
-            self._close_unread()
+            closing.linger(self, reads=False)
             return
         else:
-            self._set_timer(self.limits.idle_s, self._idle_timed_out)
-        self._resume_reading()
+            self.set_timer(self.limits.idle_s, self._idle_timed_out)
+        self.resume_reading()
         self.reactor.callLater(0, self._process_events)
 
     def _send(self, event):
--- /dev/null
+++ b/crocuskeel/gateway/closing.py
@@ -0,0 +1,39 @@
+"""Closes connections of callers without losing the end of an answer."""
+
+from crocuskeel.gateway import sockets
+
+__all__ = ["LINGER_S", "linger"]
+
+# After an early answer the rest of a request is read for this long, s: a
+# close with unread bytes would reset the connection and lose the answer.
+LINGER_S = 1.0
+
+
+def linger(conn, span_s=LINGER_S, reads=True):
+    """Close a connection for writing now, and wholly after a while.
+
+    With ``reads`` what the caller still sends is discarded. Otherwise it
+    isn't read: a caller may repeat a request that hasn't been.
+    """
+    conn.lingering = True
+    # What was read of a refused body is in the parser, too.
+    conn.h11 = None
+    if reads:
+        conn.resume_reading()
+    else:
+        conn.pause_reading()
+    sockets.allow_close(conn.transport)
+    conn.transport.loseWriteConnection()
+    conn.set_timer(span_s, _end, conn)
+
+
+def _end(conn):
+    """Close in order: what a slow caller hasn't read yet isn't lost.
+
+    A reset would make the kernel drop the end of the answer.
+    """
+    if sockets.unsent_bytes(conn.transport):
+        conn.set_timer(LINGER_S, _end, conn)
+        return
+    sockets.allow_close(conn.transport)
+    conn.transport.loseConnection()
--- a/emulator/run.py
+++ b/emulator/run.py
@@ -314,9 +314,8 @@
 
     def are_connected(self, host, other):
         """Return whether a host's datagrams reach another one."""
-        return other.name not in self.deaf and (
-            (host.name in self.partitioned) == (
-                other.name in self.partitioned))
+        sides = {each.name in self.partitioned for each in (host, other)}
+        return other.name not in self.deaf and len(sides) == 1
 
     def host_for_caller(self):
         """Return a host for a caller to use, or None if none is known."""
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -4,6 +4,7 @@
 
 from crocuskeel.core.entry import model
 from crocuskeel.gateway import callers
+from crocuskeel.gateway import closing
 from tests.gateway import support
 from twisted.internet import error
 from twisted.internet import task
@@ -169,11 +170,11 @@
         self.listener.close_idle()
         self.handler.exchanges[0].answer(200, [], b"one")
         self.transport.dataBuffer = b"ne"
-        self.clock.advance(3 * callers.LINGER_S)
+        self.clock.advance(3 * closing.LINGER_S)
         self.assertFalse(self.transport.aborted)
         self.assertFalse(self.transport.disconnecting)
         self.transport.dataBuffer = b""
-        self.clock.advance(callers.LINGER_S)
+        self.clock.advance(closing.LINGER_S)
         self.assertFalse(self.transport.aborted)
         self.assertTrue(self.transport.disconnecting)
 
@@ -191,7 +192,7 @@
         self.assertTrue(self.transport.write_closed)
         self.assertEqual("paused", self.transport.producerState)
         self.assertFalse(self.transport.aborted)
-        self.clock.advance(callers.LINGER_S)
+        self.clock.advance(closing.LINGER_S)
         self.assertTrue(self.transport.disconnecting)
 
     def test_request_that_came_behind_an_answer_is_read_at_a_shutdown(self):
--- a/tests/gateway/test_cut_answers.py
+++ b/tests/gateway/test_cut_answers.py
@@ -6,6 +6,7 @@
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import model
 from crocuskeel.gateway import callers
+from crocuskeel.gateway import closing
 from crocuskeel.gateway import connections
 from crocuskeel.gateway import servers
 from tests.entry import support as entry_support
@@ -305,7 +306,7 @@
                 host.receive([rest], end)
                 self.assertEqual([True], linger)
                 host.transport.dataBuffer = b""
-                host.gateway.reactor.advance(callers.LINGER_S)
+                host.gateway.reactor.advance(closing.LINGER_S)
                 self.assertEqual([True, False], linger)
 
 
--- a/tests/platform/test_store_watcher.py
+++ b/tests/platform/test_store_watcher.py
@@ -19,9 +19,9 @@
 from twisted.internet import task
 
 
-def _config(revision, **spec):
-    return {"Meta": {"Name": "main", "Rev": revision},
-            "Spec": {"Version": revision, "Routes": [], **spec}}
+def _config(rev, **spec):
+    return {"Meta": {"Name": "main", "Rev": rev},
+            "Spec": {"Version": rev, "Routes": [], **spec}}
 
 
 def _server(sid, state="ready"):
@@ -34,8 +34,7 @@
     """Keeps one pending call per kind until a test answers it."""
 
     def __init__(self):
-        self.calls = []
-        self.spans = []
+        self.calls, self.spans = [], []
         self.pending_calls = {}
 
     async def list(self, kind, keep):
