Name the other hosts to callers after a pause, too

Callers: for 0.1 s after a pause of 1.3 s and more a host told all that asked it where to connect, also those that had asked during the pause, to connect to it alone. Callers leave hosts that aren't named and keep an answer for up to three times its time to live, so they came to the one that had just stood still, and had no other address when it was stopped.

Cause: the others count as silent by the time of their last datagram, and during the pause none could be heard. The list of serving hosts is kept for 0.1 s, also one that was made before their datagrams had been read.

Now ticks that are more than 1 s apart show a pause, and until 0.6 s after it, two states of the others, silence counts as of the last tick before it. That holds from the first event on, as the late tick may come after others. Hosts that left meanwhile are named for 0.6 s at most, unless their datagrams say that they leave.

--- a/crocuskeel/core/entry/fleet.py
+++ b/crocuskeel/core/entry/fleet.py
@@ -13,7 +13,7 @@
 __all__ = ["HOP_DELAY_S", "MAX_FANOUT", "PEER_TIMEOUT_S", "STATE_INTERVAL_S",
            "caller_addresses", "invalidate_serving_hosts", "is_in_touch",
            "is_large", "is_peer_ready", "is_ready", "is_serving_host",
-           "leaving_hosts", "reads_store", "serving_hosts",
+           "leaving_hosts", "note_tick", "reads_store", "serving_hosts",
            "store_data_age_s"]
 
 # Interval at which hosts send their state, s.
@@ -24,6 +24,10 @@
 # A host that was silent for this long is not named to callers, s: four
 # of its datagrams are missing.
 PEER_TIMEOUT_S = 1.3
+# Ticks that are further apart than this show that this process was paused, s.
+# It has heard all others again this long after that, s: two of their states.
+MIN_PAUSE_S = 1.0
+WAKE_S = 2 * STATE_INTERVAL_S
 MAX_ADDRESSES = 64
 # Minimum number of serving hosts, so that the failure of one affects at most
 # a fifth of the requests in progress. Hosts with at least half of the largest
@@ -52,6 +56,21 @@
 HOP_DELAY_S = 0.1
 
 
+def note_tick(host, now):
+    """Note a tick, which may be the first one after a pause."""
+    if now > host.ticked_at + MIN_PAUSE_S:
+        host.paused_at = host.ticked_at
+        host.woke_at = now
+    host.ticked_at = now
+
+
+def _listened_until(host, now):
+    """Return until when this host could hear others: now, or its pause."""
+    if now > host.ticked_at + MIN_PAUSE_S:
+        return host.ticked_at
+    return host.paused_at if now < host.woke_at + WAKE_S else now
+
+
 def serving_hosts(host, now):
     """Return the serving hosts: peers, and this host if it is one.
 
@@ -72,8 +91,9 @@
 
 def _serving_hosts(host, now):
     live = [host.self_peer] if host.stop_at is None else []
+    until = _listened_until(host, now)
     live += [known.peer for known in host.peers.values()
-             if _may_serve(known, now)]
+             if _may_serve(known, until)]
     live.sort(key=lambda peer: (
         -peer.capacity, routing.cached_unit_hash(peer.name, "carrier")))
     if not live:
@@ -173,13 +193,14 @@
 def caller_addresses(host, now):
     """Return the caller-facing addresses of usable serving hosts."""
     reachable = []
+    until = _listened_until(host, now)
     for peer in serving_hosts(host, now):
         if peer.name == host.self_peer.name:
             usable = is_ready(host)
         else:
             known = host.peers[peer.name]
-            usable = (is_peer_ready(known, now)
-                      or now - known.confirmed_ready_at <= PEER_TIMEOUT_S)
+            usable = (is_peer_ready(known, until)
+                      or until - known.confirmed_ready_at <= PEER_TIMEOUT_S)
         if usable:
             reachable.append((peer.name, peer.public_address))
     if len(reachable) > MAX_ADDRESSES:
--- a/crocuskeel/core/entry/reducer.py
+++ b/crocuskeel/core/entry/reducer.py
@@ -11,6 +11,7 @@
 from crocuskeel.core.entry import duties
 from crocuskeel.core.entry import duty_lease
 from crocuskeel.core.entry import events
+from crocuskeel.core.entry import fleet
 from crocuskeel.core.entry import gossip
 from crocuskeel.core.entry import lifecycle
 from crocuskeel.core.entry import lookups
@@ -54,6 +55,7 @@
 
 def _ticked(host, event, now):
     lifecycle.note_lateness(host, event.late_s)
+    fleet.note_tick(host, now)
     server_load.sample_prefill(host, now)
     ratelimits.refill_buckets(host, now)
     draining.remove_unlisted(host, now)
--- a/crocuskeel/core/entry/state.py
+++ b/crocuskeel/core/entry/state.py
@@ -343,6 +343,11 @@
     # Memory of large request bodies.
     memory: body_memory.BodyMemory = dataclasses.field(
         default_factory=body_memory.BodyMemory)
+    # Its latest tick, and the latest pause of this process: the tick before
+    # it and the one after it.
+    ticked_at: float = math.inf
+    paused_at: float = -math.inf
+    woke_at: float = -math.inf
     # When this host was asked to stop, and when it last logged what is in
     # progress since.
     stop_at: float | None = None
--- a/tests/entry/test_leaving.py
+++ b/tests/entry/test_leaving.py
@@ -96,5 +96,54 @@
         self.assertNotIn("a", told(driver.tick()))
 
 
+class WokenTest(unittest.TestCase):
+    """Guards against hosts that name only themselves after a pause.
+
+    Callers leave hosts that aren't named, so that all came to the woken one.
+    """
+
+    PAUSE_S = 5.0
+
+    def _addresses(self, driver, after=0.0):
+        driver.now += after
+        return set(fleet.caller_addresses(driver.host, driver.now))
+
+    def test_woken_host_names_the_others_before_it_hears_them(self):
+        driver = Fleet()
+        driver.tick()
+        named = self._addresses(driver)
+        self.assertEqual(1 + len(OTHERS), len(named))
+        # What came meanwhile may be handled before the late tick.
+        self.assertEqual(named, self._addresses(driver, self.PAUSE_S))
+        driver.feed(events.Ticked())
+        self.assertEqual(named, self._addresses(driver, 0.2))
+        for name in OTHERS:
+            driver.feed(heard(name))
+        driver.feed(events.Ticked(), 0.6)
+        self.assertEqual(named, self._addresses(driver))
+
+    def test_others_that_stay_silent_are_not_named_for_long(self):
+        driver = Fleet()
+        driver.tick()
+        driver.feed(events.Ticked(), self.PAUSE_S)
+        for _ in range(2):
+            driver.feed(events.Ticked(), 0.3)
+        self.assertEqual({"me:80"}, self._addresses(driver))
+
+    def test_others_that_were_silent_before_are_not_named(self):
+        driver = Fleet()
+        for _ in range(5):
+            driver.feed(events.Ticked(), 0.3)
+        driver.feed(events.Ticked(), self.PAUSE_S)
+        self.assertEqual({"me:80"}, self._addresses(driver))
+
+    def test_others_that_left_meanwhile_are_not_named(self):
+        driver = Fleet()
+        driver.tick()
+        driver.feed(heard("a", True), self.PAUSE_S)
+        self.assertNotIn("a:80", self._addresses(driver))
+        self.assertIn("b:80", self._addresses(driver))
+
+
 if __name__ == "__main__":
     unittest.main()
