Send the last counts and reports before the exit

Callers and operators: requests served in the last 0.3 s of a stopping host were in no usage report, and other hosts didn't hear of servers that it had just lost.

Cause: counts are sent with the tick and reports on crashes at most each 0.03 s, later in large fleets, while the exit has a timer of its own and comes between: where a host is idle, just as its listener closes at 3 s. Also, counts went to nobody while the lease was free, as it is after its holder was stopped, and the host that had them may be gone before another one takes it.

Evidence: tests/entry/test_stopped_records.py, before: FAIL: test_last_requests_are_counted_at_the_exit ({'a': 1} != {}) FAIL: test_next_holder_gets_the_counts_while_nobody_holds_the_lease ([1] != []) FAIL: test_others_hear_of_crashes_just_before_the_exit ('p1.hire' not in [])

Now the exit sends both first, and while the lease is free counts go to the first serving host, which is the next in turn to take it; the new holder gets all of them again, as before. Datagrams may be lost; those of the exit aren't repeated.

Run: duties (41), test_stops, test_leaving, test_crash_reports, test_crash_store and test_stopped_records of entry pass.

--- a/crocuskeel/core/entry/lifecycle.py
+++ b/crocuskeel/core/entry/lifecycle.py
@@ -7,6 +7,7 @@
 from crocuskeel.core.entry import fleet
 from crocuskeel.core.entry import gossip
 from crocuskeel.core.entry import stopping
+from crocuskeel.core.entry import usage
 
 __all__ = ["note_lateness", "step", "stop_asked", "stop_due"]
 
@@ -98,7 +99,16 @@
     host.exited = True
     stopped = effects.LogEvent("stopped", {
         "pending": len(host.pending), "unsent": host.memory.unsent})
-    return [*_cut_off(host, now), stopped, effects.Exit()]
+    return [*_cut_off(host, now), *_last_reports(host, now), stopped,
+            effects.Exit()]
+
+
+def _last_reports(host, now):
+    """Tell others what they would hear with the next tick or load update."""
+    out = gossip.send_load_update(host, None, now)
+    if host.duties is not None:
+        out += usage.send_counts(host, now)
+    return out
 
 
 def _cut_off(host, now):
--- a/crocuskeel/core/entry/usage.py
+++ b/crocuskeel/core/entry/usage.py
@@ -58,18 +58,19 @@
 
 
 def _recipient(host, now):
-    """Return the holder or, on the holder itself, the next serving host.
+    """Return the holder, or the next serving host.
 
-    The counts that a holder took since its last renewal, up to a second
-    ago, would be lost if it is killed: 4 % of a window of 5 s where six
-    hosts serve callers.
+    That is on the holder itself, as the counts that it took since its last
+    renewal, up to a second ago, would be lost if it is killed: 4 % of a
+    window of 5 s where six hosts serve callers. And while the lease is free,
+    as this host may be gone by the time it is not.
     """
     leader = host.duties.leader.host
-    if leader != host.self_peer.name:
+    if leader and leader != host.self_peer.name:
         holder = host.peers.get(leader)
         return holder.peer if holder is not None else None
     others = [peer for peer in fleet.serving_hosts(host, now)
-              if peer.name != leader]
+              if peer.name != host.self_peer.name]
     return others[0] if others else None
 
 
--- a/tests/entry/test_stopped_records.py
+++ b/tests/entry/test_stopped_records.py
@@ -2,7 +2,11 @@
 
 import unittest
 
+from crocuskeel.core.duties import model as duties_model
+from crocuskeel.core.duties import state as duties_state
+from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import events
+from crocuskeel.core.entry import model
 from crocuskeel.core.entry import record_effects
 from tests.entry import crash_store_driver as driver
 from tests.entry import support
@@ -18,7 +22,7 @@
         for other in self.others:
             self.feed(events.PeerStateReceived(
                 support.peer(other), not self.leaving, self.leaving, 10, 5,
-                catalog_version=10))
+                catalog_version=10, crash_reports=()))
 
     def stop(self):
         """Ask this host and all others to stop."""
@@ -102,11 +106,70 @@
         host.stop()
         self.assertLess(host.exit_s(), host.host.cfg.grace_s)
 
+    def test_others_hear_of_crashes_just_before_the_exit(self):
+        host = named(0, None)
+        host.feed(events.StopAsked())
+        host.feed(events.Ticked(0.0), 2.99)
+        host.hear()
+        for number in range(2):
+            host.lose(f"p{number}", f"s{number}")
+        out = host.feed(events.StopDue(), 0.02)
+        self.assertEqual(1, len(support.effects_of(out, effects.Exit)))
+        told = [row[2] for effect in support.effects_of(
+            out, effects.SendToPeer) if effect.peer.name == host.others[0]
+            and type(effect.event) is events.CrashReportsReceived
+            for row in effect.event.reports]
+        self.assertIn(support.full_digest("p1"), told)
+
     def test_host_with_nothing_to_write_exits_at_once(self):
         host = Host(driver.new_store())
         host.stop()
         self.assertLess(host.exit_s(), 3.5)
 
 
+class UsageTest(unittest.TestCase):
+    """Guards against requests that count nowhere as a host stops."""
+
+    def _driver(self, holder):
+        found = support.Driver(
+            support.route(), servers=(support.server("i-1"), ), name="me",
+            duties=frozenset({"usage"}))
+        found.feed(events.PeersListed(tuple(map(
+            support.peer, ("me", "a", "b")))))
+        for name in ("a", "b"):
+            found.feed(events.PeerStateReceived(
+                support.peer(name), True, False, 10, 5, catalog_version=10,
+                leader=duties_state.Leader(3, holder, 3)))
+        found.feed(events.Ticked(driver.WALL_S))
+        return found
+
+    def _serve(self, found, key=1):
+        found.arrive(key)
+        found.feed(events.HintsReceived(key, 0, model.Hints()), 0.05)
+        found.feed(events.ResponseReceived(key, 0, 200, None, True))
+
+    def _told(self, out):
+        return {effect.peer.name: sum(
+            count for _, rows in effect.event.rows for _, count in rows)
+            for effect in support.effects_of(out, effects.SendToPeer)
+            if type(effect.event) is duties_model.Usage}
+
+    def test_last_requests_are_counted_at_the_exit(self):
+        # The exit comes between two ticks, which send the counts.
+        found = self._driver("a")
+        found.feed(events.StopAsked())
+        found.feed(events.Ticked(driver.WALL_S), 2.9)
+        self._serve(found)
+        out = found.feed(events.StopDue(), 0.06)
+        self.assertEqual(1, len(support.effects_of(out, effects.Exit)))
+        self.assertEqual({"a": 1}, self._told(out))
+
+    def test_next_holder_gets_the_counts_while_nobody_holds_the_lease(self):
+        found = self._driver("")
+        self._serve(found)
+        out = found.feed(events.Ticked(driver.WALL_S), 0.3)
+        self.assertEqual([1], list(self._told(out).values()))
+
+
 if __name__ == "__main__":
     unittest.main()
