Have stopping hosts record versions that nobody else will

Callers: a stream that began at a new version while all hosts were stopping would be taken up at another version, by the hosts that started next.

Cause: the first serving hosts record which versions serve, and a host that is asked to stop is none from then on. If it is the only one, or all are stopped at once, a version that registers within the grace period is recorded by nobody; streams wait 1 s for the record and begin there without it. Hosts that start later take the recorded versions for all that ever served.

Now hosts that served callers and are stopping come after all that serve, in the same order, as with crashes; both use one function for that (fleet.rank). While other hosts serve nothing changes.

Run: tests of entry (652), test_missed_versions, test_stream_versions and test_restarted_crashes of the emulator and tests of stops (15 in all) pass.

--- a/crocuskeel/core/entry/crash_store.py
+++ b/crocuskeel/core/entry/crash_store.py
@@ -26,7 +26,6 @@
 from crocuskeel.core.entry import crashes
 from crocuskeel.core.entry import fleet
 from crocuskeel.core.entry import record_effects
-from crocuskeel.core.entry import routing
 from crocuskeel.core.entry import stored_crashes
 
 __all__ = ["begin", "crashes_changed", "is_unwritten", "read", "restored",
@@ -178,23 +177,10 @@
     Those that are listed but that nobody has heard may not run. Those that
     are stopping come last.
     """
-    me = host.self_peer.name
     heard = [peer for peer in fleet.serving_hosts(host, now)
-             if peer.name != me and _is_heard(host.peers[peer.name], now)]
-    if host.stop_at is not None:
-        if not host.was_serving:
-            return math.inf
-        return len(heard) + _count_before(
-            me, fleet.leaving_hosts(host, now))
-    if not fleet.is_serving_host(host, now):
-        return math.inf
-    return _count_before(me, heard)
-
-
-def _count_before(me, others):
-    own = routing.cached_unit_hash(me, STORE)
-    return sum(routing.cached_unit_hash(peer.name, STORE) < own
-               for peer in others)
+             if peer.name != host.self_peer.name
+             and _is_heard(host.peers[peer.name], now)]
+    return fleet.rank(host, STORE, heard, now)
 
 
 def _is_heard(known, now):
--- a/crocuskeel/core/entry/fleet.py
+++ b/crocuskeel/core/entry/fleet.py
@@ -7,14 +7,16 @@
 that reached it, directly or through other hosts.
 """
 
+import math
+
 from crocuskeel.core.entry import routing
 from crocuskeel.core.entry import serving
 
 __all__ = ["HOP_DELAY_S", "MAX_FANOUT", "PEER_TIMEOUT_S", "STATE_INTERVAL_S",
            "caller_addresses", "invalidate_serving_hosts", "is_in_touch",
            "is_large", "is_peer_ready", "is_ready", "is_serving_host",
-           "leaving_hosts", "note_tick", "reads_store", "serving_hosts",
-           "store_data_age_s"]
+           "leaving_hosts", "note_tick", "rank", "reads_store",
+           "serving_hosts", "store_data_age_s"]
 
 # Interval at which hosts send their state, s.
 STATE_INTERVAL_S = 0.3
@@ -122,6 +124,25 @@
             and now - known.last_seen_at <= PEER_TIMEOUT_S]
 
 
+def rank(host, purpose, others, now):
+    """Return how many hosts do something before this one.
+
+    ``others`` are the other serving hosts that count. A host that served
+    callers and is stopping comes after them; other hosts never do it.
+    """
+    own = routing.cached_unit_hash(host.self_peer.name, purpose)
+    before = 0
+    if host.stop_at is not None:
+        if not host.was_serving:
+            return math.inf
+        before, others = len(others), leaving_hosts(host, now)
+    elif not is_serving_host(host, now):
+        return math.inf
+    return before + sum(
+        routing.cached_unit_hash(peer.name, purpose) < own
+        for peer in others)
+
+
 def is_peer_ready(known, now):
     """Return whether a peer that this host hears directly is ready."""
     return known.ready and now - known.last_seen_at <= PEER_TIMEOUT_S
--- a/crocuskeel/core/entry/version_history.py
+++ b/crocuskeel/core/entry/version_history.py
@@ -307,10 +307,7 @@
 
 
 def rank(host, now):
-    """Return how many serving hosts come before this one."""
-    serving = fleet.serving_hosts(host, now)
-    if all(peer.name != host.self_peer.name for peer in serving):
-        return math.inf
-    own = routing.cached_unit_hash(host.self_peer.name, "versions")
-    return sum(routing.cached_unit_hash(peer.name, "versions") < own
-               for peer in serving)
+    """Return how many hosts come before this one."""
+    others = [peer for peer in fleet.serving_hosts(host, now)
+              if peer.name != host.self_peer.name]
+    return fleet.rank(host, "versions", others, now)
