Wait for the records of streams before the exit

Callers: a stream that had begun while the store took no writes, and broke, could be taken up at another version by hosts that started after a planned stop of all.

Cause: an idle host exits 3 s after SIGTERM, whatever it still had to write: streams of its own that were forwarded unwritten, as they may be while the store takes nothing, and those that others had it write. Hosts that stay remember or repeat them; if all stop nobody does.

Evidence: tests/entry/test_stopped_streams.py, before: FAIL: test_host_exits_once_its_streams_are_written (AssertionError: True is not false [exited]) Ruled out: that such a host never ends; it exits at the end of its grace period at the latest, as the second test says.

Now a host exits once the store has what only it knows: streams, versions and crashes. One with nothing to write still exits as soon as it is idle.

--- a/crocuskeel/core/entry/lifecycle.py
+++ b/crocuskeel/core/entry/lifecycle.py
@@ -79,7 +79,7 @@
         return out + _exit(host, now)
     if host.listener_closed and not (
             host.pending or reading or host.memory.unsent
-            or crash_store.is_unwritten(host, now)):
+            or _has_unwritten(host, now)):
         return out + _exit(host, now)
     if now >= host.stop_logged_at + LOG_INTERVAL_S:
         host.stop_logged_at = now
@@ -87,6 +87,13 @@
     return out
 
 
+def _has_unwritten(host, now):
+    """Return whether the store is to get records that only this host has."""
+    log = host.streams.log
+    return bool(log.unwritten or log.told or host.streams.history.writing
+                or crash_store.is_unwritten(host, now))
+
+
 def _refuse_waiting(host, now):
     """Refuse requests that wait here and would outlast this host."""
     waiting = [pending for pending in host.pending.values()
--- a/tests/entry/test_stopped_streams.py
+++ b/tests/entry/test_stopped_streams.py
@@ -3,6 +3,9 @@
 import unittest
 
 from crocuskeel.core.entry import events
+from crocuskeel.core.entry import origins
+from crocuskeel.core.entry import record_effects
+from crocuskeel.core.entry import record_events
 from tests.entry import streams
 from tests.entry import support
 from tests.entry import versions
@@ -50,5 +53,31 @@
         self.assertEqual({"v1", "v2"}, versions.names(host.store))
 
 
+class SegmentsTest(unittest.TestCase):
+    """Guards against streams that are forgotten as their host stops."""
+
+    def test_host_exits_once_its_streams_are_written(self):
+        host = streams.Driver(name="h0", peers=("h0", ), store=None)
+        out = host.feed(record_events.StreamsToRecord("h1", (
+            (origins.stream_key("hire", "r1"), "engines", "v2", 60_000), )))
+        write, = support.effects_of(out, record_effects.WriteSegment)
+        host.feed(events.StopAsked())
+        while host.now < host.host.stop_at + 5.0:
+            host.feed(events.Ticked(), 0.3)
+            self.assertFalse(host.host.exited)
+        host.feed(record_events.SegmentWritten(write.segment.name, 1))
+        host.feed(events.Ticked(), 0.3)
+        self.assertTrue(host.host.exited)
+
+    def test_host_whose_streams_are_not_written_exits_in_time(self):
+        host = streams.Driver(name="h0", peers=("h0", ), store=None)
+        host.feed(record_events.StreamsToRecord("h1", (
+            (origins.stream_key("hire", "r1"), "engines", "v2", 60_000), )))
+        host.feed(events.StopAsked())
+        while not host.host.exited:
+            host.feed(events.Ticked(), 0.3)
+        self.assertLess(host.now, host.host.stop_at + host.host.cfg.grace_s)
+
+
 if __name__ == "__main__":
     unittest.main()
