--- a/crocuskeel/core/entry/lifecycle.py
+++ b/crocuskeel/core/entry/lifecycle.py
@@ -7,6 +7,7 @@
 from crocuskeel.core.entry import fleet
 from crocuskeel.core.entry import gossip
 from crocuskeel.core.entry import stopping
+from crocuskeel.core.entry import usage
 
 __all__ = ["note_lateness", "step", "stop_asked", "stop_due"]
 
@@ -78,7 +79,7 @@
         return out + _exit(host, now)
     if host.listener_closed and not (
             host.pending or reading or host.memory.unsent
-            or crash_store.is_unwritten(host, now)):
+            or _has_unwritten(host, now)):
         return out + _exit(host, now)
     if now >= host.stop_logged_at + LOG_INTERVAL_S:
         host.stop_logged_at = now
@@ -86,6 +87,13 @@
     return out
 
 
+def _has_unwritten(host, now):
+    """Return whether the store is to get records that only this host has."""
+    log = host.streams.log
+    return bool(log.unwritten or log.told or host.streams.history.writing
+                or crash_store.is_unwritten(host, now))
+
+
 def _refuse_waiting(host, now):
     """Refuse requests that wait here and would outlast this host."""
     waiting = [pending for pending in host.pending.values()
@@ -98,7 +106,16 @@
     host.exited = True
     stopped = effects.LogEvent("stopped", {
         "pending": len(host.pending), "unsent": host.memory.unsent})
-    return [*_cut_off(host, now), stopped, effects.Exit()]
+    return [*_cut_off(host, now), *_last_reports(host, now), stopped,
+            effects.Exit()]
+
+
+def _last_reports(host, now):
+    """Tell others what they would hear with the next tick or load update."""
+    out = gossip.send_load_update(host, None, now)
+    if host.duties is not None:
+        out += usage.send_counts(host, now)
+    return out
 
 
 def _cut_off(host, now):
