Refuse ports of the settings file that no socket takes

A port of 5,000 digits or "²" in the settings file ended a host that starts with a traceback instead of a list of errors, and on a reload raised in the handler of the signal and in each check of the file. A port of 99999, 65536 or 0 was taken: the process ended as it tried to listen, or each connection to the store raised.

Cause: str.isdigit accepts digits that int() doesn't, and the number had no bounds. Ports are checked by the function that checks those of entries. Of the seeds, any of which will do, one that is odd is left out and logged as bad_seeds (it was an error of the whole file if it had no digits); all other odd values are errors of the file, and on a reload the active settings stay.

Ruled out by a trial (21 fields with 60 values each, then requests and ticks): negative, huge and tiny values of all other limits, which raise nothing.

--- a/crocuskeel/platform/assembly.py
+++ b/crocuskeel/platform/assembly.py
@@ -122,6 +122,8 @@
 
 def _ask_seeds(boot, gateway):
     """Fetch snapshots from the seeds, as the store may be unreachable."""
+    if boot.unusable_seeds:
+        gateway.log("bad_seeds", {"seeds": boot.unusable_seeds})
     for seed in boot.seeds:
         if seed != boot.control:
             defer.Deferred.fromCoroutine(
--- a/crocuskeel/platform/boot.py
+++ b/crocuskeel/platform/boot.py
@@ -5,13 +5,17 @@
 
 from crocuskeel.core import entry
 from crocuskeel.platform import exceptions
+from crocuskeel.platform import objects
 
 __all__ = ["BootSettings", "parse_boot_settings"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BootSettings:
-    """Addresses of a process, as (ip, port), and its limits."""
+    """Addresses of a process, as (ip, port), and its limits.
+
+    ``unusable_seeds`` are addresses among the seeds that aren't valid.
+    """
 
     host: str
     domain: str
@@ -25,6 +29,7 @@
     # Address for usage reports and engine orders; None without duties.
     cloud: tuple | None
     seeds: tuple
+    unusable_seeds: tuple
     cores: float
     memory_mb: int
     settings: entry.Settings
@@ -34,6 +39,10 @@
 REQUIRED_FIELDS = (
     "Node", "Zone", "Ip", "Listen.Front", "Listen.Ready",
     "Listen.Control", "Listen.Dir", "PortRange", "Platform.Addr")
+# Most characters of a value that an error shows.
+MAX_SHOWN = 100
+# Windows of reports are numbered from 1970 on.
+MIN_WINDOW_S = 0.001
 
 
 def parse_boot_settings(text):
@@ -75,7 +84,7 @@
         self.fields = fields
         self.errors = []
 
-    def number(self, name, default):
+    def number(self, name, default, least=-math.inf):
         """Return the field as a number, or the default if it is missing."""
         text = self.fields.get(name, "")
         if not text:
@@ -84,30 +93,35 @@
             value = float(text)
         except ValueError:
             value = math.nan
-        if math.isfinite(value):
+        if math.isfinite(value) and value >= least:
             return value
-        self.errors.append(f"{name}: {text!r} is not a number")
+        self.errors.append(f"{name}: {text[:MAX_SHOWN]!r} is no usable number")
         return default
 
-    def address(self, name, text=None):
-        """Return (ip, port) from the field, or from ``text`` if given."""
-        text = self.fields.get(name, "") if text is None else text
-        ip, _, port = text.rpartition(":")
-        if not ip or not port.isdigit():
-            self.errors.append(f"{name}: {text!r} is not IP:PORT")
-            return ("", 0)
-        return (ip, int(port))
+    def address(self, name):
+        """Return (ip, port) from the field."""
+        text = self.fields.get(name, "")
+        found = _address(text)
+        if found is None:
+            self.errors.append(f"{name}: {text[:MAX_SHOWN]!r} is not IP:PORT")
+        return found
 
     def ports(self, name):
         """Return the first and last port of a range FIRST,LAST."""
         first, _, last = self.fields[name].partition(",")
-        if not first.isdigit() or not last.isdigit():
-            self.errors.append(f"{name}: {self.fields[name]!r} is not "
-                               "FIRST,LAST")
+        if not (objects.is_port(first) and objects.is_port(last)):
+            self.errors.append(f"{name}: {self.fields[name][:MAX_SHOWN]!r} "
+                               "is not FIRST,LAST")
             return (0, 0)
         return (int(first), int(last))
 
 
+def _address(text):
+    """Return (ip, port), or None if a text isn't IP:PORT."""
+    ip, _, port = text.rpartition(":")
+    return (ip, int(port)) if ip and objects.is_port(port) else None
+
+
 def _build(fields, reader):
     ports = reader.ports("PortRange")
     cpu_share = reader.number("Limits.CpuShare", 1.0)
@@ -122,7 +136,10 @@
         gossip=(fields["Ip"], ports[0]), ip=fields["Ip"],
         store=reader.address("Platform.Addr"),
         cloud=(reader.address("Cloud.Addr") if _duty_names(fields) else None),
-        seeds=tuple(reader.address("Seeds", seed) for seed in seeds),
+        # Any of them will do.
+        seeds=tuple(filter(None, map(_address, seeds))),
+        unusable_seeds=tuple(seed[:MAX_SHOWN] for seed in seeds
+                             if _address(seed) is None),
         # Limits.Cores is the speed of a core relative to a standard one.
         cores=cpu_share * cores,
         memory_mb=int(reader.number("Limits.MemoryMb", 256)),
@@ -154,7 +171,7 @@
         duties=duties,
         lease_s=reader.number(
             "Bounds.LeaseMs", default.lease_s * 1000) / 1000,
-        report_window_s=reader.number("Bounds.ReportWindowS",
-                                      default.report_window_s),
+        report_window_s=reader.number(
+            "Bounds.ReportWindowS", default.report_window_s, MIN_WINDOW_S),
         report_lag_s=reader.number(
             "Bounds.UsageLagS", default.report_lag_s))
--- a/crocuskeel/platform/objects.py
+++ b/crocuskeel/platform/objects.py
@@ -6,8 +6,8 @@
 from crocuskeel.core.entry import model
 from crocuskeel.platform import exceptions
 
-__all__ = ["is_count", "is_name", "is_software_version", "name", "peer",
-           "peer_spec", "server", "server_record", "trimmed_server",
+__all__ = ["is_count", "is_name", "is_port", "is_software_version", "name",
+           "peer", "peer_spec", "server", "server_record", "trimmed_server",
            "writes_records"]
 
 READY = "ready"
@@ -183,10 +183,11 @@
         ipaddress.IPv4Address(ip)
     except ValueError:
         return False
-    return _is_port(port)
+    return is_port(port)
 
 
-def _is_port(text):
+def is_port(text):
+    """Return whether a text is the number of a port."""
     return (text.isascii() and text.isdigit() and len(text) <= MAX_PORT_DIGITS
             and 0 < int(text) <= MAX_PORT)
 
@@ -238,5 +239,5 @@
         raise ValueError("invalid Records")
     front, _, front_port = spec["Front"].rpartition(":")
     for ip, port in ((front, front_port), spec["Control"], spec["Gossip"]):
-        if not (is_name(ip) and _is_port(str(port))):
+        if not (is_name(ip) and is_port(str(port))):
             raise ValueError("invalid address")
--- a/tests/platform/test_boot.py
+++ b/tests/platform/test_boot.py
@@ -4,6 +4,7 @@
 
 from crocuskeel.platform import boot
 from crocuskeel.platform import exceptions
+from tests import odd_forms
 
 VALID = """Node=front-a-1
 Zone=a
@@ -44,6 +45,37 @@
         for field in ("Listen.Front", "PortRange", "Limits.CpuShare"):
             self.assertIn(field, reported)
 
+    def test_odd_addresses_are_errors(self):
+        # The process ended with a traceback, or at the first connection.
+        for field in ("Listen.Front", "Listen.Ready", "Platform.Addr",
+                      "Cloud.Addr", "PortRange"):
+            for port in odd_forms.PORTS:
+                value = f"7,{port}" if field == "PortRange" else f"h:{port}"
+                with self.subTest(field=field, port=port[:9]):
+                    with self.assertRaises(
+                            exceptions.BootSettingsError) as caught:
+                        boot.parse_boot_settings(
+                            f"{VALID}Cloud.Duties=usage\n{field}={value}\n")
+                    (error, *_) = caught.exception.errors
+                    self.assertLess(len(error), 200)
+
+    def test_odd_seed_is_left_out(self):
+        for port in odd_forms.PORTS:
+            found = boot.parse_boot_settings(
+                f"{VALID}Seeds=10.2.0.29:8229,h:{port}\n")
+            self.assertEqual((("10.2.0.29", 8229), ), found.seeds)
+            self.assertEqual((f"h:{port}"[:100], ), found.unusable_seeds)
+
+    def test_odd_numbers_are_errors(self):
+        for value in ("1e400", "nan", "-inf", odd_forms.DIGITS, "x"):
+            with self.assertRaises(exceptions.BootSettingsError):
+                boot.parse_boot_settings(f"{VALID}HeartbeatMs={value}\n")
+        # Times were divided by it.
+        for value in ("0", "1e-300", "-5"):
+            with self.assertRaises(exceptions.BootSettingsError):
+                boot.parse_boot_settings(
+                    f"{VALID}Bounds.ReportWindowS={value}\n")
+
     def test_missing_fields_and_malformed_lines(self):
         with self.assertRaises(exceptions.BootSettingsError) as caught:
             boot.parse_boot_settings("Node=x\nrubbish\n")
--- a/tests/platform/test_reloading.py
+++ b/tests/platform/test_reloading.py
@@ -6,6 +6,7 @@
 from crocuskeel.core.entry import events
 from crocuskeel.platform import boot as boot_settings
 from crocuskeel.platform import reloading
+from tests import odd_forms
 from tests.platform import test_boot
 from twisted.internet import task
 
@@ -62,6 +63,14 @@
         self.assertEqual("reload_refused", self.gateway.lines[0][0])
         self.assertEqual([], self.gateway.events)
 
+    def test_file_with_an_odd_port_changes_nothing(self):
+        for port in odd_forms.PORTS:
+            self.gateway.lines.clear()
+            self._change("10.200.1.7:8223", f"10.200.1.7:{port}")
+            self.reloader.reload()
+            self.assertEqual("reload_refused", self.gateway.lines[0][0])
+            self.assertEqual([], self.gateway.events)
+
     def test_limits_and_store_address_are_applied(self):
         self._change("BudgetSlack=52", "BudgetSlack=7")
         self.text = self.text.replace("10.200.1.7:8223", "10.9.9.9:1")
