Log a datagram with a deeply nested field as any other that is refused

A datagram with a field nested 1,000 deep, of another program or damaged, raised RecursionError where its refusal was described, past the log line that names a refused datagram; Twisted wrote a traceback instead. Nothing else was lost: it handles errors of a datagram one by one.

Cause: the checks refuse the value and then show it, by a repr that exceeds the stack. RecursionError now counts as an invalid datagram.

Evidence: tests.gateway.test_odd_datagrams, before: "FAILED (errors=93)", each "RecursionError: maximum recursion depth exceeded while getting the repr of an object"; now OK for 8 depths of lists and maps in each field of all datagrams. Deeper ones are refused by msgpack itself, which was so before.

--- a/crocuskeel/gateway/gossip.py
+++ b/crocuskeel/gateway/gossip.py
@@ -137,7 +137,8 @@
 def _unpack(data):
     try:
         fields = msgpack.unpackb(data, use_list=False)
-    except (TypeError, ValueError, msgpack.UnpackException) as exc:
+    except (RecursionError, TypeError, ValueError,
+            msgpack.UnpackException) as exc:
         raise ValueError(f"invalid datagram: {exc}") from exc
     if not isinstance(fields, tuple) or not fields:
         raise ValueError("invalid datagram")
@@ -180,7 +181,7 @@
             _check((checks.is_load_rows, checks.is_texts), rest)
             return events.PeerLoadsReceived(first, loads, refused)
         return _decode_state(first, rest)
-    except (TypeError, ValueError) as exc:
+    except (RecursionError, TypeError, ValueError) as exc:
         raise ValueError(f"invalid datagram: {exc}") from exc
 
 
