Bound what reports of engines and bodies of callers may claim

An engine's load report with 1e400 as a count ended its poll without an event: the last report before stayed in force, and the engine got requests by it for as long as it answered so. Negative and huge counts, and keys of prefixes beyond 64 bits, were taken. A caller's body that is nested 1,000 deep or holds half of a surrogate pair was answered by an internal error, not 400.

Cause: int() and float() convert what isn't a count, and raise OverflowError, which wasn't caught; JSON raises RecursionError. Reports are decoded with bounds now, and an odd one is that of an engine that isn't healthy. Bodies nested deeper than 64 are refused with 400, since they could not be written again with another model; texts are hashed with half pairs as they are.

Ruled out: the read of engines by the control program, which takes any error for an engine that isn't healthy.

--- a/crocuskeel/decoding.py
+++ b/crocuskeel/decoding.py
@@ -8,7 +8,7 @@
 import math
 import re
 
-__all__ = ["DECODING_ERRORS", "loads"]
+__all__ = ["DECODING_ERRORS", "is_deep", "loads"]
 
 # What ``loads`` and a look into its result may raise.
 DECODING_ERRORS = (AttributeError, KeyError, OverflowError, RecursionError,
@@ -33,7 +33,7 @@
     except RecursionError:
         pass
     else:
-        if not _is_deep(found):
+        if not is_deep(found):
             return found
     return _loads(_without_deep_values(text))
 
@@ -52,7 +52,8 @@
     parse_constant=lambda name: None)
 
 
-def _is_deep(value):
+def is_deep(value):
+    """Return whether a value is nested deeper than ``loads`` returns."""
     level = [value]
     for _ in range(MAX_DEPTH):
         level = [part for each in level if type(each) in (dict, list)
--- a/crocuskeel/runtime/parsing.py
+++ b/crocuskeel/runtime/parsing.py
@@ -4,6 +4,7 @@
 import json
 
 from crocuskeel.core import events
+from crocuskeel import decoding
 from crocuskeel.runtime import exceptions
 
 __all__ = ["chat_request", "plain_request", "replace_model", "token_hash"]
@@ -14,6 +15,7 @@
 PREFIX_KEY_BYTES = 8
 MAX_KEY_CHARS = 256
 MAX_NAME_CHARS = 128
+MAX_UNIX_S = 1e11
 _BEARER = "bearer "
 
 
@@ -40,7 +42,7 @@
         prompt_tokens=max(1, -(-len(prompt) // CHARS_PER_TOKEN)),
         max_tokens=_count_field(document, "max_tokens"),
         prefix=_prefix_key(prompt),
-        fingerprint=_hex_digest(prompt.encode()))
+        fingerprint=_hex_digest(_bytes(prompt)))
 
 
 def replace_model(body, model):
@@ -76,8 +78,14 @@
 def _parse_body(body):
     try:
         document = json.loads(body)
+        is_deep = decoding.is_deep(document)
     except ValueError as exc:
         raise exceptions.BadRequest(f"the body is no JSON: {exc}") from exc
+    except RecursionError:
+        is_deep = True
+    if is_deep:
+        # It could not be written again.
+        raise exceptions.BadRequest("the body is nested too deeply")
     if not isinstance(document, dict):
         raise exceptions.BadRequest("the body must be an object")
     return document
@@ -85,7 +93,8 @@
 
 def _text_field(document, name):
     value = document.get(name, "")
-    if not isinstance(value, str) or len(value) > MAX_NAME_CHARS:
+    if not (isinstance(value, str) and len(value) <= MAX_NAME_CHARS
+            and _bytes(value) == value.encode("utf-8", "replace")):
         raise exceptions.BadRequest(f"{name} must be a short text")
     return value
 
@@ -108,7 +117,10 @@
 def _issued_at(req):
     text = _header(req, "X-Crocuskeel-Issued-At", MAX_NAME_CHARS)
     try:
-        return max(0.0, float(text)) if text else 0.0
+        issued_at = max(0.0, float(text)) if text else 0.0
+        if issued_at > MAX_UNIX_S:
+            raise ValueError("out of range")
+        return issued_at
     except ValueError as exc:
         raise exceptions.BadRequest(
             "X-Crocuskeel-Issued-At must be Unix seconds") from exc
@@ -131,11 +143,16 @@
     blocks = min(PREFIX_BLOCKS, len(prompt) // BLOCK_CHARS)
     if not blocks:
         return 0
-    text = prompt[:blocks * BLOCK_CHARS].encode()
+    text = _bytes(prompt[:blocks * BLOCK_CHARS])
     hasher = hashlib.blake2b(text, digest_size=PREFIX_KEY_BYTES)
     return int.from_bytes(hasher.digest())
 
 
+def _bytes(text):
+    """Return the bytes of a text, which may hold half of a surrogate pair."""
+    return text.encode("utf-8", "surrogatepass")
+
+
 def _hex_digest(*parts):
     hasher = hashlib.sha256()
     for part in parts:
--- a/crocuskeel/runtime/polling.py
+++ b/crocuskeel/runtime/polling.py
@@ -1,7 +1,7 @@
 """Polls load and cache reports of the engines this host dispatches."""
 
 import dataclasses
-import json
+import math
 
 from twisted.internet import defer
 
@@ -9,6 +9,7 @@
 from crocuskeel.core import events
 from crocuskeel.core import membership
 from crocuskeel.core import placement
+from crocuskeel import decoding
 from crocuskeel.runtime import http_client
 from crocuskeel.runtime import loop
 from crocuskeel.runtime import response_bodies
@@ -21,6 +22,9 @@
 RESPONSE_TIMEOUT_S = 2.0
 MAX_REPORT_BYTES = 256 * 1024
 MAX_CACHE_EVENTS = 2000
+# Bounds of what a report may claim.
+MAX_COUNT = 2 ** 53
+MAX_TEXT_CHARS = 253
 
 
 @dataclasses.dataclass(slots=True)
@@ -77,24 +81,54 @@
 def _load_event(engine, report):
     try:
         return events.EngineLoadSeen(
-            engine.name, True, str(report["boot_id"]),
-            int(report["running"]), int(report["waiting"]),
-            int(report["slots"]), float(report["kv_used"]))
-    except (KeyError, TypeError, ValueError):
+            engine.name, True, _text(report["boot_id"]),
+            _count(report["running"]), _count(report["waiting"]),
+            _count(report["slots"]), _share(report["kv_used"]))
+    except decoding.DECODING_ERRORS:
         return events.EngineLoadSeen(engine.name, False)
 
 
+def _text(value):
+    """Return a short text, or a number as one; raises ValueError."""
+    if type(value) is int:
+        value = str(value)
+    if not (isinstance(value, str) and len(value) <= MAX_TEXT_CHARS
+            and value.isprintable()):
+        raise ValueError("not a short text")
+    return value
+
+
+def _count(value):
+    if type(value) is not int or not 0 <= value <= MAX_COUNT:
+        raise ValueError("not a count")
+    return value
+
+
+def _share(value):
+    if type(value) not in (int, float) or not (
+            math.isfinite(value) and 0 <= value <= MAX_COUNT):
+        raise ValueError("not a share")
+    return float(value)
+
+
+def _prefix(text):
+    key = int(text, 16)
+    if not 0 <= key < 1 << 64:
+        raise ValueError("prefix out of range")
+    return key
+
+
 async def _poll_cache(ctx, engine):
     after = ctx.polls.next_cache_event.get(engine.name, 0)
     report = await _fetch_report(ctx, engine, f"/cache/events?after={after}")
     try:
         rows = report["events"][:MAX_CACHE_EVENTS]
-        stored = tuple(int(row["prefix"], 16) for row in rows
+        stored = tuple(_prefix(row["prefix"]) for row in rows
                        if row["op"] == "stored")
-        removed = tuple(int(row["prefix"], 16) for row in rows
+        removed = tuple(_prefix(row["prefix"]) for row in rows
                         if row["op"] == "removed")
-        ctx.polls.next_cache_event[engine.name] = int(report["next"])
-    except (KeyError, TypeError, ValueError):
+        ctx.polls.next_cache_event[engine.name] = _count(report["next"])
+    except decoding.DECODING_ERRORS:
         return
     if stored or removed:
         loop.feed(ctx, events.EngineCacheSeen(
@@ -106,7 +140,7 @@
     deferred.addCallback(_read_body)
     deferred.addTimeout(RESPONSE_TIMEOUT_S, ctx.reactor)
     try:
-        return json.loads(await deferred)
+        return decoding.loads(await deferred)
     except defer.TimeoutError:
         # Closing them here spares callers the wait on a dead connection.
         http_client.drop_idle_connections(ctx, engine.url)
