Count odd log lines and answers in the client instead of ending on them

One odd line in a log ended `crocuskeelctl explain` and `duties` with a traceback: a number of 400 digits or a deep list as the time, a list as the host or the server, a lease without its fence; so did an answer of a host that is nested 1,000 deep. The operator learned nothing of the other lines.

Cause: the time was converted and the other fields were taken as they came, and only ValueError, KeyError and TypeError of the first were caught. A line is checked as it is parsed now, and an odd one counts as unreadable, which both commands say; an answer that can't be read is that of a host that failed.

Not covered: an answer of another shape than the commands expect (a list for an object), which still ends the command.

--- a/crocuskeel/ctl/client.py
+++ b/crocuskeel/ctl/client.py
@@ -110,7 +110,7 @@
 def _parse_response(host, response):
     try:
         body = json.loads(response.body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return _HostFailure(host, f"HTTP {response.status}, not JSON", True)
     if response.status >= _FIRST_SERVER_ERROR:
         return _HostFailure(host, _error_text(body, response.status), True)
--- a/crocuskeel/ctl/duty_logs.py
+++ b/crocuskeel/ctl/duty_logs.py
@@ -63,7 +63,7 @@
     if current is not None:
         heading = (f"{current['host']} has held the duties since "
                    f"{tables.format_time(current['wall'])}, "
-                   f"fence {current['fence']}")
+                   f"fence {current.get('fence')}")
     lines = [(tables.format_time(row["wall"]), row["host"], row["event"],
               " ".join(f"{name}={value}" for name, value in row.items()
                        if name not in COLUMN_FIELDS)) for row in rows]
--- a/crocuskeel/ctl/entry_logs.py
+++ b/crocuskeel/ctl/entry_logs.py
@@ -3,6 +3,7 @@
 import json
 
 from crocuskeel.ctl import tables
+from crocuskeel import decoding
 
 __all__ = ["find", "format_rows", "parse"]
 
@@ -15,6 +16,7 @@
 # expired servers are kept for 1.6 s, and an unresponsive host stays listed
 # for 1.3 s.
 CONTEXT_BEFORE_S = 3.0
+MAX_UNIX_S = 1e11
 # Fields that have their own columns or are the same on each line.
 COLUMN_FIELDS = frozenset(("t", "wall", "host", "event", "rid"))
 # How a request can end, and what to check next.
@@ -38,12 +40,24 @@
     for text in texts:
         for line in text.splitlines():
             try:
-                row = json.loads(line)
-                rows.append((float(row["wall"]), row["host"], row))
-            except (ValueError, KeyError, TypeError):
+                rows.append(_parse_row(json.loads(line)))
+            except decoding.DECODING_ERRORS:
                 invalid += 1
-    rows.sort(key=lambda each: each[0])
-    return [row for _, _, row in rows], invalid
+    rows.sort(key=lambda row: row["wall"])
+    return rows, invalid
+
+
+def _parse_row(row):
+    """Return a row that is checked; raises ValueError or KeyError."""
+    if not (type(row["wall"]) in (int, float)
+            and 0 <= row["wall"] <= MAX_UNIX_S):
+        raise ValueError("wall is no time")
+    for field in ("host", "event", "server", "rid"):
+        if not isinstance(row.get(field, ""), str):
+            raise ValueError(f"{field} is no text")
+    if decoding.is_deep(row) or not (row["host"] and row["event"]):
+        raise ValueError("no host, no event, or too deep")
+    return row
 
 
 def find(rows, rid):
