--- a/crocuskeel/platform/snapshots.py
+++ b/crocuskeel/platform/snapshots.py
@@ -63,7 +63,9 @@
 # Fields with their checks; former versions of this program lack some.
 FIELDS = {
     "config": lambda value: value is None or isinstance(value, dict),
-    "revision": _is_revision,
+    # It has no era, which is a field of its own.
+    "revision": lambda value: (_is_revision(value)
+                               and value == revisions.number(value)),
     "era": lambda value: value is None or (
         _is_revision(value) and value <= revisions.MAX_ERA),
     "since": lambda value: value is None or _is_revision(value),
