Bound pauses and priorities that hosts tell each other

A configuration with a GapAimMs of less than half a millisecond, or a report of another host with a pause of 0 ms, raised ZeroDivisionError at each prompt to an engine with such streams, and nothing was done for that request. A priority of 2**52 made the host's own state one that its peers refuse.

Cause: hosts tell each other whole milliseconds, to which such a pause is rounded, and divide by it; rows of queued requests bound the priority, which the configuration did not. The pause of a route is 1 ms at the least now, also where another host's report is used, as hosts of the former version may send 0; a priority is at most 2**31, and a larger one refuses the configuration.

--- a/crocuskeel/core/entry/prefill_pauses.py
+++ b/crocuskeel/core/entry/prefill_pauses.py
@@ -80,7 +80,8 @@
     total = 0.0
     for gaps in (state.streams_by_gap, state.peer_loads.streams_by_gap):
         for (priority, gap_ms), streams in gaps.items():
-            gap_s = gap_ms / 1000
+            # Other hosts may round it to 0.
+            gap_s = max(1, gap_ms) / 1000
             if priority > least_urgent or not pause_estimate.may_exceed(
                     estimate, gap_s):
                 continue
--- a/crocuskeel/platform/catalogs.py
+++ b/crocuskeel/platform/catalogs.py
@@ -11,6 +11,10 @@
 # Numbers of a configuration are exact as floats, and so are their sums with
 # others in 64 bits.
 MAX_NUMBER = 2 ** 53
+# Hosts tell each other the priorities of requests, which rank far below it.
+MAX_PRIORITY = 2 ** 31
+# Hosts tell each other whole milliseconds.
+MIN_GAP_MS = 1
 # A path that a request line may have.
 _PATH = re.compile(r"/[\x21-\x7e]{0,252}")
 
@@ -75,8 +79,8 @@
     return value
 
 
-def _count(value, least=0):
-    if _number(value, is_whole=True) < least:
+def _count(value, least=0, most=MAX_NUMBER):
+    if not least <= _number(value, is_whole=True) <= most:
         raise ValueError("count out of range")
     return value
 
@@ -100,11 +104,15 @@
         timeout_s=timeout_s,
         target_s=_number(row.get("GoalMs", row["TimeoutMs"])) / 1000,
         max_servers=max(1, _count(row.get("Attempts", 1))),
-        priority=_count(row.get("Priority", 0)),
+        priority=_priority(row.get("Priority", 0)),
         public=bool(row.get("Public")),
         resumable=bool(row.get("Resumable")),
         # Missing or 0: the usual one.
-        gap_s=_number(row.get("GapAimMs") or 1000) / 1000)
+        gap_s=max(MIN_GAP_MS, _number(row.get("GapAimMs") or 1000)) / 1000)
+
+
+def _priority(value):
+    return _count(value, most=MAX_PRIORITY)
 
 
 def _split(row):
@@ -167,7 +175,7 @@
         priority = row.get("Priority")
         workspace = model.Workspace(
             _name(row["Name"]),
-            None if priority is None else _count(priority))
+            None if priority is None else _priority(priority))
         keys.update(dict.fromkeys(
             map(_text, _rows(row.get("ApiKeys"))), workspace))
     return keys
--- a/tests/entry/test_prefill_pauses.py
+++ b/tests/entry/test_prefill_pauses.py
@@ -143,6 +143,16 @@
         self.assertEqual(2.0, prefill_pauses.late_streams(
             state, pause_estimate.PauseEstimate(), 0.25, 0.6))
 
+    def test_pause_of_0_in_a_report_of_another_host(self):
+        # Each prompt to such an engine raised an error: hosts round it.
+        driver = _driver()
+        for state in driver.host.servers.values():
+            state.peer_loads.update(
+                "host-1", 5, 0, 0, driver.now, ((0, 0, 5), (0, -1, 1)))
+        _arrive(driver, "draft", 1, 8_000)
+        self.assertEqual(6.0, prefill_pauses.late_streams(
+            state, pause_estimate.PauseEstimate(), 0.0, 0.1))
+
     def test_stream_counts_until_it_ends(self):
         driver = _driver()
         sid = _arrive(driver, "chat", 1, 600)
--- a/tests/fuzz_entries.py
+++ b/tests/fuzz_entries.py
@@ -345,7 +345,7 @@
     for (kind, result), count in sorted(counts.items()):
         print(f"{kind:10} {result:8} {count}")
     for (kind, why), count in failures.most_common():
-        print(f"{count} {kind}: {why}\n    {examples[kind, why][:400]!a}")
+        print(f"{count} {kind}: {why}\n    {examples[kind, why][:2000]!a}")
     return bool(failures)
 
 
