Refuse unnamed streams of split routes at hosts that may lag

A caller that names no request took up a stream of a route that leads to two services, at a host that had missed the first servers of the second one, and was sent to the first one: the answers of others tell the versions of one service only, and the host's own list named no servers of the other one. Such a host refuses it now, unless it has just heard all others. Where both services have servers, these streams were refused already.

Also, most of the hosts that were heard before the host can have been cut off have to be heard in fleets of up to 25, not 12: up to there nearly all others are heard within 1.3 s.

test_service_that_the_list_lacks before: Lists differ: [] != ['v1', 'v1']. test_host_that_wakes_reads_the_store now has the store name the new version only after the host has read it, as it fails before the fix only then.

--- a/crocuskeel/core/entry/fleet.py
+++ b/crocuskeel/core/entry/fleet.py
@@ -26,6 +26,8 @@
 PEER_TIMEOUT_S = 1.3
 # A host that hears all others has heard each within this, s.
 ALL_HEARD_S = 0.35
+# Nearly all of so many others are heard within PEER_TIMEOUT_S.
+MAX_HEARD = 2 * MAX_FANOUT
 MAX_ADDRESSES = 64
 # Minimum number of serving hosts, so that the failure of one affects at most
 # a fifth of the requests in progress. Hosts with at least half of the largest
@@ -198,11 +200,11 @@
 
     Hosts that are cut off from the others and from the store together know
     only each other. They may have been so for ``unnoticed_s`` longer than the
-    age of the list shows; in a large fleet, where each host hears only some of
-    the others, that isn't counted.
+    age of the list shows; in a fleet where each host hears only some of the
+    others within PEER_TIMEOUT_S, that isn't counted.
     """
     before = now - store_data_age_s(host, now) - PEER_TIMEOUT_S
-    if not is_large(host):
+    if len(host.peers) <= MAX_HEARD:
         before -= unnoticed_s
     known = [peer.last_seen_at for peer in host.peers.values()
              if peer.last_seen_at >= before]
--- a/crocuskeel/core/entry/lookups.py
+++ b/crocuskeel/core/entry/lookups.py
@@ -40,8 +40,7 @@
 ASK_AGAIN_S = 0.25
 # What the store knows is waited for until then, s.
 STORE_TIMEOUT_S = 1.2
-# A host may be cut off from the store for so long without noticing, s: it
-# waits for the end of its watch.
+# A host may not notice for so long that the store doesn't answer, s.
 UNNOTICED_S = 3.0
 
 
@@ -241,16 +240,18 @@
     return (len(versions | pending.lookup.versions) == 1
             and _knows_versions(host, pending, now)
             and _has_one_origin(host, pending, now)
-            and _is_up_to_date(host, now)
-            and _is_in_step(host, pending.lookup, now))
+            and _is_up_to_date(host, now) and _is_in_step(host, pending, now))
 
 
-def _is_in_step(host, lookup, now):
+def _is_in_step(host, pending, now):
     """Return whether other hosts' answers show that this one is in step.
 
     Those that it doesn't hear count, too: it may hear only others that were
-    cut off with it, or none as it stood still.
+    cut off with it, or none as it stood still. Answers tell of one service.
     """
+    lookup = pending.lookup
+    if not pending.request.resumes and len(pending.route.split) > 1:
+        return False
     others = sum(not peer.leaving for peer in host.peers.values())
     answers = lookup.asked - len(lookup.unanswered)
     return (2 * answers >= max(lookup.asked, min(ASKED, others))
@@ -289,7 +290,7 @@
     if (key is None or not (knows or has_read)
             or knows and _has_one_origin(host, pending, now) and (
                 host.store_down_since is not None
-                or _is_in_step(host, pending.lookup, now))
+                or _is_in_step(host, pending, now))
             or not recorders.may_read(host, now)
             or stream_reads.is_failing(host)
             or stream_reads.has_read_since(
@@ -319,7 +320,7 @@
             host, pending.service, key,
             stream_reads.sought_since(host, key, now)))
     if (not is_elsewhere and _knows_versions(host, pending, now)
-            and _is_in_step(host, lookup, now)):
+            and _is_in_step(host, pending, now)):
         return _bound_to_only_version(host, pending, lookup.versions, now)
     versions = version_history.possible_versions(host, pending.service, now)
     return _unknown(host, pending, versions | lookup.versions, now)
--- a/tests/entry/test_hosts_out_of_step.py
+++ b/tests/entry/test_hosts_out_of_step.py
@@ -2,15 +2,23 @@
 
 import unittest
 
+from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import origins
 from crocuskeel.core.entry import stream_records as records
 from tests.entry import streams
+from tests.entry import support
 from tests.entry import versions
 
 SIX = tuple(f"h{number}" for number in range(6))
 
 
+def sent_to(out):
+    """Return the versions of the servers that requests are sent to."""
+    return [order.server.version
+            for order in support.effects_of(out, effects.SendRequest)]
+
+
 def time_out(host):
     """Let the search for the latest request's stream end."""
     out = []
@@ -30,19 +38,21 @@
     def test_host_that_wakes_reads_the_store(self):
         # Guards against a host that stood still, and takes the versions that
         # it lists for all: a stream may have begun at a new one meanwhile.
-        host = self.start("v1", "v2")
+        host = self.start("v1")
+        host.store.records["engines"] = versions.record(
+            "v1", "v2", revision=9)
         host.store.segments["h9.1.1"] = records.Segment(
             "h9.1.1", (("engines", "v2", bytes.fromhex(
                 origins.stream_key("hire", "r1"))), ))
         host.now += 5.0
-        self.assertIsNone(streams.version(host.take_up()))
-        self.assertIsNone(streams.version(time_out(host)))
+        self.assertEqual([], sent_to(host.take_up()))
+        self.assertEqual([], sent_to(time_out(host)))
 
     def test_host_that_wakes_and_has_missed_nothing(self):
         # Refusing all streams would keep versions apart, too.
         host = self.start("v1")
         host.now += 5.0
-        self.assertEqual("v1", streams.version(host.take_up()))
+        self.assertEqual(["v1"], sent_to(host.take_up()))
 
     def test_host_that_reaches_nobody_refuses(self):
         # Guards against a host that is cut off and has not noticed that its
@@ -52,8 +62,8 @@
                 host = self.start("v1")
                 host.store.is_away = True
                 host.now += away_s
-                self.assertIsNone(streams.version(host.take_up()))
-                self.assertIsNone(streams.version(time_out(host)))
+                self.assertEqual([], sent_to(host.take_up()))
+                self.assertEqual([], sent_to(time_out(host)))
 
     def test_hosts_that_are_cut_off_together_do_not_conclude(self):
         # Guards against two of six that confirm each other's list.
@@ -66,7 +76,7 @@
                 host.now += 0.1
                 out = host.take_up()
                 out += host.unknown("h1", versions=("v1", ))
-                self.assertIsNone(streams.version(out + time_out(host)))
+                self.assertEqual([], sent_to(out + time_out(host)))
 
     def test_answers_of_half_are_enough_while_the_store_is_away(self):
         host = self.start("v1", peers=SIX)
@@ -75,7 +85,7 @@
         host.take_up()
         host.unknown("h1", versions=("v1", ))
         host.unknown("h2", versions=("v1", ))
-        self.assertEqual("v1", streams.version(
+        self.assertEqual(["v1"], sent_to(
             host.unknown("h3", versions=("v1", ))))
 
     def test_one_answer_that_names_another_version_is_enough(self):
@@ -86,14 +96,24 @@
         for name, found in ("h1", ("v1", "v2")), ("h2", ("v1", )), (
                 "h3", ("v1", )):
             out = host.unknown(name, versions=found)
-        self.assertIsNone(streams.version(out + time_out(host)))
+        self.assertEqual([], sent_to(out + time_out(host)))
 
     def test_last_event_without_the_name_of_a_request(self):
         # Guards against the same for callers that name no request.
         host = self.start("v1")
         host.store.is_away = True
         host.now += 3.0
-        self.assertIsNone(streams.version(host.take_up("")))
+        self.assertEqual([], sent_to(host.take_up("")))
+
+    def test_service_that_the_list_lacks(self):
+        # Guards against a stream without a name that began at the second
+        # service of a route, whose first servers such a host has missed.
+        host = self.start("v1")
+        host.now += 0.5
+        out = host.take_up("", path="/split/1")
+        for name in "h1", "h2":
+            out += host.unknown(name, "", versions=("v1", ))
+        self.assertEqual([], sent_to(out + time_out(host)))
 
 
 if __name__ == "__main__":
