Don't count hosts that are merely listed as heard

A host that starts counts the hosts that the store or others list as just heard.

test_host_that_starts_and_has_heard_nobody before: Lists differ: [] != ['v1'].

--- a/crocuskeel/core/entry/fleet.py
+++ b/crocuskeel/core/entry/fleet.py
@@ -190,9 +190,11 @@
     """Return whether all hosts but those that leave were heard just now.
 
     A host that stood still, or is cut off, may not have noticed anything else.
+    Those that are merely listed were not heard, and are not known to be ready.
     """
-    return all(known.leaving or known.last_seen_at >= now - ALL_HEARD_S
-               for known in host.peers.values())
+    return all(known.leaving or (
+        known.ready and known.last_seen_at >= now - ALL_HEARD_S)
+        for known in host.peers.values())
 
 
 def is_in_touch(host, now, unnoticed_s=0.0):
--- a/tests/entry/test_hosts_out_of_step.py
+++ b/tests/entry/test_hosts_out_of_step.py
@@ -65,6 +65,15 @@
                 self.assertEqual([], sent_to(host.take_up()))
                 self.assertEqual([], sent_to(time_out(host)))
 
+    def test_host_that_starts_and_has_heard_nobody(self):
+        # Guards against hosts that the store lists and that count as heard,
+        # at a host that starts on the wrong side of a cut.
+        host = self.start("v1", peers=())
+        host.store.is_away = True
+        host.feed(events.PeersListed(tuple(map(support.peer, SIX))))
+        self.assertEqual([], sent_to(host.take_up()))
+        self.assertEqual([], sent_to(time_out(host)))
+
     def test_hosts_that_are_cut_off_together_do_not_conclude(self):
         # Guards against two of six that confirm each other's list.
         for away_s in 0.9, 1.4, 5.0:
