Stop hosts in series in the soak, again soon, beside long streams

Callers lost streams on hosts that had been sent SIGTERM, and the soak stayed green: its streams last 1.8 s, one host is stopped at a time, and its callers leave within half a second.

Streams last up to 6 s, callers keep addresses and connections, whoever is refused comes to another host; the store's troubles, bursts, configurations and hosts short of processor time (a disturbance of these) go on besides.

Found while it was built, both faults of the run: SIGHUP ended hosts that were starting, which left the run waiting for them for good, and 40 last requests one after the other took minutes with streams of 6 s; they are sent side by side in these runs.

--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -8,6 +8,7 @@
 from tools.soak import engine
 from tools.soak import part_checks
 from tools.soak import record as records
+from tools.soak import stop_checks
 from tools.soak import version_checks
 
 __all__ = ["DRAIN_S", "IDENTICAL", "KINDS", "LEASE_S", "RESTORED",
@@ -153,8 +154,8 @@
         return []
     if not runs and sent.ended_at - sent.at < REQUEST_READ_S:
         return []
-    if not record.is_undisturbed(sent.at, sent.ended_at, sent.ip, "engines",
-                                 *runs):
+    if stop_checks.outlasts(sent, record) or not record.is_undisturbed(
+            sent.at, sent.ended_at, sent.ip, "engines", *runs):
         return []
     return ["ended without a response at an undisturbed host"]
 
@@ -181,7 +182,7 @@
             + version_checks.check_streams(record, STREAMS)
             + part_checks.check_parts(record, STREAMS)
             + _check_rates(record) + _check_leaving(record)
-            + _check_backoffs(record))
+            + _check_backoffs(record) + stop_checks.check_stops(record))
 
 
 def _check_departed(record):
--- a/tools/soak/engine.py
+++ b/tools/soak/engine.py
@@ -76,6 +76,8 @@
         self.on_poison = on_poison
         self.version = version
         self.event_s = EVENT_S
+        # Seconds between two events by kind of request, in place of that.
+        self.event_spans = {}
         self.faults = dict(BASE_FAULT_SHARES)
         self.rate_limit = None
         self.leaving = False
@@ -335,7 +337,10 @@
             else:
                 exchange.connection.transport.loseConnection()
             return
-        self.reactor.callLater(self.event_s, self._send_event, exchange, rid,
+        event_s = self.event_s
+        if self.event_spans:
+            event_s = self.event_spans[self.record.sent[rid].request.kind]
+        self.reactor.callLater(event_s, self._send_event, exchange, rid,
                                number + 1, break_at)
 
 
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -12,6 +12,7 @@
 from tools.soak import load_faults
 from tools.soak import part_faults
 from tools.soak import rejoin_faults
+from tools.soak import stop_faults
 
 __all__ = ["FAULTS", "PLANNED_WORK", "choose_kinds", "do_planned_work",
            "inject_fault"]
@@ -43,6 +44,9 @@
     """
     if seed in rejoin_faults.REJOIN_SEEDS:
         return rejoin_faults.choose_kinds(seed)
+    if seed in stop_faults.STOP_SEEDS:
+        return [*stop_faults.KINDS, stop_faults.starve,
+                *rng.sample(STORE_FAULTS, 2)]
     available = FAULTS
     for first_seed, added in ADDED_KINDS:
         if seed >= first_seed:
@@ -77,7 +81,8 @@
 
 def do_planned_work(soak):
     """Do one planned operation, which callers must not notice."""
-    soak.rng.choice(REJOIN_WORK if soak.rejoins else PLANNED_WORK)(soak)
+    work = PLANNED_WORK[1:] if soak.stops else PLANNED_WORK
+    soak.rng.choice(REJOIN_WORK if soak.rejoins else work)(soak)
 
 
 def _random_host(soak):
@@ -356,12 +361,6 @@
     soak.call_later(2.0, link.restore)
 
 
-def _burst(soak):
-    soak.note_fault("plan", "burst", 2.0)
-    soak.burst(4.0)
-    soak.call_later(2.0, soak.burst, 1.0)
-
-
 def _configure(soak):
     soak.note_fault("plan", "configuration")
     soak.configure()
@@ -371,16 +370,19 @@
     number = _random_host(soak)
     soak.note_fault("plan", "settings file changes")
     soak.fleet.write_settings(number, soak.rng.randrange(20, 80))
-    soak.fleet.signal(number, "SIGHUP")
+    if not stop_faults.is_starting(soak, number):
+        soak.fleet.signal(number, "SIGHUP")
 
 
 BAD_ENTRIES = (
     None, {"Service": 7}, {"State": "resting"}, {"Slots": "many"},
     {"Addr": "nowhere"}, {"Seq": None}, {"born": "today"},
     {"Service": "elsewhere"})
-PLANNED_WORK = (_stop, _leave, _burst, _configure, _reload)
+# Runs with stops in series leave the first one out.
+PLANNED_WORK = (_stop, _leave, load_faults.burst, _configure, _reload)
 # All hosts are stopped by a kind of fault in runs that rejoin.
 REJOIN_WORK = (_leave, _configure, _reload)
+STORE_FAULTS = (_outage, _lapse, _silent_store, _slow_store, _lost_writes)
 FAULTS = (
     _kill, _kill_all, _pause, _crash, _poison, _outage, _lapse,
     _slow_store, _lost_writes, _spoil, _delay, _reset, _forget, _one_way,
--- a/tools/soak/fleet.py
+++ b/tools/soak/fleet.py
@@ -83,6 +83,12 @@
         if process.poll() is None:
             process.send_signal(signal.Signals[name])
 
+    def logs(self):
+        """Return the lines of the hosts' logs by address."""
+        return {ip: (self.folder / f"host-{number}.log").read_text(
+            errors="replace").splitlines()
+            for number, ip in enumerate(self.ips)}
+
     def has_ended(self, number):
         """Return whether the process of a host has exited."""
         return self.processes[number].poll() is not None
--- a/tools/soak/load_faults.py
+++ b/tools/soak/load_faults.py
@@ -1,8 +1,8 @@
-"""Bursts of one class of requests, beside the usual load of the others."""
+"""Bursts of all requests, and of one class beside the usual load."""
 
 from tools.soak import checks
 
-__all__ = ["CLASS_BURST_SEEDS", "burst_class"]
+__all__ = ["CLASS_BURST_SEEDS", "burst", "burst_class"]
 
 # Runs of these seeds have bursts of one class.
 CLASS_BURST_SEEDS = range(1600, 1700)
@@ -11,6 +11,13 @@
 REQUESTS_A_SECOND = 40
 
 
+def burst(soak):
+    """Callers send four times as many requests."""
+    soak.note_fault("plan", "burst", 2.0)
+    soak.burst(4.0)
+    soak.call_later(2.0, soak.burst, 1.0)
+
+
 def burst_class(soak):
     """Callers send five times as many requests of one class besides.
 
--- a/tools/soak/record.py
+++ b/tools/soak/record.py
@@ -59,7 +59,10 @@
     part, ``part_crashes`` (part, time). ``cut_unframed`` holds the ids of
     streams without length or chunks that a crash ended between two events,
     ``cut_open`` those of requests whose answers without length or chunks an
-    engine ended early.
+    engine ended early. In runs with stops in series ``sigterms`` maps (host,
+    boot) to the time of SIGTERM, ``kills`` holds (host, time) of hosts that
+    had not ended by themselves, and ``came_again`` maps the id of a request
+    that a stopping host refused to that of the next try.
     """
 
     runs: dict = dataclasses.field(default_factory=dict)
@@ -83,6 +86,9 @@
     part_crashes: list = dataclasses.field(default_factory=list)
     cut_unframed: set = dataclasses.field(default_factory=set)
     cut_open: set = dataclasses.field(default_factory=set)
+    sigterms: dict = dataclasses.field(default_factory=dict)
+    kills: list = dataclasses.field(default_factory=list)
+    came_again: dict = dataclasses.field(default_factory=dict)
 
     def add_fault(self, place, name, now, span_s=0.0):
         """Add a fault."""
@@ -96,6 +102,16 @@
             for start, end, place, _ in self.faults
             if place in places or place == "all")
 
+    def faults_at(self, sent, places):
+        """Return the faults of places of a request and the given ones.
+
+        These are (place, name, seconds before the request's end).
+        """
+        return [(place, name, round(sent.ended_at - start, 1))
+                for start, end, place, name in self.faults
+                if place in (sent.ip, "engines", *places)
+                and end + AFTEREFFECT_S >= sent.at]
+
 
 def new_record():
     """Return an empty record."""
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -17,6 +17,7 @@
 from tools.soak import proxy
 from tools.soak import record as records
 from tools.soak import rejoin_faults
+from tools.soak import stop_faults
 from tools.soak import store as stores
 from tools.soak import take_ups
 from twisted.internet import defer
@@ -68,7 +69,10 @@
         self.engine_versions = ["v1"]
         self.rejoins = seed in rejoin_faults.REJOIN_SEEDS
         self.takes_up = self.rejoins or seed in faults.VERSION_SEEDS
-        self.limit_s = STREAM_LIMIT_S if self.rejoins else LIMIT_S
+        # What runs with planned stops in series need, else None.
+        self.stops = stop_faults.new_stops(seed)
+        self.limit_s = (STREAM_LIMIT_S if self.rejoins or self.stops
+                        else LIMIT_S)
         # The faults of runs that rejoin don't depend on the requests' draws.
         self.fault_rng = random.Random(seed)
         self.schedule = rejoin_faults.new_schedule(
@@ -128,6 +132,8 @@
             lambda form: self.crash(sid, form), version)
         if self.rejoins:
             engine.event_s = rejoin_faults.EVENT_S
+        if self.stops:
+            engine.event_spans = self.stops.event_spans
         engine.ends_connections = self.unframed
         port = engine.listen(self.server_ip)
         self.engines[sid] = engine
@@ -262,7 +268,8 @@
 
     def send(self):
         """Send one random request to a resolved host."""
-        ip = self.rng.choice(self.known_ips or self.fleet.ips)
+        ip = self.rng.choice(stop_faults.known_to_a_caller(self)
+                             or self.fleet.ips)
         self.unfinished += 1
         defer.Deferred.fromCoroutine(self.send_to(
             ip, self.draw_request())).addErrback(self.record_failure)
@@ -331,12 +338,14 @@
         sent.reply = callers.Reply(abandoned=True)
         caller = self._caller(ip)
         sent.reply = await caller.send(request)
-        if self.rejoins and caller.port in self.front_links[ip].refused:
+        if (self.rejoins or self.stops) and (
+                caller.port in self.front_links[ip].refused):
             sent.reply = dataclasses.replace(sent.reply, connected=False)
         sent.ended_at = self.reactor.seconds()
         sent.ended_version = self.version
         self._release_caller(ip, caller)
         take_ups.take_up(self, sent)
+        stop_faults.come_again(self, sent)
         self.call_later(CHECK_DELAY_S, self._check_request, sent)
         return sent.reply
 
@@ -364,15 +373,7 @@
                 f"{sent.at - self.began_at:.2f} s, "
                 f"{sent.reply.status}): {error}; ran on {runs}; version "
                 f"{sent.version} when sent, {self.version} now; faults at "
-                f"these: {self._faults_at(sent, runs)}")
-
-    def _faults_at(self, sent, places):
-        """Return the (place, name, s before the end) of faults at places."""
-        return [(place, name, round(sent.ended_at - start, 1))
-                for start, end, place, name in self.record.faults
-                if place in (sent.ip, "engines", *places)
-                and start <= self.reactor.seconds()
-                and end + records.AFTEREFFECT_S >= sent.at]
+                f"these: {self.record.faults_at(sent, runs)}")
 
     async def resolve(self):
         """Resolve the host addresses repeatedly, as callers do, forever."""
--- a/tools/soak/session.py
+++ b/tools/soak/session.py
@@ -4,6 +4,7 @@
 from tools.soak import cloud as clouds
 from tools.soak import faults
 from tools.soak import rejoin_checks
+from tools.soak import stop_checks
 from twisted.internet import defer
 
 __all__ = ["run_soak"]
@@ -40,11 +41,14 @@
             next_plan += PLAN_INTERVAL_S
             faults.do_planned_work(soak)
         await soak.sleep(SEND_INTERVAL_S / soak.load_factor)
+    if soak.stops:
+        soak.stops.is_loaded = False
     await _check_recovery(soak, ends + FAULTS_OVER_S)
     soak.violations += checks.check_run(soak.record)
     if soak.rejoins:
         soak.violations += rejoin_checks.check_rejoined(
             soak.record, len(soak.engine_versions) == 1)
+    soak.violations += stop_checks.check_logs(soak.record, soak.fleet.logs())
     soak.violations += clouds.faults_of_one(
         soak.cloud.arrivals, checks.LEASE_S)
     if not any(each.at >= ends for each in soak.cloud.arrivals):
@@ -52,15 +56,26 @@
             "no host performs the duties at the end of the run")
 
 
+async def _send_last(soak):
+    soak.unfinished += 1
+    soak.recovery_replies.append(await soak.send_to(
+        soak.rng.choice(soak.known_ips or soak.fleet.ips),
+        soak.draw_request()))
+
+
 async def _check_recovery(soak, faults_end_at):
     """Send the last requests once all faults have ended."""
-    while soak.reactor.seconds() < faults_end_at or soak.unfinished:
+    while (soak.reactor.seconds() < faults_end_at or soak.unfinished
+           or soak.stopping):
         await soak.sleep(0.2)
     for _ in range(RECOVERY_REQUESTS):
-        soak.unfinished += 1
-        request = soak.draw_request()
-        soak.recovery_replies.append(await soak.send_to(
-            soak.rng.choice(soak.known_ips or soak.fleet.ips), request))
+        ending = defer.Deferred.fromCoroutine(_send_last(soak))
+        if soak.stops:
+            # Their streams last too long to follow each other.
+            ending.addErrback(soak.record_failure)
+            await soak.sleep(SEND_INTERVAL_S)
+        else:
+            await ending
     while soak.unfinished:
         await soak.sleep(0.2)
     counted = [reply for reply in soak.recovery_replies
