Have the soak's long streams keep to the pauses that their routes aim at

Traced from the hosts' logs: `moved` after 0.4 s of silence, sent to a second engine, refused by that one (503, as 3 in 100 are), both servers of the route used up. The stand-in was at fault: events came 0.2 to 0.54 s apart on routes that aim at 0.3 s.

--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -254,7 +254,8 @@
 
     def _write_config(self):
         self.store.put("config", "main", configs.new_config(
-            self.version, KEY.decode(), round(self.limit_s * 1000)))
+            self.version, KEY.decode(), round(self.limit_s * 1000),
+            stop_faults.GAP_MS if self.stops else 300))
 
     def _settled(self):
         """Return the last version that must be in force by now."""
--- a/tools/soak/stop_faults.py
+++ b/tools/soak/stop_faults.py
@@ -12,7 +12,7 @@
 from tools.soak import stop_checks
 from twisted.internet import defer
 
-__all__ = ["KINDS", "STOP_SEEDS", "come_again", "is_starting",
+__all__ = ["GAP_MS", "KINDS", "STOP_SEEDS", "come_again", "is_starting",
            "known_to_a_caller", "new_stops", "starve"]
 
 # Runs of these seeds have planned stops in series.
@@ -22,8 +22,10 @@
 AGAIN_S = (0.3, 2.0)
 AGAIN_SHARE = 0.3
 # Seconds between two events of streams of the two tiers.
-TOP_EVENT_S = (0.2, 0.54)
+TOP_EVENT_S = (0.42, 0.54)
 LOW_EVENT_S = (0.03, 0.2)
+# The longest pause that their routes aim at, ms.
+GAP_MS = 1000
 # Shares of the callers that keep addresses for good, and for three TTLs.
 KEEPS_SHARE = 0.2
 LONG_SHARE = 0.2
