--- a/crocuskeel/gateway/callers.py
+++ b/crocuskeel/gateway/callers.py
@@ -8,6 +8,7 @@
 from crocuskeel.gateway import memory as host_memory
 from crocuskeel.gateway import pieces
 from crocuskeel.gateway import sockets
+from crocuskeel.gateway import timers
 import h11
 from twisted.internet import protocol
 
@@ -44,7 +45,7 @@
         self.exchange = None
         self.memory = listener.memory
         self.lingering = False
-        self.timer = None
+        self.timer = timers.Timer(reactor)
         self.unread = 0
         self.reading_paused = False
         self.has_producer = False
@@ -74,12 +75,12 @@
     def connectionMade(self):
         sockets.configure(self.transport)
         self.listener.open_connections.add(self)
-        self._set_timer(self.limits.idle_s, self._idle_timed_out)
+        self.timer.start(self.limits.idle_s, self._idle_timed_out)
 
     def connectionLost(self, reason):
         self.listener.open_connections.discard(self)
         self.lingering = True
-        self._cancel_timer()
+        self.timer.cancel()
         self._free_request()
         self.memory.forget(self)
         exchange, self.exchange = self.exchange, None
@@ -97,7 +98,7 @@
                 return
         elif self._awaits_head():
             self._update_limits()
-            self._set_timer(self.limits.header_s, self._head_timed_out)
+            self.timer.start(self.limits.header_s, self._head_timed_out)
         self.h11.receive_data(data)
         self._process_events()
         if self.lingering:
@@ -173,14 +174,14 @@
         self.request = header_codec.Head(headers, event.method, event.target)
         if self.unread:
             self._recount_unread()
-        if self._has_ambiguous_length():
+        if self.request.has_ambiguous_length():
             self._reject(400, "both Content-Length and Transfer-Encoding")
             return
         declared = int(self.request.get(b"content-length") or 0)
         if declared > self.limits.body_bytes:
             self._reject(413, "body too large")
             return
-        self._set_timer(self.limits.idle_s, self._idle_timed_out)
+        self.timer.start(self.limits.idle_s, self._idle_timed_out)
         if declared > self.body_room:
             self._announce_body(declared)
         else:
@@ -228,12 +229,6 @@
             self.memory.release_body(key)
         self._count_unread(-self.unread)
 
-    def _has_ambiguous_length(self):
-        # Servers may disagree on which header frames the body, which allows
-        # to smuggle a second request past one of them.
-        return (self.request.get(b"content-length") is not None
-                and self.request.get(b"transfer-encoding") is not None)
-
     def _collect_body(self, data):
         if self.size + len(data) > self.limits.body_bytes:
             self._reject(413, "body too large")
@@ -245,7 +240,7 @@
                                     self.body_room * BODY_GROWTH))
 
     def _deliver_request(self):
-        self._cancel_timer()
+        self.timer.cancel()
         if self.body_key is not None:
             self.memory.body_read(self.body_key)
         self.exchange = exchanges.Exchange(
@@ -274,19 +269,7 @@
         self._resume_reading()
         sockets.allow_close(self.transport)
         self.transport.loseWriteConnection()
-        self._set_timer(linger_s, self._linger_timed_out)
-
-    def _close_unread(self):
-        """Close after the last answer, and read no request that crosses it.
-
-        A caller may repeat a request that hasn't been read.
-        """
-        self.lingering = True
-        self.h11 = None
-        self._pause_reading()
-        sockets.allow_close(self.transport)
-        self.transport.loseWriteConnection()
-        self._set_timer(LINGER_S, self._linger_timed_out)
+        self.timer.start(linger_s, self._linger_timed_out)
 
     def _linger_timed_out(self):
         """Close in order: what a slow caller hasn't read yet isn't lost.
@@ -294,20 +277,11 @@
         A reset would make the kernel drop the end of the answer.
         """
         if sockets.unsent_bytes(self.transport):
-            self._set_timer(LINGER_S, self._linger_timed_out)
+            self.timer.start(LINGER_S, self._linger_timed_out)
             return
         sockets.allow_close(self.transport)
         self.transport.loseConnection()
 
-    def _set_timer(self, delay_s, callback):
-        self._cancel_timer()
-        self.timer = self.reactor.callLater(delay_s, callback)
-
-    def _cancel_timer(self):
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
-        self.timer = None
-
     def _head_timed_out(self):
         self._reject(408, "timeout while reading the request head")
 
@@ -318,8 +292,8 @@
         former_s = self.limits.idle_s
         self._update_limits()
         if self.limits.idle_s > former_s:
-            self._set_timer(self.limits.idle_s - former_s,
-                            self._idle_timed_out)
+            self.timer.start(self.limits.idle_s - former_s,
+                             self._idle_timed_out)
             return
         self.lingering = True
         self.transport.loseConnection()
@@ -399,12 +373,14 @@
         self.h11.start_next_cycle()
         self._update_limits()
         if not self._awaits_head():
-            self._set_timer(self.limits.header_s, self._head_timed_out)
+            self.timer.start(self.limits.header_s, self._head_timed_out)
         elif self.listener.closing:
-            self._close_unread()
+            # A caller may repeat a request that hasn't been read.
+            self._linger()
+            self._pause_reading()
             return
         else:
-            self._set_timer(self.limits.idle_s, self._idle_timed_out)
+            self.timer.start(self.limits.idle_s, self._idle_timed_out)
         self._resume_reading()
         self.reactor.callLater(0, self._process_events)
 
--- a/crocuskeel/gateway/header_codec.py
+++ b/crocuskeel/gateway/header_codec.py
@@ -43,6 +43,15 @@
                 return value
         return None
 
+    def has_ambiguous_length(self):
+        """Return whether two headers frame the body.
+
+        Servers may disagree on which one does, which allows to smuggle a
+        second request past one of them.
+        """
+        return (self.get(b"content-length") is not None
+                and self.get(b"transfer-encoding") is not None)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeaderCodec:
