Test that prompts that wait go to no engine that began to drain

Suspected, and not found: a prompt that waits here for a place is sent to an engine that has begun to drain meanwhile, and that may exit before the prompt's answer has ended. Engines are chosen anew at each look through the waiting room, among those that don't drain by the store, by their answers or by other hosts' word. The test, which passes on the code as it is, keeps it so: two classes wait, one engine of two begins to drain and is the only one with room, and none is sent until the other one has room.

--- a/tests/scheduling/test_queueing.py
+++ b/tests/scheduling/test_queueing.py
@@ -1,5 +1,6 @@
 """Requests that wait at a host for an engine, end to end in the reducer."""
 
+import dataclasses
 import unittest
 from unittest import mock
 
@@ -39,6 +40,21 @@
         self.driver.free("e2", "e1")
         self.assertIn(key, dict(drivers.sent_to(self.driver.pass_over())))
 
+    def test_an_engine_that_begins_to_drain_gets_none_of_those_that_wait(self):
+        # It may exit before they end.
+        self.driver.fill()
+        keys = [self._audit()[0], self.driver.ask(drivers.CHAT)[0]]
+        leaving, *_ = ENGINES
+        self.driver.feed(events.ServersChanged((
+            dataclasses.replace(leaving, draining=True), ), (), 6))
+        self.driver.free(leaving.sid)
+        out = self.driver.pass_over() + self.driver.pass_over()
+        self.assertEqual([], drivers.sent_to(out))
+        self.driver.free("e2")
+        out = self.driver.pass_over() + self.driver.pass_over()
+        self.assertEqual(dict.fromkeys(keys, "e2"),
+                         dict(drivers.sent_to(out)))
+
     def test_the_more_urgent_go_first(self):
         self.driver.fill()
         audit, _ = self._audit()
