Refuse a host's time of day that is of no clock

A state with a time of day of 1e308 or 1e18, of a damaged datagram or of another program, moved the clock by which a host numbers its windows of usage: the counts that it told its peers had a window that they refuse, or that can't be encoded, so that the effect was lost.

Cause: the time was only checked to be finite. It lies between 1970 and 1e11 s after it now, as a check of datagrams; a datagram with another time is refused and logged.

Ruled out: 2**52 to 1e15, which hosts could still encode.

--- a/crocuskeel/gateway/datagram_checks.py
+++ b/crocuskeel/gateway/datagram_checks.py
@@ -9,7 +9,7 @@
 
 __all__ = ["is_age", "is_count", "is_demand", "is_flag", "is_load_rows",
            "is_number", "is_pairs", "is_part_rows", "is_peer", "is_revision",
-           "is_text", "is_texts", "is_usage_rows"]
+           "is_text", "is_texts", "is_usage_rows", "is_wall"]
 
 # Sums of thousands of counts fit the 64-bit integers of a datagram.
 MAX_COUNT = 1 << 52
@@ -18,6 +18,8 @@
 # Maximum of requests and of tokens in a row of queued requests: the sum of
 # much larger numbers may be infinite.
 MAX_QUEUED = 1e15
+# Latest time of day, s since 1970: hosts number windows and age by it.
+MAX_WALL_S = 1e11
 
 
 def is_text(value):
@@ -51,6 +53,11 @@
     return is_number(value) or value == math.inf
 
 
+def is_wall(value):
+    """Check a time of day; None stands for none."""
+    return value is None or is_number(value) and 0 <= value <= MAX_WALL_S
+
+
 def is_texts(values):
     """Check a row of texts."""
     return type(values) is tuple and all(map(is_text, values))
--- a/crocuskeel/gateway/gossip.py
+++ b/crocuskeel/gateway/gossip.py
@@ -56,8 +56,7 @@
 STATE_CHECKS = (
     checks.is_flag, checks.is_flag, checks.is_revision, checks.is_revision,
     checks.is_pairs, checks.is_load_rows, checks.is_part_rows,
-    checks.is_flag, checks.is_texts, checks.is_age,
-    lambda wall: wall is None or checks.is_number(wall))
+    checks.is_flag, checks.is_texts, checks.is_age, checks.is_wall)
 USAGE_CHECKS = (checks.is_text, checks.is_revision, checks.is_usage_rows)
 KINDS = frozenset(map(str, crash_records.Kind))
 SIGNS = frozenset(map(str, crash_records.Sign)) | {""}
--- a/tests/gateway/test_odd_datagrams.py
+++ b/tests/gateway/test_odd_datagrams.py
@@ -1,5 +1,6 @@
 """Datagrams with deeply nested fields."""
 
+import dataclasses
 import unittest
 from unittest import mock
 
@@ -35,5 +36,20 @@
         self.assertEqual(1, gateway.log.call_count + gateway.feed.call_count)
 
 
+class TimeOfDayTest(unittest.TestCase):
+    """Guards against a time by which a host numbers its own windows."""
+
+    def test_times_of_no_clock_are_refused(self):
+        # The host's counts of the next window could not be encoded.
+        for wall in (1e308, 1e18, 1e12, -1.0, -1e308, 2 ** 52):
+            with self.subTest(wall):
+                with self.assertRaises(ValueError):
+                    gossip.decode(gossip.encode(dataclasses.replace(
+                        test_datagrams.STATE, wall=wall)))
+        for wall in (None, 0, 1.7e9, 1e11):
+            state = dataclasses.replace(test_datagrams.STATE, wall=wall)
+            self.assertEqual(state, gossip.decode(gossip.encode(state)))
+
+
 if __name__ == "__main__":
     unittest.main()
