Test stops while requests wait for a place, and of paused hosts with many streams

Callers' requests that wait for a place at their host as it is stopped have to be served in time or refused as not run.

By hand there are hosts that are paused for 2 s around SIGTERM, with 40 callers and with 300 that have streams of 2 to 12 s.

--- a/tests/stops/cases.py
+++ b/tests/stops/cases.py
@@ -30,6 +30,8 @@
     lasts_s: tuple = (0.1, 2.0)
     callers: int = 12
     learning_s: float = 2.5
+    goal_ms: int = 500
+    fields: tuple = ()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -120,13 +122,17 @@
     "store silent": _Case(functools.partial(
         _stop_without_store, fault="silent")),
     "few slots": _Case(functools.partial(_stop_each, gaps_s=(0.0,)),
-                       slots=3, callers=24),
+                       1, slots=4, callers=12, goal_ms=12_000, learning_s=5.0,
+                       fields=("X-Crocuskeel-Token-Count: 100,11",)),
     "half a processor": _Case(_stop_with_half_a_processor),
 }
 # Played by hand only.
 HEAVY = {
     "pause": _Case(functools.partial(_stop_in_a_pause, pause_s=2.0),
                    lasts_s=(0.1, 5.0), callers=40),
+    "pause, many": _Case(
+        functools.partial(_stop_in_a_pause, pause_s=2.0), 1, slots=1000,
+        lasts_s=(2.0, 12.0), callers=300, learning_s=5.0),
     "many, half a processor": _Case(
         _stop_with_half_a_processor, 1, slots=1000, lasts_s=(2.0, 12.0),
         callers=300, learning_s=5.0),
@@ -141,9 +147,10 @@
 def play(name, seed):
     """Play a case; return its Result."""
     case = {**FLEETS, **CASES, **HEAVY}[name]
-    hosts = processes.Hosts(case.hosts, case.slots)
+    hosts = processes.Hosts(case.hosts, case.slots, case.goal_ms)
     try:
-        load = loads.Load(hosts, case.callers, case.lasts_s, seed)
+        load = loads.Load(hosts, case.callers, case.lasts_s, seed,
+                          case.fields)
         time.sleep(case.learning_s)
         case.stop(hosts)
         in_order = [hosts.ended_in_order(ip) for ip in hosts.stopped_at]
--- a/tests/stops/hosts.py
+++ b/tests/stops/hosts.py
@@ -45,7 +45,7 @@
 
     _FIRST_NUMBERS = itertools.cycle(range(1, 241, 16))
 
-    def __init__(self, count, slots=64):
+    def __init__(self, count, slots=64, goal_ms=500):
         high, low = divmod(os.getpid(), 250)
         net = f"127.{220 + high % 30}.{low}"
         first = next(self._FIRST_NUMBERS)
@@ -56,7 +56,8 @@
         self.work = []
         self._folder = tempfile.TemporaryDirectory()
         self._platform = _run("-m", "tests.stops.platform", "--slots",
-                              str(slots), stdin=subprocess.PIPE)
+                              str(slots), "--goal-ms", str(goal_ms),
+                              stdin=subprocess.PIPE)
         self._store = int(self._platform.stdout.readline())
         threading.Thread(target=self._read_work, daemon=True).start()
         for ip in self.ips:
--- a/tests/stops/load.py
+++ b/tests/stops/load.py
@@ -26,12 +26,14 @@
 
     A caller stays at its address until that refuses it or a connection, and
     takes the next one then; ``lasts`` is the range of the streams' lengths,
-    s. Each request is a row, (host, route, length, rid, sent, ended, Answer).
+    s. Each request has ``fields``, and is a row, (host, route, length, rid,
+    sent, ended, Answer).
     """
 
-    def __init__(self, hosts, callers, lasts, seed):
+    def __init__(self, hosts, callers, lasts, seed, fields=()):
         self.hosts = hosts
         self.lasts = lasts
+        self.fields = fields
         self.rows = []
         self._ending = threading.Event()
         self._threads = [
@@ -77,7 +79,7 @@
             work = {"events": 11, "gap_s": length_s / 10}
         answer, sent_at = processes.Answer(), time.monotonic()
         try:
-            caller.send(rid, work, route)
+            caller.send(rid, work, route, self.fields)
             sent_at = time.monotonic()
             answer = caller.read()
         except OSError:
--- a/tests/stops/platform.py
+++ b/tests/stops/platform.py
@@ -79,9 +79,9 @@
                                rid, number + 1, work)
 
 
-def _config(slots):
+def _config(slots, goal_ms):
     routes = [{"Name": name, "Host": HOST, "Prefix": f"/{name}/",
-               "Kind": kind, "TimeoutMs": TIMEOUT_MS, "GoalMs": 500,
+               "Kind": kind, "TimeoutMs": TIMEOUT_MS, "GoalMs": goal_ms,
                "Attempts": 1, "Resumable": False, "GapAimMs": 300,
                "Priority": 0, "Public": True, "Service": SERVICE}
               for name, kind in KINDS.items()]
@@ -104,7 +104,8 @@
 
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--slots", type=int, default=64)
-    slots = parser.parse_args().slots
+    parser.add_argument("--goal-ms", type=int, default=500)
+    args = parser.parse_args()
 
     def note(what, rid):
         print(json.dumps([time.monotonic(), what, rid]), flush=True)
@@ -114,10 +115,11 @@
     server = reactor.listenTCP(
         0, _Server(reactor, note).listener, 200, "127.0.0.1")
     store.put("servers", "s-1", {
-        "Service": SERVICE, "Zone": "zone-0", "Version": "v1", "Slots": slots,
+        "Service": SERVICE, "Zone": "zone-0", "Version": "v1",
+        "Slots": args.slots,
         "Addr": f"127.0.0.1:{server.getHost().port}", "State": "ready",
         "ColdLeftMs": 0, "Seq": 1, "born": 1})
-    store.put("config", "main", _config(slots))
+    store.put("config", "main", _config(args.slots, args.goal_ms))
     threading.Thread(target=_follow, daemon=True,
                      args=(reactor, store)).start()
     print(port.getHost().port, flush=True)
