--- a/crocuskeel/core/entry/fleet.py
+++ b/crocuskeel/core/entry/fleet.py
@@ -7,13 +7,16 @@
 that reached it, directly or through other hosts.
 """
 
+import math
+
 from crocuskeel.core.entry import routing
 from crocuskeel.core.entry import serving
 
 __all__ = ["HOP_DELAY_S", "MAX_FANOUT", "PEER_TIMEOUT_S", "STATE_INTERVAL_S",
            "caller_addresses", "hears_all", "invalidate_serving_hosts",
            "is_in_touch", "is_large", "is_peer_ready", "is_ready",
-           "is_serving_host", "leaving_hosts", "reads_store", "serving_hosts",
+           "is_serving_host", "is_surely_in_touch", "leaving_hosts",
+           "note_tick", "rank", "reads_store", "serving_hosts",
            "store_data_age_s"]
 
 # Interval at which hosts send their state, s.
@@ -26,6 +29,15 @@
 PEER_TIMEOUT_S = 1.3
 # A host that hears all others has heard each within this, s.
 ALL_HEARD_S = 0.35
+# Ticks that are further apart than this show that this process was paused, s.
+# It has heard all others again this long after that, s: two of their states.
+MIN_PAUSE_S = 1.0
+WAKE_S = 2 * STATE_INTERVAL_S
+# Most of so many others are heard within MOST_HEARD_S, two of their states.
+MAX_HEARD = 2 * MAX_FANOUT
+MOST_HEARD_S = 0.7
+# A host may not notice for so long that the store doesn't answer, s.
+UNNOTICED_S = 3.0
 MAX_ADDRESSES = 64
 # Minimum number of serving hosts, so that the failure of one affects at most
 # a fifth of the requests in progress. Hosts with at least half of the largest
@@ -54,6 +66,21 @@
 HOP_DELAY_S = 0.1
 
 
+def note_tick(host, now):
+    """Note a tick, which may be the first one after a pause."""
+    if now > host.ticked_at + MIN_PAUSE_S:
+        host.paused_at = host.ticked_at
+        host.woke_at = now
+    host.ticked_at = now
+
+
+def _listened_until(host, now):
+    """Return until when this host could hear others: now, or its pause."""
+    if now > host.ticked_at + MIN_PAUSE_S:
+        return host.ticked_at
+    return host.paused_at if now < host.woke_at + WAKE_S else now
+
+
 def serving_hosts(host, now):
     """Return the serving hosts: peers, and this host if it is one.
 
@@ -74,8 +101,9 @@
 
 def _serving_hosts(host, now):
     live = [host.self_peer] if host.stop_at is None else []
+    until = _listened_until(host, now)
     live += [known.peer for known in host.peers.values()
-             if _may_serve(known, now)]
+             if _may_serve(known, until)]
     live.sort(key=lambda peer: (
         -peer.capacity, routing.cached_unit_hash(peer.name, "carrier")))
     if not live:
@@ -104,6 +132,25 @@
             and now - known.last_seen_at <= PEER_TIMEOUT_S]
 
 
+def rank(host, purpose, others, now):
+    """Return how many hosts do something before this one.
+
+    ``others`` are the other serving hosts that count. A host that served
+    callers and is stopping comes after them; other hosts never do it.
+    """
+    own = routing.cached_unit_hash(host.self_peer.name, purpose)
+    before = 0
+    if host.stop_at is not None:
+        if not host.was_serving:
+            return math.inf
+        before, others = len(others), leaving_hosts(host, now)
+    elif not is_serving_host(host, now):
+        return math.inf
+    return before + sum(
+        routing.cached_unit_hash(peer.name, purpose) < own
+        for peer in others)
+
+
 def is_peer_ready(known, now):
     """Return whether a peer that this host hears directly is ready."""
     return known.ready and now - known.last_seen_at <= PEER_TIMEOUT_S
@@ -175,13 +222,14 @@
 def caller_addresses(host, now):
     """Return the caller-facing addresses of usable serving hosts."""
     reachable = []
+    until = _listened_until(host, now)
     for peer in serving_hosts(host, now):
         if peer.name == host.self_peer.name:
             usable = is_ready(host)
         else:
             known = host.peers[peer.name]
-            usable = (is_peer_ready(known, now)
-                      or now - known.confirmed_ready_at <= PEER_TIMEOUT_S)
+            usable = (is_peer_ready(known, until)
+                      or until - known.confirmed_ready_at <= PEER_TIMEOUT_S)
         if usable:
             reachable.append((peer.name, peer.public_address))
     if len(reachable) > MAX_ADDRESSES:
@@ -195,23 +243,38 @@
     """Return whether all hosts but those that leave were heard just now.
 
     A host that stood still, or is cut off, may not have noticed anything else.
+    Those that are merely listed were not heard, and are not known to be ready.
     """
-    return all(known.leaving or known.last_seen_at >= now - ALL_HEARD_S
-               for known in host.peers.values())
+    return all(known.leaving or (
+        known.ready and known.last_seen_at >= now - ALL_HEARD_S)
+        for known in host.peers.values())
 
 
-def is_in_touch(host, now, unnoticed_s=0.0):
+def is_in_touch(host, now):
     """Return whether most hosts are heard that were when the list was new.
 
     Hosts that are cut off from the others and from the store together know
-    only each other. They may have been so for ``unnoticed_s`` longer than the
-    age of the list shows; in a large fleet, where each host hears only some of
-    the others, that isn't counted.
+    only each other.
     """
     before = now - store_data_age_s(host, now) - PEER_TIMEOUT_S
-    if not is_large(host):
-        before -= unnoticed_s
     known = [peer.last_seen_at for peer in host.peers.values()
              if peer.last_seen_at >= before]
     heard = sum(at >= now - PEER_TIMEOUT_S for at in known)
     return 2 * (heard + 1) > len(known) + 1
+
+
+def is_surely_in_touch(host, now):
+    """Return the same for a host that may not have noticed a cut yet.
+
+    In a large fleet each host hears only some of the others in that time.
+    Those that are merely listed were not heard.
+    """
+    if len(host.peers) > MAX_HEARD:
+        return is_in_touch(host, now)
+    before = (now - store_data_age_s(host, now)
+              - PEER_TIMEOUT_S - UNNOTICED_S)
+    known = [peer for peer in host.peers.values()
+             if peer.last_seen_at >= before]
+    heard = sum(peer.ready and peer.last_seen_at >= now - MOST_HEARD_S
+                for peer in known)
+    return 2 * (heard + 1) > len(known) + 1
--- a/crocuskeel/gateway/callers.py
+++ b/crocuskeel/gateway/callers.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server for callers."""
 
 from crocuskeel.core.entry import body_memory
+from crocuskeel.gateway import closing
 from crocuskeel.gateway import connections
 from crocuskeel.gateway import exchanges
 from crocuskeel.gateway import header_codec
@@ -8,7 +9,6 @@
 from crocuskeel.gateway import memory as host_memory
 from crocuskeel.gateway import pieces
 from crocuskeel.gateway import sockets
-from crocuskeel.gateway import timers
 import h11
 from twisted.internet import protocol
 
@@ -20,9 +20,6 @@
 MAX_PIPELINED_BYTES = 1 << 16
 # Unsent bytes of an answer at which a slow caller is disconnected.
 MAX_UNSENT_BYTES = 1 << 20
-# After an early answer the rest of a request is read for this long, s: a
-# close with unread bytes would reset the connection and lose the answer.
-LINGER_S = 1.0
 # Factor by which a body of unknown length gets more memory.
 BODY_GROWTH = 4
 
@@ -45,7 +42,7 @@
         self.exchange = None
         self.memory = listener.memory
         self.lingering = False
-        self.timer = timers.Timer(reactor)
+        self.timer = None
         self.unread = 0
         self.reading_paused = False
         self.has_producer = False
@@ -75,12 +72,12 @@
     def connectionMade(self):
         sockets.configure(self.transport)
         self.listener.open_connections.add(self)
-        self.timer.start(self.limits.idle_s, self._idle_timed_out)
+        self.set_timer(self.limits.idle_s, self._idle_timed_out)
 
     def connectionLost(self, reason):
         self.listener.open_connections.discard(self)
         self.lingering = True
-        self.timer.cancel()
+        self._cancel_timer()
         self._free_request()
         self.memory.forget(self)
         exchange, self.exchange = self.exchange, None
@@ -98,14 +95,14 @@
                 return
         elif self._awaits_head():
             self._update_limits()
-            self.timer.start(self.limits.header_s, self._head_timed_out)
+            self.set_timer(self.limits.header_s, self._head_timed_out)
         self.h11.receive_data(data)
         self._process_events()
         if self.lingering:
             return
         if self.exchange is not None:
             if self.unread and self.memory.is_unread_full():
-                self._pause_reading()
+                self.pause_reading()
         elif self.request is None:
             self._recount_unread()
             if self.unread and self.memory.is_unread_full():
@@ -130,7 +127,7 @@
                and not self.awaits_memory):
             if handled == connections.EVENTS_PER_TURN:
                 # Let other connections have their turn.
-                self._pause_reading()
+                self.pause_reading()
                 self.reactor.callLater(0, self._continue)
                 return
             handled += 1
@@ -145,14 +142,16 @@
 
     def _continue(self):
         if not self.lingering and not self.awaits_memory:
-            self._resume_reading()
+            self.resume_reading()
             self._process_events()
 
-    def _pause_reading(self):
+    def pause_reading(self):
+        """Read nothing more for now."""
         self.reading_paused = True
         self.transport.pauseProducing()
 
-    def _resume_reading(self):
+    def resume_reading(self):
+        """Read on."""
         if self.reading_paused:
             self.reading_paused = False
             self.transport.resumeProducing()
@@ -174,14 +173,14 @@
         self.request = header_codec.Head(headers, event.method, event.target)
         if self.unread:
             self._recount_unread()
-        if self.request.has_ambiguous_length():
+        if self._has_ambiguous_length():
             self._reject(400, "both Content-Length and Transfer-Encoding")
             return
         declared = int(self.request.get(b"content-length") or 0)
         if declared > self.limits.body_bytes:
             self._reject(413, "body too large")
             return
-        self.timer.start(self.limits.idle_s, self._idle_timed_out)
+        self.set_timer(self.limits.idle_s, self._idle_timed_out)
         if declared > self.body_room:
             self._announce_body(declared)
         else:
@@ -200,14 +199,14 @@
         self.awaits_memory = True
         self.memory.announce(self, self.body_key, self.request, size)
         if self.awaits_memory:
-            self._pause_reading()
+            self.pause_reading()
 
     def read_body(self):
         """Read the body on: there is memory for it."""
         self.awaits_memory = False
         self._continue_request()
         if self.reading_paused:
-            self._resume_reading()
+            self.resume_reading()
             self._process_events()
 
     def refuse_body(self, status, why, retry_delay_s):
@@ -229,6 +228,12 @@
             self.memory.release_body(key)
         self._count_unread(-self.unread)
 
+    def _has_ambiguous_length(self):
+        # Servers may disagree on which header frames the body, which allows
+        # to smuggle a second request past one of them.
+        return (self.request.get(b"content-length") is not None
+                and self.request.get(b"transfer-encoding") is not None)
+
     def _collect_body(self, data):
         if self.size + len(data) > self.limits.body_bytes:
             self._reject(413, "body too large")
@@ -240,7 +245,7 @@
                                     self.body_room * BODY_GROWTH))
 
     def _deliver_request(self):
-        self.timer.cancel()
+        self._cancel_timer()
         if self.body_key is not None:
             self.memory.body_read(self.body_key)
         self.exchange = exchanges.Exchange(
@@ -248,7 +253,8 @@
         self._reset_request()
         self.handler.request_received(self.exchange)
 
-    def _reject(self, status, why, headers=(), body=b"", linger_s=LINGER_S):
+    def _reject(self, status, why, headers=(), body=b"",
+                linger_s=closing.LINGER_S):
         """Reject a malformed, late or too large request, and close."""
         self.handler.request_rejected(status, why)
         is_head = self.request is not None and self.request.method == b"HEAD"
@@ -260,27 +266,17 @@
             if body and not is_head:
                 self._send(h11.Data(data=body))
             self._send(h11.EndOfMessage())
-        self._linger(linger_s)
-
-    def _linger(self, linger_s=LINGER_S):
-        self.lingering = True
-        # What was read of a refused body is in the parser, too.
-        self.h11 = None
-        self._resume_reading()
-        sockets.allow_close(self.transport)
-        self.transport.loseWriteConnection()
-        self.timer.start(linger_s, self._linger_timed_out)
+        closing.linger(self, linger_s)
 
-    def _linger_timed_out(self):
-        """Close in order: what a slow caller hasn't read yet isn't lost.
+    def set_timer(self, delay_s, callback, *args):
+        """Call back after a while, in place of any earlier timer."""
+        self._cancel_timer()
+        self.timer = self.reactor.callLater(delay_s, callback, *args)
 
-        A reset would make the kernel drop the end of the answer.
-        """
-        if sockets.unsent_bytes(self.transport):
-            self.timer.start(LINGER_S, self._linger_timed_out)
-            return
-        sockets.allow_close(self.transport)
-        self.transport.loseConnection()
+    def _cancel_timer(self):
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        self.timer = None
 
     def _head_timed_out(self):
         self._reject(408, "timeout while reading the request head")
@@ -292,8 +288,8 @@
         former_s = self.limits.idle_s
         self._update_limits()
         if self.limits.idle_s > former_s:
-            self.timer.start(self.limits.idle_s - former_s,
-                             self._idle_timed_out)
+            self.set_timer(self.limits.idle_s - former_s,
+                           self._idle_timed_out)
             return
         self.lingering = True
         self.transport.loseConnection()
@@ -368,20 +364,18 @@
         self.memory.end_sending(self)
         self.exchange = None
         if self.h11.our_state is not h11.DONE:
-            self._linger()
+            closing.linger(self)
             return
         self.h11.start_next_cycle()
         self._update_limits()
         if not self._awaits_head():
-            self.timer.start(self.limits.header_s, self._head_timed_out)
+            self.set_timer(self.limits.header_s, self._head_timed_out)
         elif self.listener.closing:
-            # A caller may repeat a request that hasn't been read.
-            self._linger()
-            self._pause_reading()
+            closing.linger(self, reads=False)
             return
         else:
-            self.timer.start(self.limits.idle_s, self._idle_timed_out)
-        self._resume_reading()
+            self.set_timer(self.limits.idle_s, self._idle_timed_out)
+        self.resume_reading()
         self.reactor.callLater(0, self._process_events)
 
     def _send(self, event):
--- a/crocuskeel/gateway/gossip.py
+++ b/crocuskeel/gateway/gossip.py
@@ -137,7 +137,8 @@
 def _unpack(data):
     try:
         fields = msgpack.unpackb(data, use_list=False)
-    except (TypeError, ValueError, msgpack.UnpackException) as exc:
+    except (RecursionError, TypeError, ValueError,
+            msgpack.UnpackException) as exc:
         raise ValueError(f"invalid datagram: {exc}") from exc
     if not isinstance(fields, tuple) or not fields:
         raise ValueError("invalid datagram")
@@ -180,7 +181,7 @@
             _check((checks.is_load_rows, checks.is_texts), rest)
             return events.PeerLoadsReceived(first, loads, refused)
         return _decode_state(first, rest)
-    except (TypeError, ValueError) as exc:
+    except (RecursionError, TypeError, ValueError) as exc:
         raise ValueError(f"invalid datagram: {exc}") from exc
 
 
@@ -390,11 +391,10 @@
 
 def _without_half_of_rows(event):
     """Return an event with half of each kind of rows, None without any."""
-    rows = {field: getattr(event, field) for field in SAMPLED_FIELDS
-            if getattr(event, field, None)}
-    if not rows:
+    shorter = {field: rows[:len(rows) // 2] for field in SAMPLED_FIELDS
+               if (rows := getattr(event, field, None))}
+    if not shorter:
         return None
-    shorter = {field: rows[field][:len(rows[field]) // 2] for field in rows}
     if {"former_versions", "recorded_versions"} & shorter.keys():
         shorter["knows_versions"] = False
     return dataclasses.replace(event, **shorter)
