Don't conclude by answers where a newer list is known

Seven of 15 hosts were cut off together from the store and the others while a version joined. Within 0.3 s after the cut, and for as long as their watches of the store lagged after it, they confirmed each other's list: the host asked had heard of a newer list from the others by then, and went on at its only version all the same. So it reads the store now, if it is one of the hosts that do: the others of a large fleet are behind at each change. Right after the start of a cut the others still counted as heard for 1.3 s, and at a host that had just started also those that it merely lists: where all are heard directly, a host has to have heard most of them in the last 0.7 s, ready.

test_host_that_knows_of_a_newer_list before: Lists differ: [] != ['v1', 'v1']; test_host_that_starts_and_has_heard_nobody (15 hosts) before: the same.

--- a/crocuskeel/core/entry/fleet.py
+++ b/crocuskeel/core/entry/fleet.py
@@ -13,8 +13,8 @@
 __all__ = ["HOP_DELAY_S", "MAX_FANOUT", "PEER_TIMEOUT_S", "STATE_INTERVAL_S",
            "caller_addresses", "hears_all", "invalidate_serving_hosts",
            "is_in_touch", "is_large", "is_peer_ready", "is_ready",
-           "is_serving_host", "reads_store", "serving_hosts",
-           "store_data_age_s"]
+           "is_serving_host", "is_surely_in_touch", "reads_store",
+           "serving_hosts", "store_data_age_s"]
 
 # Interval at which hosts send their state, s.
 STATE_INTERVAL_S = 0.3
@@ -26,8 +26,11 @@
 PEER_TIMEOUT_S = 1.3
 # A host that hears all others has heard each within this, s.
 ALL_HEARD_S = 0.35
-# Nearly all of so many others are heard within PEER_TIMEOUT_S.
+# Most of so many others are heard within MOST_HEARD_S, two of their states.
 MAX_HEARD = 2 * MAX_FANOUT
+MOST_HEARD_S = 0.7
+# A host may not notice for so long that the store doesn't answer, s.
+UNNOTICED_S = 3.0
 MAX_ADDRESSES = 64
 # Minimum number of serving hosts, so that the failure of one affects at most
 # a fifth of the requests in progress. Hosts with at least half of the largest
@@ -197,18 +200,31 @@
         for known in host.peers.values())
 
 
-def is_in_touch(host, now, unnoticed_s=0.0):
+def is_in_touch(host, now):
     """Return whether most hosts are heard that were when the list was new.
 
     Hosts that are cut off from the others and from the store together know
-    only each other. They may have been so for ``unnoticed_s`` longer than the
-    age of the list shows; in a fleet where each host hears only some of the
-    others within PEER_TIMEOUT_S, that isn't counted.
+    only each other.
     """
     before = now - store_data_age_s(host, now) - PEER_TIMEOUT_S
-    if len(host.peers) <= MAX_HEARD:
-        before -= unnoticed_s
     known = [peer.last_seen_at for peer in host.peers.values()
              if peer.last_seen_at >= before]
     heard = sum(at >= now - PEER_TIMEOUT_S for at in known)
     return 2 * (heard + 1) > len(known) + 1
+
+
+def is_surely_in_touch(host, now):
+    """Return the same for a host that may not have noticed a cut yet.
+
+    In a large fleet each host hears only some of the others in that time.
+    Those that are merely listed were not heard.
+    """
+    if len(host.peers) > MAX_HEARD:
+        return is_in_touch(host, now)
+    before = (now - store_data_age_s(host, now)
+              - PEER_TIMEOUT_S - UNNOTICED_S)
+    known = [peer for peer in host.peers.values()
+             if peer.last_seen_at >= before]
+    heard = sum(peer.ready and peer.last_seen_at >= now - MOST_HEARD_S
+                for peer in known)
+    return 2 * (heard + 1) > len(known) + 1
--- a/crocuskeel/core/entry/lookups.py
+++ b/crocuskeel/core/entry/lookups.py
@@ -40,8 +40,6 @@
 ASK_AGAIN_S = 0.25
 # What the store knows is waited for until then, s.
 STORE_TIMEOUT_S = 1.2
-# A host may not notice for so long that the store doesn't answer, s.
-UNNOTICED_S = 3.0
 
 
 class Finding(enum.Enum):
@@ -250,12 +248,13 @@
     cut off with it, or none as it stood still. Answers tell of one service.
     """
     lookup = pending.lookup
-    if not pending.request.resumes and len(pending.route.split) > 1:
+    if (host.servers_behind_at is not None and recorders.may_read(host, now)
+            or not pending.request.resumes and len(pending.route.split) > 1):
         return False
     others = sum(not peer.leaving for peer in host.peers.values())
     answers = lookup.asked - len(lookup.unanswered)
     return (2 * answers >= max(lookup.asked, min(ASKED, others))
-            and fleet.is_in_touch(host, now, UNNOTICED_S))
+            and fleet.is_surely_in_touch(host, now))
 
 
 def _continue(host, pending, key, now):
--- a/tests/entry/test_hosts_out_of_step.py
+++ b/tests/entry/test_hosts_out_of_step.py
@@ -68,11 +68,18 @@
     def test_host_that_starts_and_has_heard_nobody(self):
         # Guards against hosts that the store lists and that count as heard,
         # at a host that starts on the wrong side of a cut.
-        host = self.start("v1", peers=())
-        host.store.is_away = True
-        host.feed(events.PeersListed(tuple(map(support.peer, SIX))))
-        self.assertEqual([], sent_to(host.take_up()))
-        self.assertEqual([], sent_to(time_out(host)))
+        for count in 6, 15:
+            host = self.start("v1", peers=())
+            host.store.is_away = True
+            names = [f"h{number}" for number in range(count)]
+            host.feed(events.PeersListed(tuple(map(support.peer, names))))
+            for name in names[1:-count // 2]:
+                host.hear(name)
+            host.now += 0.1
+            out = host.take_up()
+            for name in names[1:-count // 2]:
+                out += host.unknown(name, versions=("v1", ))
+            self.assertEqual([], sent_to(out + time_out(host)))
 
     def test_hosts_that_are_cut_off_together_do_not_conclude(self):
         # Guards against two of six that confirm each other's list.
@@ -97,6 +104,18 @@
         self.assertEqual(["v1"], sent_to(
             host.unknown("h3", versions=("v1", ))))
 
+    def test_host_that_knows_of_a_newer_list(self):
+        # Guards against hosts that were cut off together, are back, and ask
+        # each other: one has heard of a newer list, and none has it.
+        host = self.start("v1", peers=SIX)
+        host.store.is_away = True
+        host.feed(versions.state("h5", revision=6))
+        host.now += 0.1
+        out = host.take_up()
+        for name in "h1", "h2", "h3", "h4":
+            out += host.unknown(name, versions=("v1", ))
+        self.assertEqual([], sent_to(out + time_out(host)))
+
     def test_one_answer_that_names_another_version_is_enough(self):
         host = self.start("v1", peers=SIX)
         host.store.is_away = True
