--- a/crocuskeel/core/entry/lookups.py
+++ b/crocuskeel/core/entry/lookups.py
@@ -248,8 +248,8 @@
     cut off with it, or none as it stood still. Answers tell of one service.
     """
     lookup = pending.lookup
-    if host.servers_behind_at is not None or (
-            not pending.request.resumes and len(pending.route.split) > 1):
+    if (host.servers_behind_at is not None and recorders.may_read(host, now)
+            or not pending.request.resumes and len(pending.route.split) > 1):
         return False
     others = sum(not peer.leaving for peer in host.peers.values())
     answers = lookup.asked - len(lookup.unanswered)
