--- a/emulator/stops.py
+++ b/emulator/stops.py
@@ -16,7 +16,8 @@
 class StopTally:
     """Requests that planned stops concern, and how long stops took, s.
 
-    ``broken`` were read and got no whole answer as their host ended,
+    ``broken`` were read and got no whole answer as their host ended, those of
+    them that are ``broken_late`` were read after SIGTERM,
     ``refused`` counts refusals, and ``refused_in_vain`` those of requests
     that took less time elsewhere than their host had left. ``waits`` are the
     times to the first event of requests that were refused and then served,
@@ -25,6 +26,7 @@
     """
 
     broken: int = 0
+    broken_late: int = 0
     refused: int = 0
     refused_in_vain: int = 0
     repeated: int = 0
@@ -101,6 +103,8 @@
     now = host.world.clock.now
     tally = host.world.tally.stops
     tally.broken += len(host.pending)
+    tally.broken_late += sum(
+        each.at >= found.at for each in host.pending.values())
     tally.spans.append(now - found.at)
     host.stop()
     host.world.clock.after(found.away_s, host.start)
@@ -113,6 +117,7 @@
     tally = host.world.tally.stops
     if host.core.exited:
         tally.broken += 1
+        tally.broken_late += host.pending[effect.key].at >= host.stopping.at
         return
     tally.refused += 1
     caller = host.pending[effect.key].caller
