Judge the tiers in the soak by the tries that follow a refusal by a stop

The check is about capacity, of which the low tier is to be refused first.

So a try that a stopping host refused counts no longer if its caller came again: the next try counts in its place, and is refused if the tier is. A refusal without a next try counts as before.

--- a/tests/soak/test_stop_checks.py
+++ b/tests/soak/test_stop_checks.py
@@ -1,5 +1,6 @@
 """The checks of planned stops, violated and kept."""
 
+import dataclasses
 import unittest
 
 from tools.soak import callers
@@ -90,6 +91,25 @@
             with self.subTest(name):
                 self.assertEqual([], stop_checks.check_stops(record))
 
+    def test_refusals_count_for_the_tiers_unless_the_caller_came_again(self):
+        # Those of the next tries count.
+        for again_status, came_again, allowed in (
+                (200, True, True), (503, True, False), (200, False, False)):
+            record = records.new_record()
+            for number in range(40):
+                for kind in checks.STREAMS:
+                    sent = _add(record, f"{kind}{number}", 90.0, 95.0)
+                    sent.request = dataclasses.replace(sent.request, kind=kind)
+                _add(record, f"r{number}", 101.0, 101.0, 503,
+                     body=b"stopping", retry_after_s=0.0)
+                _add(record, f"again{number}", 101.0, 106.0, again_status)
+                if came_again:
+                    record.came_again[f"r{number}"] = f"again{number}"
+            with self.subTest(again=again_status, came_again=came_again):
+                found = [error for error in checks.check_run(record)
+                         if error.startswith("refused share")]
+                self.assertEqual(allowed, not found)
+
     def test_host_that_does_not_end_by_itself(self):
         record = records.new_record()
         record.kills.append((IP, 108.0))
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -346,12 +346,14 @@
 def _check_tiers(record):
     """Requests of the low tier are refused first when capacity is short.
 
-    Requests lost with a killed host say nothing about tiers.
+    Requests lost with a killed host say nothing about tiers, and for one that
+    a stopping host refused and that came again the next try counts.
     """
     refused = collections.Counter()
     total = collections.Counter()
     for sent in record.sent.values():
-        if part_checks.is_bad(sent.request) or sent.request.is_repeated:
+        if (part_checks.is_bad(sent.request) or sent.request.is_repeated
+                or sent.request.rid in record.came_again):
             continue
         total[sent.request.kind] += 1
         refused[sent.request.kind] += sent.reply.status == 503
