Expect nothing of a route from what other routes took

Callers: streams of 4.6 to 6 s were begun by hosts that had been sent SIGTERM, and broken off as they exited.

So what is served first after a start is a sample of the short routes only. Ruled out: late events (`late_s` 0.0), moved streams (one attempt each).

Now a route with less than three requests of its own has none, and its requests are expected to last until their time limit, as before the first one was served.

Evidence: tests/entry/test_stops.py, the new test failed before (`0.375 is not None`).

--- a/crocuskeel/core/entry/durations.py
+++ b/crocuskeel/core/entry/durations.py
@@ -3,8 +3,9 @@
 The load that it answers: streams whose lengths nobody knows in advance, at a
 host that has only seconds left. What is expected of a request is what the
 longest of the latest ones of its route took, in proportion to the tokens
-that it may generate: a mean would be exceeded by every second stream. For a
-route with few requests so far, those of all routes of its service count.
+that it may generate: a mean would be exceeded by every second stream. Of a
+route with few requests so far nothing is known: the first ones that a host
+serves after its start are of shorter routes.
 """
 
 import collections
@@ -76,9 +77,6 @@
 def expected_s(known, pending):
     """Return the time within which a request ends, s; None if unknown."""
     samples = known.routes.get(_key(pending), ())
-    if len(samples) < MIN_SAMPLES:
-        samples = [sample for (service, _), latest in known.routes.items()
-                   if service == pending.service for sample in latest]
     if len(samples) < MIN_SAMPLES:
         return None
     longest_s = max(sample.first_s for sample in samples)
--- a/tests/entry/test_stops.py
+++ b/tests/entry/test_stops.py
@@ -1,7 +1,10 @@
 """A host that is stopping: what it logs, takes and breaks off."""
 
+import dataclasses
+import types
 import unittest
 
+from crocuskeel.core.entry import durations
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import fleet
@@ -70,6 +73,15 @@
     return model.Prompt((("own", 100),), 100, tokens)
 
 
+def _served(route, sent_at, opened_at):
+    """Return a request and the attempt that served it."""
+    attempt = types.SimpleNamespace(sent_at=sent_at, opened_at=opened_at)
+    request = types.SimpleNamespace(prompt=prompt_of(100), is_taken_up=False)
+    return types.SimpleNamespace(
+        service="engines", route=route, request=request,
+        attempts=[attempt]), attempt
+
+
 STREAM = {"kind": model.Kind.STREAM, "timeout_s": 60.0}
 
 
@@ -118,6 +130,21 @@
         self.assertTrue(self._is_begun(driver, 1, deadline_s=7.0))
         self.assertFalse(self._is_begun(driver, 2))
 
+    def test_other_routes_say_nothing_of_a_route_without_experience(self):
+        # Streams of a host that has just started would be taken for as short
+        # as the answers of a quick route, which ends its first ones earlier.
+        routes = [dataclasses.replace(support.route(**STREAM), name=name,
+                                      prefix=f"/{name}/")
+                  for name in ("quick", "long")]
+        found = durations.new_durations()
+        for at in range(3):
+            durations.note_served(
+                found, *_served(routes[0], at, at + 0.3), at + 0.3)
+        pending, _ = _served(routes[1], 0, 9)
+        self.assertIsNone(durations.expected_s(found, pending))
+        pending, _ = _served(routes[0], 0, 9)
+        self.assertLess(0.3, durations.expected_s(found, pending))
+
     def test_time_limit_ends_a_long_request(self):
         driver = self._stopping(20.0)
         self.assertTrue(self._is_begun(driver, 1, deadline_s=7.0))
