Count a request once for starvation, however often stopping hosts refuse it

All three hosts were stopped within a few seconds and three times each; 82 of the 118 `refused_by_stop` in their logs are of the top tier, whose streams last longest, and each caller came again at once to be refused again. The check counted each try as a request that wasn't served.

Tries that callers repeat don't count elsewhere either (`is_repeated`); a try that a stopping host refused yields to the next one now, and the last one counts. A class whose last tries are refused starves as before. The new test has both cases; the first one failed before.

--- a/tests/soak/test_stop_checks.py
+++ b/tests/soak/test_stop_checks.py
@@ -110,6 +110,25 @@
                          if error.startswith("refused share")]
                 self.assertEqual(allowed, not found)
 
+    def test_class_that_is_refused_until_it_is_served_does_not_starve(self):
+        for again_status, allowed in ((200, True), (503, False)):
+            record = records.new_record()
+            for number in range(40):
+                for rid in range(5):
+                    sent = _add(record, f"low{number}-{rid}", 90.0, 95.0)
+                    sent.request = dataclasses.replace(
+                        sent.request, kind="low")
+                tries = [f"r{number}-{again}" for again in range(20)]
+                for rid, again in zip(tries, tries[1:]):
+                    _add(record, rid, 101.0, 101.0, 503, body=b"stopping",
+                         retry_after_s=0.0)
+                    record.came_again[rid] = again
+                _add(record, tries[-1], 102.0, 107.0, again_status)
+            with self.subTest(again=again_status):
+                found = [error for error in checks.check_run(record)
+                         if "starved" in error]
+                self.assertEqual(allowed, not found)
+
     def test_host_that_does_not_end_by_itself(self):
         record = records.new_record()
         record.kills.append((IP, 108.0))
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -324,6 +324,7 @@
     for sent in record.sent.values():
         if (sent.request.kind in KINDS and not sent.reply.abandoned
                 and not sent.request.is_repeated
+                and sent.request.rid not in record.came_again
                 and not part_checks.is_bad(sent.request)):
             total[sent.request.kind] += 1
             served[sent.request.kind] += sent.reply.status == 200
