--- a/tests/entry/test_stops.py
+++ b/tests/entry/test_stops.py
@@ -1,7 +1,6 @@
 """A host that is stopping: what it logs, takes and breaks off."""
 
 import dataclasses
-import types
 import unittest
 
 from crocuskeel.core.entry import durations
@@ -76,11 +75,10 @@
 
 def _served(route, sent_at, opened_at):
     """Return a request and the attempt that served it."""
-    attempt = types.SimpleNamespace(sent_at=sent_at, opened_at=opened_at)
-    request = types.SimpleNamespace(prompt=prompt_of(100), is_taken_up=False)
-    return types.SimpleNamespace(
-        service="engines", route=route, request=request,
-        attempts=[attempt]), attempt
+    pending = support.request_state(route, prompt=prompt_of(100))
+    attempt = states.Attempt(0, "i-1", "", sent_at, opened_at=opened_at)
+    pending.attempts.append(attempt)
+    return pending, attempt
 
 
 STREAM = {"kind": model.Kind.STREAM, "timeout_s": 60.0}
