Learn how long requests take from successes only

A host that was stopping began calls that it could not end, if the latest requests of their route had been refused by the servers: an answer of 404 after 10 ms counted as a served request, so that three of them made a host that had just started expect all others to end within 13 ms. Its callers got a 502 at the exit where another host would have served them.

Streams that end whole were not concerned, as they come by another event; answers with an error to a request for a stream were.

Answers count below 300 only, as in the crash records. Before: test_refusals_of_servers_say_nothing_about_others failed with 'True is not false' (a call with 60 s left was begun after SIGTERM).

--- a/crocuskeel/core/entry/attempts.py
+++ b/crocuskeel/core/entry/attempts.py
@@ -244,7 +244,8 @@
     attempt.opened_at = attempt.sent_at
     attempt.is_first_run = (event.status < FIRST_REDIRECT
                             and not attempt.relayed)
-    durations.note_served(host.known_durations, pending, attempt, now)
+    if event.status < FIRST_REDIRECT:
+        durations.note_served(host.known_durations, pending, attempt, now)
     out = _record_success(host, pending, attempt, event.closed, now)
     out += ending.cancel_others(host, pending, attempt)
     out.append(effects.ForwardResponse(pending.key, attempt.attempt_number))
--- a/tests/entry/test_stops.py
+++ b/tests/entry/test_stops.py
@@ -126,6 +126,21 @@
         driver.feed(events.StopAsked())
         self.assertTrue(self._is_begun(driver, 1))
 
+    def _answer(self, driver, status, path):
+        """Have three calls answered at once."""
+        for key in range(101, 104):
+            driver.arrive(key, deadline_s=60.0, path=path)
+            driver.feed(events.ResponseReceived(key, 0, status, None, True),
+                        0.01)
+
+    def test_refusals_of_servers_say_nothing_about_others(self):
+        # A call of 60 s was begun, and broken off by the exit.
+        driver = support.Driver(support.route(timeout_s=60.0),
+                                servers=SERVERS)
+        self._answer(driver, 404, "/booking/1")
+        driver.feed(events.StopAsked())
+        self.assertFalse(self._is_begun(driver, prompt=None))
+
     def test_request_without_experience_has_until_its_time_limit(self):
         driver = stopping_driver(support.route(**STREAM))
         self.assertTrue(self._is_begun(driver, 1, deadline_s=7.0))
