Compare streams with streams, and prompts with prompts, at a stop

A host that was stopping expected a stream of a route without experience to take as long as the calls of its service: three calls of 10 ms, and it began a stream with a limit of 60 s, which the exit cut. The other way, one stream whose request named no number of tokens counted all of its time as that of one token, and for the next 64 requests all prompts of the route, of 1 s each, were refused.

Requests are compared by service, by whether they are streams, and by whether they have a number of tokens; the rest of the estimate is as before. The comment on calls said that their answer counts as the first event; in fact all of their time counts per token, as the first event of a call is taken to be its sending. That is left as it is.

Before: test_calls_say_nothing_about_streams failed with 'True is not false', test_requests_without_tokens_say_nothing_about_prompts with 'False is not true'.

--- a/crocuskeel/core/entry/durations.py
+++ b/crocuskeel/core/entry/durations.py
@@ -5,11 +5,15 @@
 longest of the latest ones of its route took, in proportion to the tokens
 that it may generate: a mean would be exceeded by every second stream. For a
 route with few requests so far, those of all routes of its service count.
+Calls say nothing about streams, nor requests without a number of tokens about
+those with one.
 """
 
 import collections
 import dataclasses
 
+from crocuskeel.core.entry import model
+
 __all__ = ["Durations", "expected_s", "new_durations", "note_served"]
 
 # Number of requests of a route that are remembered, and that are needed.
@@ -26,7 +30,7 @@
 class _Sample:
     """One request: time to its first event, and from there per token, s.
 
-    The answer to a call is its first event.
+    A call has no first event: all of its time counts per token.
     """
 
     first_s: float
@@ -35,7 +39,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Durations:
-    """The latest requests by (service, route)."""
+    """The latest requests by (class, route), see _class."""
 
     routes: dict = dataclasses.field(default_factory=dict)
 
@@ -45,8 +49,14 @@
     return Durations()
 
 
+def _class(pending):
+    """Return what requests have in common that are compared."""
+    return (pending.service, pending.route.kind is model.Kind.STREAM,
+            pending.request.prompt is not None)
+
+
 def _key(pending):
-    return pending.service, pending.route.name
+    return _class(pending), pending.route.name
 
 
 def _tokens(pending):
@@ -79,8 +89,8 @@
     """Return the time within which a request ends, s; None if unknown."""
     samples = known.routes.get(_key(pending), ())
     if len(samples) < MIN_SAMPLES:
-        samples = [sample for (service, _), latest in known.routes.items()
-                   if service == pending.service for sample in latest]
+        samples = [sample for (found, _), latest in known.routes.items()
+                   if found == _class(pending) for sample in latest]
     if len(samples) < MIN_SAMPLES:
         return None
     longest_s = max(sample.first_s for sample in samples)
--- a/tests/entry/test_stops.py
+++ b/tests/entry/test_stops.py
@@ -141,6 +141,24 @@
         driver.feed(events.StopAsked())
         self.assertFalse(self._is_begun(driver, prompt=None))
 
+    def test_calls_say_nothing_about_streams(self):
+        # A stream of a route without experience was begun and cut.
+        driver = support.Driver(
+            support.route(**STREAM), support.route("call"), servers=SERVERS)
+        self._answer(driver, 200, "/call/1")
+        driver.feed(events.StopAsked())
+        self.assertFalse(self._is_begun(driver, prompt=None))
+
+    def test_requests_without_tokens_say_nothing_about_prompts(self):
+        # All of their time counted as that of one token.
+        driver = self._stopping(1.0)
+        driver.host.stop_at = None
+        driver.arrive(9, deadline_s=60.0)
+        driver.feed(events.StreamOpened(9, 0, None))
+        driver.feed(events.StreamEnded(9, 0), 0.5)
+        driver.feed(events.StopAsked())
+        self.assertTrue(self._is_begun(driver, 1))
+
     def test_request_without_experience_has_until_its_time_limit(self):
         driver = stopping_driver(support.route(**STREAM))
         self.assertTrue(self._is_begun(driver, 1, deadline_s=7.0))
