Measure unsent answers anew at each step of a stop

An idle host exits as its listener closes, at a time of its own, but what callers hadn't read yet was measured with the tick, up to 0.3 s before. The end of an answer that was larger than the socket's buffer, and that ended between the two, was lost: the process ended with it in its memory. Ticks measure first, so that the exits there were not concerned.

The step measures first, too. Before: the new test, in which an answer ends 0.1 s before the close of the listener, failed with an exit at 3.0 s ('[] != [3.0]').

--- a/crocuskeel/gateway/loop.py
+++ b/crocuskeel/gateway/loop.py
@@ -97,6 +97,8 @@
 
     def stop_due(self):
         """Feed that a step of the shutdown is due."""
+        # What callers haven't read yet may have changed since the tick.
+        self.memory.measure()
         self.feed(events.StopDue(self._reading()))
 
     def feed(self, event):
--- /dev/null
+++ b/tests/gateway/test_stopping.py
@@ -0,0 +1,49 @@
+"""Stops of a host with answers that the kernel doesn't have yet."""
+
+import random
+import unittest
+
+from crocuskeel.core import entry
+from crocuskeel.core.entry import events
+from crocuskeel.gateway import callers
+from crocuskeel.gateway import loop
+from tests.entry import support as entry_support
+from tests.gateway import support
+from twisted.internet import testing
+
+
+class UnsentTest(unittest.TestCase):
+    """Guards against an exit that loses the end of an answer."""
+
+    def test_answer_since_the_latest_tick_is_waited_for(self):
+        # Answers are measured with the tick. One that ended after it, just
+        # before the listener closed, was cut off by the exit.
+        reactor = testing.MemoryReactorClock()
+        exits = []
+        gateway = loop.new_gateway(
+            reactor, entry.new_host(entry.Settings(), random.Random(1)),
+            support.new_header_codec(), lambda event, fields: None,
+            lambda: 0.0)
+        gateway.memory.limit = 256 << 20
+        gateway.on_stop_accepting = lambda: None
+        gateway.on_exit = lambda: exits.append(reactor.seconds())
+        gateway.listener = callers.new_listener(
+            reactor, gateway, gateway.memory)
+        caller = gateway.listener.buildProtocol(None)
+        caller.makeConnection(support.Transport())
+        gateway.feed(events.Started(entry_support.peer("me")))
+        gateway.stop(reactor.seconds())
+        reactor.advance(2.9)
+        gateway.memory.measure()
+        caller.transport.dataBuffer = b"the end of an answer"
+        gateway.memory.note_write(caller)
+        reactor.advance(0.1)
+        self.assertTrue(gateway.host.listener_closed)
+        self.assertEqual([], exits)
+        caller.transport.dataBuffer = b""
+        gateway.tick()
+        self.assertEqual(1, len(exits))
+
+
+if __name__ == "__main__":
+    unittest.main()
