Keep a connection whose next request has been read at a stop

A connection counted as idle between the end of an answer and the loop's next turn, in which a request that came behind is taken from the parser. If the listener closed in between, the connection was closed with a request that had been read, and its caller can't know that it was not run. A head that was read in part counted as being read for the exit, but was closed on, too; it has its time limit.

Such a connection is no longer idle. Before: the new test failed with 'True is not false' (the connection was closing).

--- a/crocuskeel/gateway/callers.py
+++ b/crocuskeel/gateway/callers.py
@@ -296,7 +296,7 @@
 
     def is_idle(self):
         """Return whether no request is being read or answered."""
-        return not (self.exchange or self.request or self.lingering)
+        return not (self.exchange or self.lingering) and self._awaits_head()
 
     def is_reading(self):
         """Return whether a request has been read in part."""
--- a/tests/gateway/test_callers.py
+++ b/tests/gateway/test_callers.py
@@ -218,6 +218,17 @@
             self.clock.advance(0)
         self.assertTrue(self.transport.write_closed)
 
+    def test_request_behind_an_answer_is_kept_if_its_turn_is_to_come(self):
+        # It had been read, and its connection counted as idle.
+        self.conn.dataReceived(POST * 2)
+        self.handler.exchanges[0].answer(200, [], b"one")
+        self.listener.close_idle()
+        self.assertFalse(self.transport.disconnecting)
+        self.clock.advance(0)
+        self.handler.exchanges[1].answer(200, [], b"two")
+        self.assertIn(b"Connection: close", self._written())
+        self.assertTrue(self.transport.write_closed)
+
     def test_connection_stays_open_while_addresses_are_kept(self):
         # Closing it at once could cross its caller's next request.
         self._end_stream_after(self.listener.end_keep_alive)
