--- a/crocuskeel/core/entry/durations.py
+++ b/crocuskeel/core/entry/durations.py
@@ -5,7 +5,8 @@
 longest of the latest ones of its route took, in proportion to the tokens
 that it may generate: a mean would be exceeded by every second stream. Of a
 route with few requests so far nothing is known: the first ones that a host
-serves after its start are of shorter routes.
+serves after its start are of shorter routes. Requests without a number of
+tokens say nothing about those with one.
 """
 
 import collections
@@ -27,7 +28,7 @@
 class _Sample:
     """One request: time to its first event, and from there per token, s.
 
-    The answer to a call is its first event.
+    A call has no first event: all of its time counts per token.
     """
 
     first_s: float
@@ -36,7 +37,7 @@
 
 @dataclasses.dataclass(slots=True)
 class Durations:
-    """The latest requests by (service, route)."""
+    """The latest requests by route, see _key."""
 
     routes: dict = dataclasses.field(default_factory=dict)
 
@@ -47,7 +48,8 @@
 
 
 def _key(pending):
-    return pending.service, pending.route.name
+    return (pending.service, pending.route.name,
+            pending.request.prompt is not None)
 
 
 def _tokens(pending):
--- a/tests/entry/test_stops.py
+++ b/tests/entry/test_stops.py
@@ -136,6 +136,59 @@
         driver.feed(events.StopAsked())
         self.assertTrue(self._is_begun(driver, 1))
 
+    def _answer(self, driver, status, path):
+        """Have three calls answered at once."""
+        for key in range(101, 104):
+            driver.arrive(key, deadline_s=60.0, path=path)
+            driver.feed(events.ResponseReceived(key, 0, status, None, True),
+                        0.01)
+
+    def test_refusals_of_servers_say_nothing_about_others(self):
+        # A call of 60 s was begun, and broken off by the exit.
+        driver = support.Driver(support.route(timeout_s=60.0),
+                                servers=SERVERS)
+        self._answer(driver, 404, "/booking/1")
+        driver.feed(events.StopAsked())
+        self.assertFalse(self._is_begun(driver, prompt=None))
+
+    def test_calls_say_nothing_about_streams(self):
+        # A stream of a route without experience was begun and cut.
+        driver = support.Driver(
+            support.route(**STREAM), support.route("call"), servers=SERVERS)
+        self._answer(driver, 200, "/call/1")
+        driver.feed(events.StopAsked())
+        self.assertFalse(self._is_begun(driver, prompt=None))
+
+    def test_requests_without_tokens_say_nothing_about_prompts(self):
+        # All of their time counted as that of one token.
+        driver = self._stopping(1.0)
+        driver.host.stop_at = None
+        driver.arrive(9, deadline_s=60.0)
+        driver.feed(events.StreamOpened(9, 0, None))
+        driver.feed(events.StreamEnded(9, 0), 0.5)
+        driver.feed(events.StopAsked())
+        self.assertTrue(self._is_begun(driver, 1))
+
+    def test_longest_of_the_latest_requests_counts(self):
+        # A stream like it was begun and cut.
+        driver = self._stopping(6.0)
+        driver.host.stop_at = None
+        self._serve(driver, 9, 0.5)
+        driver.feed(events.StopAsked())
+        self.assertFalse(self._is_begun(driver, 1, 1.0))
+
+    def test_request_that_may_have_run_is_not_refused_as_not_run(self):
+        # Its caller would have it run a second time.
+        driver = support.Driver(support.route(timeout_s=60.0),
+                                servers=SERVERS)
+        driver.arrive(deadline_s=60.0)
+        driver.feed(events.StopAsked())
+        out = driver.feed(events.AttemptFailed(
+            1, 0, model.Outcome.DISCONNECTED, "closed", True))
+        self.assertEqual([], support.effects_of(out, effects.Answer))
+        self.assertEqual(1, len(support.effects_of(
+            out, effects.SendRequest)))
+
     def test_request_without_experience_has_until_its_time_limit(self):
         driver = stopping_driver(support.route(**STREAM))
         self.assertTrue(self._is_begun(driver, 1, deadline_s=7.0))
