--- a/Makefile
+++ b/Makefile
@@ -39,7 +39,8 @@
 # from copies, the third one with requests that crash servers, the fourth one
 # with hosts that are cut off from all servers, the fifth one with engines of
 # several software versions, the sixth one with prompt parts that crash
-# engines, the seventh one with all hosts killed while software versions change;
+# engines, the seventh one with all hosts killed while software versions change,
+# the eighth one with all hosts stopped as planned;
 # more seeds by hand, docs/howto/soak.md.
 soak: install
 	$(BIN)/python -m tools.soak --seed 7 --seconds 8
@@ -49,6 +50,7 @@
 	$(BIN)/python -m tools.soak --seed 1402 --seconds 8
 	$(BIN)/python -m tools.soak --seed 1502 --seconds 8
 	$(BIN)/python -m tools.soak --seed 1725 --seconds 10
+	$(BIN)/python -m tools.soak --seed 1800 --seconds 10
 
 check: lint types models soak test
 
