Read what came before the close of a stopping host before connections close

Callers that connected, and sent their request, just before a stopping host closed its listener would see their connections closed without an answer, if the host was short of processor time then; their requests had come up to 0.4 s before.

Cause: the listener and idle connections are closed in one turn of the loop, with connections that still wait to be accepted, or that were accepted in that turn and not read yet. A host with nothing in progress exits in the same step. Ruled out: kept connections while others are in progress (all 8 were answered), as the loop reads before it comes to its timers.

Now, at each step of a stop, the connections that wait are accepted, and idle ones with something to be read count as requests that are being read, so that the host doesn't exit before it has looked at them; the close of idle connections comes one turn later.

Evidence: tests/stops/test_pauses.py, a host that stands still from 0.4 s before the close to 0.4 s after it, with 8 kept and 8 new connections; before: FAIL: test_request_that_came_before_the_close_is_answered [200, 200, 200, 200, 200, 200, 200, 200, 0, 0, 0, 0, 0, 0, 0, 0] now it passes, 4 of 4 runs.

--- a/crocuskeel/gateway/listeners.py
+++ b/crocuskeel/gateway/listeners.py
@@ -39,6 +39,11 @@
         """Return the number of requests that are being read."""
         return sum(conn.is_reading() for conn in self.open_connections)
 
+    def unread(self):
+        """Return the number of idle connections with something to be read."""
+        return sockets.unread([conn.transport for conn in self.open_connections
+                               if conn.is_idle()])
+
     def close_idle(self):
         """Close idle connections now, others after their answers."""
         self.ends_keep_alive = True
--- a/crocuskeel/gateway/loop.py
+++ b/crocuskeel/gateway/loop.py
@@ -33,8 +33,9 @@
     reads a peer's configuration. ``duty_executor(effect)`` carries out
     effects of duties, and ``record_executor(effect)`` those of records of
     streams. ``listener`` has the connections of callers,
-    ``on_stop_accepting`` stops listening for more, ``on_exit`` ends the
-    process, and ``flush_log`` writes the log's lines.
+    ``accept_waiting`` accepts those that wait, ``on_stop_accepting`` stops
+    listening for more, ``on_exit`` ends the process, and ``flush_log`` writes
+    the log's lines.
     """
 
     def __init__(self, reactor, host, codec, log, wall_clock):
@@ -51,6 +52,7 @@
         self.record_executor = None
         self.on_stop_accepting = None
         self.on_exit = None
+        self.accept_waiting = None
         self.listener = None
         self.tick_due = None
         # When the latest tick was due, and when it came.
@@ -80,7 +82,9 @@
         """
         if self.host.stop_at is None or self.listener is None:
             return 0
-        return self.listener.reading()
+        if not self.listener.closing and self.accept_waiting is not None:
+            self.accept_waiting()
+        return self.listener.reading() + self.listener.unread()
 
     def stop(self, asked_at):
         """Feed that the process was asked to stop, by a signal.
@@ -274,7 +278,8 @@
 def _stop_accepting(gateway, effect):
     gateway.on_stop_accepting()
     if gateway.listener is not None:
-        gateway.listener.close_idle()
+        # What has come on connections that were just accepted is read first.
+        gateway.reactor.callLater(0, gateway.listener.close_idle)
 
 
 def _exit(gateway, effect):
--- a/crocuskeel/gateway/sockets.py
+++ b/crocuskeel/gateway/sockets.py
@@ -1,11 +1,12 @@
 """Socket options of TCP connections, and immediate writes."""
 
+import select
 import socket
 import struct
 
 __all__ = ["PAUSED_USER_TIMEOUT_MS", "allow_close", "configure",
            "kernel_backlog", "reset_on_close", "resets_on_close",
-           "set_user_timeout", "unsent_bytes", "write"]
+           "set_user_timeout", "unread", "unsent_bytes", "write"]
 
 # Keepalive: a connection can stop delivering data for good while new ones
 # work, because a device on its path lost its state, and a reader would wait
@@ -87,6 +88,14 @@
         socket.SOL_SOCKET, socket.SO_LINGER, len(ZERO_LINGER))
 
 
+def unread(transports):
+    """Return the number of connections with something to be read."""
+    poll = select.poll()
+    for transport in transports:
+        poll.register(transport.getHandle(), select.POLLIN)
+    return len(poll.poll(0))
+
+
 def unsent_bytes(transport):
     """Return the number of bytes that wait to be sent."""
     return (len(transport.dataBuffer) - transport.offset
--- a/crocuskeel/platform/assembly.py
+++ b/crocuskeel/platform/assembly.py
@@ -1,5 +1,6 @@
 """Builds and starts an entry host on the platform."""
 
+import functools
 import random
 
 from crocuskeel.core import entry
@@ -97,6 +98,14 @@
 
     gateway.listener = caller_listener
     gateway.on_stop_accepting = port.stopListening
+    gateway.accept_waiting = functools.partial(_accept_waiting, port)
+
+
+def _accept_waiting(port):
+    """Accept the connections of callers that wait for it."""
+    if port.connected:
+        port.numberAccepts = LISTEN_BACKLOG + 1
+        port.doRead()
 
 
 def _new_snapshot_fetcher(reactor, gateway, watcher):
--- a/tests/stops/test_pauses.py
+++ b/tests/stops/test_pauses.py
@@ -8,6 +8,8 @@
 
 # Longer than the interval of a host's ticks.
 PAUSE_S = 1.5
+# A stopping host closes its listener and idle connections then, s.
+CLOSES_S = 3.0
 COUNT = 8
 WORK = {"first_s": 0.2}
 
@@ -50,6 +52,26 @@
         self.assertEqual([], [number for number in range(len(callers))
                               if self.hosts.begun(f"left-{number}")])
 
+    def test_request_that_came_before_the_close_is_answered(self):
+        # The host closed its connection as it went on, before it read it; if
+        # nothing else was in progress, it exited at once.
+        for number in range(3):
+            self._caller().ask(f"learn-{number}", {}, "unsafe")
+        kept = [self._caller() for _ in range(COUNT)]
+        for number, caller in enumerate(kept):
+            caller.ask(f"first-{number}", {}, "unsafe")
+        stopped_at = self.hosts.stop(self.ip)
+        time.sleep(max(0.0, stopped_at + CLOSES_S - 0.4 - time.monotonic()))
+        process = self.hosts.processes[self.ip]
+        process.send_signal(signal.SIGSTOP)
+        callers = kept + [self._caller() for _ in range(COUNT)]
+        for number, caller in enumerate(callers):
+            caller.send(f"came-{number}", {}, "unsafe")
+        time.sleep(0.8)
+        process.send_signal(signal.SIGCONT)
+        self.assertEqual([200] * len(callers),
+                         [caller.read().status for caller in callers])
+
 
 if __name__ == "__main__":
     unittest.main()
