Compare requests with those of similar limits as a host stops

Callers: a stream with a low limit of tokens could be begun by a stopping host and broken off. Its expected time was that of longer streams scaled down by the limits, but a limit is a maximum: most answers end before it, so that one of 1,000 may take 5 s for 100 tokens, and one with a limit of 100 takes as long.

Now a request is compared with the latest ones of up to twice its limit, and with all if there are fewer than three; what they took is scaled up by larger limits, never down. test_shorter_limits_are_compared_with_each_other failed before ('True is not false': begun); the third assertion of test_longer_answers_take_longer, which asked for the scaling down, is replaced by it and holds once such streams were served.

--- a/crocuskeel/core/entry/durations.py
+++ b/crocuskeel/core/entry/durations.py
@@ -2,11 +2,12 @@
 
 The load that it answers: streams whose lengths nobody knows in advance, at a
 host that has only seconds left. What is expected of a request is what the
-longest of the latest ones of its route took, in proportion to the tokens
-that it may generate: a mean would be exceeded by every second stream. Of a
-route with few requests so far nothing is known: the first ones that a host
-serves after its start are of shorter routes. Requests without a number of
-tokens say nothing about those with one.
+longest of the latest ones of its route took: a mean would be exceeded by every
+second stream. More tokens may take longer in proportion, but fewer needn't
+take less, as most answers end before their limit; so a request is compared
+with those whose limit isn't much larger. Of a route with few requests so far
+nothing is known: the first ones that a host serves after its start are of
+shorter routes. Requests without a limit of tokens say nothing about others.
 """
 
 import collections
@@ -17,6 +18,8 @@
 # Number of requests of a route that are remembered, and that are needed.
 SAMPLES = 64
 MIN_SAMPLES = 3
+# A request is compared with those of up to this many times its tokens.
+MAX_TOKENS_FACTOR = 2
 # Routes that are remembered; those that served least recently yield.
 MAX_ROUTES = 1024
 # What is expected exceeds the longest request by this share, as load may
@@ -26,13 +29,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Sample:
-    """One request: time to its first event, and from there per token, s.
+    """One request: time to its first event, and from there to its end, s.
 
-    A call has no first event: all of its time counts per token.
+    A call has no first event. ``tokens`` is its limit, 1 without one.
     """
 
     first_s: float
-    token_s: float
+    rest_s: float
+    tokens: int
 
 
 @dataclasses.dataclass(slots=True)
@@ -74,8 +78,8 @@
             del known.routes[next(iter(known.routes))]
     known.routes[_key(pending)] = samples
     first_at = min(attempt.opened_at, now)
-    samples.append(_Sample(first_at - attempt.sent_at,
-                           (now - first_at) / _tokens(pending)))
+    samples.append(_Sample(first_at - attempt.sent_at, now - first_at,
+                           _tokens(pending)))
 
 
 def expected_s(known, pending):
@@ -83,7 +87,12 @@
     samples = known.routes.get(_key(pending), ())
     if len(samples) < MIN_SAMPLES:
         return None
-    longest_s = max(sample.first_s for sample in samples)
-    longest_s += _tokens(pending) * max(
-        sample.token_s for sample in samples)
+    tokens = _tokens(pending)
+    compared = [sample for sample in samples
+                if sample.tokens <= MAX_TOKENS_FACTOR * tokens]
+    if len(compared) < MIN_SAMPLES:
+        compared = samples
+    longest_s = max(sample.first_s for sample in compared)
+    longest_s += max(sample.rest_s * max(1.0, tokens / sample.tokens)
+                     for sample in compared)
     return longest_s * (1.0 + MARGIN_SHARE)
--- a/tests/entry/test_stops.py
+++ b/tests/entry/test_stops.py
@@ -121,8 +121,20 @@
         driver = self._stopping(4.0)
         self.assertTrue(self._is_begun(driver, 1, prompt=prompt_of(140)))
         self.assertFalse(self._is_begun(driver, 2, prompt=prompt_of(200)))
-        self.assertTrue(self._is_begun(driver, 3, 5.0,
+
+    def test_shorter_limits_are_compared_with_each_other(self):
+        # Most answers end before their limit: one of a lower limit may take
+        # as long, and was begun and broken off.
+        driver = self._stopping(4.0)
+        self.assertFalse(self._is_begun(driver, 1, 5.0,
+                                        prompt=prompt_of(30)))
+        driver.host.stop_at = None
+        for key in range(3):
+            self._serve(driver, 200 + key, 1.0, tokens=30)
+        driver.feed(events.StopAsked())
+        self.assertTrue(self._is_begun(driver, 2, 5.0,
                                        prompt=prompt_of(30)))
+        self.assertFalse(self._is_begun(driver, 3, prompt=prompt_of(100)))
 
     def test_caller_that_reads_slowly_says_nothing_about_others(self):
         # All streams of its route were refused.
