Count a pause at SIGTERM once

A host that stood still as SIGTERM came exited up to 0.8 s too early and broke off what could have ended: its grace period counted from the beginning of the pause, and the late tick after it shortened the end, too.

The lateness that the time of the stop contains isn't counted again.

--- a/crocuskeel/core/entry/lifecycle.py
+++ b/crocuskeel/core/entry/lifecycle.py
@@ -32,7 +32,8 @@
     if host.stop_at is not None:
         return []
     host.was_serving = fleet.is_serving_host(host, now)
-    stopping.begin(host, now if event.asked_at is None else event.asked_at)
+    stopping.begin(
+        host, now if event.asked_at is None else event.asked_at, now)
     host.stop_logged_at = now
     fleet.invalidate_serving_hosts(host)
     return ([effects.LogEvent("stopping", {
--- a/crocuskeel/core/entry/stopping.py
+++ b/crocuskeel/core/entry/stopping.py
@@ -21,11 +21,15 @@
 MAX_LATE_SHARE = 0.1
 
 
-def begin(host, asked_at):
-    """Begin the stop that was asked for at a time."""
+def begin(host, asked_at, now):
+    """Begin the stop that was asked for at a time.
+
+    A pause with which the grace period began is no lateness besides.
+    """
     host.stop_at = asked_at
+    late_s = max(0.0, host.late_s - (now - asked_at))
     host.exit_margin_s = EXIT_MARGIN_S + min(
-        host.late_s, MAX_LATE_SHARE * host.cfg.grace_s)
+        late_s, MAX_LATE_SHARE * host.cfg.grace_s)
 
 
 def ends_at(host):
