Let the bench of ways to stop expect the mean again

What is remembered of a request is its time and its limit now, not its time per token; the way "expect the mean" ended with an AttributeError.

--- a/bench/stopping.py
+++ b/bench/stopping.py
@@ -78,7 +78,7 @@
         return EXPECTED_S(known, pending)
     return (statistics.fmean(each.first_s for each in samples)
             + durations._tokens(pending) * statistics.fmean(
-                each.token_s for each in samples))
+                each.rest_s / each.tokens for each in samples))
 
 
 def _keep_all(client, connection):
