Let a stopping host's margin follow how streams vary

Callers: streams that would have ended in time were refused by hosts that had just been asked to stop. All streams of that route take about 5.4 s, and a quarter was added to the longest of them whatever the others took.

Now what is added is by how much the longest exceeds the median, between a tenth and a quarter of it; with fewer than eight requests the quarter. The new test failed before (5.0 in place of 4.4 for eight of one length).

--- a/crocuskeel/core/entry/durations.py
+++ b/crocuskeel/core/entry/durations.py
@@ -12,6 +12,7 @@
 
 import collections
 import dataclasses
+import statistics
 
 __all__ = ["Durations", "expected_s", "new_durations", "note_served"]
 
@@ -22,9 +23,12 @@
 MAX_TOKENS_FACTOR = 2
 # Routes that are remembered; those that served least recently yield.
 MAX_ROUTES = 1024
-# What is expected exceeds the longest request by this share, as load may
-# rise while a request runs.
-MARGIN_SHARE = 0.25
+# What is expected exceeds the longest request by as much as that exceeds the
+# median, within these shares of it, as load may rise while a request runs; by
+# the larger share as long as there are too few to know how they vary.
+MIN_MARGIN_SHARE = 0.1
+MAX_MARGIN_SHARE = 0.25
+VARIED_SAMPLES = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -92,7 +96,16 @@
                 if sample.tokens <= MAX_TOKENS_FACTOR * tokens]
     if len(compared) < MIN_SAMPLES:
         compared = samples
-    longest_s = max(sample.first_s for sample in compared)
-    longest_s += max(sample.rest_s * max(1.0, tokens / sample.tokens)
-                     for sample in compared)
-    return longest_s * (1.0 + MARGIN_SHARE)
+    rests = [sample.rest_s * max(1.0, tokens / sample.tokens)
+             for sample in compared]
+    longest_s = max(sample.first_s for sample in compared) + max(rests)
+    return longest_s + _margin_s(longest_s, rests)
+
+
+def _margin_s(longest_s, rests):
+    """Return by how much a request may take longer than the longest, s."""
+    most_s = MAX_MARGIN_SHARE * longest_s
+    if len(rests) < VARIED_SAMPLES:
+        return most_s
+    spread_s = max(rests) - statistics.median(rests)
+    return min(most_s, max(MIN_MARGIN_SHARE * longest_s, spread_s))
--- a/tests/entry/test_stops.py
+++ b/tests/entry/test_stops.py
@@ -122,6 +122,22 @@
         self.assertTrue(self._is_begun(driver, 1, prompt=prompt_of(140)))
         self.assertFalse(self._is_begun(driver, 2, prompt=prompt_of(200)))
 
+    def test_streams_of_one_length_need_less_of_a_margin(self):
+        # Those that would end in time were refused for a quarter more than
+        # the longest of them.
+        for lengths, expected_s in (
+                ([4.0] * 3, 5.0), ([4.0] * 8, 4.4), ([4.0, 3.5] * 4, 4.4),
+                ([4.0, 3.2] * 4, 4.4), ([4.0, 1.0, 1.0] * 3, 5.0)):
+            with self.subTest(lengths=lengths):
+                found = durations.new_durations()
+                for took_s in lengths:
+                    durations.note_served(
+                        found, *_served(support.route(**STREAM), 0, 0),
+                        took_s)
+                pending, _ = _served(support.route(**STREAM), 0, 0)
+                self.assertAlmostEqual(
+                    expected_s, durations.expected_s(found, pending))
+
     def test_shorter_limits_are_compared_with_each_other(self):
         # Most answers end before their limit: one of a lower limit may take
         # as long, and was begun and broken off.
