--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -1,5 +1,6 @@
 """Fake transports and a gateway that records its events."""
 
+import os
 import random
 
 from crocuskeel.core import entry
@@ -10,10 +11,18 @@
 from twisted.internet import testing
 
 
+# A descriptor with nothing to be read, while the other one is open.
+_IDLE, _OTHER = os.pipe()
+
+
 class _Socket:
     def setsockopt(self, *args):
         """Accept any option."""
 
+    def fileno(self):
+        """Return a descriptor with nothing to be read."""
+        return _IDLE
+
     def getsockopt(self, *args):
         """Say nothing, as a kernel that doesn't know the option."""
         return b""
