Core: a request in progress is not shed as its second server has no room

What callers saw: 503 "overload", which says that a request has not run, while a server was running it.

Cause: a repeatable request that waits for half its goal is sent to a second server. If that one has no room, the request was shed without a look at the attempt in progress, and that was broken off.

Change: it stays with the server that may be running it, until the next check.

tests.entry.test_hedged_refusals failed before with Answer(key=1, status=503, reason='overload').

--- a/crocuskeel/core/entry/retrying.py
+++ b/crocuskeel/core/entry/retrying.py
@@ -1,6 +1,7 @@
 """When a request is checked again, and may be sent to another server."""
 
 from crocuskeel.core.entry import draining
+from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import ending
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import quarantine
@@ -8,7 +9,8 @@
 from crocuskeel.core.entry import retry_budget
 from crocuskeel.core.entry import server_choice
 
-__all__ = ["MIN_SEND_S", "may_send_again", "next_check", "stall_limit_s"]
+__all__ = ["MIN_SEND_S", "await_answers", "may_send_again", "next_check",
+           "stall_limit_s"]
 
 # With less time left than this, no server could complete a request, s.
 MIN_SEND_S = 0.02
@@ -42,6 +44,11 @@
     return min(pending.deadline_at, max(due, now + RECHECK_S))
 
 
+def await_answers(pending, now):
+    """Leave a request with the servers that may be running it."""
+    return [effects.SetRequestTimer(pending.key, next_check(pending, now))]
+
+
 def stall_limit_s(pending):
     """Return the pause after which a stream counts as stalled, s."""
     return max(MIN_STALL_S, STALL_GAP_FACTOR * pending.route.gap_s)
--- a/crocuskeel/core/entry/sending.py
+++ b/crocuskeel/core/entry/sending.py
@@ -174,8 +174,7 @@
     peer = reachability.relay_host(host, pending, now)
     if peer is None:
         if ending.active_attempts(pending):
-            return [effects.SetRequestTimer(
-                pending.key, retrying.next_check(pending, now))]
+            return retrying.await_answers(pending, now)
         if pending.request.max_servers is None:
             return []
         return ending.give_up(host, pending, "cut off", now)
@@ -266,8 +265,7 @@
 def _wait_for_server(host, pending, tried, now):
     """Hold a request that no server can take now, or refuse it."""
     if ending.active_attempts(pending):
-        return [effects.SetRequestTimer(
-            pending.key, retrying.next_check(pending, now))]
+        return retrying.await_answers(pending, now)
     if pending.forwarded_attempt is not None and (
             server_choice.may_have_place(host, pending, tried)):
         return wait_for_place(host, pending, now)
@@ -318,6 +316,8 @@
 
 def _shed(host, pending, target, now):
     """Refuse a request that no server has room for."""
+    if ending.active_attempts(pending):
+        return retrying.await_answers(pending, now)
     line = ending.log_line("shed", pending.request, server=target.server.sid,
                            route=pending.route.name, rank=pending.rank,
                            priority=pending.priority,
