Platform: "not run" counts only if it is said of this request

What callers saw, in tests with real processes: 503, which says that a request has not run, after a server's answer with the id of another request, after a success, and after a 421 with an engine's stamp.

Cause: X-Crocuskeel-Not-Run and the status 421 were looked at before the id of the request. By the protocol no other response than one with that header says that the request has not run; 421 is also what another engine at the address answers, without a stamp.

Change: the id is looked at first, a success with the header is malformed, and a 421 with a stamp is a failure of the engine. All three end with 502.

Failed before: test_a_refusal_of_another_request_says_nothing_of_this_one, test_a_success_that_says_not_run_is_no_refusal and test_a_stamped_421_is_the_engines_own_failure, each for calls, safe requests and streams.

--- a/crocuskeel/platform/headers.py
+++ b/crocuskeel/platform/headers.py
@@ -59,6 +59,7 @@
     b"x-crocuskeel-kv-backup", KV_FETCH.lower(), b"kv-from", RELAY.lower(),
     RELAY_ORIGIN.lower()))
 
+FIRST_ERROR = 400
 MISDIRECTED = 421
 REFUSALS = (429, 503)
 MAX_PRIORITY = 9
@@ -237,14 +238,16 @@
 
 
 def _classify(request, head):
-    # It also says that the request was not run.
-    if head.status == MISDIRECTED:
-        return header_codec.Verdict.MISDIRECTED
-    if head.get(_NOT_RUN) is not None:
-        return header_codec.Verdict.NOT_RUN
     rid = head.get(_REQUEST_ID)
     if rid is not None and rid.decode("latin-1") != request.rid:
+        # What it says of not having run is said of another request.
         return header_codec.Verdict.WRONG_REQUEST
+    if _says_not_run(head):
+        if head.status < FIRST_ERROR:
+            return header_codec.Verdict.MALFORMED
+        if head.status == MISDIRECTED:
+            return header_codec.Verdict.MISDIRECTED
+        return header_codec.Verdict.NOT_RUN
     if head.get(b"content-encoding") is not None:
         return header_codec.Verdict.MALFORMED
     if head.status < 300 and (rid is None or not _is_stamped(head)):
@@ -252,6 +255,16 @@
     return header_codec.Verdict.ANSWER
 
 
+def _says_not_run(head):
+    """Return whether the engine says that it did not run the request.
+
+    Besides the header, only 421 without an engine's stamp does. Any other
+    status may be an engine's failure after it has run the request.
+    """
+    return head.get(_NOT_RUN) is not None or (
+        head.status == MISDIRECTED and not _is_stamped(head))
+
+
 def _is_stamped(head):
     return head.get(_SERVER_STAMP) is not None
 
--- a/tests/gateway/test_failed_answers.py
+++ b/tests/gateway/test_failed_answers.py
@@ -7,6 +7,7 @@
 from tests.gateway import real_hosts
 
 RID = b"X-Crocuskeel-Request-Id: r-1\r\n"
+OTHER_RID = b"X-Crocuskeel-Request-Id: r-2\r\n"
 STAMP = b"X-Crocuskeel-Server-Stamp: stamp\r\n"
 NOT_RUN = b"X-Crocuskeel-Not-Run: 1\r\n"
 RELAYED = "X-Crocuskeel-Relay-Servers: 1"
@@ -66,6 +67,24 @@
                 self.assertNotIn(b"x-crocuskeel-server-stamp",
                                  received.headers)
 
+    def test_a_stamped_421_is_the_engines_own_failure(self):
+        for kind in KINDS:
+            with self.subTest(kind):
+                self.assertEqual(
+                    502, self._ask(kind, 421, RID + STAMP).status)
+
+    def test_a_refusal_of_another_request_says_nothing_of_this_one(self):
+        for kind in KINDS:
+            with self.subTest(kind):
+                received = self._ask(kind, 503, OTHER_RID + NOT_RUN)
+                self.assertEqual(502, received.status)
+
+    def test_a_success_that_says_not_run_is_no_refusal(self):
+        for kind in KINDS:
+            with self.subTest(kind):
+                received = self._ask(kind, 200, RID + STAMP + NOT_RUN)
+                self.assertEqual(502, received.status)
+
     def test_a_servers_refusal_is_passed_on_as_one(self):
         for status in (400, 429, 503):
             for kind in KINDS:
