Platform: relayed failures of engines are known as theirs

What callers could see: a request that may run once was refused as not run, or sent to another host and run twice, after an engine had failed it with a status of 400 to 499 and no id.

Cause: a host that relays tells an engine's answer from one of the other host by its id or stamp. Without both it took it for a refusal of the other host.

Change: the other host adds the id of the request to an engine's answer that has none, if the request was relayed to it.

tests.gateway.test_failed_answers.test_a_relayed_failure_is_known_as_the_engines failed before.

--- a/crocuskeel/gateway/header_codec.py
+++ b/crocuskeel/gateway/header_codec.py
@@ -58,7 +58,8 @@
     if it takes as long as usual or the server doesn't say.
     ``stamped(head)`` returns whether an answer carries a server's stamp.
     ``answer_headers(head, keep_stamp)`` returns the headers of an answer to
-    the caller.
+    the caller, and ``id_headers(request, head)`` those by which a host that
+    relayed the request knows it for a server's.
     """
 
     read_request: typing.Callable
@@ -69,3 +70,4 @@
     hints: typing.Callable
     stamped: typing.Callable
     answer_headers: typing.Callable
+    id_headers: typing.Callable = lambda request, head: []
--- a/crocuskeel/gateway/servers.py
+++ b/crocuskeel/gateway/servers.py
@@ -290,7 +290,9 @@
     def forward(self):
         """Forward this answer to the caller, now and as it arrives."""
         self.forwarding = True
-        headers = self.gateway.codec.answer_headers(self.head, True)
+        codec = self.gateway.codec
+        headers = [*codec.answer_headers(self.head, True),
+                   *codec.id_headers(self.exchange.request, self.head)]
         if self.splitter is None:
             self.exchange.answer(self.head.status, headers,
                                  bytes(self.body), self._framing())
--- a/crocuskeel/platform/headers.py
+++ b/crocuskeel/platform/headers.py
@@ -74,7 +74,8 @@
         read_request=_read_request, server_headers=_server_headers,
         classify=_classify, classify_relayed=_classify_relayed,
         load=_server_load, hints=_server_hints,
-        stamped=_is_stamped, answer_headers=_answer_headers)
+        stamped=_is_stamped, answer_headers=_answer_headers,
+        id_headers=_id_headers)
 
 
 def _read_request(head, body):
@@ -305,3 +306,11 @@
 def _answer_headers(head, keep_stamp):
     excluded = HOP_BY_HOP if keep_stamp else HOP_BY_HOP | {_SERVER_STAMP}
     return _filter_headers(head, excluded)
+
+
+def _id_headers(request, head):
+    # The host that relays a request tells an engine's answer by its id from
+    # one of this host's own, which says that the request has not run.
+    if request.max_servers is None or head.get(_REQUEST_ID) is not None:
+        return []
+    return [(REQUEST_ID, request.rid.encode("latin-1"))]
--- a/tests/gateway/test_failed_answers.py
+++ b/tests/gateway/test_failed_answers.py
@@ -93,6 +93,15 @@
                     self.assertEqual(503, received.status)
                     self.assertIn(b"retry-after", received.headers)
 
+    def test_a_relayed_failure_is_known_as_the_engines(self):
+        # The host that relays takes one without an id for a refusal of the
+        # other host, and sends the request again.
+        for fields in (RID + STAMP, STAMP, b""):
+            received = self._ask("unsafe", 404, fields, RELAYED)
+            self.assertEqual(404, received.status)
+            self.assertEqual(
+                b"r-1", received.headers[b"x-crocuskeel-request-id"])
+
 
 if __name__ == "__main__":
     unittest.main()
