Gateway: a 421 of the expected server doesn't give its address away

What callers would see: after one answer 421 of an engine in trouble no host that had it sends that engine a request again, until its entry changes.

Cause: any 421 was taken for one of another engine at the address, also if it names the engine that was expected.

Change: that one says that it did not run the request, as a refusal does, and keeps its address.

test_a_421_of_the_expected_server_leaves_it_in_use failed before, with real processes: the next request got 503.

--- a/crocuskeel/gateway/header_codec.py
+++ b/crocuskeel/gateway/header_codec.py
@@ -59,7 +59,8 @@
     ``stamped(head)`` returns whether an answer carries a server's stamp.
     ``answer_headers(head, keep_stamp)`` returns the headers of an answer to
     the caller, and ``id_headers(request, head)`` those by which a host that
-    relayed the request knows it for a server's.
+    relayed the request knows it for a server's. ``server_id(head)`` returns
+    the id of the server that answered, None if it doesn't say.
     """
 
     read_request: typing.Callable
@@ -71,3 +72,4 @@
     stamped: typing.Callable
     answer_headers: typing.Callable
     id_headers: typing.Callable = lambda request, head: []
+    server_id: typing.Callable = lambda head: None
--- a/crocuskeel/gateway/servers.py
+++ b/crocuskeel/gateway/servers.py
@@ -119,7 +119,10 @@
             case header_codec.Verdict.NOT_RUN:
                 self._fail(model.Outcome.NOT_RUN, str(head.status))
             case header_codec.Verdict.MISDIRECTED:
-                self._fail(model.Outcome.MISDIRECTED, str(head.status))
+                # A server that is the expected one still has its address.
+                is_own = codec.server_id(head) == self.send.server.sid
+                self._fail(model.Outcome.NOT_RUN if is_own
+                           else model.Outcome.MISDIRECTED, str(head.status))
             case (header_codec.Verdict.WRONG_REQUEST
                   | header_codec.Verdict.MALFORMED):
                 self._fail(model.Outcome.MALFORMED, verdict.value)
--- a/crocuskeel/platform/headers.py
+++ b/crocuskeel/platform/headers.py
@@ -29,6 +29,8 @@
 _REQUEST_ID = REQUEST_ID.lower()
 _SERVER_STAMP = SERVER_STAMP.lower()
 _NOT_RUN = b"x-crocuskeel-not-run"
+# Id of the engine that answers at the address.
+_SERVER = b"x-crocuskeel-instance"
 _LOAD = b"x-crocuskeel-server-load"
 # Requests per second that the engine accepts from all hosts together.
 _RATE_LIMIT = b"server-limit"
@@ -75,7 +77,7 @@
         classify=_classify, classify_relayed=_classify_relayed,
         load=_server_load, hints=_server_hints,
         stamped=_is_stamped, answer_headers=_answer_headers,
-        id_headers=_id_headers)
+        id_headers=_id_headers, server_id=_server_id)
 
 
 def _read_request(head, body):
@@ -266,6 +268,11 @@
         head.status == MISDIRECTED and not _is_stamped(head))
 
 
+def _server_id(head):
+    value = head.get(_SERVER)
+    return None if value is None else value.decode("utf-8", "replace")
+
+
 def _is_stamped(head):
     return head.get(_SERVER_STAMP) is not None
 
--- a/tests/gateway/test_failed_answers.py
+++ b/tests/gateway/test_failed_answers.py
@@ -93,6 +93,13 @@
                     self.assertEqual(503, received.status)
                     self.assertIn(b"retry-after", received.headers)
 
+    def test_a_421_of_the_expected_server_leaves_it_in_use(self):
+        # The host took it for a server that uses a former address, and
+        # never sent it a request again.
+        self.assertEqual(503, self._ask(
+            "safe", 421, b"X-Crocuskeel-Instance: i-s\r\n").status)
+        self.assertEqual(200, self._ask("safe", 200, RID + STAMP).status)
+
     def test_a_relayed_failure_is_known_as_the_engines(self):
         # The host that relays takes one without an id for a refusal of the
         # other host, and sends the request again.
