Platform: a configuration without any tenant lets in nobody

Requests ran with a key that no configuration had held, and with the one that was taken away, 3.5 s after the store's ack.

Cause: Tenants that was missing and Tenants without an entry were decoded to the same "keys are not used".

Evidence: logs of the case on: "catalog" of the new version on both hosts, then "sent" for both keys; the never-held key had got 401 before. "catalog" has the number of keys now.

Change: keys are used if the configuration has Tenants, also an empty or null list. Without it they aren't, as the protocol says. An empty text among the keys, which let in all requests without one, is nobody's.

--- a/crocuskeel/core/entry/registry.py
+++ b/crocuskeel/core/entry/registry.py
@@ -53,7 +53,8 @@
     key_owners.note(host, catalog)
     note = effects.LogEvent("catalog", {
         "version": catalog.version, "revision": catalog.revision,
-        "routes": sum(map(len, catalog.routes.values()))})
+        "routes": sum(map(len, catalog.routes.values())),
+        "keys": None if catalog.api_keys is None else len(catalog.api_keys)})
     replaced = []
     if former is None or former.services.keys() != catalog.services.keys():
         replaced = address_owners.mark_all(host, now)
--- a/crocuskeel/core/entry/routing.py
+++ b/crocuskeel/core/entry/routing.py
@@ -64,6 +64,9 @@
 def _workspace(catalog, route, request):
     if route.public or catalog.api_keys is None:
         return _ANONYMOUS
+    if not request.api_key:
+        # A key that is configured as an empty text is nobody's.
+        return None
     return catalog.api_keys.get(request.api_key)
 
 
--- a/crocuskeel/platform/catalogs.py
+++ b/crocuskeel/platform/catalogs.py
@@ -32,7 +32,7 @@
             routes=_routes(_rows(spec.get("Routes"))),
             services={row["Name"]: service(row)
                       for row in _rows(spec.get("Services"))},
-            api_keys=_api_keys(_rows(spec.get("Tenants"))),
+            api_keys=_api_keys(spec),
             limits=_limits(spec.get("Limits") or {}))
     except (AttributeError, KeyError, OverflowError, TypeError,
             ValueError) as exc:
@@ -167,11 +167,15 @@
     return size * 8 / (speed * 1e6) if speed else 0.0
 
 
-def _api_keys(rows):
-    if not rows:
+def _api_keys(spec):
+    """Return the workspaces by their keys, None if keys are not used.
+
+    They are used if there is a list of tenants, also an empty one.
+    """
+    if "Tenants" not in spec:
         return None
     keys = {}
-    for row in rows:
+    for row in _rows(spec["Tenants"]):
         priority = row.get("Priority")
         workspace = model.Workspace(
             _name(row["Name"]),
