Platform: flags and prefixes that would open a route are invalid

What callers could see: a route open to all, or requests that run twice, where the configuration says Public or Resumable "false" as a text; all paths on the route of an empty Prefix.

Cause: any value that isn't empty counted as a set flag, and an empty prefix begins each path.

Change: flags are true, false, null or missing, and prefixes begin and end with a slash, as the protocol has them; otherwise the configuration is invalid and changes nothing.

Failed before: test_a_flag_of_another_type_is_invalid, test_a_prefix_that_would_match_other_paths_is_invalid and test_an_invalid_configuration_changes_nothing.

--- a/crocuskeel/platform/catalogs.py
+++ b/crocuskeel/platform/catalogs.py
@@ -99,18 +99,35 @@
     timeout_s = _number(row["TimeoutMs"]) / 1000
     return model.Route(
         name=_name(row["Name"]), host=_text(row["Host"]).lower(),
-        prefix=_text(row["Prefix"]), kind=model.Kind(row["Kind"]),
+        prefix=_prefix(row["Prefix"]), kind=model.Kind(row["Kind"]),
         split=_split(row) or ((_name(row["Service"]), 1),),
         timeout_s=timeout_s,
         target_s=_number(row.get("GoalMs", row["TimeoutMs"])) / 1000,
         max_servers=max(1, _count(row.get("Attempts", 1))),
         priority=_priority(row.get("Priority", 0)),
-        public=bool(row.get("Public")),
-        resumable=bool(row.get("Resumable")),
+        public=_flag(row.get("Public")),
+        resumable=_flag(row.get("Resumable")),
         # Missing or 0: the usual one.
         gap_s=max(MIN_GAP_MS, _number(row.get("GapAimMs") or 1000)) / 1000)
 
 
+def _prefix(value):
+    """Return a prefix of paths; an empty one would match each of them."""
+    if not _text(value).startswith("/") or not value.endswith("/"):
+        raise ValueError("Prefix begins or ends without a slash")
+    return value
+
+
+def _flag(value):
+    """Return whether a flag is set; any other type might mean that it isn't.
+
+    A flag opens a route to all callers, or lets its requests run twice.
+    """
+    if not (value is None or isinstance(value, bool)):
+        raise ValueError("flag is neither true nor false")
+    return bool(value)
+
+
 def _priority(value):
     return _count(value, most=MAX_PRIORITY)
 
--- a/tests/platform/test_open_configurations.py
+++ b/tests/platform/test_open_configurations.py
@@ -8,6 +8,7 @@
 from crocuskeel.core.entry import model
 from crocuskeel.core.entry import routing
 from crocuskeel.platform import catalogs
+from crocuskeel.platform import exceptions
 from tests.entry import support
 
 ROUTE = {"Name": "r", "Host": support.HOST, "Prefix": "/a/", "Kind": "unsafe",
@@ -61,6 +62,36 @@
     def test_a_configuration_without_tenants_uses_no_keys(self):
         self.assertEqual(200, _status(_catalog(), ""))
 
+    def test_a_flag_of_another_type_is_invalid(self):
+        # A text like "false" opened a route, or let its requests run twice.
+        for name in ("Public", "Resumable"):
+            for value in ("false", "true", 0, 1, [], [0], {}):
+                with self.subTest(name=name, value=value):
+                    with self.assertRaises(exceptions.InvalidObjectError):
+                        _catalog({**ROUTE, name: value}, Tenants=[])
+            for value in (False, None):
+                route = {**ROUTE, name: value}
+                found = _catalog(route, Tenants=[])
+                self.assertEqual(401, _status(found, ""))
+
+    def test_a_prefix_that_would_match_other_paths_is_invalid(self):
+        for prefix in ("", "a/", "/a", "a", "/a/b"):
+            with self.subTest(prefix):
+                with self.assertRaises(exceptions.InvalidObjectError):
+                    _catalog({**ROUTE, "Prefix": prefix})
+
+    def test_an_invalid_configuration_changes_nothing(self):
+        tenants = [{"Name": "acme", "ApiKeys": [support.KEY]}]
+        for part in ({"Tenants": {}}, {"Tenants": "acme"},
+                     {"Tenants": [{}]}, {"Tenants": [7]},
+                     {"Tenants": [{"Name": "acme", "ApiKeys": {}}]},
+                     {"route": {**ROUTE, "Prefix": ""}, "Tenants": tenants},
+                     {"route": {**ROUTE, "Public": "no"},
+                      "Tenants": tenants}):
+            with self.subTest(part):
+                with self.assertRaises(exceptions.InvalidObjectError):
+                    _catalog(**part)
+
 
 if __name__ == "__main__":
     unittest.main()
