Gateway: an answer with a status that HTTP doesn't have is none

The users saw an answer of status 000 passed on by other systems. Here 000 and nine others were tried with real processes, as calls, safe requests and streams, directly and through a host that relays: 000 and all that aren't three digits from 100 on ended with 502; 600, 700 and 999 were passed on.

Cause: h11 accepts any status from 200 to 999, and RFC 9110, 15 knows none above 599.

Change: such an answer is malformed, and the request may have run.

The tests of failed answers also run through a host that relays now. test_status_that_http_does_not_have_is_no_answer failed before, in the 18 cases of 600, 700 and 999.

--- a/crocuskeel/gateway/connections.py
+++ b/crocuskeel/gateway/connections.py
@@ -30,6 +30,9 @@
 # Headers of which one frames a body, and statuses of answers without one.
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 BODILESS_STATUSES = (204, 304)
+# Other statuses are invalid (RFC 9110, 15); h11 accepts any of three digits
+# from 100 on.
+MAX_STATUS = 599
 # Interim responses (1xx) that may precede an answer.
 MAX_INTERIM_RESPONSES = 8
 # Pieces of data in an answer. One that has more is sent byte by byte, and
@@ -265,6 +268,8 @@
 
     def _handle_event(self, event):
         match event:
+            case h11.Response() if event.status_code > MAX_STATUS:
+                self.fail(Failure.MALFORMED, "invalid status")
             case h11.Response():
                 self.has_head = True
                 self.unframed = _is_unframed(self.method, event)
--- a/tests/gateway/flood_host.py
+++ b/tests/gateway/flood_host.py
@@ -2,9 +2,12 @@
 
 ``python -m tests.gateway.flood_host CONFIG`` listens for callers and prints
 its port. CONFIG is JSON: {"services": {service: port of its server},
-"probed": service}. Each service has three routes, /SERVICE-KIND/.
+"probed": service, "relay": port, "asyncio": flag}. Each service has three
+routes, /SERVICE-KIND/. With "relay" it is cut off from all servers and relays
+to the host at that port. "asyncio": on the reactor of crocuskeel-entry.
 """
 
+import dataclasses
 import json
 import random
 import sys
@@ -13,6 +16,7 @@
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import events
 from crocuskeel.core.entry import model
+from crocuskeel.core.entry import reachability
 from crocuskeel.gateway import callers
 from crocuskeel.gateway import loop
 from crocuskeel.platform import headers
@@ -37,6 +41,9 @@
 
 def main(config):
     """Serve until the process is ended."""
+    if config["asyncio"]:
+        from twisted.internet import asyncioreactor
+        asyncioreactor.install()
     from twisted.internet import reactor
 
     host = entry.new_host(entry.Settings(), random.Random(1))
@@ -57,7 +64,20 @@
             loop.EFFECT_HANDLERS[effects.ProbeServer](
                 gateway, effects.ProbeServer(server, "/health", 0.0, 0.8))
 
+    def hear_other_host():
+        reactor.callLater(PROBE_INTERVAL_S, hear_other_host)
+        gateway.feed(events.PeerStateReceived(
+            dataclasses.replace(
+                support.peer("other"),
+                public_address=f"127.0.0.1:{config['relay']}"),
+            True, False, 1, 1, catalog_version=1, former_versions=()))
+        for name in config["services"]:
+            host.reach[name] = reachability.Reach(
+                is_doubted=True, is_cut=True)
+
     probe()
+    if config["relay"]:
+        hear_other_host()
     port = reactor.listenTCP(0, callers.new_listener(
         reactor, gateway, gateway.memory), interface="127.0.0.1")
     print(port.getHost().port, flush=True)
--- a/tests/gateway/real_hosts.py
+++ b/tests/gateway/real_hosts.py
@@ -9,9 +9,12 @@
 
 from tests.entry import support
 
-__all__ = ["Server", "request", "start", "start_host", "stop_host"]
+__all__ = ["CLOSED_PORT", "Server", "request", "start", "start_host",
+           "stop_host"]
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
+# Nothing listens there.
+CLOSED_PORT = 1
 
 
 class Server:
@@ -51,13 +54,16 @@
     return process, int(process.stdout.readline())
 
 
-def start_host(services, probed=""):
+def start_host(services, probed="", relay=0, asyncio=False):
     """Return (process, its port) of a host of tests.gateway.flood_host.
 
     ``services`` maps the names of services to the ports of their servers.
+    ``relay`` is the port of the host that it relays to, 0 for none.
+    ``asyncio``: on the reactor that crocuskeel-entry uses.
     """
     return start("tests.gateway.flood_host", json.dumps(
-        {"services": services, "probed": probed}))
+        {"services": services, "probed": probed, "relay": relay,
+         "asyncio": asyncio}))
 
 
 def stop_host(process):
--- a/tests/gateway/test_failed_answers.py
+++ b/tests/gateway/test_failed_answers.py
@@ -1,5 +1,6 @@
 """Failures of servers that have run a request, with real sockets."""
 
+import itertools
 import socket
 import unittest
 
@@ -10,7 +11,7 @@
 OTHER_RID = b"X-Crocuskeel-Request-Id: r-2\r\n"
 STAMP = b"X-Crocuskeel-Server-Stamp: stamp\r\n"
 NOT_RUN = b"X-Crocuskeel-Not-Run: 1\r\n"
-RELAYED = "X-Crocuskeel-Relay-Servers: 1"
+PATHS = ("direct", "relayed")
 KINDS = ("safe", "unsafe", "stream")
 # For any answer of the host, s.
 TIMEOUT_S = 8.0
@@ -27,10 +28,14 @@
     @classmethod
     def setUpClass(cls):
         cls.server = real_hosts.Server(cls._serve)
-        cls.process, cls.port = real_hosts.start_host({"s": cls.server.port})
+        cls.process, port = real_hosts.start_host({"s": cls.server.port})
+        cls.relay, relay_port = real_hosts.start_host(
+            {"s": real_hosts.CLOSED_PORT}, relay=port)
+        cls.ports = {"direct": port, "relayed": relay_port}
 
     @classmethod
     def tearDownClass(cls):
+        real_hosts.stop_host(cls.relay)
         real_hosts.stop_host(cls.process)
         cls.server.close()
 
@@ -43,55 +48,53 @@
             conn.sendall(b"HTTP/1.1 %sContent-Length: 4\r\n\r\nbusy"
                          % cls.fields)
 
-    def _ask(self, kind, status, fields, *more):
+    def _ask(self, kind, status, fields, path="direct"):
         """Return the host's answer to a request that a server fails."""
-        type(self).fields = b"%d Failed\r\n" % status + fields
+        type(self).fields = f"{status} Failed\r\n".encode() + fields
         with socket.create_connection(
-                ("127.0.0.1", self.port), TIMEOUT_S) as conn:
-            conn.sendall(real_hosts.request(f"/s-{kind}/1", *more))
+                ("127.0.0.1", self.ports[path]), TIMEOUT_S) as conn:
+            conn.sendall(real_hosts.request(f"/s-{kind}/1"))
             got = b""
             while not forms.read(got, False, "POST").framed:
                 got += conn.recv(65536)
         return forms.read(got, False, "POST")
 
     def test_an_own_failure_is_no_refusal(self):
-        for status, fields, kind, more in (
-                (status, fields, kind, more)
-                for status in (408, 429, 503)
-                for fields in (RID + STAMP, RID, b"")
-                for kind in KINDS for more in ((), (RELAYED, ))):
+        for status, fields, kind, path in itertools.product(
+                (408, 429, 503), (RID + STAMP, RID, b""), KINDS, PATHS):
             with self.subTest(status=status, fields=fields, kind=kind,
-                              more=more):
-                received = self._ask(kind, status, fields, *more)
+                              path=path):
+                received = self._ask(kind, status, fields, path)
                 self.assertEqual(502, received.status)
                 self.assertNotIn(b"x-crocuskeel-server-stamp",
                                  received.headers)
 
     def test_a_stamped_421_is_the_engines_own_failure(self):
-        for kind in KINDS:
-            with self.subTest(kind):
+        for kind, path in itertools.product(KINDS, PATHS):
+            with self.subTest(kind=kind, path=path):
                 self.assertEqual(
-                    502, self._ask(kind, 421, RID + STAMP).status)
+                    502, self._ask(kind, 421, RID + STAMP, path).status)
 
     def test_a_refusal_of_another_request_says_nothing_of_this_one(self):
-        for kind in KINDS:
-            with self.subTest(kind):
-                received = self._ask(kind, 503, OTHER_RID + NOT_RUN)
+        for kind, path in itertools.product(KINDS, PATHS):
+            with self.subTest(kind=kind, path=path):
+                received = self._ask(kind, 503, OTHER_RID + NOT_RUN, path)
                 self.assertEqual(502, received.status)
 
     def test_a_success_that_says_not_run_is_no_refusal(self):
-        for kind in KINDS:
-            with self.subTest(kind):
-                received = self._ask(kind, 200, RID + STAMP + NOT_RUN)
+        for kind, path in itertools.product(KINDS, PATHS):
+            with self.subTest(kind=kind, path=path):
+                received = self._ask(
+                    kind, 200, RID + STAMP + NOT_RUN, path)
                 self.assertEqual(502, received.status)
 
     def test_a_servers_refusal_is_passed_on_as_one(self):
-        for status in (400, 429, 503):
-            for kind in KINDS:
-                with self.subTest(status=status, kind=kind):
-                    received = self._ask(kind, status, RID + NOT_RUN)
-                    self.assertEqual(503, received.status)
-                    self.assertIn(b"retry-after", received.headers)
+        for status, kind, path in itertools.product(
+                (400, 429, 503), KINDS, PATHS):
+            with self.subTest(status=status, kind=kind, path=path):
+                received = self._ask(kind, status, RID + NOT_RUN, path)
+                self.assertEqual(503, received.status)
+                self.assertIn(b"retry-after", received.headers)
 
     def test_a_421_of_the_expected_server_leaves_it_in_use(self):
         # The host took it for a server that uses a former address, and
@@ -101,14 +104,21 @@
         self.assertEqual(200, self._ask("safe", 200, RID + STAMP).status)
 
     def test_a_relayed_failure_is_known_as_the_engines(self):
-        # The host that relays takes one without an id for a refusal of the
-        # other host, and sends the request again.
+        # The host that relays took one without an id for a refusal of the
+        # other host, and refused the request as not run.
         for fields in (RID + STAMP, STAMP, b""):
-            received = self._ask("unsafe", 404, fields, RELAYED)
+            received = self._ask("unsafe", 404, fields, "relayed")
             self.assertEqual(404, received.status)
             self.assertEqual(
                 b"r-1", received.headers[b"x-crocuskeel-request-id"])
 
+    def test_status_that_http_does_not_have_is_no_answer(self):
+        statuses = ("000", "099", 600, 700, 999, 0, 20, 2000, "-01", "2e2")
+        for status, kind, path in itertools.product(statuses, KINDS, PATHS):
+            with self.subTest(status=status, kind=kind, path=path):
+                received = self._ask(kind, status, RID + STAMP, path)
+                self.assertEqual(502, received.status)
+
 
 if __name__ == "__main__":
     unittest.main()
