Gateway: an answer without a length can't end before its request

The users saw on other systems that an engine answers a long upload at once with a 200 without a length, sends a part of its body and resets the connection while the upload is written, and that callers get the part as a whole answer. It happens here.

Cause: an answer without a length ends with a clean close. A write that meets the reset takes the error from the next read, which sees an end of file then; and an engine may end its side before it has the request.

Change: at the end of such an answer the host looks, while the socket is still open, whether the request is unsent or not acknowledged, or the connection was reset. If so the answer is cut off.

--- a/crocuskeel/gateway/connections.py
+++ b/crocuskeel/gateway/connections.py
@@ -15,7 +15,9 @@
 from crocuskeel.gateway import turns as processor_turns
 import h11
 from twisted.internet import error
+from twisted.internet import interfaces
 from twisted.internet import protocol
+from zope import interface
 
 __all__ = ["Connection", "EVENTS_PER_TURN", "Failure", "PARSED_BODY_BYTES",
            "connect", "encode", "encode_head", "ends_with_close",
@@ -136,6 +138,7 @@
                 or _has_framing(response.headers))
 
 
+@interface.implementer(interfaces.IHalfCloseableProtocol)
 class Connection(protocol.Protocol):
     """A request and its answer; ``close`` ends all calls of the handler.
 
@@ -201,18 +204,48 @@
         if self not in self.pauses:
             self.take_turn()
 
+    def readConnectionLost(self):
+        """Handle that the server has closed the connection in order.
+
+        It is still open for writing, so that the kernel tells what has become
+        of the request.
+        """
+        self._input_ended(error.ConnectionDone.__name__, True)
+
+    def writeConnectionLost(self):
+        """Do nothing: this side is never closed alone."""
+
     def connectionLost(self, reason):
+        self._input_ended(reason.type.__name__,
+                          reason.check(error.ConnectionDone) is not None)
+
+    def _input_ended(self, detail, is_clean):
         if self.closed:
             return
         self.lost = True
-        # A clean close ends an answer without a length; after a reset its
-        # end is lost.
-        if reason.check(error.ConnectionDone) and self.has_head:
-            self.h11.receive_data(bytes(self.unparsed))
-            self.unparsed.clear()
-            self.h11.receive_data(b"")
-            self._process_events()
-        self.fail(Failure.DISCONNECTED, reason.type.__name__)
+        if is_clean and self.has_head:
+            if self.unparsed:
+                self.h11.receive_data(bytes(self.unparsed))
+                self.unparsed.clear()
+                self._process_events()
+            if not self.closed and self._may_end_answer():
+                self.h11.receive_data(b"")
+                self._process_events()
+        self.fail(Failure.DISCONNECTED, detail)
+
+    def _may_end_answer(self):
+        """Return whether the end of the connection may end the answer.
+
+        Without a length a clean close does so, but not one before the server
+        has the whole request: it may have crashed while that was written. A
+        write that meets the reset takes it from the next read, which then
+        sees a clean close.
+        """
+        if not self.unframed:
+            return True
+        return not (self.h11.our_state is h11.SEND_BODY
+                    or self.transport.connected
+                    and sockets.is_unreceived(self.transport))
 
     def pause(self, cause):
         """Read nothing until each cause has resumed it."""
--- a/crocuskeel/gateway/sockets.py
+++ b/crocuskeel/gateway/sockets.py
@@ -6,9 +6,9 @@
 import struct
 
 __all__ = ["PAUSED_USER_TIMEOUT_MS", "allow_close", "configure", "drop_new",
-           "end_writing", "kernel_backlog", "reset_on_close",
-           "resets_on_close", "set_user_timeout", "unread", "unsent_bytes",
-           "write"]
+           "end_writing", "is_unreceived", "kernel_backlog",
+           "reset_on_close", "resets_on_close", "set_user_timeout", "unread",
+           "unsent_bytes", "write"]
 
 # Keepalive: a connection can stop delivering data for good while new ones
 # work, because a device on its path lost its state, and a reader would wait
@@ -21,9 +21,11 @@
 # A peer that is known to be there may read nothing for so long: no request
 # lasts longer.
 PAUSED_USER_TIMEOUT_MS = 30_000
-# Fields of the kernel's struct tcp_info: packets in flight, and bytes that
-# were not sent yet.
-_TCP_INFO = struct.Struct("=24xI116xI")
+# Fields of the kernel's struct tcp_info: the state, packets in flight, and
+# bytes that were not sent yet.
+_TCP_INFO = struct.Struct("=B23xI116xI")
+# The state after a reset.
+_TCP_CLOSE = 7
 # SO_LINGER with 0 s: a close resets the connection.
 ZERO_LINGER = struct.pack("ii", 1, 0)
 NO_LINGER = struct.pack("ii", 0, 0)
@@ -73,15 +75,30 @@
     That is (bytes that were not sent yet, packets that were and are not
     acknowledged); zeros where the kernel doesn't say it.
     """
+    _, in_flight, unsent = _tcp_info(transport)
+    return unsent, in_flight
+
+
+def is_unreceived(transport):
+    """Return whether the peer may not have all that was written.
+
+    It hasn't acknowledged everything, or has reset the connection.
+    """
+    state, in_flight, unsent = _tcp_info(transport)
+    return bool(unsent_bytes(transport) or in_flight or unsent
+                or state == _TCP_CLOSE)
+
+
+def _tcp_info(transport):
+    """Return the fields of _TCP_INFO; zeros where the kernel has none."""
     try:
         info = transport.getHandle().getsockopt(
             socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size)
     except OSError:
-        return 0, 0
+        return 0, 0, 0
     if len(info) < _TCP_INFO.size:
-        return 0, 0
-    in_flight, unsent = _TCP_INFO.unpack(info)
-    return unsent, in_flight
+        return 0, 0, 0
+    return _TCP_INFO.unpack(info)
 
 
 def reset_on_close(transport):
