Runtime: an answer with a status below 200 is none

What callers of crocuskeeld would get: an answer of status 000 that a backend server in trouble sent, passed on as an answer.

Cause: Twisted's client accepts any number as a status, and only those from 500 on counted as failures. The client of the Object API took 000 for a rejected write, which has no effect.

Change: a final status is 200 or more; otherwise the attempt has failed, and the write may have taken effect.

Failed before: four rows of tests.runtime.test_engine (000, 0, 099, -1) and one of tests.objectapi.test_client.

--- a/crocuskeel/objectapi/responses.py
+++ b/crocuskeel/objectapi/responses.py
@@ -31,6 +31,7 @@
 _NOT_FOUND = 404
 _PRECONDITION_FAILED = 412
 _TOO_MANY_REQUESTS = 429
+_MIN_FINAL = 200
 _MIN_SERVER_ERROR = 500
 # Positions and versions fit 64 bits, ports 16.
 _MAX_COUNT = 2 ** 63 - 1
@@ -91,7 +92,7 @@
 
     ``parse`` converts a successful response into its result.
     """
-    if response.status >= _MIN_SERVER_ERROR:
+    if not _MIN_FINAL <= response.status < _MIN_SERVER_ERROR:
         return lost_result(is_write, SERVER_ERROR), False
     if response.status == _TOO_MANY_REQUESTS:
         wait_s = _retry_after_s(response)
--- a/crocuskeel/runtime/attempts.py
+++ b/crocuskeel/runtime/attempts.py
@@ -22,6 +22,7 @@
 End = events.AttemptEnd
 _END_BY_STATUS = {429: End.BUSY, 503: End.UNREADY}
 _NOT_FOUND = 404
+_FIRST_FINAL = 200
 _FIRST_SERVER_ERROR = 500
 _NOT_SENT_ERRORS = (error.ConnectError, error.NoRouteError,
                     error.TimeoutError, error.DNSLookupError,
@@ -201,7 +202,8 @@
         return None if status == 200 else End.STREAM_UNKNOWN
     if status in _END_BY_STATUS:
         return _END_BY_STATUS[status]
-    if status >= _FIRST_SERVER_ERROR:
+    # Twisted also accepts statuses that HTTP doesn't have, such as 000.
+    if not _FIRST_FINAL <= status < _FIRST_SERVER_ERROR:
         return End.FAILED
     return None
 
--- a/tests/objectapi/test_client.py
+++ b/tests/objectapi/test_client.py
@@ -85,6 +85,8 @@
      objectapi.WriteUnknown("lost"), 1),
     ("write with 503 may have taken effect", [response(503)], PUT,
      objectapi.WriteUnknown("server_error"), 1),
+    ("write with 000 may have taken effect", [response(0)], PUT,
+     objectapi.WriteUnknown("server_error"), 1),
     ("write without version", [response(200)], PUT,
      objectapi.WriteUnknown("bad_answer"), 1),
     ("write not sent, then answered", [REFUSED_CONNECTION], PUT,
--- a/tests/runtime/test_engine.py
+++ b/tests/runtime/test_engine.py
@@ -55,6 +55,10 @@
      End.UNREADY, 0, 0),
     ("fails", _sends(
         b"HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n"), End.FAILED, 0, 0),
+    *((f"answers with status {status}", _sends(
+        b"HTTP/1.1 %s X\r\nContent-Length: 2\r\n\r\nok"
+        % status.encode()), End.FAILED, 0, 0)
+      for status in ("000", "0", "099", "-1", "600", "999")),
     ("disconnects after the request", _sends(b"", True),
      End.CONNECTION_LOST, 0, 0),
     ("disconnects within the response head", _sends(b"HTTP/1.1 200", True),
