Gateway: a close of an idle connection waits for what is unsent

Cause: a connection counts as idle once the end of its answer was handed to the socket. A planned stop closes idle connections, and so does the limit on idle callers; close_unused ended the writing of the socket at once, past what was still in the process.

Change: if something is unsent, the connection is closed as one whose answer ends during the stop: nothing more is read, and it ends once all is sent.

--- a/crocuskeel/gateway/closing.py
+++ b/crocuskeel/gateway/closing.py
@@ -10,7 +10,13 @@
 
 
 def close_unused(conn):
-    """Close a connection without a request; its caller sees so at once."""
+    """Close a connection without a request; its caller sees so at once.
+
+    If the end of its last answer is unsent, it is closed after that.
+    """
+    if sockets.unsent_bytes(conn.transport):
+        linger(conn, reads=False)
+        return
     sockets.end_writing(conn.transport)
     conn.lingering = True
     conn.transport.loseConnection()
--- a/tests/gateway/flood_host.py
+++ b/tests/gateway/flood_host.py
@@ -5,11 +5,16 @@
 "probed": service, "relay": port, "asyncio": flag}. Each service has three
 routes, /SERVICE-KIND/. With "relay" it is cut off from all servers and relays
 to the host at that port. "asyncio": on the reactor of crocuskeel-entry.
+"idle_s": how long callers may be idle; "send_buffer": size of the kernel's
+buffer for answers, bytes, 0 for its own. SIGUSR1 closes idle connections, as a
+planned stop does.
 """
 
 import dataclasses
 import json
 import random
+import signal
+import socket
 import sys
 
 from crocuskeel.core import entry
@@ -29,14 +34,14 @@
          "stream": model.Kind.STREAM}
 
 
-def _catalog(names):
+def _catalog(names, idle_s):
     routes = [support.route(
         f"{name}-{kind}", value, split=((name, 1),), timeout_s=TIMEOUT_S,
         target_s=TIMEOUT_S, public=True)
         for name in names for kind, value in KINDS.items()]
     services = {name: model.Service(name, 0, None) for name in names}
     return model.Catalog(1, 1, {support.HOST: routes}, services, None,
-                         model.Limits(16384, 4 << 20, 3.0, 15.0))
+                         model.Limits(16384, 4 << 20, 3.0, idle_s))
 
 
 def main(config):
@@ -53,7 +58,8 @@
     gateway.start(support.peer("me"))
     servers = [support.server(f"i-{name}", name, address=("127.0.0.1", port))
                for name, port in config["services"].items()]
-    gateway.feed(events.CatalogRead(_catalog(config["services"])))
+    gateway.feed(events.CatalogRead(
+        _catalog(config["services"], config["idle_s"])))
     gateway.feed(events.ServersListed(tuple(servers), 1))
 
     def probe():
@@ -78,8 +84,13 @@
     probe()
     if config["relay"]:
         hear_other_host()
-    port = reactor.listenTCP(0, callers.new_listener(
-        reactor, gateway, gateway.memory), interface="127.0.0.1")
+    listener = callers.new_listener(reactor, gateway, gateway.memory)
+    signal.signal(signal.SIGUSR1, lambda *_: reactor.callFromThread(
+        listener.close_idle))
+    port = reactor.listenTCP(0, listener, interface="127.0.0.1")
+    if config["send_buffer"]:
+        port.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, config["send_buffer"])
     print(port.getHost().port, flush=True)
     reactor.run()
 
--- a/tests/gateway/real_hosts.py
+++ b/tests/gateway/real_hosts.py
@@ -15,6 +15,8 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 # Nothing listens there.
 CLOSED_PORT = 1
+HOST_OPTIONS = {"probed": "", "relay": 0, "asyncio": False, "idle_s": 15.0,
+                "send_buffer": 0}
 
 
 class Server:
@@ -54,16 +56,14 @@
     return process, int(process.stdout.readline())
 
 
-def start_host(services, probed="", relay=0, asyncio=False):
+def start_host(services, **options):
     """Return (process, its port) of a host of tests.gateway.flood_host.
 
-    ``services`` maps the names of services to the ports of their servers.
-    ``relay`` is the port of the host that it relays to, 0 for none.
-    ``asyncio``: on the reactor that crocuskeel-entry uses.
+    ``services`` maps the names of services to the ports of their servers;
+    ``options`` are further fields of its CONFIG.
     """
     return start("tests.gateway.flood_host", json.dumps(
-        {"services": services, "probed": probed, "relay": relay,
-         "asyncio": asyncio}))
+        {**HOST_OPTIONS, "services": services, **options}))
 
 
 def stop_host(process):
--- a/tests/gateway/test_endless_bytes.py
+++ b/tests/gateway/test_endless_bytes.py
@@ -86,7 +86,7 @@
         cls.many, many_port = real_hosts.start("tests.gateway.floods")
         cls.process, cls.port = real_hosts.start_host(
             {"many": many_port, "bad": cls.bad.port, "good": cls.good.port,
-             "probed": cls.probed.port}, "probed")
+             "probed": cls.probed.port}, probed="probed")
 
     @classmethod
     def tearDownClass(cls):
