Core: a late report of a server's former process is no restart

What callers would see: calls that are broken off, and streams that begin once more elsewhere, while their server goes on with them.

Cause: any other start time counted as a restart. A report of the former process that the store carries out late showed one, and the next report of the live process another.

Change: only a later start time is a restart. An entry with an earlier one keeps the latest that is known.

tests.entry.test_restart.test_a_late_report_of_the_former_process_is_no_restart failed before.

--- a/crocuskeel/core/entry/registry.py
+++ b/crocuskeel/core/entry/registry.py
@@ -227,7 +227,7 @@
     former = known.server
     if restarting.is_restart(former, server):
         return restarting.reset_server(host, server, now)
-    known.server = server
+    server = known.server = restarting.with_latest_start(former, server)
     known.lapses_at = None
     if former != server:
         known.address_reused = False
--- a/crocuskeel/core/entry/restarting.py
+++ b/crocuskeel/core/entry/restarting.py
@@ -6,6 +6,8 @@
 power loss a server resets them only when it is sent more data.
 """
 
+import dataclasses
+
 from crocuskeel.core.entry import attempts
 from crocuskeel.core.entry import crash_records
 from crocuskeel.core.entry import crashes
@@ -16,7 +18,7 @@
 from crocuskeel.core.scheduling import services
 
 __all__ = ["end_orphaned_attempts", "is_restart", "reset_server",
-           "restarted_servers"]
+           "restarted_servers", "with_latest_start"]
 
 # A server writes its entry when it starts and with each heartbeat, some 1.2 s
 # apart, and the list lags by up to a second more. So an attempt that was sent
@@ -26,9 +28,21 @@
 
 
 def is_restart(former, server):
-    """Return whether an entry is of another process than the former one."""
-    return (server.started_ms is not None and former.started_ms is not None
-            and server.started_ms != former.started_ms)
+    """Return whether an entry is of a later process than the former one."""
+    return (None not in (server.started_ms, former.started_ms)
+            and server.started_ms > former.started_ms)
+
+
+def with_latest_start(former, server):
+    """Return an entry with the start time of the latest known process.
+
+    A report of a former process may be written late, and is followed by one
+    of the latest. That one has not restarted.
+    """
+    if None in (server.started_ms, former.started_ms) or (
+            server.started_ms >= former.started_ms):
+        return server
+    return dataclasses.replace(server, started_ms=former.started_ms)
 
 
 def restarted_servers(host, changed):
--- a/tests/entry/test_restart.py
+++ b/tests/entry/test_restart.py
@@ -75,6 +75,23 @@
         self.assertEqual([], support.effects_of(out, effects.Cancel))
         self.assertIn("shared", self._state().parts)
 
+    def test_a_late_report_of_the_former_process_is_no_restart(self):
+        # It ended the calls to the live process, and so did the next report
+        # of that one.
+        self._restart()
+        self.driver.arrive(path="/chat/1", prompt=support.prompt(),
+                           deadline_s=8.0)
+        self.driver.feed(events.ServersChanged((), ("e1",), 7))
+        prefix_cache.add_part(self._state(), "shared", 13_000, 5e5, 0)
+        for born in (1_000, 9_000):
+            out = self._restart(after=3.0, born=born)
+            self.assertEqual([], support.effects_of(out, effects.Cancel))
+            self.assertIn("shared", self._state().parts)
+            self.assertEqual(9_000, self._state().server.started_ms)
+        self.assertNotEqual(
+            [], support.effects_of(self._restart(born=9_001),
+                                   effects.LogEvent))
+
     def test_the_list_shows_a_restart_as_well(self):
         prefix_cache.add_part(self._state(), "shared", 13_000, 5e5, 0)
         self.driver.feed(events.ServersListed(
