--- a/tests/gateway/real_hosts.py
+++ b/tests/gateway/real_hosts.py
@@ -6,11 +6,12 @@
 import subprocess
 import sys
 import threading
+import unittest
 
 from tests.entry import support
 
-__all__ = ["CLOSED_PORT", "Server", "request", "start", "start_host",
-           "stop_host"]
+__all__ = ["CLOSED_PORT", "RelayCase", "Server", "read_request", "request",
+           "start", "start_host", "stop_host"]
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 # Nothing listens there.
@@ -79,3 +80,36 @@
              f"X-Crocuskeel-Request-Id: {rid}", *fields,
              f"Content-Length: {len(body)}", "", ""]
     return "\r\n".join(lines).encode() + body
+
+
+def read_request(conn, end=b"abc"):
+    """Read from a host's connection up to the end of a request's body."""
+    received = b""
+    while not received.endswith(end):
+        received += conn.recv(65536)
+    return received
+
+
+class RelayCase(unittest.TestCase):
+    """A server, a host that sends to it, and one that relays to that host.
+
+    ``ports`` are those of the hosts. Subclasses have ``serve(conn)``, a class
+    method that answers a request; ``asyncio`` is as in start_host.
+    """
+
+    asyncio = False
+
+    @classmethod
+    def setUpClass(cls):
+        cls.server = Server(cls.serve)
+        cls.process, port = start_host(
+            {"s": cls.server.port}, asyncio=cls.asyncio)
+        cls.relay, relay_port = start_host(
+            {"s": CLOSED_PORT}, relay=port, asyncio=cls.asyncio)
+        cls.ports = {"direct": port, "relayed": relay_port}
+
+    @classmethod
+    def tearDownClass(cls):
+        stop_host(cls.relay)
+        stop_host(cls.process)
+        cls.server.close()
--- a/tests/gateway/test_early_answers.py
+++ b/tests/gateway/test_early_answers.py
@@ -29,7 +29,7 @@
 TIMEOUT_S = 8.0
 
 
-class EarlyAnswersTest(unittest.TestCase):
+class EarlyAnswersTest(real_hosts.RelayCase):
     """Guards against parts of answers that look whole to their callers.
 
     A server answers a long upload at once, sends a part of its body and ends
@@ -43,23 +43,12 @@
 
     @classmethod
     def setUpClass(cls):
-        cls.server = real_hosts.Server(cls._serve)
+        super().setUpClass()
         cls.server.listener.setsockopt(
             socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
-        cls.process, port = real_hosts.start_host(
-            {"s": cls.server.port}, asyncio=cls.asyncio)
-        cls.relay, relay_port = real_hosts.start_host(
-            {"s": real_hosts.CLOSED_PORT}, relay=port, asyncio=cls.asyncio)
-        cls.ports = {"direct": port, "relayed": relay_port}
 
     @classmethod
-    def tearDownClass(cls):
-        real_hosts.stop_host(cls.relay)
-        real_hosts.stop_host(cls.process)
-        cls.server.close()
-
-    @classmethod
-    def _serve(cls, conn):
+    def serve(cls, conn):
         with conn:
             conn.recv(1024)
             conn.sendall(b"HTTP/1.1 200 OK\r\n%s%s\r\n%s" % (
--- a/tests/gateway/test_failed_answers.py
+++ b/tests/gateway/test_failed_answers.py
@@ -17,7 +17,7 @@
 TIMEOUT_S = 8.0
 
 
-class FailedAnswersTest(unittest.TestCase):
+class FailedAnswersTest(real_hosts.RelayCase):
     """Guards against promises that a request which has run has not.
 
     Callers send a request that may run once again after 408, 421, 429, 503.
@@ -26,25 +26,9 @@
     fields = b""
 
     @classmethod
-    def setUpClass(cls):
-        cls.server = real_hosts.Server(cls._serve)
-        cls.process, port = real_hosts.start_host({"s": cls.server.port})
-        cls.relay, relay_port = real_hosts.start_host(
-            {"s": real_hosts.CLOSED_PORT}, relay=port)
-        cls.ports = {"direct": port, "relayed": relay_port}
-
-    @classmethod
-    def tearDownClass(cls):
-        real_hosts.stop_host(cls.relay)
-        real_hosts.stop_host(cls.process)
-        cls.server.close()
-
-    @classmethod
-    def _serve(cls, conn):
+    def serve(cls, conn):
         with conn:
-            received = b""
-            while not received.endswith(b"abc"):
-                received += conn.recv(65536)
+            real_hosts.read_request(conn)
             conn.sendall(b"HTTP/1.1 %sContent-Length: 4\r\n\r\nbusy"
                          % cls.fields)
 
--- a/tests/gateway/test_slow_closes.py
+++ b/tests/gateway/test_slow_closes.py
@@ -47,9 +47,7 @@
     @classmethod
     def _serve(cls, conn):
         with conn:
-            received = b""
-            while not received.endswith(b"abc"):
-                received += conn.recv(65536)
+            real_hosts.read_request(conn)
             conn.sendall(b"HTTP/1.1 200 OK\r\n%s%s\r\n%s"
                          % (STAMPS, cls.head, cls.body))
 
