Scheduling: plans go by engines that were heard since they failed

Cause: an engine that can't be reached is avoided for half a second and then counts as healthy until it is tried again. While all are down a plan saw one or two of six, and refused what those couldn't read in time; without any it lets requests wait.

Change: the plan counts engines that were heard since their connections failed. Others are tried as before. And a request may wait for its share of the time that its caller had left as it came, as the settings say, not of what remains until the host's answer, 0.03 s earlier.

--- a/crocuskeel/core/entry/health.py
+++ b/crocuskeel/core/entry/health.py
@@ -8,7 +8,7 @@
 
 import math
 
-__all__ = ["current_failure_rate", "note_activity",
+__all__ = ["current_failure_rate", "is_proven", "note_activity",
            "record_connection_failure", "record_duration", "record_failure",
            "record_success"]
 
@@ -58,6 +58,15 @@
     state.suspect_until = now + duration_s
 
 
+def is_proven(state):
+    """Return whether a server was heard since its connections failed.
+
+    One that was avoided for a while is tried again, and may still be down.
+    """
+    return (not state.failure_count
+            or state.last_seen_at >= state.suspect_until)
+
+
 def record_duration(state, took_s, expected_s):
     """Update a server's slowness by the time to first token or response."""
     ratio = min(MAX_SLOWNESS, max(1.0, took_s / max(expected_s, 0.02)))
--- a/crocuskeel/core/scheduling/queueing.py
+++ b/crocuskeel/core/scheduling/queueing.py
@@ -12,6 +12,7 @@
 from crocuskeel.core.entry import effects
 from crocuskeel.core.entry import ending
 from crocuskeel.core.entry import fleet
+from crocuskeel.core.entry import health
 from crocuskeel.core.entry import server_choice
 from crocuskeel.core.entry import server_load
 from crocuskeel.core.scheduling import arrivals
@@ -221,13 +222,21 @@
 
 
 def _max_wait_s(host, pending):
-    return host.scheduling.wait_share * (
-        pending.deadline_at - pending.arrived_at)
+    """Return how long a request may wait, of what its caller had left."""
+    left_s = pending.route.timeout_s
+    if pending.request.deadline_s is not None:
+        left_s = min(left_s, pending.request.deadline_s)
+    return host.scheduling.wait_share * left_s
 
 
 def _decide(host, schedule, pending, now):
-    """Return the plan's Decision for a request that waits."""
-    engines = server_choice.healthy(host, pending, now)
+    """Return the plan's Decision for a request that waits.
+
+    It goes by the engines that have been heard since they failed. The others
+    are tried again, but most of them are still down.
+    """
+    engines = [state for state in server_choice.healthy(host, pending, now)
+               if health.is_proven(state)]
     route = pending.route
     work = plan.Work(
         tokens_ahead=_tokens_ahead(host, schedule, pending, now),
