Core: one comparison of the start times of servers

No behaviour changes; ruled out was a method of Server, as the model holds data only. Tests of address owners, restarts, restored entries and layers pass.

--- a/crocuskeel/core/entry/address_owners.py
+++ b/crocuskeel/core/entry/address_owners.py
@@ -10,6 +10,7 @@
 from crocuskeel.core.entry import crash_records
 from crocuskeel.core.entry import crashes
 from crocuskeel.core.entry import effects
+from crocuskeel.core.entry import model
 from crocuskeel.core import revisions
 
 __all__ = ["mark", "mark_all", "note_created", "registrations"]
@@ -121,8 +122,9 @@
     if state.server.service not in host.catalog.services:
         return False
     if _are_comparable(state, former):
-        return (state.created > former.created
-                and not _started_before(state.server, former.server))
+        # A server that starts again under its id keeps its older entry.
+        return (state.created > former.created and not
+                model.started_before(state.server, former.server))
     sid = former.server.sid
     return state.server.sid in arrived and sid not in arrived
 
@@ -130,12 +132,3 @@
 def _are_comparable(state, other):
     return (None not in (state.created, other.created)
             and revisions.era(state.created) == revisions.era(other.created))
-
-
-def _started_before(server, other):
-    """Return whether a server says that it started before another one.
-
-    The other one has started again under its former id then.
-    """
-    return (None not in (server.started_ms, other.started_ms)
-            and server.started_ms < other.started_ms)
--- a/crocuskeel/core/entry/model.py
+++ b/crocuskeel/core/entry/model.py
@@ -6,7 +6,7 @@
 __all__ = [
     "Catalog", "EngineSpec", "Hints", "Kind", "Limits", "Origin", "Outcome",
     "Peer", "Prompt", "Request", "Route", "Scaling", "Server", "Service",
-    "Workspace", "server_id",
+    "Workspace", "server_id", "started_before",
 ]
 
 
@@ -237,6 +237,12 @@
         return f"{self.sid}/{self.started_ms}"
 
 
+def started_before(server, other):
+    """Return whether a server is known to have started before another one."""
+    return (None not in (server.started_ms, other.started_ms)
+            and server.started_ms < other.started_ms)
+
+
 def server_id(incarnation):
     """Return the server id of an incarnation's identifier."""
     return incarnation.rpartition("/")[0]
--- a/crocuskeel/core/entry/restarting.py
+++ b/crocuskeel/core/entry/restarting.py
@@ -29,8 +29,7 @@
 
 def is_restart(former, server):
     """Return whether an entry is of a later process than the former one."""
-    return (None not in (server.started_ms, former.started_ms)
-            and server.started_ms > former.started_ms)
+    return model.started_before(former, server)
 
 
 def with_latest_start(former, server):
@@ -39,8 +38,7 @@
     A report of a former process may be written late, and is followed by one
     of the latest. That one has not restarted.
     """
-    if None in (server.started_ms, former.started_ms) or (
-            server.started_ms >= former.started_ms):
+    if not model.started_before(server, former):
         return server
     return dataclasses.replace(server, started_ms=former.started_ms)
 
--- a/crocuskeel/core/entry/restores.py
+++ b/crocuskeel/core/entry/restores.py
@@ -8,6 +8,7 @@
 
 from crocuskeel.core.entry import draining
 from crocuskeel.core.entry import events
+from crocuskeel.core.entry import model
 from crocuskeel.core import revisions
 
 __all__ = ["current_entries", "forget_removed", "is_restore",
@@ -34,9 +35,7 @@
 
 def _is_former_process(host, server):
     known = host.servers.get(server.sid)
-    if known is None or None in (server.started_ms, known.server.started_ms):
-        return False
-    return server.started_ms < known.server.started_ms
+    return known is not None and model.started_before(server, known.server)
 
 
 def note_removed(host, server, revision, now):
