Core: one way to look for servers whose address was taken over

mark_all was mark with all servers, and the check whether a registered server is known could never fail, as the changes are applied by then. Servers that are marked already are no longer compared before they are left out. The codec of headers names the first error status in both places. No behaviour changes; tests of address owners, registry, headers, the watcher and layers pass.

--- a/crocuskeel/core/entry/address_owners.py
+++ b/crocuskeel/core/entry/address_owners.py
@@ -13,7 +13,7 @@
 from crocuskeel.core.entry import model
 from crocuskeel.core import revisions
 
-__all__ = ["mark", "mark_all", "note_created", "registrations"]
+__all__ = ["mark", "note_created", "registrations"]
 
 
 def registrations(host, changed, revision):
@@ -64,25 +64,27 @@
 def mark(host, registered, arrived, now):
     """Mark servers whose address belongs to a later one; return effects.
 
-    ``registered`` are the ids of those that have registered, and ``arrived``
-    of those among them that this host didn't know and that are no later than
-    that by a restore of the store.
+    ``registered`` are the ids of known servers whose addresses are looked at,
+    and ``arrived`` of those among them that this host didn't know and that are
+    no later than that by a restore of the store.
     """
     if not registered or host.catalog is None:
         return []
-    addresses = {host.servers[sid].server.address for sid in registered
-                 if sid in host.servers}
-    return _mark_groups(host, _groups(host, addresses), arrived, now)
-
-
-def mark_all(host, now):
-    """Mark servers once services are configured, as ``mark`` does."""
-    addresses = {state.server.address for state in host.servers.values()}
-    return _mark_groups(host, _groups(host, addresses), (), now)
+    out = []
+    for states in _groups(host, registered):
+        for former in states:
+            if former.address_reused:
+                continue
+            later = next((state for state in states if _is_later(
+                host, state, former, arrived)), None)
+            if later is not None:
+                out += _mark(host, former, later, now)
+    return out
 
 
-def _groups(host, addresses):
-    """Return the lists of servers that share one of the addresses."""
+def _groups(host, sids):
+    """Return the lists of servers that share the address of one of these."""
+    addresses = {host.servers[sid].server.address for sid in sids}
     by_address = {}
     for state in host.servers.values():
         if state.server.address in addresses:
@@ -90,17 +92,6 @@
     return [states for states in by_address.values() if len(states) > 1]
 
 
-def _mark_groups(host, groups, arrived, now):
-    out = []
-    for states in groups:
-        for former in states:
-            later = next((state for state in states if _is_later(
-                host, state, former, arrived)), None)
-            if later is not None and not former.address_reused:
-                out += _mark(host, former, later, now)
-    return out
-
-
 def _mark(host, former, later, now):
     former.address_reused = True
     return [effects.LogEvent("server_replaced", {
--- a/crocuskeel/core/entry/registry.py
+++ b/crocuskeel/core/entry/registry.py
@@ -57,7 +57,7 @@
         "keys": None if catalog.api_keys is None else len(catalog.api_keys)})
     replaced = []
     if former is None or former.services.keys() != catalog.services.keys():
-        replaced = address_owners.mark_all(host, now)
+        replaced = address_owners.mark(host, host.servers, (), now)
     return [note, *replaced, *moved_routes.note_catalog(host, former, now),
             *_unknown_names(host, catalog),
             *version_records.catalog_applied(host, now),
--- a/crocuskeel/platform/headers.py
+++ b/crocuskeel/platform/headers.py
@@ -233,7 +233,7 @@
         return _classify(request, head)
     # The other host answers for itself: it has not run the request, unless
     # it reports a failure.
-    if head.status in REFUSALS or 400 <= head.status < 500:
+    if head.status in REFUSALS or FIRST_ERROR <= head.status < 500:
         return header_codec.Verdict.NOT_RUN
     if head.status >= 500:
         return header_codec.Verdict.ANSWER
