Core: one reckoning of a request's time limit

It left out the limit of a minute for callers that name none, so that on a route with a longer timeout a request could wait for more than its share. ending.time_limit_s takes it from the deadline that the arrival set, by the lead of the answer, which stands with the answers now.

--- a/crocuskeel/core/entry/ending.py
+++ b/crocuskeel/core/entry/ending.py
@@ -5,10 +5,11 @@
 from crocuskeel.core.entry import prefill_pauses
 from crocuskeel.core.scheduling import waiting_room
 
-__all__ = ["BUSY_RETRY_S", "NOT_RUN_STATUSES", "UNAVAILABLE",
-           "active_attempts", "cancel_all", "cancel_others", "close_attempt",
-           "find_attempt", "finish", "give_up", "limit_retry_delay",
-           "log_line", "mark_load_changed", "refuse", "tried_servers"]
+__all__ = ["BUSY_RETRY_S", "NOT_RUN_STATUSES", "TIMEOUT_ANSWER_LEAD_S",
+           "UNAVAILABLE", "active_attempts", "cancel_all", "cancel_others",
+           "close_attempt", "find_attempt", "finish", "give_up",
+           "limit_retry_delay", "log_line", "mark_load_changed", "refuse",
+           "time_limit_s", "tried_servers"]
 
 UNAVAILABLE = 503
 BAD_GATEWAY = 502
@@ -16,6 +17,9 @@
 # Statuses that promise a caller that its request has not run and never will:
 # one that may run once is sent again after them.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, UNAVAILABLE))
+# The answer to a request that times out is sent this long before its caller
+# stops waiting, s: several times the one-way network delay to a caller.
+TIMEOUT_ANSWER_LEAD_S = 0.03
 # Retry delay after a refusal, s: engines free slots within a few hundred
 # milliseconds, and a host gets its configuration within a second.
 BUSY_RETRY_S = 0.3
@@ -28,6 +32,14 @@
     return [attempt for attempt in pending.attempts if not attempt.ended]
 
 
+def time_limit_s(pending):
+    """Return how long a request may take from its arrival, s.
+
+    That is what its caller waits, or its route's timeout if that is shorter.
+    """
+    return pending.deadline_at + TIMEOUT_ANSWER_LEAD_S - pending.arrived_at
+
+
 def tried_servers(pending):
     """Return the ids of the servers that a request mustn't be sent to again.
 
--- a/crocuskeel/core/entry/requests.py
+++ b/crocuskeel/core/entry/requests.py
@@ -25,9 +25,6 @@
 
 # Time limit of a request that has none of its own, s.
 DEFAULT_DEADLINE_S = 60.0
-# The answer to a request that times out is sent this long before its caller
-# stops waiting, s: several times the one-way network delay to a caller.
-TIMEOUT_ANSWER_LEAD_S = 0.03
 
 
 def request_arrived(host, event, now):
@@ -91,7 +88,8 @@
         workspace=destination.workspace,
         owner=key_owners.owner_of(host, request),
         priority=destination.priority,
-        arrived_at=now, deadline_at=now + left - TIMEOUT_ANSWER_LEAD_S,
+        arrived_at=now,
+        deadline_at=now + left - ending.TIMEOUT_ANSWER_LEAD_S,
         max_servers=max_servers)
 
 
--- a/crocuskeel/core/scheduling/queueing.py
+++ b/crocuskeel/core/scheduling/queueing.py
@@ -223,10 +223,7 @@
 
 def _max_wait_s(host, pending):
     """Return how long a request may wait, of what its caller had left."""
-    left_s = pending.route.timeout_s
-    if pending.request.deadline_s is not None:
-        left_s = min(left_s, pending.request.deadline_s)
-    return host.scheduling.wait_share * left_s
+    return host.scheduling.wait_share * ending.time_limit_s(pending)
 
 
 def _decide(host, schedule, pending, now):
