--- a/tests/entry/test_refusals.py
+++ b/tests/entry/test_refusals.py
@@ -17,10 +17,8 @@
 class RefusalsTest(unittest.TestCase):
     """What a caller is told once a server may have run its request."""
 
-    def _driver(self, *servers, **kwargs):
-        driver = support.Driver(*ROUTES, servers=servers or SERVERS, **kwargs)
-        self.host = driver.host
-        return driver
+    def _driver(self, *servers):
+        return support.Driver(*ROUTES, servers=servers or SERVERS)
 
     def _final(self, out):
         """Return the status of the last answer; None if there is none."""
--- a/tests/gateway/real_hosts.py
+++ b/tests/gateway/real_hosts.py
@@ -9,13 +9,17 @@
 import unittest
 
 from tests.entry import support
+from tests.gateway import answer_forms
 
-__all__ = ["CLOSED_PORT", "RelayCase", "Server", "read_request", "request",
-           "start", "start_host", "stop_host"]
+__all__ = ["CLOSED_PORT", "RelayCase", "STAMPS", "Server", "read_answer",
+           "read_request", "request", "start", "start_host", "stop_host"]
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 # Nothing listens there.
 CLOSED_PORT = 1
+# Header fields of a server's answer to ``request``.
+STAMPS = (b"X-Crocuskeel-Request-Id: r-1\r\n"
+          b"X-Crocuskeel-Server-Stamp: stamp\r\n")
 HOST_OPTIONS = {"probed": "", "relay": 0, "asyncio": False, "idle_s": 15.0,
                 "send_buffer": 0}
 
@@ -90,6 +94,21 @@
     return received
 
 
+def read_answer(conn):
+    """Return the answer that a caller receives, up to its end or a reset."""
+    got, closed = b"", False
+    while True:
+        received = answer_forms.read(got, closed, "POST")
+        if received.framed or closed:
+            return received
+        try:
+            data = conn.recv(1 << 20)
+        except ConnectionResetError:
+            return received
+        got += data
+        closed = not data
+
+
 class RelayCase(unittest.TestCase):
     """A server, a host that sends to it, and one that relays to that host.
 
--- a/tests/gateway/test_closed_answers.py
+++ b/tests/gateway/test_closed_answers.py
@@ -6,8 +6,6 @@
 from tests.gateway import answer_forms as forms
 from tests.gateway import real_hosts
 
-STAMPS = (b"X-Crocuskeel-Request-Id: r-1\r\n"
-          b"X-Crocuskeel-Server-Stamp: stamp\r\n")
 # More than the buffers of both sockets of a connection hold.
 LARGE = b"0123456789abcdef" * (1 << 17)
 SMALL_BUFFER_BYTES = 1 << 14
@@ -40,24 +38,15 @@
 
     def _ask(self, kind, answer):
         """Return the answer to a request on a connection to be kept."""
-        type(self).answer = answer.replace(b"X-Field: value\r\n", STAMPS)
-        got, closed = b"", False
+        type(self).answer = answer.replace(
+            b"X-Field: value\r\n", real_hosts.STAMPS)
         with socket.socket() as conn:
             conn.settimeout(TIMEOUT_S)
             conn.setsockopt(
                 socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
             conn.connect(("127.0.0.1", self.port))
             conn.sendall(real_hosts.request(f"/s-{kind}/1"))
-            while True:
-                received = forms.read(got, closed, "POST")
-                if received.framed or closed:
-                    return received
-                try:
-                    data = conn.recv(1 << 20)
-                except ConnectionResetError:
-                    return received
-                got += data
-                closed = not data
+            return real_hosts.read_answer(conn)
 
     def test_answer_without_length_ends_with_the_connection(self):
         for body in (b"", forms.HALF, LARGE):
--- a/tests/gateway/test_early_answers.py
+++ b/tests/gateway/test_early_answers.py
@@ -9,8 +9,6 @@
 from tests.gateway import answer_forms as forms
 from tests.gateway import real_hosts
 
-STAMPS = (b"X-Crocuskeel-Request-Id: r-1\r\n"
-          b"X-Crocuskeel-Server-Stamp: stamp\r\n")
 PATHS = ("direct", "relayed")
 # With the host's own buffer, more than those of both sockets hold.
 SIZES = (600_000, 4_000_000)
@@ -52,7 +50,7 @@
         with conn:
             conn.recv(1024)
             conn.sendall(b"HTTP/1.1 200 OK\r\n%s%s\r\n%s" % (
-                STAMPS, cls.head, cls.part))
+                real_hosts.STAMPS, cls.head, cls.part))
             time.sleep(cls.delay_s)
             match cls.ending:
                 case "reset":
@@ -75,21 +73,11 @@
 
     def _ask(self, kind, size, path="direct"):
         """Return what the caller receives for an upload."""
-        got, closed = b"", False
         body = b"x" * (size - 3) + b"end"
         with socket.create_connection(
                 ("127.0.0.1", self.ports[path]), TIMEOUT_S) as conn:
             conn.sendall(real_hosts.request(f"/s-{kind}/1", body=body))
-            while True:
-                received = forms.read(got, closed, "POST")
-                if received.framed or closed:
-                    return received
-                try:
-                    data = conn.recv(1 << 20)
-                except ConnectionResetError:
-                    return received
-                got += data
-                closed = not data
+            return real_hosts.read_answer(conn)
 
     def _check_cut(self, received):
         """Check that a caller can't take a part for a whole answer."""
--- a/tests/gateway/test_failed_answers.py
+++ b/tests/gateway/test_failed_answers.py
@@ -4,7 +4,6 @@
 import socket
 import unittest
 
-from tests.gateway import answer_forms as forms
 from tests.gateway import real_hosts
 
 RID = b"X-Crocuskeel-Request-Id: r-1\r\n"
@@ -38,10 +37,9 @@
         with socket.create_connection(
                 ("127.0.0.1", self.ports[path]), TIMEOUT_S) as conn:
             conn.sendall(real_hosts.request(f"/s-{kind}/1"))
-            got = b""
-            while not forms.read(got, False, "POST").framed:
-                got += conn.recv(65536)
-        return forms.read(got, False, "POST")
+            received = real_hosts.read_answer(conn)
+        self.assertTrue(received.framed)
+        return received
 
     def test_an_own_failure_is_no_refusal(self):
         for status, fields, kind, path in itertools.product(
--- a/tests/gateway/test_slow_closes.py
+++ b/tests/gateway/test_slow_closes.py
@@ -8,8 +8,6 @@
 from tests.gateway import answer_forms as forms
 from tests.gateway import real_hosts
 
-STAMPS = (b"X-Crocuskeel-Request-Id: r-1\r\n"
-          b"X-Crocuskeel-Server-Stamp: stamp\r\n")
 # Of each side. The host hands an answer of this size to its transport, and
 # the kernel can't hold it.
 BUFFER_BYTES = 1 << 13
@@ -49,7 +47,7 @@
         with conn:
             real_hosts.read_request(conn)
             conn.sendall(b"HTTP/1.1 200 OK\r\n%s%s\r\n%s"
-                         % (STAMPS, cls.head, cls.body))
+                         % (real_hosts.STAMPS, cls.head, cls.body))
 
     def _start(self, **options):
         process, self.port = real_hosts.start_host(
